Measure the relay against a plain copy loop

Ruled out on the way: the engine's view said a model was held before any was; an unread body left on a connection that is kept; both mended here.

--- /dev/null
+++ b/bench/drain.py
@@ -0,0 +1,64 @@
+"""A cheap caller for the relay bench: opens many streams and counts tokens until they end.
+
+Run as a process of its own, so that its work is not counted as the entry's.
+"""
+
+import json
+import selectors
+import socket
+import sys
+import time
+from typing import cast
+
+from swifttrestle.internal.checks import split_address
+
+READ_BYTES = 1 << 18
+MARK = b'"offset":'
+DONE = b"data: [DONE]"
+
+
+def open_stream(address: str, path: str, headers: str, body: bytes) -> socket.socket:
+    """Send one request and return its socket, set not to block."""
+    sock = socket.create_connection(split_address(address), 30)
+    head = f"POST {path} HTTP/1.1\r\nHost: bench\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+    sock.sendall(head.encode() + body)
+    sock.setblocking(False)
+    return sock
+
+
+def drain(sockets: list[socket.socket], give_up: float) -> dict[str, float]:
+    """Read all sockets to their ends; return counts of tokens and of whole answers."""
+    selector = selectors.DefaultSelector()
+    for opened in sockets:
+        selector.register(opened, selectors.EVENT_READ, [b""])
+    tokens = whole = 0
+    first = last = 0.0
+    while selector.get_map() and time.monotonic() < give_up:
+        for key, _ in selector.select(1.0):
+            sock = cast(socket.socket, key.fileobj)
+            data = sock.recv(READ_BYTES)
+            if not data:
+                selector.unregister(sock)
+                sock.close()
+                continue
+            joined = key.data[0] + data
+            tokens += joined.count(MARK) - key.data[0].count(MARK)
+            whole += DONE in joined and DONE not in key.data[0]
+            key.data[0] = joined[-len(DONE) :]
+            last = time.monotonic()
+            first = first or last
+    return {"tokens": tokens, "whole": whole, "seconds": last - first}
+
+
+def main() -> None:
+    """Read the job from standard input, open all streams, drain, print the counts."""
+    job = json.loads(sys.stdin.read())
+    sockets = [
+        open_stream(job["address"], job["path"], job["headers"], body.encode())
+        for body in job["bodies"]
+    ]
+    sys.stdout.write(json.dumps(drain(sockets, time.monotonic() + job["seconds"])) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -107,7 +107,7 @@
                 self._leave()
 
     def _refuse(self, exchange: Exchange, error: RefusedError) -> None:
-        # The body is left unread: a refusal must stay cheap, and the connection is closed.
+        exchange.discard_body()
         self._metrics.count("refused_total", code=error.code.name)
         body = make_error_body(error, exchange.header("X-Request-Id"))
         exchange.reply_json(TABLE[error.code].status, body, make_error_headers(error))
--- a/src/swifttrestle/internal/state/upstreams.py
+++ b/src/swifttrestle/internal/state/upstreams.py
@@ -278,7 +278,7 @@
 
 
 def _show_holding(report: LoadReport | None) -> str:
-    if report is None or report.state.changing:
+    if report is None or report.state.changing or not report.state.holding.model:
         return ""
     return f"{report.state.holding.model}@{report.state.holding.version}"
 
--- a/src/swifttrestle/internal/transport/http.py
+++ b/src/swifttrestle/internal/transport/http.py
@@ -36,6 +36,7 @@
             key: values[-1] for key, values in parse_qs(request.qs.decode("latin-1")).items()
         }
         self.replied = False
+        self._body_read = False
 
     def header(self, name: str) -> str:
         """Return a header's value, or the empty string."""
@@ -44,8 +45,14 @@
 
     def read_body(self) -> bytes:
         """Return the whole body; the server has checked its length against the limit."""
+        self._body_read = True
         return self._request.rfile.read()
 
+    def discard_body(self) -> None:
+        """Read what is left of the body, so that the connection can carry another request."""
+        if not self._body_read:
+            self.read_body()
+
     def reply(
         self,
         status: int,
--- a/src/swifttrestle_standins/fleet.py
+++ b/src/swifttrestle_standins/fleet.py
@@ -86,6 +86,11 @@
             self.kill()
             return -1
 
+    def process_id(self) -> int:
+        """Return the process id."""
+        assert self.process is not None
+        return self.process.pid
+
     @property
     def running(self) -> bool:
         """Whether the process runs."""
