--- a/src/swifttrestle/internal/coordination/pools.py
+++ b/src/swifttrestle/internal/coordination/pools.py
@@ -45,6 +45,7 @@
 from swifttrestle.resources import ResourceSet, Upstream
 
 SILENT_ENTRY_PATIENCE = 20.0
+UNSEEN_SECONDS = 5.0
 EngineMaker = Callable[[Upstream], Engine]
 
 
@@ -67,6 +68,7 @@
     closing_since: float = 0.0
     changed_at: float = float("-inf")
     refused_until: float = 0.0
+    unseen_since: float | None = None
 
 
 @dataclass(frozen=True)
@@ -215,6 +217,7 @@
                 view.report = view.engine.read_load()
             except UpstreamError as error:
                 view.state = view.report = None
+                view.unseen_since = None
                 view.reason = f"not heard: {error}"
 
     # One step of one engine.
@@ -365,16 +368,24 @@
             return
         # Not seen by the engine. A checked engine takes it again under a higher number,
         # which voids the first sending. One that ignores numbers gets it again only after a
-        # new boot: until then the first sending may still wait in its socket.
-        if upstream.fencing == "checked" or state.boot != order.boot:
+        # new boot, or after it has answered for so long that the first sending cannot still
+        # wait in its sockets: the two would want the same, but each change cuts and takes time.
+        if upstream.fencing == "checked" or state.boot != order.boot or self._is_unseen(view):
             if state.active:
                 view.reason = f"to be sent again: {state.active} requests active"
                 return
             fence = self._next_fence()
             view.order = self._log.move(order, Stage.SENT, fence, state.boot)
+            view.unseen_since = None
             self._send(view, order.order_id, order.wanted, fence)
             return
-        view.reason = "sent: outcome unknown until the engine shows it or starts anew"
+        view.reason = "sent: outcome unknown, waits for the engine to show it"
+
+    def _is_unseen(self, view: EngineView) -> bool:
+        """Whether an engine has answered long enough without showing a sent order."""
+        if view.unseen_since is None:
+            view.unseen_since = self._clock.now()
+        return self._clock.now() - view.unseen_since > UNSEEN_SECONDS
 
     def _finish(self, view: EngineView, order: Order) -> None:
         view.order = self._log.move(order, Stage.DONE)
--- a/src/swifttrestle_standins/batch.py
+++ b/src/swifttrestle_standins/batch.py
@@ -100,6 +100,7 @@
         """Take a request into the batch."""
         stream.record.update(
             id=stream.request,
+            digest=stream.digest,
             attempt=stream.attempt,
             offset=stream.offset,
             sent=0,
--- a/src/swifttrestle_standins/caller.py
+++ b/src/swifttrestle_standins/caller.py
@@ -79,6 +79,7 @@
             _read_stream(response, answer, began, hang_up_after)
         else:
             _read_whole(response, answer)
+        response.close()
     except (OSError, http.client.HTTPException) as error:
         answer.lost = type(error).__name__
     finally:
--- a/src/swifttrestle_standins/fleet.py
+++ b/src/swifttrestle_standins/fleet.py
@@ -54,7 +54,9 @@
 
     def start(self) -> None:
         """Start the process and wait for its line of addresses."""
-        command = [sys.executable, "-c", f"from {self.module} import main; main()"]
+        module, _, function = self.module.partition(":")
+        function = function or "main"
+        command = [sys.executable, "-c", f"from {module} import {function}; {function}()"]
         command += [f"--{key}={value}" for key, value in self.flags.items()]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log)
@@ -151,14 +153,21 @@
             "heartbeat_seconds": 0.3,
         }
 
-    def add_entry(self, name: str, host: str, zone: str, **flags: Any) -> Started:
-        """Start an entry."""
+    def add_entry(
+        self, name: str, host: str, zone: str, program: str = "swifttrestle.entry", **flags: Any
+    ) -> Started:
+        """Start an entry, or a program that stands in for it, given as module:function."""
         base = {**self.product_flags(name, host, zone), "listen": f"127.0.0.1:{pick_port()}"}
         base |= {"report_seconds": 0.2}
-        return self.add(name, "swifttrestle.entry", base | flags)
+        return self.add(name, program, base | flags)
 
     def add_controller(
-        self, name: str, host: str, zone: str, module: str = "swifttrestle.controller", **flags: Any
+        self,
+        name: str,
+        host: str,
+        zone: str,
+        program: str = "swifttrestle.controller",
+        **flags: Any,
     ) -> Started:
         """Start a controller with short leases."""
         base = self.product_flags(name, host, zone)
@@ -169,7 +178,7 @@
             "status_seconds": 0.3,
             "host_lag_seconds": 2,
         }
-        return self.add(name, module, base | flags)
+        return self.add(name, program, base | flags)
 
     def call(self, method: str, address: str, path: str, value: Any = None) -> Any:
         """Make one JSON call and return its answer."""
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that the tests share."""
