Show that each proof fails without its mechanism

Cause: a scenario that passes says little until it was seen to fail.

Found by the fuzz: a fault of an unknown field with an empty name named no field; mended.

--- a/src/swifttrestle/resources.py
+++ b/src/swifttrestle/resources.py
@@ -271,7 +271,7 @@
         return Failure((FieldFault(label, "spec", f"{spec!r} is no mapping; give fields"),))
     values = {**spec, "name": name}
     faults = [
-        FieldFault(label, unknown, f"no field of {kind}; drop it or see `explain {kind}`")
+        FieldFault(label, repr(unknown), f"no field of {kind}; drop it or see `explain {kind}`")
         for unknown in find_unknown(KINDS[kind], values)
     ]
     checked: dict[str, Any] = {}
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -95,7 +95,8 @@
         else:
             host = flags.pop("host", f"host-{name}")
             self.fleet.set_hosts(**{host.replace("-", "_"): {"zone": zone, "state": "live"}})
-            flags = {"program": self.programs[kind], **flags} if kind in self.programs else flags
+            if kind in self.programs and "program" not in flags:
+                flags["program"] = self.programs[kind]
             getattr(self.fleet, f"add_{kind}")(name, host, zone, **flags)
 
     def do_declare(self, *words):
@@ -284,6 +285,11 @@
         orders = self.fleet.records(engine)["orders"]
         return any(o["effect"] == "refused" and o["action"] == "hold" for o in orders)
 
+    def is_ordered_by_term(self, engine, term):
+        """An engine took an order of a lease's term, other than one that raises its number."""
+        orders = self.fleet.records(engine)["orders"]
+        return any(o["action"] == "hold" and o["token"] >> 20 == int(term) for o in orders)
+
     def is_spec(self, kind, name, **fields):
         spec = self._object(kind, name)
         return all(spec.get(key) == value for key, value in fields.items())
