Measure the decisions through swings of the mix, baselines beside them

The first run did not end in 5 minutes: each waiting request was judged against every upstream 20 times a second, in the model and in the product alike; now only the first in line is, the rest once a second.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,17 @@
+"""`python -m bench NAME`: runs one benchmark, or those of `make bench`."""
+
+import sys
+
+from bench import mix, relay
+
+BENCHES = {"mix": mix.main, "relay": relay.main}
+
+
+def main() -> None:
+    """Run the benches that are named, or all."""
+    for name in sys.argv[1:] or list(BENCHES):
+        BENCHES[name]()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/mix.py
@@ -0,0 +1,237 @@
+"""Goodput, alerts and role changes through swings of the mix, baselines beside the policies.
+
+`python -m bench mix` prints a table and writes a report with a plot. Deterministic: a run
+depends on its seed alone, so the figures can be bounded in CI.
+"""
+
+import random
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.model import ModelEngine, ModelRun, Policies, Request
+from swifttrestle.internal.policy.admission import AdmitAll, DeadlineAdmission
+from swifttrestle.internal.policy.roles import FixedRoles, ThresholdRoles, WeighedRoles
+from swifttrestle.internal.policy.routing import LeastPredicted, LeastReported, RoundRobin, Work
+from swifttrestle.resources import Policy
+
+SECONDS = 120.0
+SWING_SECONDS = 20.0
+TAIL_SECONDS = 30.0
+ENTRIES = 4
+LOADS = (0.5, 0.75, 1.0, 1.25, 1.5)
+SEEDS = (1, 2, 3)
+REPORTS = Path(__file__).parent / "reports"
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One class of requests: tokens, deadline in seconds, documents that prompts share."""
+
+    name: str
+    prompt: int
+    output: int
+    deadline: float
+    documents: int
+    shared: float
+    priority: str = "normal"
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """One user's fleet and mix; `rate` is the requests a second at about its capacity."""
+
+    name: str
+    speeds: tuple[float, ...]
+    rate: float
+    long: Kind
+    short: Kind
+    alert: Kind
+    role_change_weight: float
+
+
+ASSOCIATION = Deployment(
+    "association match day",
+    (1.0, 1.0, 1.0, 1.0, 0.5, 0.5),
+    34.0,
+    Kind("summary", 4000, 4, 8.0, 40, 0.7),
+    Kind("chat", 200, 100, 20.0, 5, 0.5),
+    Kind("alert", 60, 16, 1.5, 1, 0.0, "urgent"),
+    0.2,
+)
+TRUST = Deployment(
+    "trust weather day",
+    (1.0, 1.0, 0.5, 0.5, 0.5, 0.5),
+    27.0,
+    Kind("judgement", 6000, 8, 12.0, 25, 0.8),
+    Kind("note", 150, 80, 30.0, 5, 0.5),
+    Kind("warning", 60, 12, 1.5, 1, 0.0, "urgent"),
+    0.8,
+)
+
+POLICIES = {
+    "round robin": Policies(RoundRobin, AdmitAll, FixedRoles),
+    "least reported": Policies(LeastReported, AdmitAll, FixedRoles),
+    "least reported, threshold roles": Policies(LeastReported, AdmitAll, ThresholdRoles),
+    "predicted, admit all": Policies(LeastPredicted, AdmitAll, FixedRoles),
+    "in use, fixed roles": Policies(LeastPredicted, lambda: DeadlineAdmission(0.15), FixedRoles),
+    "in use": Policies(LeastPredicted, lambda: DeadlineAdmission(0.15), WeighedRoles),
+}
+IN_USE = "in use"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What one run gave; goodput in answers in time a second."""
+
+    goodput: float
+    offered: float
+    alert_misses: int
+    alerts: int
+    alert_p50: float
+    alert_p99: float
+    role_changes: int
+    retries: int
+    shed: int
+    hit_share: float
+
+
+def make_trace(place: Deployment, load: float, seed: int) -> list[Request]:
+    """Return the arrivals of a run: the mix swings between long prompts and short replies."""
+    rng = random.Random(seed)
+    trace: list[Request] = []
+    at = 0.0
+    while True:
+        at += rng.expovariate(place.rate * load)
+        if at >= SECONDS:
+            return trace
+        swing = int(at / SWING_SECONDS) % 2
+        share = 0.75 if swing == 0 else 0.1
+        kind = place.long if rng.random() < share else place.short
+        if rng.random() < 0.06:
+            kind = place.alert
+        trace.append(_make_request(kind, at, rng))
+
+
+def _make_request(kind: Kind, at: float, rng: random.Random) -> Request:
+    prompt = max(16, int(kind.prompt * rng.uniform(0.6, 1.4)))
+    output = max(2, int(kind.output * rng.uniform(0.5, 1.5)))
+    blocks = prompt // 32
+    document = rng.randrange(kind.documents)
+    common = int(blocks * kind.shared)
+    base = _mix(kind.name, document)
+    own = rng.getrandbits(30)
+    named = [base + n for n in range(common)] + [own * 4096 + n for n in range(blocks - common)]
+    work = Work(prompt, output, kind.priority)
+    return Request(kind.name, work, kind.deadline, tuple(named), at)
+
+
+def _mix(name: str, document: int) -> int:
+    return (sum(name.encode()) * 1000 + document) * 100_000
+
+
+def run_once(place: Deployment, label: str, load: float, seed: int) -> tuple[Outcome, ModelRun]:
+    """Play one trace under one set of policies."""
+    engines = [ModelEngine(f"e{n}", speed) for n, speed in enumerate(place.speeds)]
+    policy = Policy(
+        name="default", role_change_weight=place.role_change_weight, role_dwell_seconds=30
+    )
+    run = ModelRun(engines, POLICIES[label], policy, seed, ENTRIES)
+    done = run.run(make_trace(place, load, seed), SECONDS + TAIL_SECONDS)
+    return _sum_up(place, run, done), run
+
+
+def _sum_up(place: Deployment, run: ModelRun, done: list[Request]) -> Outcome:
+    alerts = [request for request in done if request.kind == place.alert.name]
+    late = sorted((r.done_at - r.at) if r.done_at else 99.0 for r in alerts)
+    prompts = sum(r.work.prompt_tokens for r in done if r.outcome == "done")
+    return Outcome(
+        sum(1 for request in done if request.in_time) / SECONDS,
+        len(done) / SECONDS,
+        sum(1 for request in alerts if not request.in_time),
+        len(alerts),
+        late[len(late) // 2],
+        late[int(len(late) * 0.99)],
+        run.role_changes,
+        run.retries,
+        sum(1 for request in done if request.outcome == "shed"),
+        sum(e.hit_tokens for e in run.engines.values()) / max(1, prompts),
+    )
+
+
+def run_all(place: Deployment) -> dict[tuple[str, float], list[Outcome]]:
+    """Run every set of policies at every load and seed."""
+    keys = [(label, load) for label in POLICIES for load in LOADS]
+    with ProcessPoolExecutor(6) as workers:
+        tasks = {
+            key: [workers.submit(measure_once, place, *key, seed) for seed in SEEDS] for key in keys
+        }
+        return {key: [task.result() for task in found] for key, found in tasks.items()}
+
+
+def measure_once(place: Deployment, label: str, load: float, seed: int) -> Outcome:
+    """Play one trace and return its figures alone."""
+    return run_once(place, label, load, seed)[0]
+
+
+def write_table(place: Deployment, found: dict[tuple[str, float], list[Outcome]]) -> str:
+    """Return a Markdown table: medians over the seeds, goodput with its spread."""
+    lines = [
+        f"## {place.name}",
+        "",
+        "| policies | load | goodput/s (least-most) | offered/s | alert misses | alert p50 s | "
+        "alert p99 s | role changes | retries | shed | prefix hits |",
+        "|---|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for (label, load), outcomes in found.items():
+        goodputs = [outcome.goodput for outcome in outcomes]
+
+        def middle(name: str, outcomes: list[Outcome] = outcomes) -> float:
+            return statistics.median(getattr(outcome, name) for outcome in outcomes)
+
+        misses = sum(outcome.alert_misses for outcome in outcomes)
+        alerts = sum(outcome.alerts for outcome in outcomes)
+        lines.append(
+            f"| {label} | {load:g} | {statistics.median(goodputs):.1f} "
+            f"({min(goodputs):.1f}-{max(goodputs):.1f}) | {middle('offered'):.1f} | "
+            f"{misses}/{alerts} | {middle('alert_p50'):.2f} | {middle('alert_p99'):.2f} | "
+            f"{middle('role_changes'):g} | {middle('retries'):g} | {middle('shed'):g} | "
+            f"{middle('hit_share'):.2f} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def draw_plot(found: dict[str, dict[tuple[str, float], list[Outcome]]], path: Path) -> None:
+    """Draw goodput over load, one panel a deployment."""
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    from matplotlib import pyplot
+
+    figure, panels = pyplot.subplots(1, len(found), figsize=(12, 4.5), sharey=True)
+    for panel, (name, outcomes) in zip(panels, found.items(), strict=True):
+        for label in POLICIES:
+            middle = [statistics.median(o.goodput for o in outcomes[label, load]) for load in LOADS]
+            panel.plot(LOADS, middle, marker="o", label=label)
+        panel.set_title(name)
+        panel.set_xlabel("load as a share of capacity")
+    panels[0].set_ylabel("answers whole and in time, a second")
+    panels[0].legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
+
+
+def main() -> None:
+    """Run both deployments and write the report."""
+    REPORTS.mkdir(exist_ok=True)
+    found = {place.name: run_all(place) for place in (ASSOCIATION, TRUST)}
+    tables = [write_table(place, found[place.name]) for place in (ASSOCIATION, TRUST)]
+    text = (
+        "# Goodput through swings of the mix\n\n"
+        f"Seeds {SEEDS}, {SECONDS:g} s a run, the mix swings every {SWING_SECONDS:g} s; "
+        "medians over the seeds. Made by `python -m bench mix`.\n\n" + "\n".join(tables)
+    )
+    (REPORTS / "mix.md").write_text(text + "\n![goodput over load](mix.png)\n")
+    draw_plot(found, REPORTS / "mix.png")
+    print(text)
--- a/src/swifttrestle/internal/entry/line.py
+++ b/src/swifttrestle/internal/entry/line.py
@@ -17,6 +17,7 @@
 from swifttrestle.internal.policy.routing import URGENT, Candidate, Work
 
 LOOK_AGAIN_SECONDS = 0.05
+REJUDGE_SECONDS = 1.0
 BACKGROUND_SLACK = 3.0
 Find = Callable[[], list[Candidate]]
 Take = Callable[[tuple[Candidate, ...]], bool]
@@ -88,17 +89,23 @@
         find: Find,
         take: Take,
     ) -> None:
+        judged_at = float("-inf")
         while True:
-            left = terms.left(self._clock.now())
+            now = self._clock.now()
+            left = terms.left(now)
             if left <= 0:
                 raise RefusedError(Code.DEADLINE_PASSED, "the deadline passed in the line")
-            candidates = find()
             ahead = places.index(place)
-            judged = admission.judge(candidates, work, left, ahead, limit)
-            if judged.decision is Decision.GO and take(judged.roomy):
-                return
-            if judged.decision is Decision.REFUSE:
-                _refuse(candidates, ahead, limit, judged.retry_after)
+            # The first in line is judged at each look; the rest now and then, since each
+            # judgement costs a look at every upstream and none of them could go.
+            if not ahead or now - judged_at >= REJUDGE_SECONDS:
+                judged_at = now
+                candidates = find()
+                judged = admission.judge(candidates, work, left, ahead, limit)
+                if judged.decision is Decision.GO and take(judged.roomy):
+                    return
+                if judged.decision is Decision.REFUSE:
+                    _refuse(candidates, ahead, limit, judged.retry_after)
             self._changed.wait(min(left, LOOK_AGAIN_SECONDS))
 
 
