Learn an engine's speed as seconds a token, from all work that stood before

A first token that came at once, because the load report was old, gave a rate near the upper bound, and a mean of rates never forgets such a value; small cached prompts gave rates near nothing. Change: the mean is taken over seconds a token, of the work queued before and its own, and prompts under 256 tokens teach nothing; urgent requests look at all candidates.

--- a/bench/model.py
+++ b/bench/model.py
@@ -58,6 +58,7 @@
     left: int = 0
     sent: int = 0
     uncached: float = 0
+    before: float = 0
     routed_at: float = 0
     first_at: float = 0
     judged_at: float = 0
@@ -273,6 +274,7 @@
             return False
         self.decisions.append(chosen.name)
         request.uncached = max(1, request.work.prompt_tokens - chosen.cached_tokens)
+        request.before = request.uncached + chosen.waiting_tokens
         table.begin(chosen.name, request.uncached)
         request.target, request.via = chosen.name, chosen.via
         request.routed_at = self.clock.time
@@ -335,7 +337,7 @@
         table = self.tables[request.entry]
         table.end(request.target)
         first = request.first_at - request.routed_at
-        table.note_first_token(request.target, request.uncached, max(first, 1e-3))
+        table.note_first_token(request.target, request.before, max(first, 1e-3))
         decode = request.done_at - request.first_at
         table.note_decode(request.target, request.work.output_tokens, decode)
 
--- a/src/swifttrestle/internal/entry/attempts.py
+++ b/src/swifttrestle/internal/entry/attempts.py
@@ -100,7 +100,8 @@
         except BaseException:
             self._table.end(name)
             raise
-        self._table.note_first_token(name, target.uncached, time.monotonic() - began)
+        before = target.candidate.waiting_tokens + target.uncached
+        self._table.note_first_token(name, before, time.monotonic() - began)
         self._table.prefixes.note_stored(target.candidate.via or name, selection.blocks)
         return Attempt(name, address, pinned, stream, selection, work, time.monotonic())
 
--- a/src/swifttrestle/internal/policy/routing.py
+++ b/src/swifttrestle/internal/policy/routing.py
@@ -102,7 +102,8 @@
         if not candidates:
             return None
         drawn = list(candidates)
-        if len(drawn) > SMALL_SET:
+        # Urgent requests are few, so they make no herd, and each is worth the best engine.
+        if len(drawn) > SMALL_SET and work.priority != URGENT:
             drawn = rng.sample(drawn, SAMPLE)
             affine = max(candidates, key=lambda c: c.cached_tokens)
             if affine.cached_tokens and affine not in drawn:
--- a/src/swifttrestle/internal/state/upstreams.py
+++ b/src/swifttrestle/internal/state/upstreams.py
@@ -25,8 +25,9 @@
 
 ASSUMED_LAG = 0.5
 LEARN_SHARE = 0.1
+LEAST_LEARN_TOKENS = 256
 REFUSAL_SECONDS = 2.0
-FASTEST_RATE, SLOWEST_RATE = 1e7, 10.0
+FASTEST_RATE, SLOWEST_RATE = 1e6, 10.0
 
 
 @dataclass
@@ -242,15 +243,21 @@
             return self._ejector.note_failure(name, group, self._clock.now())
 
     def note_first_token(self, name: str, tokens: float, seconds: float) -> None:
-        """Learn an engine's prefill speed from one first token."""
+        """Learn an engine's prefill speed from one first token.
+
+        `tokens` is all the work that stood before it: what was queued, and its own.
+        """
         with self._lock:
             self._ejector.note_success(name, self._clock.now())
             state = self._states.get(name)
-            if state is None or tokens <= 0:
+            if state is None or tokens < LEAST_LEARN_TOKENS:
+                # So little work says more about the step it had to wait for.
                 return
-            spent = max(seconds - state.token_seconds, 1e-4)
-            rate = min(FASTEST_RATE, max(SLOWEST_RATE, tokens / spent))
-            state.prefill_rate += LEARN_SHARE * (rate - state.prefill_rate)
+            # Times are averaged, not rates: one first token that came at once, because the
+            # report was old, would make a mean of rates worthless for long.
+            spent = min(1 / SLOWEST_RATE, max(1 / FASTEST_RATE, seconds / tokens))
+            known = 1 / state.prefill_rate
+            state.prefill_rate = 1 / (known + LEARN_SHARE * (spent - known))
 
     def note_decode(self, name: str, tokens: int, seconds: float) -> None:
         """Learn an engine's time between tokens from one stream."""
