Tell the caller that a lost attempt may have run, whatever came after it

Cause, found on reading: a repeatable call whose first attempt was lost after the upstream ran it, and whose second was refused for load, was told 'not run'. The same held where no upstream was left to try. Ruled out: may-not-repeat calls, which end at the first loss. Change: the loss is kept over the attempts and turns any later refusal into ANSWER_LOST, 'may have run'.

--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -223,19 +223,22 @@
         policy = self._config.current.policy
         self._budget.note_request(time.monotonic())
         failed: list[str] = []
+        lost: UpstreamError | None = None
         number = 0
         while True:
             number += 1
-            target = self._admit(selection, work, terms, failed)
+            try:
+                target = self._admit(selection, work, terms, failed)
+            except RefusedError as refusal:
+                raise _temper(refusal, lost) from None
             try:
                 return attempt(target, number)
             except UpstreamError as error:
                 failed.append(target.candidate.name)
-                if error.sent and not terms.repeatable:
-                    message = f"the upstream was lost after the call was sent: {error}"
-                    raise RefusedError(Code.ANSWER_LOST, message) from None
-                if number >= policy.attempts or not self._budget.take(time.monotonic()):
-                    raise _make_final(error) from None
+                lost = error if error.sent else lost
+                last = number >= policy.attempts or (lost and not terms.repeatable)
+                if last or not self._budget.take(time.monotonic()):
+                    raise _temper(_make_final(error), lost) from None
                 self._metrics.count("retries_total", reason=error.code.name)
 
     def _admit(self, selection: Selection, work: Work, terms: Terms, failed: list[str]) -> Target:
@@ -349,9 +352,14 @@
         self._door.release_thread()
 
 
+def _temper(refusal: RefusedError, lost: UpstreamError | None) -> RefusedError:
+    """Return the refusal, or "may have run" where an earlier attempt was lost on its way."""
+    if lost is None:
+        return refusal
+    return RefusedError(Code.ANSWER_LOST, f"an attempt was lost: {lost}; then {refusal.message}")
+
+
 def _make_final(error: UpstreamError) -> RefusedError:
     """Return what a caller is told when no further attempt is made."""
-    if error.sent:
-        return RefusedError(Code.ANSWER_LOST, f"the last attempt was lost: {error}")
     code = Code.OVERLOADED if isinstance(error, UpstreamBusyError) else Code.UPSTREAM_REFUSED
     return RefusedError(code, f"the last attempt was refused: {error}", error.retry_after or 1.0)
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -1,10 +1,12 @@
 """Settings: a bad one is named with its value and the mend; secrets are never shown."""
 
 import dataclasses
+from pathlib import Path
 
 import pytest
 
 from swifttrestle.errors import InvalidSettingError
+from swifttrestle.internal.described import write_default
 from swifttrestle.internal.settings import (
     ControllerSettings,
     EntrySettings,
@@ -57,3 +59,11 @@
 def test_the_help_names_every_setting(kind):
     text = describe_settings(kind, "program")
     assert all(f"--{item.name}=" in text for item in dataclasses.fields(kind))
+
+
+@pytest.mark.parametrize("kind", [EntrySettings, ControllerSettings])
+def test_the_page_lists_every_setting(kind):
+    page = (Path(__file__).parents[2] / "docs" / "SETTINGS.md").read_text()
+    for item in dataclasses.fields(kind):
+        default = write_default(item).removeprefix("default ")
+        assert f"| `--{item.name}` | {default} | {item.metadata['doc']} |" in page
