--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -4,6 +4,7 @@
 import sys
 import time
 from collections.abc import Iterator
+from dataclasses import fields
 from typing import Any
 
 import fire
@@ -149,7 +150,7 @@
             return
         _check_kind(kind)
         _say(f"{kind}: {(KINDS[kind].__doc__ or '').splitlines()[0]}")
-        for item in KINDS[kind].__dataclass_fields__.values():
+        for item in fields(KINDS[kind]):
             _say(f"  {item.name} ({write_default(item)})")
             _say(f"      {item.metadata['doc']}")
 
