--- a/src/swifttrestle/controller.py
+++ b/src/swifttrestle/controller.py
@@ -125,6 +125,8 @@
             if process.clock.now() >= next_slow:
                 next_slow = process.clock.now() + settings.status_seconds
                 self._hosts.refresh()
+                if self._authority.lease.held:
+                    process.membership.clear_gone(self._hosts.is_gone)
                 status_actor.send(tick)
 
     def _start_pools(self) -> None:
--- a/src/swifttrestle/internal/coordination/membership.py
+++ b/src/swifttrestle/internal/coordination/membership.py
@@ -5,14 +5,17 @@
 steady pace. A process that is behind on configuration pulls it from whoever is ahead.
 """
 
+import contextlib
 import socket
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from swifttrestle.errors import (
     ConflictError,
     FrameError,
+    NotFoundError,
     PeerUnknownError,
     PlatformUnavailableError,
 )
@@ -162,6 +165,18 @@
         self._stopped.set()
         self.announce()
 
+    def clear_gone(self, is_gone: Callable[[str], bool]) -> None:
+        """Delete the objects of silent processes whose hosts are proved gone."""
+        for stored in self._cache.all(MEMBER):
+            identity = read_member(stored)
+            if identity is None or self.view(identity.name) or identity == self.identity:
+                continue
+            if not is_gone(identity.host):
+                continue
+            with contextlib.suppress(PlatformUnavailableError, ConflictError, NotFoundError):
+                self._api.delete(MEMBER, stored.name, stored.version)
+                log_change("member cleared away", member=stored.name, host=identity.host)
+
     # Registration: before anything of the plans is read, so that a planner that writes its
     # order first and lists the members second cannot miss a process that misses the order.
 
--- a/src/swifttrestle/internal/coordination/pools.py
+++ b/src/swifttrestle/internal/coordination/pools.py
@@ -282,7 +282,9 @@
         return ""
 
     def _is_entry_dead(self, identity: Identity) -> bool:
-        return self._hosts.is_gone(identity.host)
+        # Whoever is heard lives, whatever the list says.
+        heard = self._membership.view(identity.name) is not None
+        return not heard and self._hosts.is_gone(identity.host)
 
     def _drop_if_patience_ends(self, view: EngineView, order: Order) -> None:
         """Give the change up where an entry is silent for long; it is planned again later."""
