Give a silent engine no more work; bound the wait for a first token by the deadline

Cause, found on reading: a call given to an engine that froze before its first token waited 30 s whatever its deadline, and new calls went on to it until three had failed. Change: the wait ends at the deadline; an engine whose reports have stopped for 5 s is left aside while others report, and where all have stopped nothing is concluded. Ruled out: halving the wait to try elsewhere in time, since under load it would throw prefill away.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test check demo bench soak clean
+.PHONY: setup test lint check demo bench soak clean
 
 setup: $(VENV)/.ready
 
@@ -16,11 +16,12 @@
 test: setup
 	$(BIN)/python -m pytest tests -n 4 --dist loadgroup
 
-check: setup
+lint: setup
 	$(BIN)/ruff format --check src tests bench
 	$(BIN)/ruff check src tests bench
 	$(BIN)/mypy
-	$(MAKE) test
+
+check: lint test
 
 demo: setup
 	$(BIN)/python -m swifttrestle_standins.demo $(ARGS)
--- a/src/swifttrestle/internal/entry/attempts.py
+++ b/src/swifttrestle/internal/entry/attempts.py
@@ -18,6 +18,7 @@
 from swifttrestle.internal.state.upstreams import Selection, UpstreamTable, excluding
 
 FIRST_TOKEN_SECONDS = 30.0
+LEAST_WAIT_SECONDS = 0.2
 
 
 @dataclass(frozen=True)
@@ -83,8 +84,18 @@
             left.remove(chosen)
         return None
 
-    def open(self, target: Target, call: EngineCall, selection: Selection, work: Work) -> Attempt:
-        """Call the chosen engine; raise UpstreamError, after which it is not counted any more."""
+    def open(
+        self,
+        target: Target,
+        call: EngineCall,
+        selection: Selection,
+        work: Work,
+        seconds: float = FIRST_TOKEN_SECONDS,
+    ) -> Attempt:
+        """Call the chosen engine and wait so long for its first token, 30 s at most.
+
+        Raises UpstreamError, after which the request is not counted on the engine any more.
+        """
         name = target.candidate.name
         began = time.monotonic()
         try:
@@ -92,7 +103,8 @@
             pinned = replace(call, version=call.version or self._table.version(name))
             if target.candidate.via:
                 pinned = replace(pinned, kv_from=self._prefill(target.candidate.via, pinned))
-            stream = open_stream(address, pinned, self._connect_seconds, FIRST_TOKEN_SECONDS)
+            bound = min(FIRST_TOKEN_SECONDS, max(LEAST_WAIT_SECONDS, seconds))
+            stream = open_stream(address, pinned, self._connect_seconds, bound)
         except UpstreamError as error:
             self._table.end(name)
             self.note_failure(name, error)
--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -208,7 +208,8 @@
 
         def try_open(target: Target, number: int) -> Attempt:
             numbered = EngineCall(**{**vars(call), "attempt": number})
-            return self._attempts.open(target, numbered, selection, work)
+            left = terms.left(time.monotonic())
+            return self._attempts.open(target, numbered, selection, work, left)
 
         return self._try(selection, work, terms, try_open)
 
--- a/src/swifttrestle/internal/state/upstreams.py
+++ b/src/swifttrestle/internal/state/upstreams.py
@@ -30,6 +30,7 @@
 VIA_TOKENS = 1024
 REFUSAL_SECONDS = 2.0
 IN_USE_SECONDS = 5.0
+STALE_SECONDS = 5.0
 FASTEST_RATE, SLOWEST_RATE = 1e6, 10.0
 
 
@@ -102,6 +103,10 @@
             ]
             if wanted.service.type == "plain":
                 return [self._describe(state, wanted, now) for state in usable]
+            # An engine whose reports have stopped may be frozen; where all have stopped, the
+            # reports are at fault and say nothing.
+            fresh = [state for state in usable if now - state.reported_at < STALE_SECONDS]
+            usable = fresh or usable
             return self._describe_engines(usable, wanted, now)
 
     def _is_usable(self, name: str, state: UpstreamState, wanted: Selection, now: float) -> bool:
