--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -26,13 +26,6 @@
     return value
 
 
-def check_text(value: Any) -> str:
-    """Return a non-empty string."""
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not text; give a non-empty string")
-    return value
-
-
 def check_bool(value: Any) -> bool:
     """Return a truth value."""
     if not isinstance(value, bool):
--- a/src/swifttrestle/internal/coordination/authority.py
+++ b/src/swifttrestle/internal/coordination/authority.py
@@ -7,7 +7,7 @@
 from swifttrestle.internal.coordination.writes import read_or_none, write_once
 from swifttrestle.internal.logs import log_change, log_fault
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.protocol.platform import ObjectApi, StoredObject
+from swifttrestle.internal.protocol.platform import ObjectApi
 from swifttrestle.internal.state.config import ACCEPTED, ConfigStore, read_shard
 from swifttrestle.resources import KINDS, FieldFault, Resource, ResourceSet
 
@@ -90,10 +90,6 @@
         self._cache.note_own_write(written)
         log_change("configuration accepted", shard=name, epoch=epoch)
 
-    def owns(self, item: StoredObject) -> bool:
-        """Return whether a stored object is one of the operators' kinds."""
-        return item.kind in KINDS
-
 
 def list_resources(current: ResourceSet) -> dict[str, Resource]:
     """Return all resources of a set by kind and name."""
--- a/src/swifttrestle/internal/entry/answers.py
+++ b/src/swifttrestle/internal/entry/answers.py
@@ -3,7 +3,6 @@
 import contextlib
 import math
 import socket
-import time
 from collections.abc import Generator
 
 import orjson
@@ -130,8 +129,3 @@
             self._unsent = self._unsent[sent:]
             if self._unsent:
                 yield Want.ROOM
-
-
-def measure_since(started: float) -> float:
-    """Return the seconds since a monotonic time."""
-    return time.monotonic() - started
--- a/src/swifttrestle/internal/entry/requests.py
+++ b/src/swifttrestle/internal/entry/requests.py
@@ -9,7 +9,6 @@
 from swifttrestle.internal.transport.http import Exchange, parse_json_object
 from swifttrestle.resources import DAY_MS, PRIORITIES, Service
 
-MAX_REQUEST_ID = 80
 MAX_MESSAGES = 2000
 _ID = re.compile(r"[A-Za-z0-9._-]{1,80}")
 
--- a/src/swifttrestle/internal/settings.py
+++ b/src/swifttrestle/internal/settings.py
@@ -18,7 +18,6 @@
     check_name,
     check_number,
     check_whole,
-    split_address,
 )
 from swifttrestle.internal.described import check_field, described, is_required, write_default
 
@@ -243,8 +242,3 @@
 def read_environment() -> Mapping[str, str]:
     """Return the environment of this process."""
     return os.environ
-
-
-def listen_address(value: str) -> tuple[str, int]:
-    """Return a checked address as the socket library wants it."""
-    return split_address(value)
--- a/src/swifttrestle_standins/fleet.py
+++ b/src/swifttrestle_standins/fleet.py
@@ -19,7 +19,6 @@
 import urllib3
 
 SECRET = "demo-secret-of-loopback-only"
-START_SECONDS = 60.0
 STOP_SECONDS = 30.0
 
 
