Measure accepting and applying configuration up to 10,000 upstreams

Cause: the capacity page had no slope for workspaces and configuration changes. Change: a bench over three sizes in one process.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,9 +2,15 @@
 
 import sys
 
-from bench import guards, mix, relay, slopes
+from bench import configuration, guards, mix, relay, slopes
 
-BENCHES = {"guards": guards.main, "mix": mix.main, "relay": relay.main, "slopes": slopes.main}
+BENCHES = {
+    "configuration": configuration.main,
+    "guards": guards.main,
+    "mix": mix.main,
+    "relay": relay.main,
+    "slopes": slopes.main,
+}
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,67 @@
+"""CPU and memory of accepting and applying configuration, over three sizes of the fleet."""
+
+import hashlib
+import time
+
+import orjson
+import psutil
+
+from swifttrestle.internal.coordination.acceptance import judge, split_shards
+from swifttrestle.internal.logs import setup_logs
+from swifttrestle.internal.protocol.peers import ShardCopy
+from swifttrestle.internal.protocol.platform import StoredObject
+from swifttrestle.internal.state.config import ConfigStore
+from swifttrestle.resources import Resource
+
+SIZES = ((1000, 31), (3000, 93), (10_000, 310))
+MODELS, ZONES = 11, 13
+
+
+def make_objects(upstreams: int, workspaces: int) -> list[StoredObject]:
+    """Return operators' objects of a fleet of a size."""
+    found = []
+    for n in range(MODELS):
+        spec = {"versions": ["v1"], "version": "v1"}
+        found.append(StoredObject("Model", f"model-{n}", 1, spec))
+    for n in range(workspaces):
+        digest = hashlib.sha256(str(n).encode()).hexdigest()
+        found.append(StoredObject("Workspace", f"workspace-{n}", 1, {"key_sha256": [digest]}))
+    for n in range(upstreams):
+        upstream = {
+            "type": "engine", "address": f"10.{n % 250}.{n // 250}.1:8000",
+            "zone": f"zone-{n % ZONES}", "model": f"model-{n % MODELS}", "fencing": "checked",
+        }  # fmt: skip
+        found.append(StoredObject("Upstream", f"worker-{n}", 1, upstream))
+    return found
+
+
+def main() -> None:
+    """Print the table; times in CPU seconds of this process."""
+    setup_logs("bench", "text", "ERROR")
+    print("| upstreams | workspaces | judge one edit s | split s | put all in force s | "
+          "largest shard kB | put one shard in force s | memory MB |")  # fmt: skip
+    print("|" + "---|" * 8)
+    for upstreams, workspaces in SIZES:
+        objects = make_objects(upstreams, workspaces)
+        accepted: dict[str, Resource] = judge(objects, {}).accepted
+        began = time.process_time()
+        judge(objects, accepted)
+        judged = time.process_time()
+        shards = split_shards(accepted)
+        split = time.process_time()
+        store = ConfigStore()
+        store.apply([ShardCopy(name, 1, items) for name, items in shards.items()])
+        applied = time.process_time()
+        name = max(shards, key=lambda n: len(shards[n]))
+        store.apply([ShardCopy(name, 2, shards[name])])
+        once = time.process_time()
+        largest = len(orjson.dumps(shards[name])) / 1000
+        memory = psutil.Process().memory_info().rss / 1e6
+        print(
+            f"| {upstreams} | {workspaces} | {judged - began:.2f} | {split - judged:.2f} | "
+            f"{applied - split:.2f} | {largest:.0f} | {once - applied:.3f} | {memory:.0f} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
