Freeze a holder at its exact step, whichever thread the signal would find

Cause: under load (6 busy loops) frozen_holder_checked failed, 1 of 178. The log shows the new holder finding the order already taken: the stop signal, sent to the process, had gone to another thread, and the sending thread ran on long enough to send. Ruled out: the product, which settled the order rightly. Change: the test's program sends the signal to its own thread, which the kernel serves before that thread runs on. Nothing that the scenario expects was changed.

--- a/tests/common/stopped.py
+++ b/tests/common/stopped.py
@@ -3,9 +3,9 @@
 The product has no switch for this: the sender is replaced here, in the test's own program.
 """
 
-import os
 import signal
 import sys
+import threading
 
 import fire
 
@@ -17,6 +17,15 @@
 VERSION = "v2"
 
 
+def stop_here(number):
+    """Stop the process before this thread runs another line.
+
+    The signal goes to this very thread. One sent to the process may be taken by another
+    thread, and this one then runs on for a moment: long enough for a send under load.
+    """
+    signal.pthread_kill(threading.get_ident(), number)
+
+
 class StoppingEngine(HttpEngine):
     """Stops its process right before or right after the first order of version v2."""
 
@@ -32,12 +41,12 @@
         if self.before:
             # The lease was checked, and nothing has been sent.
             sys.stderr.write("stopped before the send\n")
-            os.kill(os.getpid(), self.number)
+            stop_here(self.number)
             super().send_order(order_id, fence, wanted)
         else:
             super().send_order(order_id, fence, wanted)
             sys.stderr.write("stopped after the send\n")
-            os.kill(os.getpid(), self.number)
+            stop_here(self.number)
 
 
 def _run(number, before):
