--- a/src/swifttrestle/internal/policy/roles.py
+++ b/src/swifttrestle/internal/policy/roles.py
@@ -83,7 +83,7 @@
 
 
 class WeighedRoles(RolePlanner):
-    """The planner in use: changes a role when what it saves outweighs what it costs.
+    """Changes a role when what it saves outweighs what it costs; used where a policy asks for it.
 
     The cost of a change is the engine's time away, and of its way back the same again. What
     it saves grows with the smoothed backlog for as long as that has lasted: a swing that is
