--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -74,6 +74,12 @@
     code = Code.BAD_PLATFORM_ANSWER
 
 
+class HistoryGoneError(SwifttrestleError):
+    """A watch asked for changes that the platform has forgotten; list anew."""
+
+    code = Code.NOT_FOUND
+
+
 class LeaseLostError(SwifttrestleError):
     """An act needed a lease that is not held any more."""
 
--- /dev/null
+++ b/src/swifttrestle/gateway.py
@@ -0,0 +1,262 @@
+"""The gateway: one process on each host of the platform, serving callers and sharing duties."""
+
+import asyncio
+import gc
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from swifttrestle.errors import InvalidSettingError
+from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
+from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
+from swifttrestle.internal.coordination.roles import RoleDuty
+from swifttrestle.internal.forward.handler import GatewayHandler
+from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.lines import WRITER, log_decision
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.protocol.gossip import PeerReport
+from swifttrestle.internal.readiness import Page, PageHandler
+from swifttrestle.internal.state.declared import Configuration
+from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.transport.caller import (
+    CallerConnection,
+    ConnectionSet,
+    RequestHandler,
+)
+from swifttrestle.internal.transport.upstream import Address, ConnectionPool
+from swifttrestle.platform.settings import (
+    PATH_VARIABLE,
+    HostSettings,
+    load_host_settings,
+)
+from swifttrestle.platform.store import ObjectStore
+
+EXIT_BAD_SETTING = 2
+METRICS_PORT = 9464
+READY_PATH = b"/v1/ready"
+# Connections that may wait to be accepted.
+BACKLOG = 1024
+# Seconds after a planned stop begins before idle connections are closed: the balancer asks
+# once a second and takes a host out after two misses.
+LEARN_SECONDS = 2.5
+# Seconds before the platform's hard stop at which the process ends in any case.
+END_MARGIN_SECONDS = 0.4
+# Seconds between looks at open work while stopping, and at the settings file.
+STOP_LOOK_SECONDS = 0.05
+FILE_LOOK_SECONDS = 1.0
+# Objects that may be made between two collections of garbage; the default of 700 costs a
+# noticeable share of a small host's processor.
+GC_THRESHOLD = 50_000
+
+
+class Gateway:
+    """All parts of one process."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Put the parts together; `run` starts them."""
+        self._settings = settings
+        incarnation = time.time_ns()
+        rng = random.Random(f"{settings.host} {incarnation}")
+        bounds = settings.bounds
+        self._metrics = Metrics()
+        self._fleet = Fleet()
+        self._budgets = RetryBudgets(bounds.retry_share, bounds.retry_extra, bounds.retry_window)
+        self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
+        self._store = ObjectStore(settings.store, ConnectionPool())
+        self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
+        self._discovery = Discovery(self._store, self._fleet, rng, self._serve_queues)
+        self._handler = GatewayHandler(self._parts, lambda: self._configuration.table)
+        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, {})
+        self._gossip = Gossip(
+            me, settings.internal_port, self._fleet, self._configuration, rng, self._note_peers
+        )
+        lease = RoleLeaseKeeper(self._store, "roles", settings.host, incarnation, bounds.lease)
+        self._roles = RoleDuty(
+            lease,
+            self._fleet,
+            self._parts.pool,
+            settings.host,
+            self._gossip.live_hosts,
+            self._find_configuration,
+        )
+        self._callers = ConnectionSet()
+        self._pages = ConnectionSet()
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._add_gauges()
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._gossip.start([seed[0] for seed in settings.seeds])
+        self._start(self._configuration.run())
+        self._start(self._discovery.run())
+        self._start(self._gossip.run())
+        self._start(self._gossip.register(self._store))
+        self._start(self._roles.run())
+        self._start(self._watch_file())
+        await self._listen(settings.callers, self._handler, self._callers)
+        ready = PageHandler({READY_PATH: self._make_ready})
+        await self._listen(settings.readiness, ready, self._pages)
+        pages = PageHandler({b"/metrics": self._make_metrics, b"/debug/state": self._make_state})
+        await self._listen((settings.ip, METRICS_PORT), pages, self._pages)
+        log_decision("started", ip=settings.ip, zone=settings.zone)
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Let the balancer learn, close politely, and wait for open requests."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        end = began + self._settings.bounds.stop - END_MARGIN_SECONDS
+        log_decision("stopping", open=self._callers.count_busy())
+        self._gossip.say_leaving()
+        # Answers from now on end their connections, so that callers go elsewhere.
+        self._callers.closing = True
+        await asyncio.sleep(min(LEARN_SECONDS, self._settings.bounds.stop / 2))
+        self._callers.close_idle()
+        while self._callers.count_busy() and loop.time() < end:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
+        log_decision(
+            "stopped", cut=self._callers.count_busy(), seconds=round(loop.time() - began, 2)
+        )
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # A duty that ended by a fault of the program must not fail in silence.
+            log_decision("task failed", error=repr(task.exception()))
+            WRITER.flush()
+            self._stopping.set()
+
+    async def _listen(
+        self, address: Address, handler: RequestHandler, connections: ConnectionSet
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: CallerConnection(handler, connections), *address, backlog=BACKLOG
+        )
+
+    def _serve_queues(self) -> None:
+        self._handler.engines.serve_queues()
+
+    def _note_peers(self) -> None:
+        self._budgets.hosts = len(self._gossip.live_hosts())
+        self._serve_queues()
+
+    def _find_configuration(self) -> Configuration | None:
+        table = self._configuration.table
+        return table.configuration if table else None
+
+    # Reload.
+
+    def _reload(self) -> None:
+        try:
+            load_host_settings()
+            log_decision("settings read again", source="signal or changed file")
+        except InvalidSettingError as error:
+            # The process goes on with the settings that it has.
+            log_decision("settings not taken", reason=str(error))
+
+    async def _watch_file(self) -> None:
+        """Notice a changed settings file that no signal told of."""
+        path = find_settings_path()
+        seen = _read_change_time(path)
+        while True:
+            await asyncio.sleep(FILE_LOOK_SECONDS)
+            now = _read_change_time(path)
+            if now != seen:
+                seen = now
+                self._reload()
+
+    # Pages.
+
+    def _is_ready(self) -> bool:
+        known = self._configuration.table is not None and self._discovery.known
+        return known and not self._stopping.is_set()
+
+    def _make_ready(self) -> Page:
+        return Page(200 if self._is_ready() else 503)
+
+    def _make_metrics(self) -> Page:
+        return Page(200, b"text/plain; version=0.0.4", self._metrics.render())
+
+    def _make_state(self) -> Page:
+        instances = {
+            name: {
+                "service": item.record.service,
+                "role": item.record.role.value,
+                "leaving": item.record.leaving,
+                "own": vars(item.own),
+                "peers": vars(item.peers),
+                "read_rate": item.read_rate,
+            }
+            for name, item in self._fleet.instances.items()
+        }
+        state = {
+            "host": self._settings.host,
+            "version": self._configuration.version,
+            "ready": self._is_ready(),
+            "live": self._gossip.live_hosts(),
+            "instances": instances,
+        }
+        return Page(200, b"application/json", orjson.dumps(state))
+
+    def _add_gauges(self) -> None:
+        gauges: list[tuple[str, str, Callable[[], float]]] = [
+            ("config_version", "Configuration in force", lambda: self._configuration.version),
+            ("live_hosts", "Hosts that live", lambda: len(self._gossip.live_hosts())),
+            ("store_calls", "Calls to the object store", lambda: self._store.calls),
+            ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
+            ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
+        ]
+        for name, doc, read in gauges:
+            self._metrics.add_gauge(name, doc, read)
+
+
+def find_settings_path() -> Path:
+    """Return the path of the settings file."""
+    import os
+
+    return Path(os.environ.get(PATH_VARIABLE, ""))
+
+
+def _read_change_time(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+def main() -> None:
+    """Run a gateway; a wrong setting ends it with its name, value and mend."""
+    try:
+        settings = load_host_settings()
+    except InvalidSettingError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTING)
+    gc.set_threshold(GC_THRESHOLD)
+    WRITER.start(settings.host)
+    asyncio.run(_run(settings))
+    WRITER.flush()
+
+
+async def _run(settings: HostSettings) -> None:
+    await Gateway(settings).run()
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -0,0 +1,104 @@
+"""Keeps the newest configuration in force, from the store or from a peer that has it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from swifttrestle.errors import (
+    BadPlatformAnswerError,
+    HistoryGoneError,
+    NotFoundError,
+    PlatformUnavailableError,
+)
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
+from swifttrestle.platform.store import WATCH_SECONDS, ObjectStore
+
+# First and longest pause after a failed call, in seconds; a change must be in force within
+# two seconds of its acknowledgement once the store can be reached.
+FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.5
+
+
+class ConfigurationKeeper:
+    """The version in force; it only rises."""
+
+    def __init__(self, store: ObjectStore, rng: random.Random, changed: Callable[[], None]) -> None:
+        """Read from the store; `changed` is called after each change."""
+        self._store = store
+        self._rng = rng
+        self._changed = changed
+        self._revision = 0
+        self._failures = 0
+        self.table: RouteTable | None = None
+        self.raw: Any = None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 where none is known."""
+        return self.table.configuration.version if self.table else 0
+
+    def take(self, raw: Any, source: str) -> bool:
+        """Put a version in force if it is newer; return whether it was."""
+        try:
+            configuration = read_configuration(raw)
+        except BadPlatformAnswerError as error:
+            log_decision("configuration skipped", source=source, reason=str(error))
+            return False
+        if configuration.version <= self.version:
+            return False
+        log_decision(
+            "configuration in force",
+            version=configuration.version,
+            before=self.version,
+            source=source,
+            routes=len(configuration.routes),
+        )
+        self.table = RouteTable(configuration)
+        self.raw = raw
+        self._changed()
+        return True
+
+    async def run(self) -> None:
+        """Read, then watch, for as long as the process lives."""
+        while True:
+            try:
+                if not self._revision:
+                    await self._read()
+                else:
+                    await self._watch()
+                self._failures = 0
+            except HistoryGoneError:
+                self._revision = 0
+                await asyncio.sleep(self._rng.random() * LONGEST_PAUSE / 2)
+            except PlatformUnavailableError as error:
+                await self._wait_out(error)
+
+    async def _read(self) -> None:
+        snapshot = await self._store.list(CONFIG_KIND)
+        for item in snapshot.items:
+            if item.name == CONFIG_NAME:
+                self.take(item.spec, "store")
+        self._revision = snapshot.revision
+
+    async def _watch(self) -> None:
+        seen = await self._store.watch(CONFIG_KIND, self._revision, WATCH_SECONDS)
+        for change in seen.changes:
+            if change.item.name == CONFIG_NAME and not change.removed:
+                self.take(change.item.spec, "store")
+        self._revision = seen.revision
+
+    async def refresh(self) -> None:
+        """Read the store once, for a peer has told of a newer version."""
+        try:
+            self.take((await self._store.get(CONFIG_KIND, CONFIG_NAME)).spec, "store")
+        except (PlatformUnavailableError, NotFoundError) as error:
+            log_decision("configuration not read", reason=str(error))
+
+    async def _wait_out(self, error: PlatformUnavailableError) -> None:
+        self._failures += 1
+        if self._failures == 2:
+            log_decision("store lost", by="configuration", reason=str(error))
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(self._failures - 1, 6))
+        await asyncio.sleep(pause * (0.5 + self._rng.random()))
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -0,0 +1,252 @@
+"""Gateways tell each other who lives, what they have open, and the newest configuration.
+
+Reports are datagrams, sent when something changed and otherwise as heartbeats. A new
+configuration itself is fetched over a stream, since it can be a megabyte.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from swifttrestle.errors import FrameError, NotFoundError, PlatformUnavailableError
+from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.state.fleet import Fleet, OpenWork
+from swifttrestle.platform.store import ObjectStore
+
+PEER_KIND = "swifttrestle-peers"
+# Seconds between heartbeats to each peer.
+HEARTBEAT_SECONDS = 0.5
+# Seconds of silence after which a peer counts as gone: four lost heartbeats.
+SILENCE_SECONDS = 2.0
+# Least seconds between reports of open work, and the further time for each peer, so that the
+# datagrams a second stay bounded as the number of hosts grows.
+REPORT_SECONDS = 0.04
+REPORT_SECONDS_PER_PEER = 0.004
+# Seconds to wait for the store's own watch before a newer configuration is fetched elsewhere.
+CONFIG_WAIT_SECONDS = 0.15
+FETCH_SECONDS = 1.0
+# Peers that one heartbeat names, so that hosts find each other without the store.
+NAMED_PEERS = 8
+# Bytes that a configuration may have on the stream.
+LARGEST_CONFIGURATION = 4 * 1024 * 1024
+
+ASK_CONFIGURATION = b"configuration\n"
+
+
+@dataclass
+class Peer:
+    """One other gateway; `heard_at` is in the loop's time."""
+
+    host: str
+    ip: str
+    incarnation: int = 0
+    heard_at: float = float("-inf")
+    leaving: bool = False
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """This gateway's part in the exchange."""
+
+    def __init__(
+        self,
+        me: PeerReport,
+        port: int,
+        fleet: Fleet,
+        configuration: ConfigurationKeeper,
+        rng: random.Random,
+        changed: Callable[[], None],
+    ) -> None:
+        """Prepare; `changed` is called when peers' work has changed."""
+        self._me = me
+        self._port = port
+        self._fleet = fleet
+        self._configuration = configuration
+        self._rng = rng
+        self._changed = changed
+        self._peers: dict[str, Peer] = {}
+        self._live: frozenset[str] = frozenset()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sent_work: dict[str, OpenWork] = {}
+        self._fetching: asyncio.Task[None] | None = None
+        self.leaving = False
+
+    async def start(self, seeds: list[str]) -> None:
+        """Listen on the internal port, for datagrams and for streams."""
+        loop = asyncio.get_running_loop()
+        address = (self._me.ip, self._port)
+        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        await asyncio.start_server(self._serve_stream, *address)
+        for ip in seeds:
+            if ip != self._me.ip:
+                self._peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
+
+    def live_hosts(self) -> list[str]:
+        """Return this host and the peers heard of late, in order of name."""
+        now = self._now()
+        live = [
+            peer.host
+            for peer in self._peers.values()
+            if now - peer.heard_at < SILENCE_SECONDS and not peer.leaving
+        ]
+        return sorted([*live, self._me.host])
+
+    async def register(self, store: ObjectStore) -> None:
+        """Leave this host's address in the store, and learn the others'; retried until done."""
+        while True:
+            try:
+                await self._write_record(store)
+                for item in (await store.list(PEER_KIND)).items:
+                    self._learn(item.name, str(item.spec.get("ip", "")))
+                return
+            except (PlatformUnavailableError, AttributeError) as error:
+                log_decision("peers not read", reason=str(error))
+                await asyncio.sleep(1.0 + self._rng.random())
+
+    async def _write_record(self, store: ObjectStore) -> None:
+        spec = {"ip": self._me.ip}
+        try:
+            known = await store.get(PEER_KIND, self._me.host)
+            if known.spec != spec:
+                await store.replace(PEER_KIND, self._me.host, spec, known.revision)
+        except NotFoundError:
+            await store.create(PEER_KIND, self._me.host, spec)
+
+    async def run(self) -> None:
+        """Send reports for as long as the process lives."""
+        beat_at = 0.0
+        while True:
+            now = self._now()
+            work = self._fleet.own_work()
+            if now >= beat_at:
+                beat_at = now + HEARTBEAT_SECONDS * (0.9 + 0.2 * self._rng.random())
+                self._expire(now)
+                self._send(work, list(self._peers.values()), with_known=True)
+            elif work != self._sent_work:
+                self._send(work, self._list_live(now), with_known=False)
+            await asyncio.sleep(REPORT_SECONDS + REPORT_SECONDS_PER_PEER * len(self._peers))
+
+    def say_leaving(self) -> None:
+        """Tell all peers at once that this gateway stops."""
+        self.leaving = True
+        self._send({}, self._list_live(self._now()), with_known=False)
+
+    # Called by the event loop.
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's report over."""
+        try:
+            report = unpack_report(data)
+        except FrameError as error:
+            log_decision("datagram skipped", sender=addr[0], reason=str(error))
+            return
+        if report.host == self._me.host:
+            return
+        self._note(report)
+        work = {name: OpenWork(*counts) for name, counts in report.work.items()}
+        self._fleet.note_peer(report.host, work, self._now())
+        for host, ip in report.known:
+            self._learn(host, ip)
+        if report.config_version > self._configuration.version:
+            self._fetch_later(report)
+        self._changed()
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over a peer that nobody listens for; its silence says the same."""
+
+    def _note(self, report: PeerReport) -> None:
+        self._peers.pop(f"seed {report.ip}", None)
+        peer = self._peers.setdefault(report.host, Peer(report.host, report.ip))
+        if report.incarnation < peer.incarnation:
+            return
+        peer.ip, peer.incarnation = report.ip, report.incarnation
+        peer.leaving = report.leaving
+        peer.heard_at = self._now()
+        self._log_live()
+
+    def _learn(self, host: str, ip: str) -> None:
+        if host and ip and host != self._me.host and host not in self._peers:
+            self._peers[host] = Peer(host, ip)
+
+    def _expire(self, now: float) -> None:
+        self._fleet.expire_peers(now)
+        self._log_live()
+
+    def _log_live(self) -> None:
+        live = frozenset(self.live_hosts())
+        if live != self._live:
+            log_decision(
+                "live hosts", joined=sorted(live - self._live), lost=sorted(self._live - live)
+            )
+            self._live = live
+
+    def _list_live(self, now: float) -> list[Peer]:
+        return [p for p in self._peers.values() if now - p.heard_at < SILENCE_SECONDS]
+
+    def _send(self, work: dict[str, OpenWork], peers: list[Peer], with_known: bool) -> None:
+        self._sent_work = work
+        if self._transport is None:
+            return
+        data = pack_report(
+            PeerReport(
+                self._me.host,
+                self._me.ip,
+                self._me.incarnation,
+                self._configuration.version,
+                self.leaving,
+                {name: (item.tokens, item.requests) for name, item in work.items()},
+                self._sample_known() if with_known else (),
+            )
+        )
+        for peer in peers:
+            self._transport.sendto(data, (peer.ip, self._port))
+
+    def _sample_known(self) -> tuple[tuple[str, str], ...]:
+        live = self._list_live(self._now())
+        sample = self._rng.sample(live, min(NAMED_PEERS, len(live)))
+        return tuple((peer.host, peer.ip) for peer in sample)
+
+    # Configuration over a stream.
+
+    def _fetch_later(self, report: PeerReport) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.ensure_future(self._fetch(report))
+
+    async def _fetch(self, report: PeerReport) -> None:
+        if self._configuration.version:
+            await asyncio.sleep(CONFIG_WAIT_SECONDS)
+        if report.config_version <= self._configuration.version:
+            return
+        try:
+            async with asyncio.timeout(FETCH_SECONDS):
+                reader, writer = await asyncio.open_connection(report.ip, self._port)
+                try:
+                    writer.write(ASK_CONFIGURATION)
+                    content = await reader.read(-1)
+                finally:
+                    writer.close()
+            if len(content) <= LARGEST_CONFIGURATION:
+                self._configuration.take(orjson.loads(content), f"peer {report.host}")
+        except (OSError, TimeoutError, orjson.JSONDecodeError) as error:
+            log_decision("configuration not fetched", peer=report.host, reason=repr(error))
+
+    async def _serve_stream(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(FETCH_SECONDS):
+                asked = await reader.readline()
+                if asked == ASK_CONFIGURATION and self._configuration.raw is not None:
+                    writer.write(orjson.dumps(self._configuration.raw))
+                    await writer.drain()
+        except (OSError, TimeoutError, ValueError) as error:
+            log_decision("peer stream ended", reason=repr(error))
+        finally:
+            writer.close()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -0,0 +1,155 @@
+"""The duty of planning engines' roles: one gateway at a time, by leased and recorded orders."""
+
+import asyncio
+from collections.abc import Callable
+
+from swifttrestle.errors import LeaseLostError, PlatformUnavailableError, UpstreamBrokenError
+from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.split import RoleChange, plan_change
+from swifttrestle.internal.state.declared import Configuration, EngineTraits, Role
+from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.internal.transport.messages import Body, Framing
+from swifttrestle.internal.transport.upstream import (
+    ConnectionPool,
+    OutgoingRequest,
+    call_once,
+)
+from swifttrestle.platform.engine import (
+    ORDER_PATH,
+    REPORT_PATH,
+    EngineReport,
+    RoleOrder,
+    name_engine,
+    read_report,
+    write_order,
+)
+
+# Seconds between two looks at the roles.
+TICK_SECONDS = 0.5
+# Seconds for one call to an engine.
+CALL_SECONDS = 1.0
+# Seconds after which an order without an answer cannot be carried out any more; engines may
+# do so until twelve seconds after it.
+UNANSWERED_SECONDS = 14.0
+# Seconds beyond the declared time of a role change before the engine may be ordered again.
+SETTLE_SECONDS = 3.0
+# Seconds before an engine that refused an order is looked at again.
+REFUSED_SECONDS = 1.0
+# Bytes that an engine's answer to a call of the system may have.
+SMALL_ANSWER_BYTES = 64 * 1024
+
+
+class RoleDuty:
+    """Plans and orders while this host is the first of those that live."""
+
+    def __init__(
+        self,
+        lease: RoleLeaseKeeper,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        host: str,
+        list_live: Callable[[], list[str]],
+        find_configuration: Callable[[], Configuration | None],
+    ) -> None:
+        """Prepare; `list_live` names the hosts that live, in order."""
+        self._lease = lease
+        self._fleet = fleet
+        self._pool = pool
+        self._host = host
+        self._list_live = list_live
+        self._find_configuration = find_configuration
+        self._unsettled: dict[str, tuple[float, Role]] = {}
+
+    async def run(self) -> None:
+        """Look at the roles for as long as the process lives."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            try:
+                await self._tick()
+            except (PlatformUnavailableError, LeaseLostError) as error:
+                log_decision("role planning waits", reason=str(error))
+                await asyncio.sleep(TICK_SECONDS)
+
+    async def _tick(self) -> None:
+        configuration = self._find_configuration()
+        # One candidate keeps the others from writing against each other; the lease decides.
+        if configuration is None or self._list_live()[0] != self._host:
+            return
+        for service in configuration.services.values():
+            if service.engine is None:
+                continue
+            change = self._plan(service.name)
+            if change is not None and await self._lease.campaign():
+                await self._order(change, service.engine)
+
+    def _plan(self, service: str) -> RoleChange | None:
+        now = asyncio.get_running_loop().time()
+        self._unsettled = {
+            name: (until, role) for name, (until, role) in self._unsettled.items() if until > now
+        }
+        pending = {name: role for name, (_, role) in self._unsettled.items()}
+        return plan_change(self._fleet.list_service(service), pending)
+
+    async def _order(self, change: RoleChange, traits: EngineTraits) -> None:
+        engine = change.engine
+        report = await self._ask(engine)
+        if report is None or report.changing or report.role is change.role:
+            return
+        order, until = await self._lease.record(engine.name, change.role.value)
+        now = asyncio.get_running_loop().time()
+        assert self._lease.lease is not None
+        if now > until:
+            log_decision("order not sent", number=order.number, reason="its time was over")
+            return
+        sent = RoleOrder(change.role, self._host, self._lease.lease.token, report.orders_taken)
+        status = await self._send(engine, sent)
+        settle = traits.role_change_seconds + SETTLE_SECONDS
+        if status is None:
+            settle = UNANSWERED_SECONDS
+        if status not in (None, 200, 202):
+            settle = REFUSED_SECONDS
+        self._unsettled[engine.name] = (now + settle, change.role)
+        log_decision(
+            "role ordered",
+            number=order.number,
+            engine=engine.name,
+            role=change.role.value,
+            token=sent.fence,
+            orders_taken=sent.orders_taken,
+            status=status,
+            reason=change.reason,
+        )
+
+    async def _ask(self, engine: Instance) -> EngineReport | None:
+        headers = name_engine(engine.name)
+        request = OutgoingRequest(b"GET", REPORT_PATH, headers, Framing.NONE, 0, None)
+        answer = await self._call(engine, request)
+        if answer is None or answer[0] != 200:
+            return None
+        try:
+            return read_report(answer[1])
+        except UpstreamBrokenError as error:
+            log_decision("report skipped", engine=engine.name, reason=str(error))
+            return None
+
+    async def _send(self, engine: Instance, order: RoleOrder) -> int | None:
+        content = write_order(order)
+        body = Body()
+        body.feed(content)
+        body.end()
+        headers = [*name_engine(engine.name), (b"Content-Type", b"application/json")]
+        request = OutgoingRequest(b"POST", ORDER_PATH, headers, Framing.LENGTH, len(content), body)
+        answer = await self._call(engine, request)
+        return answer[0] if answer else None
+
+    async def _call(self, engine: Instance, request: OutgoingRequest) -> tuple[int, bytes] | None:
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                head, content = await call_once(
+                    self._pool, engine.name, engine.record.address, request, SMALL_ANSWER_BYTES
+                )
+                return head.status, content
+        except (UpstreamBrokenError, TimeoutError) as error:
+            log_decision("engine not reached", engine=engine.name, reason=repr(error))
+            return None
--- /dev/null
+++ b/src/swifttrestle/internal/forward/__init__.py
@@ -0,0 +1,1 @@
+"""The request path on the platform: from a caller's request to its whole answer."""
--- /dev/null
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -0,0 +1,136 @@
+"""One attempt of a request at one instance: send, check the answer, deliver it."""
+
+import asyncio
+from dataclasses import dataclass
+
+from swifttrestle.errors import (
+    CrossedAnswerError,
+    UpstreamBrokenError,
+    UpstreamBusyError,
+    UpstreamLeavingError,
+)
+from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.events import EventRelay
+from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.transport.messages import AnswerHead, Body, Framing
+from swifttrestle.internal.transport.upstream import (
+    ConnectionPool,
+    OutgoingRequest,
+    UpstreamConnection,
+)
+from swifttrestle.platform.wire import (
+    Forwarding,
+    build_forward_headers,
+    read_answer_facts,
+    strip_answer_headers,
+)
+
+# Answers up to this size, in bytes, are read whole before the first byte goes to the caller,
+# so that a broken one can be tried again or be told as such.
+WHOLE_ANSWER_BYTES = 64 * 1024
+FIRST_ERROR_STATUS = 500
+LARGEST_SMALL_ANSWER = 64 * 1024
+
+
+class FailedByUpstreamError(UpstreamBrokenError):
+    """A repeatable request ran and failed at its upstream; another one may do better."""
+
+
+@dataclass(frozen=True)
+class AttemptPlan:
+    """How one attempt is made; `patience` bounds the wait for the answer's head, in seconds."""
+
+    instance: Instance
+    forwarding: Forwarding
+    patience: float
+    retry_failure: bool = False
+
+
+def build_request(ctx: Context, forwarding: Forwarding) -> OutgoingRequest:
+    """Return the request as it goes to an upstream."""
+    head = ctx.request.head
+    return OutgoingRequest(
+        head.method,
+        head.target,
+        build_forward_headers(ctx.headers, forwarding),
+        head.framing,
+        head.length,
+        ctx.request.body,
+    )
+
+
+async def read_head(
+    ctx: Context, connection: UpstreamConnection, plan: AttemptPlan
+) -> tuple[AnswerHead, Body]:
+    """Send the request and return the checked head of its answer.
+
+    Raises UpstreamBusyError or UpstreamLeavingError where the upstream proved that nothing
+    ran, and UpstreamBrokenError where that is not known.
+    """
+    try:
+        async with asyncio.timeout(min(plan.patience, max(0.0, ctx.left))):
+            head, body = await connection.exchange(build_request(ctx, plan.forwarding))
+    except TimeoutError:
+        raise UpstreamBrokenError("no answer in time", sent=True) from None
+    facts = read_answer_facts(head.status, head.headers)
+    # An engine that turns a request away may do so before it has read the id.
+    if facts.request_id != ctx.facts.request_id and not (facts.not_run and not facts.request_id):
+        raise CrossedAnswerError("the answer names another request", sent=True)
+    if facts.not_run:
+        await body.read_whole(LARGEST_SMALL_ANSWER)
+        if facts.replaced:
+            raise UpstreamLeavingError(f"{plan.instance.name} is not at its address any more")
+        raise UpstreamBusyError(f"{plan.instance.name} refused with {head.status}")
+    if head.status < 300 and not facts.signed:
+        raise UpstreamBrokenError("a success has no signature", sent=True)
+    return head, body
+
+
+async def deliver(
+    ctx: Context, pool: ConnectionPool, plan: AttemptPlan, relay: EventRelay | None = None
+) -> None:
+    """Make one attempt and pass its answer on.
+
+    Raises what `read_head` raises, and UpstreamBrokenError where the answer broke off
+    before the caller got a byte of it.
+    """
+    instance = plan.instance
+    async with pool.borrow(instance.name, instance.record.address) as connection:
+        try:
+            head, body = await read_head(ctx, connection, plan)
+        except (UpstreamBusyError, UpstreamLeavingError):
+            # The connection is in order: the refusal was read whole.
+            await connection.finish(patience=0.0)
+            raise
+        if head.status >= FIRST_ERROR_STATUS and plan.retry_failure:
+            raise FailedByUpstreamError(f"the upstream failed with {head.status}", sent=True)
+        if relay is not None and head.status < 300:
+            await relay.pass_on(ctx, head, body)
+        elif head.framing is Framing.LENGTH and head.length > WHOLE_ANSWER_BYTES:
+            await _stream_answer(ctx, head, body)
+        else:
+            await _send_whole(ctx, head, body)
+        await pool.give_back(connection, head)
+
+
+async def _send_whole(ctx: Context, head: AnswerHead, body: Body) -> None:
+    content = await body.read_whole(ctx_limit(head))
+    headers = strip_answer_headers(head.headers)
+    if head.framing is Framing.NONE:
+        await ctx.reply.start(head.status, headers, Framing.NONE, 0)
+        await ctx.reply.end()
+        return
+    await ctx.reply.send_whole(head.status, headers, content)
+
+
+def ctx_limit(head: AnswerHead) -> int:
+    """Return the most bytes that an answer of unknown length is gathered to."""
+    return max(head.length, 64 * WHOLE_ANSWER_BYTES)
+
+
+async def _stream_answer(ctx: Context, head: AnswerHead, body: Body) -> None:
+    headers = strip_answer_headers(head.headers)
+    await ctx.reply.start(head.status, headers, head.framing, head.length)
+    async for chunk in body.chunks():
+        await ctx.reply.send(chunk)
+    await ctx.reply.end()
--- /dev/null
+++ b/src/swifttrestle/internal/forward/context.py
@@ -0,0 +1,62 @@
+"""What is known of one request while it is served."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from swifttrestle.codes import Code
+from swifttrestle.errors import RefusedError
+from swifttrestle.internal.state.declared import Repeat, Route, ServiceDeclaration
+from swifttrestle.internal.transport.caller import IncomingRequest, Reply
+from swifttrestle.internal.transport.messages import Header
+from swifttrestle.platform.wire import RequestFacts
+
+
+@dataclass
+class Context:
+    """One request; `deadline` is in the loop's time.
+
+    `may_have_run` is set once an upstream has been sent a request that it has not proved to
+    have left alone. `steps` are the decisions so far, for the request's log line.
+    """
+
+    request: IncomingRequest
+    reply: Reply
+    facts: RequestFacts
+    headers: list[Header]
+    route: Route
+    service: ServiceDeclaration
+    deadline: float
+    config_version: int
+    may_have_run: bool = False
+    runs: int = 0
+    arrivals: int = 0
+    excluded: set[str] = field(default_factory=set)
+    steps: list[str] = field(default_factory=list)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.repeat is Repeat.IDEMPOTENT
+
+    @property
+    def left(self) -> float:
+        """Seconds to the deadline."""
+        return self.deadline - asyncio.get_running_loop().time()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the request was read."""
+        return asyncio.get_running_loop().time() - self.request.received
+
+    def note(self, step: str) -> None:
+        """Keep a decision, with the request's age in milliseconds, for its log line."""
+        self.steps.append(f"{self.age * 1000:.0f}:{step}")
+
+    def refuse(self, code: Code, message: str, retry_after: float) -> RefusedError:
+        """Return the final answer for a request that is given up on.
+
+        Where it may have run, the answer must not promise that it has not.
+        """
+        if self.may_have_run:
+            return RefusedError(Code.ANSWER_LOST, message)
+        return RefusedError(code, message, retry_after)
--- /dev/null
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -0,0 +1,143 @@
+"""Answers each caller's request: its route, its forwarder, its final answer, its log line."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import orjson
+
+from swifttrestle.codes import TABLE, Code, Ran
+from swifttrestle.errors import CallerGoneError, RefusedError, SwifttrestleError
+from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.engines import EngineForwarder
+from swifttrestle.internal.forward.parts import Parts
+from swifttrestle.internal.forward.plain import PlainForwarder
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.state.declared import Limits, Route
+from swifttrestle.internal.state.routes import RouteTable, pick_service
+from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
+from swifttrestle.internal.transport.messages import Header, RequestHead
+from swifttrestle.platform.wire import REQUEST_ID, name_request, read_facts, strip_request_headers
+
+# Seconds after which a caller may come back to a host that knows no configuration yet.
+UNCONFIGURED_RETRY_SECONDS = 0.5
+# Seconds before the deadline at which a request is given up, so that its final answer is
+# there in time.
+ANSWER_MARGIN_SECONDS = 0.01
+
+
+class GatewayHandler(RequestHandler):
+    """Routes requests by the configuration in force."""
+
+    def __init__(self, parts: Parts, find_table: Callable[[], RouteTable | None]) -> None:
+        """Read the route table in force by `find_table`."""
+        self._parts = parts
+        self._find_table = find_table
+        self._plain = PlainForwarder(parts)
+        self.engines = EngineForwarder(parts)
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        table = self._find_table()
+        return table.configuration.limits if table else Limits()
+
+    async def handle(self, request: IncomingRequest, reply: Reply) -> None:
+        """Answer one request."""
+        outcome = "error"
+        ctx: Context | None = None
+        code = Code.OK
+        try:
+            ctx = self._open(request, reply)
+            await self._serve(ctx)
+            outcome = "answered"
+        except RefusedError as error:
+            code = error.code
+            outcome = error.message
+            await self._answer_refusal(request, reply, error)
+        except SwifttrestleError as error:
+            code = error.code
+            outcome = str(error)
+            await self._answer_refusal(request, reply, RefusedError(Code.ANSWER_LOST, str(error)))
+        except asyncio.CancelledError:
+            code = CallerGoneError.code
+            outcome = "the caller left"
+            raise
+        finally:
+            self._log(request, ctx, code, outcome)
+
+    def _open(self, request: IncomingRequest, reply: Reply) -> Context:
+        table = self._find_table()
+        if table is None:
+            raise RefusedError(
+                Code.NOT_CONFIGURED, "no configuration is known yet", UNCONFIGURED_RETRY_SECONDS
+            )
+        route = self._find_route(table, request.head)
+        facts = read_facts(request.head.headers)
+        service = table.configuration.services.get(pick_service(route, self._parts.rng))
+        if service is None:
+            raise RefusedError(Code.UNKNOWN_SERVICE, f"route {route.name} has no service")
+        seconds = route.timeout if facts.patience is None else min(facts.patience, route.timeout)
+        return Context(
+            request,
+            reply,
+            facts,
+            strip_request_headers(request.head.headers),
+            route,
+            service,
+            request.received + seconds,
+            table.configuration.version,
+        )
+
+    def _find_route(self, table: RouteTable, head: RequestHead) -> Route:
+        host = head.find(b"host").decode("latin-1")
+        path = head.target.partition(b"?")[0].decode("latin-1")
+        route = table.find(host, path)
+        if route is None:
+            raise RefusedError(Code.UNKNOWN_SERVICE, "no route has this host and path")
+        return route
+
+    async def _serve(self, ctx: Context) -> None:
+        forwarder = self.engines if ctx.service.engine else self._plain
+        try:
+            async with asyncio.timeout(max(0.0, ctx.left - ANSWER_MARGIN_SECONDS)):
+                await forwarder.serve(ctx)
+        except TimeoutError:
+            ctx.note("deadline")
+            if ctx.may_have_run:
+                raise RefusedError(Code.ANSWER_LATE, "the time is over") from None
+            raise ctx.refuse(Code.DEADLINE_PASSED, "the time is over", 0.1) from None
+
+    async def _answer_refusal(
+        self, request: IncomingRequest, reply: Reply, error: RefusedError
+    ) -> None:
+        if reply.started:
+            reply.abort()
+            return
+        headers: list[Header] = [(b"Content-Type", b"application/json")]
+        request_id = request.head.find(REQUEST_ID)
+        if request_id:
+            headers.append(name_request(request_id))
+        if error.retry_after is not None and error.ran is Ran.NOT_RUN:
+            headers.append((b"Retry-After", f"{error.retry_after:.3f}".encode()))
+        content = orjson.dumps(
+            {"code": int(error.code), "error": error.code.name, "message": error.message}
+        )
+        await reply.send_whole(TABLE[error.code].status, headers, content)
+
+    def _log(self, request: IncomingRequest, ctx: Context | None, code: Code, outcome: str) -> None:
+        now = asyncio.get_running_loop().time()
+        route = ctx.route.name if ctx else ""
+        self._parts.metrics.count("gateway_requests_total", route=route, code=code.name)
+        log_decision(
+            "request",
+            id=request.head.find(REQUEST_ID).decode("latin-1"),
+            route=route,
+            config=ctx.config_version if ctx else 0,
+            code=code.name,
+            outcome=outcome,
+            ms=round((now - request.received) * 1000, 1),
+            steps=_list_steps(ctx),
+        )
+
+
+def _list_steps(ctx: Context | None) -> Sequence[str]:
+    return ctx.steps if ctx else ()
--- /dev/null
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -0,0 +1,76 @@
+"""What the forwarders share: the fleet, the connections, the budget and the ejector."""
+
+import random
+from dataclasses import dataclass, field
+
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.ejection import Ejector
+from swifttrestle.internal.policy.windows import WindowedRetryBudget
+from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.internal.transport.upstream import ConnectionPool
+
+# Seconds for which an instance that refused gets no more work where others can take it.
+REFUSED_SECONDS = 0.25
+# Share of a service's instances that may be left out as broken at once.
+EJECTION_CAP = 0.5
+# Seconds over which a broken instance comes back to its full share.
+RETURN_SECONDS = 2.0
+
+
+@dataclass
+class RetryBudgets:
+    """One budget for each service."""
+
+    share: float
+    extra: float
+    window: float
+    hosts: int = 1
+    _services: dict[str, WindowedRetryBudget] = field(default_factory=dict)
+
+    def find(self, service: str) -> WindowedRetryBudget:
+        """Return a service's budget."""
+        budget = self._services.get(service)
+        if budget is None:
+            budget = WindowedRetryBudget(self.share, self.extra, self.window)
+            self._services[service] = budget
+        budget.hosts = self.hosts
+        return budget
+
+
+class Parts:
+    """The shared state of one host's request path; used from the event loop alone."""
+
+    def __init__(
+        self, zone: str, fleet: Fleet, budgets: RetryBudgets, metrics: Metrics, rng: random.Random
+    ) -> None:
+        """Put the parts together."""
+        self.zone = zone
+        self.fleet = fleet
+        self.pool = ConnectionPool()
+        self.budgets = budgets
+        self.metrics = metrics
+        self.rng = rng
+        self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
+
+    def list_usable(self, service: str, now: float) -> list[Instance]:
+        """Return a service's instances that are neither leaving nor left out as broken."""
+        listed = self.fleet.list_service(service)
+        usable = [item for item in listed if not self.ejector.is_out(item.name, now)]
+        return usable or listed
+
+    def note_refusal(self, instance: Instance, now: float) -> None:
+        """Leave an instance alone for a moment."""
+        instance.refused_until = now + REFUSED_SECONDS
+
+    def note_gone(self, instance: Instance) -> None:
+        """Drop an instance that another one has replaced at its address."""
+        self.fleet.remove(instance.name)
+        self.pool.forget(instance.name)
+        log_decision("instance replaced", instance=instance.name, source="its address")
+
+    def note_broken(self, instance: Instance, now: float, reason: str) -> None:
+        """Count a failure; the instance may be left out from now on."""
+        group = [item.name for item in self.fleet.list_service(instance.record.service)]
+        if self.ejector.note_failure(instance.name, group, now):
+            log_decision("instance left out", instance=instance.name, reason=reason)
--- /dev/null
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -0,0 +1,103 @@
+"""Requests to plain services."""
+
+import asyncio
+
+from swifttrestle.codes import Code
+from swifttrestle.errors import UpstreamBrokenError, UpstreamBusyError, UpstreamLeavingError
+from swifttrestle.internal.forward.attempt import AttemptPlan, FailedByUpstreamError, deliver
+from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.events import EventRelay
+from swifttrestle.internal.forward.parts import Parts
+from swifttrestle.internal.policy.placement import pick_plain
+from swifttrestle.internal.state.fleet import Instance, OpenWork
+from swifttrestle.platform.wire import Forwarding
+
+# A silent first attempt of a repeatable request ends at this share of what is left, so that
+# a second one still has time.
+FIRST_ATTEMPT_SHARE = 0.45
+# Seconds after which a caller may come back where nothing ran: about one request's work.
+RETRY_AFTER_SECONDS = 0.1
+# Rejected arrivals of one request before it is given up; they say that the service is full.
+MOST_REJECTIONS = 2
+ONE = OpenWork(0, 1)
+
+
+class PlainForwarder:
+    """Chooses an instance, and another one where the first proved not to have run."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Use the host's shared parts."""
+        self._parts = parts
+
+    async def serve(self, ctx: Context) -> None:
+        """Serve one request; raise RefusedError where it is given up on."""
+        loop = asyncio.get_running_loop()
+        budget = self._parts.budgets.find(ctx.service.name)
+        budget.note_request(loop.time())
+        last = "there is no instance"
+        while True:
+            instance = self._choose(ctx, loop.time())
+            if instance is None or not self._may_try(ctx, loop.time()):
+                raise ctx.refuse(Code.NO_UPSTREAM, last, RETRY_AFTER_SECONDS)
+            ctx.note(f"to {instance.name} open={instance.total.requests}")
+            try:
+                await self._try(ctx, instance)
+                return
+            except UpstreamLeavingError as error:
+                self._parts.note_gone(instance)
+                last = str(error)
+            except UpstreamBusyError as error:
+                self._parts.note_refusal(instance, loop.time())
+                last = str(error)
+            except UpstreamBrokenError as error:
+                last = str(error)
+                self._note_broken(ctx, instance, error)
+            ctx.note(last)
+            ctx.excluded.add(instance.name)
+
+    def _choose(self, ctx: Context, now: float) -> Instance | None:
+        usable = self._parts.list_usable(ctx.service.name, now)
+        return pick_plain(usable, self._parts.zone, ctx.excluded, now, self._parts.rng)
+
+    def _may_try(self, ctx: Context, now: float) -> bool:
+        if ctx.arrivals == 0:
+            return True
+        if ctx.may_have_run and not ctx.repeatable:
+            return False
+        if ctx.runs >= ctx.route.max_attempts:
+            return False
+        if ctx.arrivals - ctx.runs >= MOST_REJECTIONS or ctx.reply.started:
+            return False
+        return self._parts.budgets.find(ctx.service.name).take(now)
+
+    async def _try(self, ctx: Context, instance: Instance) -> None:
+        ctx.arrivals += 1
+        last = ctx.runs + 1 >= ctx.route.max_attempts or not ctx.repeatable
+        patience = ctx.left if last else ctx.left * FIRST_ATTEMPT_SHARE
+        now = asyncio.get_running_loop().time()
+        again = not last and self._parts.budgets.find(ctx.service.name).allows(now)
+        plan = AttemptPlan(
+            instance, Forwarding(instance.name, ctx.left), patience, retry_failure=again
+        )
+        relay = EventRelay(ctx.route.resumable, patience) if ctx.route.streaming else None
+        instance.own = instance.own.plus(ONE)
+        before = ctx.may_have_run
+        ctx.may_have_run = True
+        try:
+            await deliver(ctx, self._parts.pool, plan, relay)
+            self._parts.ejector.note_success(instance.name, asyncio.get_running_loop().time())
+        except (UpstreamBusyError, UpstreamLeavingError):
+            ctx.may_have_run = before
+            raise
+        except UpstreamBrokenError as error:
+            ctx.may_have_run = before or error.sent
+            raise
+        finally:
+            instance.own = instance.own.minus(ONE)
+
+    def _note_broken(self, ctx: Context, instance: Instance, error: UpstreamBrokenError) -> None:
+        if error.sent:
+            ctx.runs += 1
+        if not isinstance(error, FailedByUpstreamError):
+            now = asyncio.get_running_loop().time()
+            self._parts.note_broken(instance, now, str(error))
--- /dev/null
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -0,0 +1,100 @@
+"""Where a request goes: the instance of a plain service, the engines of a prompt."""
+
+import hashlib
+import random
+from collections.abc import Collection, Sequence
+
+from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.fleet import Instance
+
+# What another availability zone costs in the choice of a plain instance, in open requests:
+# the bytes that cross are priced, so a near instance is kept until it is one request worse.
+FAR_REQUESTS = 1.0
+# Seconds by which an engine may be worse and still be chosen, for holding part of the prompt
+# or for being near: about one long prompt's reading.
+AFFINITY_SECONDS = 0.02
+# Share of an engine's slots that may be open before it gets no more prompts of its own choice.
+FULL_SHARE = 0.9
+
+
+def pick_plain(
+    instances: Sequence[Instance], zone: str, excluded: Collection[str], now: float,
+    rng: random.Random,
+) -> Instance | None:  # fmt: skip
+    """Return the least loaded instance, near ones first; None where there is none."""
+    usable = [item for item in instances if item.name not in excluded]
+    ready = [item for item in usable if now >= item.refused_until] or usable
+    if not ready:
+        return None
+
+    def cost(item: Instance) -> tuple[float, float]:
+        far = 0.0 if item.record.zone == zone else FAR_REQUESTS
+        return item.own.requests + item.peers.requests + far, rng.random()
+
+    return min(ready, key=cost)
+
+
+def pick_decoder(
+    instances: Sequence[Instance], near: str, excluded: Collection[str], now: float
+) -> Instance | None:
+    """Return the engine to make tokens: the least share of its slots in use, near ones first."""
+    usable = [
+        item
+        for item in instances
+        if item.record.role is Role.DECODE
+        and item.name not in excluded
+        and now >= item.role_changing_until
+    ]
+    ready = [item for item in usable if now >= item.refused_until] or usable
+    with_room = [item for item in ready if not is_full(item)]
+    if not with_room:
+        return None
+    return min(
+        with_room,
+        key=lambda item: (
+            item.predict_wait()
+            + item.total.requests / max(1, item.record.slots) * AFFINITY_SECONDS
+            + (0.0 if item.record.zone == near else AFFINITY_SECONDS / 4)
+        ),
+    )
+
+
+def is_full(item: Instance) -> bool:
+    """Return whether the engine's slots are about taken."""
+    return item.total.requests >= max(1.0, item.record.slots * FULL_SHARE)
+
+
+def pick_reader(
+    instances: Sequence[Instance], tokens: int, affinity: str, excluded: Collection[str],
+    now: float, longest_wait: float,
+) -> Instance | None:  # fmt: skip
+    """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
+
+    Decoding engines read too, at half the pace. Of engines that are about as good, the one
+    that the prompt's shared part hashes to is taken, so that equal parts meet their cache.
+    """
+    usable = [
+        item
+        for item in instances
+        if item.name not in excluded
+        and now >= item.refused_until
+        and now >= item.role_changing_until
+        and item.record.role is not Role.NONE
+        and not is_full(item)
+    ]
+    allowed = [item for item in usable if item.predict_wait() <= longest_wait]
+    if not allowed:
+        return None
+    best = min(_predict_read(item, tokens) for item in allowed)
+    close = [item for item in allowed if _predict_read(item, tokens) <= best + AFFINITY_SECONDS]
+    return max(close, key=lambda item: rank(affinity, item.name))
+
+
+def _predict_read(item: Instance, tokens: int) -> float:
+    return item.predict_wait() + tokens / item.pace
+
+
+def rank(key: str, name: str) -> int:
+    """Return the rendezvous rank of a name for a key; the highest one is the key's own."""
+    digest = hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -0,0 +1,74 @@
+"""Datagrams between gateways: who lives, what is open where, which configuration is newest."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+
+# Kept under one packet of the usual links, so that a datagram is never split.
+LARGEST_DATAGRAM = 1400
+
+
+@dataclass(frozen=True)
+class PeerReport:
+    """What one gateway tells its peers.
+
+    `work` maps an upstream instance to its open prompt tokens and requests; `known` are some
+    peers that the sender has heard of late, as pairs of host and IP.
+    """
+
+    host: str
+    ip: str
+    incarnation: int
+    config_version: int
+    leaving: bool
+    work: dict[str, tuple[int, int]]
+    known: tuple[tuple[str, str], ...] = ()
+
+
+def pack_report(report: PeerReport) -> bytes:
+    """Return the datagram of a report; peers known are left out where it grows too large."""
+    values = [
+        report.host,
+        report.ip,
+        report.incarnation,
+        report.config_version,
+        report.leaving,
+        report.work,
+        report.known,
+    ]
+    data: bytes = msgpack.packb(values)
+    if len(data) > LARGEST_DATAGRAM:
+        values[6] = ()
+        data = msgpack.packb(values)
+    return data
+
+
+def unpack_report(data: bytes) -> PeerReport:
+    """Return the report of a datagram; raise FrameError."""
+    try:
+        values: Any = msgpack.unpackb(data)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"a datagram is not msgpack: {error!r}") from None
+    match values:
+        case [str(host), str(ip), int(incarnation), int(version), bool(leaving), dict(work), known]:
+            return PeerReport(
+                host, ip, incarnation, version, leaving, _read_work(work), _read_known(known)
+            )
+    raise FrameError("a datagram is no report")
+
+
+def _read_work(work: dict[Any, Any]) -> dict[str, tuple[int, int]]:
+    try:
+        return {str(name): (int(tokens), int(count)) for name, (tokens, count) in work.items()}
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"a report's work cannot be read: {error!r}") from None
+
+
+def _read_known(known: Any) -> tuple[tuple[str, str], ...]:
+    try:
+        return tuple((str(host), str(ip)) for host, ip in known)
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"a report's peers cannot be read: {error!r}") from None
--- /dev/null
+++ b/src/swifttrestle/internal/state/declared.py
@@ -0,0 +1,102 @@
+"""What operators and upstreams have declared: routes, services, limits, upstream records."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Repeat(Enum):
+    """How often a request of a route may run."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at most once"
+
+
+class Role(Enum):
+    """What an engine does: read prompts, or make tokens (and read prompts slowly)."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    NONE = "none"
+
+
+@dataclass(frozen=True)
+class EngineTraits:
+    """What a service declares of its engines; sizes in tokens and bytes, times in seconds."""
+
+    slots: int
+    kv_tokens: int
+    kv_bytes_per_token: float
+    link_bytes_per_second: float
+    handle_seconds: float
+    role_change_seconds: float
+
+
+@dataclass(frozen=True)
+class ServiceDeclaration:
+    """One service; `engine` is None for a plain service."""
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True)
+class Target:
+    """One share of a route's traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route; times in seconds, `priority` 0 is the most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    streaming: bool
+    resumable: bool
+    timeout: float
+    objective: float
+    gap_objective: float
+    priority: int
+    max_attempts: int
+    targets: tuple[Target, ...]
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What a caller may send; sizes in bytes, times in seconds.
+
+    The defaults hold only until the first configuration is known.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One whole version of the operators' configuration."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, ServiceDeclaration] = field(default_factory=dict)
+    limits: Limits = Limits()
+
+
+@dataclass(frozen=True)
+class UpstreamRecord:
+    """What an upstream says of itself in the discovery list; `instance` names one start of it."""
+
+    instance: str
+    service: str
+    address: tuple[str, int]
+    zone: str
+    slots: int
+    leaving: bool
+    role: Role = Role.NONE
--- /dev/null
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -0,0 +1,155 @@
+"""The upstreams that discovery lists, with what this host and its peers have open there."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+
+# Tokens a second that an engine reads until its speed has been measured; low, so that the
+# first measurement corrects it upwards and no engine is flooded before.
+UNKNOWN_READ_RATE = 100_000.0
+# Share of the newest measurement in the learned speed: about ten requests of memory.
+LEARN_SHARE = 0.1
+# Measurements below this many tokens say more of the network than of the engine.
+LEAST_LEARN_TOKENS = 512
+# A decoding engine reads prompts at half the pace of a prefilling one (engines' protocol).
+DECODE_READ_SHARE = 0.5
+# Work that peers report counts for this long, in seconds; four missed reports at their pace.
+PEER_WORK_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class OpenWork:
+    """What is open at an instance: prompt tokens to be read, and requests."""
+
+    tokens: int = 0
+    requests: int = 0
+
+    def plus(self, other: "OpenWork") -> "OpenWork":
+        """Return both together."""
+        return OpenWork(self.tokens + other.tokens, self.requests + other.requests)
+
+    def minus(self, other: "OpenWork") -> "OpenWork":
+        """Return what is left without the other."""
+        return OpenWork(self.tokens - other.tokens, self.requests - other.requests)
+
+
+NOTHING = OpenWork()
+
+
+@dataclass
+class Instance:
+    """One start of an upstream; times are the loop's seconds."""
+
+    record: UpstreamRecord
+    own: OpenWork = NOTHING
+    peers: OpenWork = NOTHING
+    read_rate: float = UNKNOWN_READ_RATE
+    refused_until: float = float("-inf")
+    role_changing_until: float = float("-inf")
+    gone: bool = False
+
+    @property
+    def name(self) -> str:
+        """The instance's id."""
+        return self.record.instance
+
+    @property
+    def total(self) -> OpenWork:
+        """What is open here by all hosts."""
+        return self.own.plus(self.peers)
+
+    @property
+    def pace(self) -> float:
+        """Prompt tokens that it reads a second in its present role."""
+        share = DECODE_READ_SHARE if self.record.role is Role.DECODE else 1.0
+        return self.read_rate * share
+
+    def predict_wait(self) -> float:
+        """Return the seconds until what is open here has been read."""
+        return max(0, self.total.tokens) / self.pace
+
+    def learn(self, tokens: int, seconds: float) -> None:
+        """Learn the speed from tokens that were read in some time, with all that stood before."""
+        if tokens < LEAST_LEARN_TOKENS or seconds <= 0:
+            return
+        share = DECODE_READ_SHARE if self.record.role is Role.DECODE else 1.0
+        self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
+
+
+@dataclass
+class _PeerWork:
+    at: float
+    work: dict[str, OpenWork] = field(default_factory=dict)
+
+
+class Fleet:
+    """All instances by service."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.instances: dict[str, Instance] = {}
+        self._services: dict[str, dict[str, Instance]] = defaultdict(dict)
+        self._peers: dict[str, _PeerWork] = {}
+
+    def list_service(self, service: str) -> list[Instance]:
+        """Return the instances of a service that are not leaving."""
+        return [item for item in self._services[service].values() if not item.record.leaving]
+
+    def put(self, record: UpstreamRecord) -> bool:
+        """Take a record over; return whether anything but its heartbeat changed."""
+        known = self.instances.get(record.instance)
+        if known is not None and known.record == record:
+            return False
+        if known is None:
+            known = Instance(record, read_rate=self._guess_rate(record.service))
+            self.instances[record.instance] = known
+        elif known.record.service != record.service:
+            self._services[known.record.service].pop(record.instance, None)
+        if known.record.role is not record.role:
+            known.role_changing_until = float("-inf")
+        known.record = record
+        self._services[record.service][record.instance] = known
+        return True
+
+    def remove(self, instance: str) -> bool:
+        """Drop an instance; return whether it was known."""
+        known = self.instances.pop(instance, None)
+        if known is None:
+            return False
+        known.gone = True
+        self._services[known.record.service].pop(instance, None)
+        return True
+
+    def note_peer(self, peer: str, work: dict[str, OpenWork], now: float) -> None:
+        """Take over what a peer has open."""
+        before = self._peers.get(peer)
+        if before is not None:
+            self._add(before.work.items(), sign=-1)
+        self._peers[peer] = _PeerWork(now, work)
+        self._add(work.items(), sign=1)
+
+    def expire_peers(self, now: float) -> None:
+        """Forget the work of peers that have been silent."""
+        for peer, known in list(self._peers.items()):
+            if now - known.at > PEER_WORK_SECONDS:
+                self._add(known.work.items(), sign=-1)
+                del self._peers[peer]
+
+    def own_work(self) -> dict[str, OpenWork]:
+        """Return what this host has open, by instance."""
+        return {name: item.own for name, item in self.instances.items() if item.own != NOTHING}
+
+    def _add(self, items: Iterable[tuple[str, OpenWork]], sign: int) -> None:
+        for name, work in items:
+            instance = self.instances.get(name)
+            if instance is None:
+                continue
+            both = instance.peers.plus(work) if sign > 0 else instance.peers.minus(work)
+            # A peer may report an instance before this host knows it.
+            instance.peers = OpenWork(max(0, both.tokens), max(0, both.requests))
+
+    def _guess_rate(self, service: str) -> float:
+        rates = [item.read_rate for item in self._services[service].values()]
+        return sum(rates) / len(rates) if rates else UNKNOWN_READ_RATE
--- /dev/null
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -0,0 +1,372 @@
+"""Callers' connections: strict requests in, answers out, one task for each connection.
+
+A request's handler runs as part of the connection's task. Where the caller closes, that
+task is cancelled, so that whatever the handler holds is given back at once.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import httptools
+
+from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.state.declared import Limits
+from swifttrestle.internal.transport.messages import (
+    LAST_CHUNK,
+    Body,
+    Framing,
+    Header,
+    RequestHead,
+    find_header,
+    write_answer_head,
+    write_chunk,
+)
+
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+BODY_TOO_LARGE = 413
+HEADER_TOO_LARGE = 431
+# Requests that may wait behind the one in work on a connection before reading is held up.
+PIPELINE_DEPTH = 1
+
+
+class Reply(ABC):
+    """Where a handler writes its answer."""
+
+    started: bool = False
+
+    @abstractmethod
+    async def send_whole(self, status: int, headers: Sequence[Header], content: bytes) -> None:
+        """Send a whole answer."""
+
+    @abstractmethod
+    async def start(
+        self, status: int, headers: Sequence[Header], framing: Framing, length: int
+    ) -> None:
+        """Send the head of an answer whose body follows."""
+
+    @abstractmethod
+    async def send(self, data: bytes) -> None:
+        """Send bytes of the body; waits while the caller does not read."""
+
+    @abstractmethod
+    async def end(self) -> None:
+        """End the answer as whole."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Reset the connection, so that what was sent cannot be taken for a whole answer."""
+
+
+@dataclass(frozen=True)
+class IncomingRequest:
+    """One request of a caller; `received` is the loop's time when its head was whole."""
+
+    head: RequestHead
+    body: Body
+    received: float
+
+
+class RequestHandler(ABC):
+    """Answers requests."""
+
+    @abstractmethod
+    async def handle(self, request: IncomingRequest, reply: Reply) -> None:
+        """Answer one request; cancelled where the caller leaves."""
+
+    @abstractmethod
+    def limits(self) -> Limits:
+        """Return what a caller may send now."""
+
+
+class ConnectionSet:
+    """All open connections of a listener; asks them to close politely at a planned stop."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.open: set[CallerConnection] = set()
+        self.closing = False
+
+    def close_idle(self) -> None:
+        """Close connections without a request; the others close after their answer."""
+        self.closing = True
+        for connection in list(self.open):
+            connection.close_if_idle()
+
+    def count_busy(self) -> int:
+        """Return the connections that have a request in work."""
+        return sum(1 for connection in self.open if connection.busy)
+
+
+class CallerConnection(asyncio.Protocol, Reply):
+    """One connection of a caller."""
+
+    def __init__(self, handler: RequestHandler, connections: ConnectionSet) -> None:
+        """Serve requests by a handler."""
+        self._handler = handler
+        self._connections = connections
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._limits = handler.limits()
+        self._headers: list[Header] = []
+        self._header_bytes = 0
+        self._target = b""
+        self._body: Body | None = None
+        self._requests: deque[tuple[IncomingRequest, bool]] = deque()
+        self._arrived = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._refusal = 0
+        self._framing = Framing.NONE
+        self._keep = True
+        self._in_head = False
+        self.busy = False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the connection's task."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._connections.open.add(self)
+        self._task = asyncio.ensure_future(self._serve())
+        self._watch_idle()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the caller."""
+        if self._refusal:
+            return
+        if not self._in_head and self._body is None:
+            self._begin_head()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(BAD_REQUEST)
+        except (httptools.HttpParserError, _RefusedError):
+            self._refuse(self._refusal or BAD_REQUEST)
+
+    def eof_received(self) -> bool:
+        """Take a half-closed connection as closed: nobody waits for the answer."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel what is in work for this caller."""
+        self._connections.open.discard(self)
+        self._stop_timer()
+        if self._body is not None:
+            self._body.fail(UpstreamBrokenError("the caller broke its request off", sent=True))
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold the writer: the caller does not read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let the writer go on."""
+        self._writable.set()
+
+    # Called by the parser.
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Queue the request; its body may still be on its way."""
+        self._stop_timer()
+        self._in_head = False
+        framing, length = self._find_framing()
+        if length > self._limits.body_bytes:
+            self._refuse_now(BODY_TOO_LARGE)
+        head = RequestHead(
+            self._parser.get_method(), self._target, tuple(self._headers), framing, length
+        )
+        self._body = Body()
+        self._body.resume_reading = self._resume_reading
+        if find_header(head.headers, b"expect").lower() == b"100-continue":
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request = IncomingRequest(head, self._body, self._loop.time())
+        self._requests.append((request, self._parser.should_keep_alive()))
+        self._arrived.set()
+        self._hold_reading_if_full()
+
+    def on_body(self, data: bytes) -> None:
+        """Pass bytes of the request's body on."""
+        assert self._body is not None
+        if self._body.size + len(data) > self._limits.body_bytes:
+            self._refuse_now(BODY_TOO_LARGE)
+        self._body.feed(data)
+        self._hold_reading_if_full()
+
+    def on_message_complete(self) -> None:
+        """End the body and make ready for the next request."""
+        if self._body is not None:
+            self._body.end()
+        self._body = None
+        self._target = b""
+        self._headers = []
+        self._header_bytes = 0
+
+    # Called by handlers.
+
+    async def send_whole(self, status: int, headers: Sequence[Header], content: bytes) -> None:
+        """Send a whole answer."""
+        await self.start(status, headers, Framing.LENGTH, len(content))
+        await self.send(content)
+        await self.end()
+
+    async def start(
+        self, status: int, headers: Sequence[Header], framing: Framing, length: int
+    ) -> None:
+        """Send the head of an answer whose body follows."""
+        self.started = True
+        # A body that would end with its connection is sent in chunks, so that its end shows.
+        self._framing = Framing.CHUNKED if framing is Framing.CLOSE else framing
+        if self._connections.closing:
+            self._keep = False
+        self._write(write_answer_head(status, headers, self._framing, length, self._keep))
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes of the body; waits while the caller does not read."""
+        if not data:
+            return
+        await self._writable.wait()
+        self._write(write_chunk(data) if self._framing is Framing.CHUNKED else data)
+
+    async def end(self) -> None:
+        """End the answer as whole."""
+        if self._framing is Framing.CHUNKED:
+            self._write(LAST_CHUNK)
+
+    def abort(self) -> None:
+        """Reset the connection, so that what was sent cannot be taken for a whole answer."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Used by the set of connections.
+
+    def close_if_idle(self) -> None:
+        """Close politely where no request is in work."""
+        self._keep = False
+        if not self.busy and not self._requests and not self._in_head:
+            self._close()
+
+    # The connection's task.
+
+    async def _serve(self) -> None:
+        while True:
+            while not self._requests:
+                self._arrived.clear()
+                await self._arrived.wait()
+            request, keep = self._requests.popleft()
+            self._keep = self._keep and keep
+            self.started = False
+            self.busy = True
+            await self._handler.handle(request, self)
+            if not request.body.complete:
+                # An answer came before the request was whole; what follows cannot be trusted.
+                self._keep = False
+            self.busy = False
+            self._resume_reading()
+            if not self._keep or (self._refusal and not self._requests):
+                await self._close_after_refusal()
+                return
+            self._watch_idle()
+
+    async def _close_after_refusal(self) -> None:
+        if self._refusal and not self._requests:
+            self._write_refusal()
+        self._close()
+
+    def _find_framing(self) -> tuple[Framing, int]:
+        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
+        codings = [value for name, value in self._headers if name.lower() == b"transfer-encoding"]
+        if (lengths and codings) or len(lengths) > 1 or len(codings) > 1:
+            self._refuse_now(BAD_REQUEST)
+        if codings:
+            if codings[0].strip().lower() != b"chunked":
+                self._refuse_now(BAD_REQUEST)
+            return Framing.CHUNKED, 0
+        if lengths:
+            if not lengths[0].isdigit():
+                self._refuse_now(BAD_REQUEST)
+            return Framing.LENGTH, int(lengths[0])
+        return Framing.NONE, 0
+
+    def _begin_head(self) -> None:
+        self._in_head = True
+        self._limits = self._handler.limits()
+        self._start_timer(self._limits.header_seconds, self._end_slow_head)
+
+    def _end_slow_head(self) -> None:
+        self._refuse(REQUEST_TIMEOUT)
+
+    def _watch_idle(self) -> None:
+        if not self._in_head and not self._requests:
+            self._start_timer(self._handler.limits().idle_seconds, self.close_if_idle)
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._limits.header_bytes:
+            self._refuse_now(HEADER_TOO_LARGE)
+
+    def _refuse_now(self, status: int) -> None:
+        self._refusal = status
+        raise _RefusedError
+
+    def _refuse(self, status: int) -> None:
+        """Answer what cannot be read after the requests before it, and close."""
+        self._refusal = status
+        self._stop_timer()
+        if self._body is not None:
+            self._body.fail(UpstreamBrokenError("the request cannot be read", sent=True))
+        if not self.busy and not self._requests:
+            self._write_refusal()
+            self._close()
+
+    def _write_refusal(self) -> None:
+        self._write(write_answer_head(self._refusal, (), Framing.LENGTH, 0, keep=False))
+
+    def _hold_reading_if_full(self) -> None:
+        overfull = self._body is not None and self._body.overfull
+        if (overfull or len(self._requests) > PIPELINE_DEPTH) and self._transport is not None:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _start_timer(self, seconds: float, act: object) -> None:
+        self._stop_timer()
+        assert callable(act)
+        self._timer = self._loop.call_later(seconds, act)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+class _RefusedError(Exception):
+    """Leaves the parser; the status stands in the connection."""
--- /dev/null
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -0,0 +1,355 @@
+"""Connections to upstreams: one exchange at a time, strict answers, kept for reuse."""
+
+import asyncio
+import contextlib
+import socket
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+
+import httptools
+
+from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.transport.messages import (
+    LAST_CHUNK,
+    AnswerHead,
+    Body,
+    Framing,
+    Header,
+    find_header,
+    write_chunk,
+    write_request_head,
+)
+
+Address = tuple[str, int]
+
+# Seconds to connect. A host in the same region answers in milliseconds; one lost opening
+# packet is sent again after a second, and waiting for that costs more than another upstream.
+CONNECT_SECONDS = 0.6
+# Milliseconds that sent data may stay unacknowledged before the kernel breaks the connection.
+UNACKNOWLEDGED_MS = 3000
+# A kept connection is dropped this long before its upstream would close it, in seconds, so
+# that no request crosses the close.
+IDLE_MARGIN_SECONDS = 0.7
+# Idle time after which a connection is not reused where its upstream names no time, seconds.
+DEFAULT_IDLE_SECONDS = 4.0
+
+
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """One request as it is sent to an upstream."""
+
+    method: bytes
+    target: bytes
+    headers: Sequence[Header]
+    framing: Framing
+    length: int
+    body: Body | None
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection; `exchange` sends a request and returns the answer's head and body."""
+
+    def __init__(self) -> None:
+        """Start unconnected."""
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._head: asyncio.Future[AnswerHead] | None = None
+        self._answer: AnswerHead | None = None
+        self._body: Body | None = None
+        self._sender: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._method = b""
+        self._informational = False
+        self._broken: Exception | None = None
+        self.sent = False
+        self.reusable = True
+        self.idle_until = 0.0
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport over."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; any that no request waits for end the connection."""
+        if self._head is None and self._body is None:
+            self._fail(UpstreamBrokenError("bytes came that no request waits for", sent=True))
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(UpstreamBrokenError(f"bytes are no answer: {error}", sent=True))
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length; anything else is broken off."""
+        if self._answer is not None and self._answer.framing is Framing.CLOSE and self._body:
+            self._body.end()
+            self.reusable = False
+            return False
+        self._fail(UpstreamBrokenError("the upstream closed the connection", sent=self.sent))
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail what still waits."""
+        self._fail(UpstreamBrokenError(f"the connection is lost: {error}", sent=self.sent))
+
+    def pause_writing(self) -> None:
+        """Hold the sender of the request's body."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let the sender go on."""
+        self._writable.set()
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a new head; a second answer to one request is one too many."""
+        if self._answer is not None:
+            self._fail(UpstreamBrokenError("bytes follow a whole answer", sent=True))
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over, unless it is informational."""
+        status = self._parser.get_status_code()
+        self._informational = status < 200
+        if self._informational or self._answer is not None:
+            return
+        self._answer = self._build_head(status)
+        self._body = Body(keep=False)
+        self._body.resume_reading = self._resume_reading
+        if self._head is not None and not self._head.done():
+            self._head.set_result(self._answer)
+        if self._answer.framing is Framing.NONE:
+            self._finish_answer()
+
+    def on_body(self, data: bytes) -> None:
+        """Pass bytes of the answer's body on."""
+        if self._body is None:
+            return
+        self._body.feed(data)
+        if self._body.overfull and self._transport is not None:
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Note that the answer is whole."""
+        if self._informational:
+            return
+        if self._answer is not None and self._answer.framing is not Framing.CLOSE:
+            self._finish_answer()
+
+    # Called by the request's task.
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        alive = self._transport is not None and not self._transport.is_closing()
+        return alive and self.reusable and self._broken is None
+
+    async def exchange(self, request: OutgoingRequest) -> tuple[AnswerHead, Body]:
+        """Send a request; return the answer's head, and its body as it arrives.
+
+        Raises UpstreamBrokenError, whose `sent` says whether a byte may have gone out.
+        """
+        if not self.usable:
+            raise UpstreamBrokenError("the connection is closed", sent=False)
+        self._answer, self._body = None, None
+        self._method = request.method
+        self._head = asyncio.get_running_loop().create_future()
+        assert self._transport is not None
+        self.sent = True
+        self._transport.write(
+            write_request_head(
+                request.method, request.target, request.headers, request.framing, request.length
+            )
+        )
+        if request.body is not None and request.framing is not Framing.NONE:
+            self._sender = asyncio.ensure_future(self._send_body(request))
+        head = await self._head
+        self._head = None
+        assert self._body is not None
+        return head, self._body
+
+    async def finish(self, patience: float) -> bool:
+        """End a whole exchange; return whether the connection may be kept.
+
+        An upstream may answer before it has read the whole request. The rest is then still
+        sent for `patience` seconds; after that the connection is closed, so that no later
+        request can be taken for that rest.
+        """
+        if self._sender is not None:
+            with contextlib.suppress(TimeoutError, Exception):
+                await asyncio.wait_for(self._sender, patience)
+            if not self._sender.done() or self._sender.cancelled():
+                self.reusable = False
+            self._sender = None
+        whole = self._body is not None and self._body.complete
+        self._answer, self._body, self._head = None, None, None
+        return whole and self.usable
+
+    def close(self) -> None:
+        """Close at once; the upstream sees that nobody waits any more."""
+        self.reusable = False
+        if self._sender is not None:
+            self._sender.cancel()
+            self._sender = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _send_body(self, request: OutgoingRequest) -> None:
+        assert request.body is not None and self._transport is not None
+        chunked = request.framing is Framing.CHUNKED
+        try:
+            async for chunk in request.body.chunks():
+                await self._writable.wait()
+                if self._transport.is_closing():
+                    return
+                self._transport.write(write_chunk(chunk) if chunked else chunk)
+            if chunked:
+                self._transport.write(LAST_CHUNK)
+        except UpstreamBrokenError:
+            # The caller broke its request off; what the upstream has of it must not look whole.
+            self.close()
+
+    def _finish_answer(self) -> None:
+        if self._body is not None:
+            self._body.end()
+
+    def _build_head(self, status: int) -> AnswerHead:
+        headers = tuple(self._headers)
+        framing, length = self._find_framing(status, headers)
+        connection = find_header(headers, b"connection").lower()
+        closes = b"close" in connection or framing is Framing.CLOSE
+        closes = closes or not self._parser.should_keep_alive()
+        if closes:
+            self.reusable = False
+        return AnswerHead(status, headers, framing, length, closes, _read_keep_time(headers))
+
+    def _find_framing(self, status: int, headers: Sequence[Header]) -> tuple[Framing, int]:
+        if status in (204, 304) or self._method == b"HEAD":
+            return Framing.NONE, 0
+        if find_header(headers, b"transfer-encoding"):
+            return Framing.CHUNKED, 0
+        length = find_header(headers, b"content-length")
+        if length:
+            return Framing.LENGTH, int(length)
+        return Framing.CLOSE, 0
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _fail(self, error: Exception) -> None:
+        if self._broken is None:
+            self._broken = error
+        self.reusable = False
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+        if self._body is not None:
+            self._body.fail(error)
+        if self._sender is not None:
+            self._sender.cancel()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.abort()
+
+
+def _read_keep_time(headers: Sequence[Header]) -> float | None:
+    for part in find_header(headers, b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
+class ConnectionPool:
+    """Kept connections to each instance of an upstream; newest first, so that few stay warm."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
+        self._open: dict[str, int] = defaultdict(int)
+        self.opened = 0
+
+    def count_open(self, instance: str) -> int:
+        """Return the connections in use to an instance."""
+        return self._open[instance]
+
+    @contextlib.asynccontextmanager
+    async def borrow(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
+        """Lend a connection; it is kept only where `give_back` says so before the end."""
+        connection = self._take_idle(instance) or await self._connect(address)
+        self._open[instance] += 1
+        try:
+            yield connection
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            self._open[instance] -= 1
+            if connection.usable and connection.idle_until:
+                self._idle[instance].append(connection)
+            else:
+                connection.close()
+
+    async def give_back(self, connection: UpstreamConnection, head: AnswerHead) -> None:
+        """Mark a connection whose answer has been read whole for reuse."""
+        if not await connection.finish(patience=0.0 if head.closes else 0.5):
+            connection.close()
+            return
+        seconds = DEFAULT_IDLE_SECONDS if head.keep_seconds is None else head.keep_seconds
+        keep = seconds - IDLE_MARGIN_SECONDS
+        now = asyncio.get_running_loop().time()
+        connection.idle_until = now + keep if keep > 0 else 0.0
+
+    def forget(self, instance: str) -> None:
+        """Close all idle connections to an instance that is gone."""
+        for connection in self._idle.pop(instance, ()):
+            connection.close()
+        if not self._open.get(instance):
+            self._open.pop(instance, None)
+
+    def _take_idle(self, instance: str) -> UpstreamConnection | None:
+        now = asyncio.get_running_loop().time()
+        idle = self._idle[instance]
+        while idle:
+            connection = idle.pop()
+            if connection.usable and now < connection.idle_until:
+                connection.idle_until = 0.0
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, address: Address) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                transport, protocol = await loop.create_connection(UpstreamConnection, *address)
+        except (OSError, TimeoutError) as error:
+            raise UpstreamBrokenError(
+                f"{address[0]}:{address[1]} cannot be connected to: {error!r}", sent=False
+            ) from None
+        self.opened += 1
+        sock = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+        return protocol
+
+
+async def call_once(
+    pool: ConnectionPool, instance: str, address: Address, request: OutgoingRequest, limit: int
+) -> tuple[AnswerHead, bytes]:
+    """Send one request and return the whole answer; raise UpstreamBrokenError."""
+    async with pool.borrow(instance, address) as connection:
+        head, body = await connection.exchange(request)
+        content = await body.read_whole(limit)
+        await pool.give_back(connection, head)
+    return head, content
--- /dev/null
+++ b/src/swifttrestle/platform/engine.py
@@ -0,0 +1,104 @@
+"""Calls to a model engine: prompt-only runs, KV handles, reports and role orders."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.state.declared import Role
+
+REPORT_PATH = b"/v1/report"
+ORDER_PATH = b"/v1/order"
+_HANDLE_PATH = "/v1/kv-handle/"
+
+
+@dataclass(frozen=True)
+class KvHandle:
+    """A KV cache that an engine holds for one request until it is fetched or freed."""
+
+    name: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's state some hundred milliseconds ago.
+
+    `orders_taken` is called `seq` on the wire and counts orders since the engine's start.
+    """
+
+    role: Role
+    changing: bool
+    orders_taken: int
+    queued: int
+    running: int
+
+
+@dataclass(frozen=True)
+class RoleOrder:
+    """An order to change an engine's role; `orders_taken` makes it conditional."""
+
+    role: Role
+    holder: str
+    fence: int
+    orders_taken: int
+
+
+def read_handle(body: bytes) -> KvHandle:
+    """Return the handle of a prompt-only run's answer; raise UpstreamBrokenError."""
+    raw = _load(body)
+    try:
+        return KvHandle(str(raw["kvHandle"]), int(raw.get("tokens", 0)))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UpstreamBrokenError(f"an engine's handle cannot be read: {error!r}") from None
+
+
+def read_report(body: bytes) -> EngineReport:
+    """Return an engine's report; raise UpstreamBrokenError."""
+    raw = _load(body)
+    try:
+        return EngineReport(
+            role=Role(raw["phase"]),
+            changing=bool(raw.get("busy", False)),
+            orders_taken=int(raw.get("seq", 0)),
+            queued=int(raw.get("queued", 0)),
+            running=int(raw.get("running", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UpstreamBrokenError(f"an engine's report cannot be read: {error!r}") from None
+
+
+def write_order(order: RoleOrder) -> bytes:
+    """Return the body of an order."""
+    return orjson.dumps(
+        {
+            "opType": "phase",
+            "phase": order.role.value,
+            "holder": order.holder,
+            "fenceToken": order.fence,
+            "expectedRev": order.orders_taken,
+        }
+    )
+
+
+def name_engine(instance: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a call of the system to one start of an engine."""
+    return [(b"Host", b"engine"), (b"X-Expect-Instance", instance.encode())]
+
+
+def name_handle_source(address: tuple[str, int], handle: KvHandle) -> str:
+    """Return how a decoding engine is told where to fetch a handle."""
+    return f"{address[0]}:{address[1]}/{handle.name}"
+
+
+def handle_path(handle: KvHandle) -> bytes:
+    """Return the path by which a handle is freed."""
+    return (_HANDLE_PATH + handle.name).encode()
+
+
+def _load(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise UpstreamBrokenError(f"an engine's answer is not JSON: {error}") from None
--- /dev/null
+++ b/src/swifttrestle/platform/settings.py
@@ -0,0 +1,150 @@
+"""The settings file that the platform lays on each host, decoded and checked."""
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from swifttrestle.errors import InvalidSettingError
+from swifttrestle.internal.checks import check_number, check_whole, split_address
+
+PATH_VARIABLE = "SWIFTTRESTLE_BOOT"
+LARGEST_PORT = 65535
+LONGEST_MS = 3_600_000
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """The promised bounds that this program acts on; all in seconds but the retry figures."""
+
+    drain: float
+    stop: float
+    config_apply: float
+    lease: float
+    retry_share: float
+    retry_window: float
+    retry_extra: float
+
+
+@dataclass(frozen=True)
+class HostSettings:
+    """One host's settings; `internal_port` is the first port that peers may use."""
+
+    host: str
+    ip: str
+    zone: str
+    callers: Address
+    readiness: Address
+    internal_port: int
+    seeds: tuple[Address, ...]
+    store: Address
+    first_start: bool
+    heartbeat: float
+    max_files: int
+    bounds: Bounds
+
+
+def load_host_settings(env: Mapping[str, str] = os.environ) -> HostSettings:
+    """Read the file that the environment names; raise InvalidSettingError with the mend."""
+    path = env.get(PATH_VARIABLE)
+    if not path:
+        raise InvalidSettingError(f"{PATH_VARIABLE} is not set; give the path of the settings file")
+    try:
+        raw = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise InvalidSettingError(f"{PATH_VARIABLE}={path}: {error}; make it readable") from None
+    except orjson.JSONDecodeError as error:
+        raise InvalidSettingError(f"{path} is not JSON: {error}; write it anew") from None
+    return read_host_settings(raw)
+
+
+def read_host_settings(raw: Any) -> HostSettings:
+    """Return the settings of the file's values; fields that are not known are passed over."""
+    table = _Table(raw, "")
+    listen = table.table("listen")
+    callers = listen.address("front")
+    bounds = table.table("bounds")
+    return HostSettings(
+        host=table.text("nodeName"),
+        ip=table.text("ip"),
+        zone=table.text("zone"),
+        callers=callers,
+        readiness=listen.address("ready"),
+        internal_port=table.first_port("internalPorts"),
+        # The file names the control address of each seed; only the host part serves here,
+        # since peers talk on the internal ports, which are alike on all hosts.
+        seeds=tuple(table.addresses("seeds")),
+        store=table.table("platform").address("address"),
+        first_start=bool(table.get("bootstrap", False)),
+        heartbeat=table.number("heartbeatMs", 1, LONGEST_MS) / 1000,
+        max_files=int(table.table("limits").number("maxFds", 1, 1 << 30)),
+        bounds=Bounds(
+            drain=bounds.number("drainMs", 0, LONGEST_MS) / 1000,
+            stop=bounds.number("graceS", 0, LONGEST_MS / 1000),
+            config_apply=bounds.number("configApplyMs", 0, LONGEST_MS) / 1000,
+            lease=bounds.number("leaseMs", 0, LONGEST_MS) / 1000,
+            retry_share=bounds.number("budgetRatio", 0, 100),
+            retry_window=bounds.number("budgetWindowS", 0.1, LONGEST_MS / 1000),
+            retry_extra=bounds.number("budgetExtra", 0, 1e9),
+        ),
+    )
+
+
+def list_setting_names() -> list[str]:
+    """Return the names of the decoded settings, for the docs."""
+    return [item.name for item in fields(HostSettings)]
+
+
+class _Table:
+    """One JSON object with checked access; errors name the field, its value and the mend."""
+
+    def __init__(self, raw: Any, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise InvalidSettingError(f"{path or 'the file'} is {raw!r}; give an object")
+        self._raw = raw
+        self._path = path
+
+    def get(self, name: str, default: Any) -> Any:
+        return self._raw.get(name, default)
+
+    def table(self, name: str) -> "_Table":
+        return _Table(self._find(name), self._path + name + ".")
+
+    def text(self, name: str) -> str:
+        value = self._find(name)
+        if not isinstance(value, str) or not value:
+            raise InvalidSettingError(f"{self._path}{name} is {value!r}; give a text")
+        return value
+
+    def number(self, name: str, low: float, high: float) -> float:
+        return self._check(name, lambda value: check_number(value, low, high))
+
+    def address(self, name: str) -> Address:
+        return self._check(name, split_address)
+
+    def addresses(self, name: str) -> list[Address]:
+        value = self.get(name, [])
+        return self._wrap(name, lambda: [split_address(item) for item in value])
+
+    def first_port(self, name: str) -> int:
+        return self._check(name, lambda ports: check_whole(ports[0], 1, LARGEST_PORT))
+
+    def _find(self, name: str) -> Any:
+        if name not in self._raw:
+            raise InvalidSettingError(f"{self._path}{name} is missing; give it")
+        return self._raw[name]
+
+    def _check(self, name: str, check: Any) -> Any:
+        value = self._find(name)
+        return self._wrap(name, lambda: check(value))
+
+    def _wrap(self, name: str, read: Any) -> Any:
+        try:
+            return read()
+        except (ValueError, TypeError, IndexError, KeyError) as error:
+            raise InvalidSettingError(f"{self._path}{name}: {error}") from None
--- /dev/null
+++ b/src/swifttrestle/platform/wire.py
@@ -0,0 +1,174 @@
+"""Header names of the platform's protocol, and the translation of requests and answers."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+Header = tuple[bytes, bytes]
+
+REQUEST_ID = b"x-request-id"
+ANSWER_SIGNATURE = b"x-server-signature"
+NOT_RUN = b"x-not-executed"
+EVENT_ID = b"last-event-id"
+DEADLINE = b"x-deadline-ms"
+EXPECTED_INSTANCE = b"x-expect-instance"
+PROMPT_PARTS = b"x-prompt-prefix"
+# The sizes of the prompt and of the longest answer, in tokens, by a comma.
+TOKEN_SIZES = b"x-token-usage"
+STAGE = b"x-stage"
+KV_SOURCE = b"x-kv-source"
+PRIORITY = b"x-request-priority"
+
+# What only the system may set; a caller's own values are dropped.
+_SYSTEM_HEADERS = frozenset(
+    (STAGE, KV_SOURCE, PRIORITY, EXPECTED_INSTANCE, DEADLINE, b"x-expect-version",
+     b"x-kv-hold", b"x-kv-backup", b"x-pin-ms", b"kv-fetch")
+)  # fmt: skip
+# What concerns one connection only.
+_CONNECTION_HEADERS = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+     b"transfer-encoding", b"content-length", b"expect", b"proxy-authenticate",
+     b"proxy-authorization")
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """One part of a prompt; parts with the same id are the same tokens."""
+
+    part: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class RequestFacts:
+    """What the headers of a request say; `patience` is in seconds, None where not given."""
+
+    request_id: bytes
+    patience: float | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+def read_facts(headers: Sequence[Header]) -> RequestFacts:
+    """Return the facts of a request; what cannot be read counts as not given."""
+    found = {name.lower(): value for name, value in headers}
+    sizes = found.get(TOKEN_SIZES, b"").split(b",")
+    return RequestFacts(
+        request_id=found.get(REQUEST_ID, b""),
+        patience=_read_milliseconds(found.get(DEADLINE)),
+        prompt_tokens=_read_whole(sizes[0]),
+        output_tokens=_read_whole(sizes[1]) if len(sizes) > 1 else 0,
+        parts=_read_parts(found.get(PROMPT_PARTS, b"")),
+    )
+
+
+def _read_whole(value: bytes) -> int:
+    return int(value) if value.strip().isdigit() else 0
+
+
+def _read_milliseconds(value: bytes | None) -> float | None:
+    try:
+        return max(0.0, float(value)) / 1000 if value is not None else None
+    except ValueError:
+        return None
+
+
+def _read_parts(value: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in value.decode("latin-1").split(","):
+        name, _, tokens = item.strip().partition(":")
+        if name and tokens.isdigit():
+            parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+@dataclass(frozen=True)
+class Forwarding:
+    """What the system adds to a forwarded request; `left` is in seconds."""
+
+    instance: str
+    left: float
+    priority: int | None = None
+    prefill_only: bool = False
+    kv_source: str = ""
+    last_event: bytes | None = None
+
+
+def strip_request_headers(headers: Sequence[Header]) -> list[Header]:
+    """Return a caller's headers without those of its connection and those of the system."""
+    named = _list_named_by_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if (low := name.lower()) not in _CONNECTION_HEADERS
+        and low not in _SYSTEM_HEADERS
+        and low not in named
+    ]
+
+
+def build_forward_headers(stripped: Sequence[Header], added: Forwarding) -> list[Header]:
+    """Return the headers of one forwarded request, without its framing."""
+    headers = list(stripped)
+    if added.last_event is not None:
+        headers = [item for item in headers if item[0].lower() != EVENT_ID]
+        headers.append((b"Last-Event-Id", added.last_event))
+    headers.append((b"X-Deadline-Ms", str(max(1, int(added.left * 1000))).encode()))
+    headers.append((b"X-Expect-Instance", added.instance.encode()))
+    if added.priority is not None:
+        headers.append((b"X-Request-Priority", str(added.priority).encode()))
+    if added.prefill_only:
+        headers.append((b"X-Stage", b"prefill"))
+    if added.kv_source:
+        headers.append((b"X-Kv-Source", added.kv_source.encode()))
+    return headers
+
+
+def strip_answer_headers(headers: Sequence[Header]) -> list[Header]:
+    """Return an upstream's headers without those of its connection."""
+    named = _list_named_by_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if (low := name.lower()) not in _CONNECTION_HEADERS and low not in named
+    ]
+
+
+def _list_named_by_connection(headers: Sequence[Header]) -> frozenset[bytes]:
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return frozenset(named)
+
+
+@dataclass(frozen=True)
+class AnswerFacts:
+    """What the head of an upstream's answer proves.
+
+    `replaced` says that another instance, or another role, now answers at the address.
+    """
+
+    request_id: bytes
+    signed: bool
+    not_run: bool
+    replaced: bool
+
+
+def read_answer_facts(status: int, headers: Sequence[Header]) -> AnswerFacts:
+    """Return what an answer proves; only 421 and the explicit header say that nothing ran."""
+    found = {name.lower(): value for name, value in headers}
+    return AnswerFacts(
+        request_id=found.get(REQUEST_ID, b""),
+        signed=ANSWER_SIGNATURE in found,
+        not_run=status == _MISDIRECTED or NOT_RUN in found,
+        replaced=status == _MISDIRECTED,
+    )
+
+
+def name_request(request_id: bytes) -> Header:
+    """Return the header that tells a caller which request an answer belongs to."""
+    return (b"X-Request-Id", request_id)
+
+
+_MISDIRECTED = 421
