Let roles follow the work that callers offer

Cause: decoders' slots, not their compute, bound long answers; a fixed split starved them and refused prompts that had been read.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -74,14 +74,21 @@
         self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
         self._discovery = Discovery(self._store, self._fleet, rng, self._serve_queues)
         self._handler = GatewayHandler(self._parts, lambda: self._configuration.table)
-        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, {})
+        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, {}, {})
         self._gossip = Gossip(
-            me, settings.internal_port, self._fleet, self._configuration, rng, self._note_peers
+            me,
+            settings.internal_port,
+            self._fleet,
+            self._parts.demand,
+            self._configuration,
+            rng,
+            self._note_peers,
         )
         lease = RoleLeaseKeeper(self._store, "roles", settings.host, incarnation, bounds.lease)
         self._roles = RoleDuty(
             lease,
             self._fleet,
+            self._parts.demand,
             self._parts.pool,
             settings.host,
             self._gossip.live_hosts,
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, OpenWork
 from swifttrestle.platform.store import ObjectStore
 
@@ -57,6 +58,7 @@
         me: PeerReport,
         port: int,
         fleet: Fleet,
+        demand: DemandMeter,
         configuration: ConfigurationKeeper,
         rng: random.Random,
         changed: Callable[[], None],
@@ -65,6 +67,7 @@
         self._me = me
         self._port = port
         self._fleet = fleet
+        self._demand = demand
         self._configuration = configuration
         self._rng = rng
         self._changed = changed
@@ -149,6 +152,9 @@
         self._note(report)
         work = {name: OpenWork(*counts) for name, counts in report.work.items()}
         self._fleet.note_peer(report.host, work, self._now())
+        self._demand.note_peer(
+            report.host, {name: Demand(*offered) for name, offered in report.demand.items()}
+        )
         for host, ip in report.known:
             self._learn(host, ip)
         if report.config_version > self._configuration.version:
@@ -182,6 +188,8 @@
             log_decision(
                 "live hosts", joined=sorted(live - self._live), lost=sorted(self._live - live)
             )
+            for host in self._live - live:
+                self._demand.forget_peer(host)
             self._live = live
 
     def _list_live(self, now: float) -> list[Peer]:
@@ -199,6 +207,10 @@
                 self._configuration.version,
                 self.leaving,
                 {name: (item.tokens, item.requests) for name, item in work.items()},
+                {
+                    name: (round(item.read_tokens), round(item.decode_slots, 2))
+                    for name, item in self._demand.own(self._now()).items()
+                },
                 self._sample_known() if with_known else (),
             )
         )
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -8,6 +8,7 @@
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.split import RoleChange, plan_change
 from swifttrestle.internal.state.declared import Configuration, EngineTraits, Role
+from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.transport.messages import Body, Framing
 from swifttrestle.internal.transport.upstream import (
@@ -47,6 +48,7 @@
         self,
         lease: RoleLeaseKeeper,
         fleet: Fleet,
+        demand: DemandMeter,
         pool: ConnectionPool,
         host: str,
         list_live: Callable[[], list[str]],
@@ -55,6 +57,7 @@
         """Prepare; `list_live` names the hosts that live, in order."""
         self._lease = lease
         self._fleet = fleet
+        self._demand = demand
         self._pool = pool
         self._host = host
         self._list_live = list_live
@@ -89,7 +92,9 @@
             name: (until, role) for name, (until, role) in self._unsettled.items() if until > now
         }
         pending = {name: role for name, (_, role) in self._unsettled.items()}
-        return plan_change(self._fleet.list_service(service), pending)
+        return plan_change(
+            self._fleet.list_service(service), pending, self._demand.total(service, now)
+        )
 
     async def _order(self, change: RoleChange, traits: EngineTraits) -> None:
         engine = change.engine
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -15,8 +15,9 @@
 class Context:
     """One request; `deadline` is in the loop's time.
 
-    `may_have_run` is set once an upstream has been sent a request that it has not proved to
-    have left alone. `steps` are the decisions so far, for the request's log line.
+    `urgent` says that no route to the same service has a higher priority. `may_have_run` is
+    set once an upstream has been sent a request that it has not proved to have left alone.
+    `steps` are the decisions so far, for the request's log line.
     """
 
     request: IncomingRequest
@@ -27,6 +28,7 @@
     service: ServiceDeclaration
     deadline: float
     config_version: int
+    urgent: bool = True
     may_have_run: bool = False
     runs: int = 0
     arrivals: int = 0
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -88,8 +88,7 @@
 
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError where it is given up on."""
-        now = asyncio.get_running_loop().time()
-        self._parts.budgets.find(ctx.service.name).note_request(now)
+        self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable, self._longest_pause(ctx))
         for number in range(MOST_READS):
             booking = await self._book(ctx, first=number == 0)
@@ -140,11 +139,11 @@
         now = asyncio.get_running_loop().time()
         engines = self._parts.list_usable(ctx.service.name, now)
         tokens = ctx.facts.prompt_tokens
-        decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now)
+        decoder = self._pick_decoder(ctx, engines, self._parts.zone)
         if decoder is None:
             return None
         readers = any(item.record.role is Role.PREFILL for item in engines)
-        if not readers or tokens / decoder.pace <= DIRECT_READ_SECONDS:
+        if not readers or self._is_short(ctx, engines):
             return self._take(Booking(decoder, decoder, tokens))
         longest = max(0.0, ctx.route.objective * READ_WAIT_SHARE - ctx.age)
         affinity = find_affinity(ctx)
@@ -153,9 +152,24 @@
             return None
         if reader.record.role is Role.DECODE:
             return self._take(Booking(reader, reader, tokens))
-        decoder = pick_decoder(engines, reader.record.zone, ctx.excluded, now)
+        decoder = self._pick_decoder(ctx, engines, reader.record.zone)
         return self._take(Booking(reader, decoder, tokens)) if decoder else None
 
+    def _pick_decoder(self, ctx: Context, engines: list[Instance], near: str) -> Instance | None:
+        now = asyncio.get_running_loop().time()
+        return pick_decoder(engines, near, ctx.excluded, now, urgent=ctx.urgent)
+
+    def _is_short(self, ctx: Context, engines: list[Instance]) -> bool:
+        """Return whether a decoding engine reads the prompt itself as soon as another would."""
+        paces = [item.pace for item in engines if item.record.role is Role.DECODE]
+        return bool(paces) and ctx.facts.prompt_tokens / max(paces) <= DIRECT_READ_SECONDS
+
+    def _note_arrival(self, ctx: Context, now: float) -> None:
+        self._parts.budgets.find(ctx.service.name).note_request(now)
+        engines = self._parts.fleet.list_service(ctx.service.name)
+        tokens = 0 if self._is_short(ctx, engines) else ctx.facts.prompt_tokens
+        self._parts.demand.note_arrival(ctx.service.name, ctx.route.name, tokens, now)
+
     def _take(self, booking: Booking) -> Booking:
         decoder, reader = booking.decoder, booking.reader
         decoder.own = decoder.own.plus(OpenWork(0, 1))
@@ -282,7 +296,7 @@
         allowed = number + 1 < MOST_DECODES and ctx.runs < ctx.route.max_attempts
         allowed = allowed and (ctx.repeatable or not ctx.may_have_run)
         engines = self._parts.list_usable(ctx.service.name, now)
-        decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now)
+        decoder = self._pick_decoder(ctx, engines, self._parts.zone)
         budget = self._parts.budgets.find(ctx.service.name)
         if not allowed or decoder is None or not budget.take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
@@ -303,6 +317,7 @@
             last_event=relay.last_event,
         )
         before = ctx.may_have_run
+        began = asyncio.get_running_loop().time()
         ctx.may_have_run = True
         try:
             await deliver(ctx, self._parts.pool, AttemptPlan(decoder, added, patience), relay)
@@ -312,7 +327,9 @@
         except UpstreamBrokenError as error:
             ctx.may_have_run = before or error.sent
             raise
-        self._parts.ejector.note_success(decoder.name, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._parts.demand.note_hold(ctx.route.name, now - began)
+        self._parts.ejector.note_success(decoder.name, now)
 
     def _longest_pause(self, ctx: Context) -> float:
         # Callers give a stream up after two seconds or four objectives; half of that leaves
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -85,6 +85,7 @@
             service,
             request.received + seconds,
             table.configuration.version,
+            urgent=table.is_urgent(route, service.name),
         )
 
     def _find_route(self, table: RouteTable, head: RequestHead) -> Route:
@@ -134,6 +135,7 @@
             config=ctx.config_version if ctx else 0,
             code=code.name,
             outcome=outcome,
+            tokens=[ctx.facts.prompt_tokens, ctx.facts.output_tokens] if ctx else None,
             ms=round((now - request.received) * 1000, 1),
             steps=_list_steps(ctx),
         )
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -7,6 +7,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
+from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.transport.upstream import ConnectionPool
 
@@ -51,6 +52,7 @@
         self.budgets = budgets
         self.metrics = metrics
         self.rng = rng
+        self.demand = DemandMeter()
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
 
     def list_usable(self, service: str, now: float) -> list[Instance]:
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -15,6 +15,11 @@
 AFFINITY_SECONDS = 0.02
 # Share of an engine's slots that may be open before it gets no more prompts of its own choice.
 FULL_SHARE = 0.9
+# Share of a decoding engine's slots in use up to which it also reads long prompts.
+LENT_SHARE = 0.1
+# Share of a decoding engine's slots kept for the service's most urgent requests, so that long
+# answers of the others never stand before them.
+URGENT_RESERVE = 0.15
 
 
 def pick_plain(
@@ -35,7 +40,7 @@
 
 
 def pick_decoder(
-    instances: Sequence[Instance], near: str, excluded: Collection[str], now: float
+    instances: Sequence[Instance], near: str, excluded: Collection[str], now: float, urgent: bool
 ) -> Instance | None:
     """Return the engine to make tokens: the least share of its slots in use, near ones first."""
     usable = [
@@ -46,7 +51,8 @@
         and now >= item.role_changing_until
     ]
     ready = [item for item in usable if now >= item.refused_until] or usable
-    with_room = [item for item in ready if not is_full(item)]
+    share = FULL_SHARE if urgent else FULL_SHARE - URGENT_RESERVE
+    with_room = [item for item in ready if not is_full(item, share)]
     if not with_room:
         return None
     return min(
@@ -59,9 +65,9 @@
     )
 
 
-def is_full(item: Instance) -> bool:
-    """Return whether the engine's slots are about taken."""
-    return item.total.requests >= max(1.0, item.record.slots * FULL_SHARE)
+def is_full(item: Instance, share: float = FULL_SHARE) -> bool:
+    """Return whether a share of the engine's slots is taken."""
+    return item.total.requests >= max(1.0, item.record.slots * share)
 
 
 def pick_reader(
@@ -70,7 +76,8 @@
 ) -> Instance | None:  # fmt: skip
     """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
 
-    Decoding engines read too, at half the pace. Of engines that are about as good, the one
+    Decoding engines read too, at half the pace, while they make few tokens: each piece that
+    they read holds up all their streams. Of engines that are about as good, the one
     that the prompt's shared part hashes to is taken, so that equal parts meet their cache.
     """
     usable = [
@@ -80,7 +87,7 @@
         and now >= item.refused_until
         and now >= item.role_changing_until
         and item.record.role is not Role.NONE
-        and not is_full(item)
+        and not is_full(item, LENT_SHARE if item.record.role is Role.DECODE else FULL_SHARE)
     ]
     allowed = [item for item in usable if item.predict_wait() <= longest_wait]
     if not allowed:
--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -1,7 +1,8 @@
 """How many of a service's engines read prompts and how many make tokens.
 
-The start comes from what engines are: reading a prompt takes an engine's whole compute,
-while making tokens is shared by a batch, so most engines read. The load then corrects it.
+Before any load is known the start comes from what engines are: reading takes an engine's
+whole compute while making tokens is shared by a batch, so most engines read. Then offered
+work decides: the split whose busier side has the most room.
 """
 
 import math
@@ -9,6 +10,7 @@
 from dataclasses import dataclass
 
 from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.demand import Demand
 from swifttrestle.internal.state.fleet import Instance
 
 # Share of a service's engines that make tokens before any load is known.
@@ -16,8 +18,12 @@
 # Engines that make tokens at least, where there are enough: one may be lost at any moment.
 LEAST_DECODERS = 2
 ENOUGH_ENGINES = 4
-# Share of the decoders' slots in use over which one more engine is to make tokens.
-BUSY_DECODE = 0.7
+# Share of an engine's slots, or of its reading pace, that can be planned on.
+PLANNED_SHARE = 0.85
+# A split is changed only while its busier side is loaded over this share, and only for one
+# whose busier side is lighter by this factor: a change takes an engine away for seconds.
+BUSY_SHARE = 0.8
+BETTER_FACTOR = 0.85
 
 
 @dataclass(frozen=True)
@@ -33,11 +39,43 @@
     """Return how many of so many engines make tokens before any load is known."""
     if engines <= 1:
         return engines
-    least = LEAST_DECODERS if engines >= ENOUGH_ENGINES else 1
-    return max(least, math.ceil(engines * FIRST_DECODE_SHARE))
-
-
-def plan_change(engines: Sequence[Instance], pending: Mapping[str, Role]) -> RoleChange | None:
+    return max(least_decoders(engines), math.ceil(engines * FIRST_DECODE_SHARE))
+
+
+def least_decoders(engines: int) -> int:
+    """Return how many engines make tokens at least."""
+    return LEAST_DECODERS if engines >= ENOUGH_ENGINES else 1
+
+
+def measure_load(engines: Sequence[Instance], decoders: int, demand: Demand) -> float:
+    """Return the load of the busier side, 1 for all that can be planned on."""
+    readers = len(engines) - decoders
+    slots = sum(item.record.slots for item in engines) / len(engines)
+    pace = sum(item.read_rate for item in engines) / len(engines)
+    decode = demand.decode_slots / max(1e-9, decoders * slots * PLANNED_SHARE)
+    read = demand.read_tokens / max(1e-9, readers * pace * PLANNED_SHARE)
+    return max(decode, read)
+
+
+def find_best_count(engines: Sequence[Instance], current: int, demand: Demand) -> int:
+    """Return how many engines are to make tokens; `current` where no change is worth it."""
+    number = len(engines)
+    if demand == Demand():
+        return count_decoders(number)
+    now = measure_load(engines, current, demand) if 0 < current < number else math.inf
+    choices = range(least_decoders(number), number)
+    if not choices:
+        return current
+    best = min(choices, key=lambda count: (measure_load(engines, count, demand), count))
+    load = measure_load(engines, best, demand)
+    if current < least_decoders(number) or now == math.inf:
+        return best
+    return best if now > BUSY_SHARE and load < now * BETTER_FACTOR else current
+
+
+def plan_change(
+    engines: Sequence[Instance], pending: Mapping[str, Role], demand: Demand
+) -> RoleChange | None:
     """Return the next change, or None.
 
     `pending` holds the roles that engines have been ordered to and may not show yet; they
@@ -49,12 +87,13 @@
 
     decoders = [item for item in engines if role_of(item) is Role.DECODE]
     readers = [item for item in engines if role_of(item) is Role.PREFILL]
-    wanted = count_decoders(len(engines))
-    slots = sum(item.record.slots for item in decoders)
-    used = sum(item.total.requests for item in decoders)
-    if slots and used > BUSY_DECODE * slots:
-        wanted = max(wanted, len(decoders) + 1)
-    reason = f"{len(decoders)} of {len(engines)} decode, {wanted} wanted, {used}/{slots} in use"
+    if not engines:
+        return None
+    wanted = find_best_count(engines, len(decoders), demand)
+    reason = (
+        f"{len(decoders)} of {len(engines)} decode, {wanted} wanted, "
+        f"{demand.read_tokens:.0f} tokens/s and {demand.decode_slots:.0f} slots offered"
+    )
     if len(decoders) > wanted:
         return _change(decoders, pending, Role.PREFILL, reason)
     if len(decoders) < wanted and len(readers) > 1:
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -15,7 +15,8 @@
 class PeerReport:
     """What one gateway tells its peers.
 
-    `work` maps an upstream instance to its open prompt tokens and requests; `known` are some
+    `work` maps an upstream instance to its open prompt tokens and requests; `demand` maps a
+    service to the prompt tokens a second and the decode slots that callers offer. `known` are some
     peers that the sender has heard of late, as pairs of host and IP.
     """
 
@@ -25,6 +26,7 @@
     config_version: int
     leaving: bool
     work: dict[str, tuple[int, int]]
+    demand: dict[str, tuple[float, float]]
     known: tuple[tuple[str, str], ...] = ()
 
 
@@ -37,11 +39,12 @@
         report.config_version,
         report.leaving,
         report.work,
+        report.demand,
         report.known,
     ]
     data: bytes = msgpack.packb(values)
     if len(data) > LARGEST_DATAGRAM:
-        values[6] = ()
+        values[-1] = ()
         data = msgpack.packb(values)
     return data
 
@@ -53,9 +56,25 @@
     except (ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"a datagram is not msgpack: {error!r}") from None
     match values:
-        case [str(host), str(ip), int(incarnation), int(version), bool(leaving), dict(work), known]:
+        case [
+            str(host),
+            str(ip),
+            int(incarnation),
+            int(version),
+            bool(leaving),
+            dict(work),
+            dict(offered),
+            known,
+        ]:
             return PeerReport(
-                host, ip, incarnation, version, leaving, _read_work(work), _read_known(known)
+                host,
+                ip,
+                incarnation,
+                version,
+                leaving,
+                _read_work(work),
+                _read_demand(offered),
+                _read_known(known),
             )
     raise FrameError("a datagram is no report")
 
@@ -67,6 +86,13 @@
         raise FrameError(f"a report's work cannot be read: {error!r}") from None
 
 
+def _read_demand(offered: dict[Any, Any]) -> dict[str, tuple[float, float]]:
+    try:
+        return {str(name): (float(read), float(slots)) for name, (read, slots) in offered.items()}
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"a report's demand cannot be read: {error!r}") from None
+
+
 def _read_known(known: Any) -> tuple[tuple[str, str], ...]:
     try:
         return tuple((str(host), str(ip)) for host, ip in known)
--- /dev/null
+++ b/src/swifttrestle/internal/state/demand.py
@@ -0,0 +1,76 @@
+"""How much work callers offer to each service, served or not, at all hosts together."""
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+# Seconds over which offered work is averaged: longer than an engine is away for a change of
+# its role, so that a swing which is over by then is not followed.
+AVERAGE_SECONDS = 4.0
+# Seconds that a request holds a decoding engine's slot until that has been measured.
+UNKNOWN_HOLD_SECONDS = 0.5
+# Share of the newest measurement in a learned hold time.
+LEARN_SHARE = 0.1
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Offered work: prompt tokens to read a second, and decode slots held at any moment."""
+
+    read_tokens: float = 0.0
+    decode_slots: float = 0.0
+
+    def plus(self, other: "Demand") -> "Demand":
+        """Return both together."""
+        return Demand(self.read_tokens + other.read_tokens, self.decode_slots + other.decode_slots)
+
+
+class DemandMeter:
+    """Measures what this host's callers offer, and adds what peers report."""
+
+    def __init__(self) -> None:
+        """Start with nothing offered."""
+        self._sums: dict[str, Demand] = defaultdict(Demand)
+        self._at: dict[str, float] = {}
+        self._holds: dict[str, float] = {}
+        self._peers: dict[str, Mapping[str, Demand]] = {}
+
+    def note_arrival(self, service: str, route: str, tokens: int, now: float) -> None:
+        """Count one offered request; `tokens` are those that another engine is to read."""
+        hold = self._holds.get(route, UNKNOWN_HOLD_SECONDS)
+        self._sums[service] = self._fade(service, now).plus(Demand(tokens, hold))
+        self._at[service] = now
+
+    def note_hold(self, route: str, seconds: float) -> None:
+        """Learn how long a route's requests hold a decode slot."""
+        known = self._holds.get(route, seconds)
+        self._holds[route] = known + LEARN_SHARE * (seconds - known)
+
+    def own(self, now: float) -> dict[str, Demand]:
+        """Return what this host is offered, by service."""
+        return {
+            service: Demand(sums.read_tokens / AVERAGE_SECONDS, sums.decode_slots / AVERAGE_SECONDS)
+            for service in list(self._sums)
+            for sums in (self._fade(service, now),)
+        }
+
+    def note_peer(self, peer: str, offered: Mapping[str, Demand]) -> None:
+        """Take over what a peer is offered."""
+        self._peers[peer] = offered
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop a peer that does not live any more."""
+        self._peers.pop(peer, None)
+
+    def total(self, service: str, now: float) -> Demand:
+        """Return what all hosts are offered for a service."""
+        total = self.own(now).get(service, Demand())
+        for offered in self._peers.values():
+            total = total.plus(offered.get(service, Demand()))
+        return total
+
+    def _fade(self, service: str, now: float) -> Demand:
+        sums = self._sums[service]
+        keep = math.exp(-max(0.0, now - self._at.get(service, now)) / AVERAGE_SECONDS)
+        return Demand(sums.read_tokens * keep, sums.decode_slots * keep)
--- a/src/swifttrestle/internal/state/routes.py
+++ b/src/swifttrestle/internal/state/routes.py
@@ -20,6 +20,16 @@
         for route in configuration.routes:
             self._hosts[route.host][route.prefix] = route
 
+        self._priorities: dict[str, int] = {}
+        for route in configuration.routes:
+            for target in route.targets:
+                known = self._priorities.get(target.service, route.priority)
+                self._priorities[target.service] = min(known, route.priority)
+
+    def is_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no route to the service has a higher priority than this one."""
+        return route.priority <= self._priorities.get(service, route.priority)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None; `host` may carry a port."""
         prefixes = self._hosts.get(host.partition(":")[0].lower())
