--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -26,8 +26,8 @@
 SILENCE_SECONDS = 2.0
 # Least seconds between reports of open work, and the further time for each peer, so that the
 # datagrams a second stay bounded as the number of hosts grows.
-REPORT_SECONDS = 0.04
-REPORT_SECONDS_PER_PEER = 0.004
+REPORT_SECONDS = 0.01
+REPORT_SECONDS_PER_PEER = 0.002
 # Seconds to wait for the store's own watch before a newer configuration is fetched elsewhere.
 CONFIG_WAIT_SECONDS = 0.15
 FETCH_SECONDS = 1.0
