Stand-ins of the hosting platform, and tests of the request path on them

Found by the new table of malformed requests: a request that broke in its body got two answers (the handler's and the refusal). It now gets one, and its connection ends.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import random
 import signal
 import sys
@@ -60,9 +61,10 @@
 class Gateway:
     """All parts of one process."""
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: HostSettings, metrics_port: int = METRICS_PORT) -> None:
         """Put the parts together; `run` starts them."""
         self._settings = settings
+        self._metrics_port = metrics_port
         incarnation = time.time_ns()
         rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
@@ -98,15 +100,12 @@
         self._pages = ConnectionSet()
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[asyncio.Server] = []
         self._add_gauges()
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         settings = self._settings
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._gossip.start([seed[0] for seed in settings.seeds])
         self._start(self._configuration.run())
         self._start(self._discovery.run())
@@ -118,10 +117,41 @@
         ready = PageHandler({READY_PATH: self._make_ready})
         await self._listen(settings.readiness, ready, self._pages)
         pages = PageHandler({b"/metrics": self._make_metrics, b"/debug/state": self._make_state})
-        await self._listen((settings.ip, METRICS_PORT), pages, self._pages)
+        await self._listen((settings.ip, self._metrics_port), pages, self._pages)
         log_decision("started", ip=settings.ip, zone=settings.zone)
-        await self._stopping.wait()
-        await self._stop()
+        try:
+            await self._stopping.wait()
+            await self._stop()
+        finally:
+            self._close()
+
+    @property
+    def config_version(self) -> int:
+        """The configuration version in force, 0 where none is known."""
+        return self._configuration.version
+
+    def knows_instance(self, name: str) -> bool:
+        """Return whether an upstream's instance is in use."""
+        return name in self._fleet.instances
+
+    def count_open_work(self) -> int:
+        """Return this host's open requests at all upstreams."""
+        return sum(item.own.requests for item in self._fleet.instances.values())
+
+    def count_opened_connections(self) -> int:
+        """Return the connections to upstreams that were opened since the start."""
+        return self._parts.pool.opened
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping.set()
+
+    def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        self._gossip.close()
 
     async def _stop(self) -> None:
         """Let the balancer learn, close politely, and wait for open requests."""
@@ -157,9 +187,10 @@
         self, address: Address, handler: RequestHandler, connections: ConnectionSet
     ) -> None:
         loop = asyncio.get_running_loop()
-        await loop.create_server(
+        server = await loop.create_server(
             lambda: CallerConnection(handler, connections), *address, backlog=BACKLOG
         )
+        self._servers.append(server)
 
     def _serve_queues(self) -> None:
         self._handler.engines.serve_queues()
@@ -174,7 +205,8 @@
 
     # Reload.
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Read the settings file again."""
         try:
             load_host_settings()
             log_decision("settings read again", source="signal or changed file")
@@ -191,16 +223,17 @@
             now = _read_change_time(path)
             if now != seen:
                 seen = now
-                self._reload()
+                self.reload()
 
     # Pages.
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
         known = self._configuration.table is not None and self._discovery.known
         return known and not self._stopping.is_set()
 
     def _make_ready(self) -> Page:
-        return Page(200 if self._is_ready() else 503)
+        return Page(200 if self.is_ready() else 503)
 
     def _make_metrics(self) -> Page:
         return Page(200, b"text/plain; version=0.0.4", self._metrics.render())
@@ -220,7 +253,7 @@
         state = {
             "host": self._settings.host,
             "version": self._configuration.version,
-            "ready": self._is_ready(),
+            "ready": self.is_ready(),
             "live": self._gossip.live_hosts(),
             "instances": instances,
         }
@@ -240,8 +273,6 @@
 
 def find_settings_path() -> Path:
     """Return the path of the settings file."""
-    import os
-
     return Path(os.environ.get(PATH_VARIABLE, ""))
 
 
@@ -266,4 +297,9 @@
 
 
 async def _run(settings: HostSettings) -> None:
-    await Gateway(settings).run()
+    gateway = Gateway(settings)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, gateway.stop)
+    loop.add_signal_handler(signal.SIGINT, gateway.stop)
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    await gateway.run()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -75,6 +75,7 @@
         self._live: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
         self._sent_work: dict[str, OpenWork] = {}
+        self._server: asyncio.Server | None = None
         self._fetching: asyncio.Task[None] | None = None
         self.leaving = False
 
@@ -83,7 +84,7 @@
         loop = asyncio.get_running_loop()
         address = (self._me.ip, self._port)
         self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
-        await asyncio.start_server(self._serve_stream, *address)
+        self._server = await asyncio.start_server(self._serve_stream, *address)
         for ip in seeds:
             if ip != self._me.ip:
                 self._peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
@@ -138,6 +139,13 @@
         self.leaving = True
         self._send({}, self._list_live(self._now()), with_known=False)
 
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+
     # Called by the event loop.
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -276,21 +276,19 @@
             self.started = False
             self.busy = True
             await self._handler.handle(request, self)
-            if not request.body.complete:
-                # An answer came before the request was whole; what follows cannot be trusted.
-                self._keep = False
             self.busy = False
-            self._resume_reading()
-            if not self._keep or (self._refusal and not self._requests):
-                await self._close_after_refusal()
+            if not request.body.complete or not self._keep:
+                # An answer that came before its request was whole is that request's only one,
+                # and what follows on the connection cannot be trusted.
+                self._close()
+                return
+            if self._refusal and not self._requests:
+                self._write_refusal()
+                self._close()
                 return
+            self._resume_reading()
             self._watch_idle()
 
-    async def _close_after_refusal(self) -> None:
-        if self._refusal and not self._requests:
-            self._write_refusal()
-        self._close()
-
     def _find_framing(self) -> tuple[Framing, int]:
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         codings = [value for name, value in self._headers if name.lower() == b"transfer-encoding"]
--- /dev/null
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -0,0 +1,212 @@
+"""A whole small site in one event loop: the store, upstreams, and gateways on loopback."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from swifttrestle.gateway import Gateway
+from swifttrestle.internal.transport.caller import (
+    CallerConnection,
+    ConnectionSet,
+    RequestHandler,
+)
+from swifttrestle.platform.settings import HostSettings, read_host_settings
+from swifttrestle_standins.hosted.store import StandInStore
+from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
+
+STEP_SECONDS = 0.01
+WAIT_SECONDS = 20.0
+
+
+def pick_port(ip: str) -> int:
+    """Return a port that is free at an address for TCP and UDP now."""
+    while True:
+        with (
+            socket.socket() as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind((ip, 0))
+            port: int = stream.getsockname()[1]
+            try:
+                datagram.bind((ip, port))
+            except OSError:
+                continue
+            return port
+
+
+async def wait_until(check: Callable[[], Any], what: str = "condition") -> Any:
+    """Return the first true value of a check; raise TimeoutError."""
+    try:
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not (value := check()):
+                await asyncio.sleep(STEP_SECONDS)
+            return value
+    except TimeoutError:
+        raise TimeoutError(f"{what} did not come within {WAIT_SECONDS:g} s") from None
+
+
+@dataclass
+class RunningGateway:
+    """One started gateway and where it listens."""
+
+    gateway: Gateway
+    settings: HostSettings
+    task: asyncio.Task[None]
+
+
+@dataclass
+class Site:
+    """The parts of a site; `start` brings the store up, then add upstreams and gateways."""
+
+    store: StandInStore = field(default_factory=StandInStore)
+    store_address: str = ""
+    upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    gateways: dict[str, RunningGateway] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    services: list[dict[str, Any]] = field(default_factory=list)
+    routes: list[dict[str, Any]] = field(default_factory=list)
+    _servers: list[asyncio.Server] = field(default_factory=list)
+    _sets: dict[str, ConnectionSet] = field(default_factory=dict)
+    _peer_port: int = 0
+    _version: int = 0
+
+    async def start(self) -> None:
+        """Start the store."""
+        self._peer_port = pick_port("127.0.0.1")
+        self.store_address = await self._serve("store", self.store)
+
+    async def add_upstream(self, upstream: StandInUpstream) -> StandInUpstream:
+        """Start an upstream and list it."""
+        self.addresses[upstream.instance] = await self._serve(upstream.instance, upstream)
+        self.upstreams[upstream.instance] = upstream
+        if isinstance(upstream, StandInEngine):
+            upstream.on_role_change = self.list_upstream
+        self.list_upstream(upstream)
+        return upstream
+
+    def list_upstream(self, upstream: StandInUpstream, state: str = "ready") -> None:
+        """Write an upstream's discovery record."""
+        record = upstream.record(self.addresses[upstream.instance], state)
+        self.store.put("servers", upstream.instance, record)
+
+    def unlist_upstream(self, upstream: StandInUpstream) -> None:
+        """Remove an upstream's discovery record."""
+        self.store.remove("servers", upstream.instance)
+
+    def declare(self, **limits: int) -> int:
+        """Write the next version of the configuration; return its number."""
+        self._version += 3
+        spec = {
+            "version": self._version,
+            "routes": list(self.routes),
+            "services": list(self.services),
+            "limits": {
+                "maxHeaderBytes": 8192,
+                "maxBodyBytes": 100_000,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+                **limits,
+            },
+        }
+        self.store.put("config", "main", spec)
+        return self._version
+
+    async def add_gateway(self, name: str, number: int, zone: str = "hall-a") -> RunningGateway:
+        """Start a gateway on a loopback address of its own."""
+        ip = f"127.0.0.{number + 1}"
+        settings = read_host_settings(self._make_settings(name, ip, zone))
+        gateway = Gateway(settings, metrics_port=pick_port(ip))
+        running = RunningGateway(gateway, settings, asyncio.ensure_future(gateway.run()))
+        self.gateways[name] = running
+        return running
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until gateways say that they are ready."""
+        for name in names or self.gateways:
+            await wait_until(self.gateways[name].gateway.is_ready, f"{name} ready")
+
+    async def stop_upstream(self, upstream: StandInUpstream) -> None:
+        """Stop an upstream as a crash does: its connections are reset, its port is closed."""
+        self._servers = [item for item in self._servers if not self._is_of(item, upstream)]
+        for connection in list(self._sets[upstream.instance].open):
+            connection.abort()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for running in self.gateways.values():
+            running.task.cancel()
+        tasks = [running.task for running in self.gateways.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for connections in self._sets.values():
+            for connection in list(connections.open):
+                connection.abort()
+        for server in self._servers:
+            server.close()
+
+    def _is_of(self, server: asyncio.Server, upstream: StandInUpstream) -> bool:
+        host, port = server.sockets[0].getsockname()[:2]
+        if f"{host}:{port}" != self.addresses[upstream.instance]:
+            return False
+        server.close()
+        return True
+
+    async def _serve(self, name: str, handler: RequestHandler) -> str:
+        connections = ConnectionSet()
+        self._sets[name] = connections
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(handler, connections), "127.0.0.1", 0
+        )
+        self._servers.append(server)
+        host, port = server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def _make_settings(self, name: str, ip: str, zone: str) -> dict[str, Any]:
+        seeds = [f"{running.settings.ip}:1" for running in self.gateways.values()]
+        return {
+            "nodeName": name,
+            "ip": ip,
+            "zone": zone,
+            "listen": {"front": f"{ip}:{pick_port(ip)}", "ready": f"{ip}:{pick_port(ip)}"},
+            "internalPorts": [self._peer_port, self._peer_port],
+            "seeds": seeds[:3],
+            "bootstrap": True,
+            "heartbeatMs": 1200,
+            "limits": {"maxFds": 1000},
+            "bounds": {
+                "drainMs": 2000, "graceS": 4, "configApplyMs": 2000, "leaseMs": 1000,
+                "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 50,
+            },
+            "platform": {"address": self.store_address},
+        }  # fmt: skip
+
+
+def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return one declared route under the path /name/ of site.example."""
+    return {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 400,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 2,
+        **changes,
+    }
+
+
+def make_model_service(name: str, slots: int = 8) -> dict[str, Any]:
+    """Return one declared service of model engines."""
+    engine = {
+        "slots": slots,
+        "kvCapacity": 100_000,
+        "tokenKvBytes": 1000,
+        "linkMbps": 10_000,
+        "kvHoldS": 5,
+        "swapS": 0.2,
+    }
+    return {"name": name, "maxConns": 100, "engine": engine}
--- /dev/null
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -0,0 +1,159 @@
+"""A stand-in for the platform's object store, with outages and lost answers."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import orjson
+
+from swifttrestle.internal.state.declared import Limits
+from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
+
+PREFIX = "/v1/objects/"
+BODY_LIMIT = 4 * 1024 * 1024
+PAGE_ITEMS = 50
+
+
+@dataclass
+class StoreFaults:
+    """How the store fails now; `lose_answers` counts writes to do without an answer."""
+
+    down: bool = False
+    turned_away: set[str] = field(default_factory=set)
+    lose_answers: int = 0
+
+
+@dataclass(frozen=True)
+class _Event:
+    revision: int
+    kind: str
+    item: dict[str, Any]
+    removed: bool
+
+
+class StandInStore(RequestHandler):
+    """Objects by kind and name, with revisions, lists, watches and conditional writes."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.faults = StoreFaults()
+        self.revision = 0
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.calls: list[str] = []
+        self._events: list[_Event] = []
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+
+    def limits(self) -> Limits:
+        """Return limits that no call here meets."""
+        return Limits(header_seconds=60, idle_seconds=600)
+
+    # Used by tests and by other stand-ins, as the operator or an upstream would.
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object whatever its revision."""
+        self._write(kind, name, spec)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self.objects.pop((kind, name), None)
+        if item is not None:
+            self.revision += 1
+            self._note(_Event(self.revision, kind, item, True))
+
+    def forget_history(self) -> None:
+        """Drop all history, so that older watches are told to list anew."""
+        self._events.clear()
+        self._forgotten = self.revision
+
+    # The protocol.
+
+    async def handle(self, request: IncomingRequest, reply: Reply) -> None:
+        """Answer one call, or fail as told."""
+        target = request.head.target.decode()
+        self.calls.append(f"{request.head.method.decode()} {target}")
+        body = await request.body.read_whole(BODY_LIMIT)
+        if self.faults.down:
+            await reply.send_whole(503, (), b"")
+            return
+        path, _, query = target.partition("?")
+        method = request.head.method.decode()
+        status, answer = await self._answer(method, path.removeprefix(PREFIX), query, body)
+        if method != "GET" and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            reply.abort()
+            return
+        await reply.send_whole(status, (), orjson.dumps(answer))
+
+    async def _answer(self, method: str, path: str, query: str, body: bytes) -> tuple[int, Any]:
+        kind, _, name = path.partition("/")
+        asked = {key: values[0] for key, values in parse_qs(query).items()}
+        if method == "GET" and not name:
+            if "watch" in asked:
+                return await self._watch(kind, asked)
+            return 200, self._list(kind, asked.get("after", ""))
+        if method == "GET":
+            item = self.objects.get((kind, name))
+            return (200, item) if item else (404, {})
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, {}
+        raw = orjson.loads(body)
+        return self._change(method, kind, name or raw["metadata"]["name"], raw)
+
+    def _change(self, method: str, kind: str, name: str, raw: Mapping[str, Any]) -> tuple[int, Any]:
+        known = self.objects.get((kind, name))
+        if method == "POST" and known is not None:
+            return 409, known
+        if method == "PUT":
+            if known is None:
+                return 404, {}
+            wanted = raw["metadata"].get("revision")
+            if wanted is not None and wanted != known["metadata"]["revision"]:
+                return 409, known
+        return 200, self._write(kind, name, raw["spec"])
+
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
+        names = sorted(name for known, name in self.objects if known == kind and name > after)
+        page = [self.objects[kind, name] for name in names[:PAGE_ITEMS]]
+        return {"items": page, "hasMore": len(names) > PAGE_ITEMS, "timestamp": self.revision}
+
+    async def _watch(self, kind: str, asked: Mapping[str, str]) -> tuple[int, Any]:
+        since = int(asked["watch"])
+        if since < self._forgotten:
+            return 410, {}
+        try:
+            async with asyncio.timeout(int(asked["waitMs"]) / 1000):
+                while not any(e.revision > since and e.kind == kind for e in self._events):
+                    if self.faults.down:
+                        return 503, {}
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        events = [
+            {"removed": event.removed, "object": event.item}
+            for event in self._events
+            if event.revision > since and event.kind == kind
+        ]
+        return 200, {"events": events, "timestamp": self.revision}
+
+    def wake(self) -> None:
+        """Have waiting watches look again, as after a change of faults."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        known = self.objects.get((kind, name))
+        if known is not None and known["spec"] == spec:
+            return known
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec, "status": None}
+        self.objects[kind, name] = item
+        self._note(_Event(self.revision, kind, item, False))
+        return item
+
+    def _note(self, event: _Event) -> None:
+        self._events.append(event)
+        self.wake()
--- /dev/null
+++ b/tests/hosted/test_callers.py
@@ -0,0 +1,169 @@
+"""The door for callers: strict framing, limits, polite and impolite ends."""
+
+import asyncio
+
+import pytest
+
+from swifttrestle.internal.state.declared import Limits
+from swifttrestle.internal.transport.caller import (
+    CallerConnection,
+    ConnectionSet,
+    RequestHandler,
+)
+from tests.common.http import RawCaller
+
+
+class EchoHandler(RequestHandler):
+    """Answers with the body, and keeps what it saw."""
+
+    def __init__(self):
+        self.seen = []
+        self.cancelled = asyncio.Event()
+        self.hold = None
+
+    def limits(self):
+        return Limits(header_bytes=1000, body_bytes=2000, header_seconds=0.2, idle_seconds=0.3)
+
+    async def handle(self, request, reply):
+        self.seen.append((request.head.method, request.head.target))
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+            content = await request.body.read_whole(1 << 20)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        except Exception:
+            if not reply.started:
+                await reply.send_whole(502, (), b"")
+            return
+        await reply.send_whole(200, (), content)
+
+
+def with_echo(test):
+    def run(*args, **kwargs):
+        async def whole():
+            handler, connections = EchoHandler(), ConnectionSet()
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(
+                lambda: CallerConnection(handler, connections), "127.0.0.1", 0
+            )
+            caller = await RawCaller.connect(server.sockets[0].getsockname()[:2])
+            try:
+                await test(handler, connections, caller, *args, **kwargs)
+            finally:
+                caller.close()
+                server.close()
+
+        asyncio.run(whole())
+
+    run.__name__ = test.__name__
+    return run
+
+
+BAD = {
+    "two lengths": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
+    "length and chunked": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b/ HTTP/1.1\r\nHost: x\r\n\r\n",
+    "chunked and length": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    b"Content-Length: 5\r\n\r\n0\r\n\r\n",
+    "unknown coding": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "two codings": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "signed length": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na",
+    "bare line feeds": b"GET /a/ HTTP/1.1\nHost: x\n\n",
+    "bare line feed in head": b"GET /a/ HTTP/1.1\r\nHost: x\nA: b\r\n\r\n",
+    "folded header": b"GET /a/ HTTP/1.1\r\nHost: x\r\n y\r\n\r\n",
+    "blank before colon": b"GET /a/ HTTP/1.1\r\nHost : x\r\n\r\n",
+    "no request": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "bad chunk size": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+}
+
+
+@pytest.mark.parametrize("data", BAD.values(), ids=BAD.keys())
+def test_a_request_that_two_readers_may_read_differently_ends_its_connection(data):
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(data)
+        answer = await caller.read_answer()
+        assert answer.status in (400, 502)
+        assert answer.status == 400 or b"chunk" in data
+        assert (await caller.read_answer()).status == 0
+        assert (b"GET", b"/b/") not in handler.seen
+
+    run()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /a/ HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 2000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"a" * 2000 + b" HTTP/1.1\r\nHost: x\r\n\r\n", 431),
+        (b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n", 413),
+        (b"GET /a/ HTTP/1.1\r\nHost: x\r\n", 408),
+    ],
+)
+def test_what_is_over_a_limit_is_refused_with_the_limits_status(data, status):
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(data)
+        assert (await caller.read_answer()).status == status
+        assert (await caller.read_answer()).status == 0
+        assert handler.seen == []
+
+    run()
+
+
+@with_echo
+async def test_pipelined_requests_are_answered_in_their_order(handler, connections, caller):
+    one = b"POST /%d/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d"
+    caller.send(b"".join(one % (number, number) for number in range(5)))
+    bodies = [(await caller.read_answer()).body for _ in range(5)]
+    assert bodies == [b"0", b"1", b"2", b"3", b"4"]
+
+
+@with_echo
+async def test_a_body_in_chunks_arrives_whole(handler, connections, caller):
+    caller.send(b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+    caller.send(b"2\r\nde\r\n0\r\n\r\n")
+    assert (await caller.read_answer()).body == b"abcde"
+
+
+@with_echo
+async def test_an_idle_connection_is_closed_after_its_time(handler, connections, caller):
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert (await caller.read_answer()).status == 200
+    assert (await caller.read_answer()).status == 0
+
+
+@with_echo
+async def test_a_caller_that_leaves_cancels_its_request(handler, connections, caller):
+    handler.hold = asyncio.Event()
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n")
+    while not handler.seen:
+        await asyncio.sleep(0.005)
+    caller.close()
+    async with asyncio.timeout(5):
+        await handler.cancelled.wait()
+
+
+@with_echo
+async def test_a_stop_lets_the_open_request_end_and_says_close(handler, connections, caller):
+    handler.hold = asyncio.Event()
+    caller.send(b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n")
+    while not handler.seen:
+        await asyncio.sleep(0.005)
+    connections.close_idle()
+    handler.hold.set()
+    answer = await caller.read_answer()
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+    assert (await caller.read_answer()).status == 0
+
+
+@with_echo
+async def test_an_expected_continue_is_given(handler, connections, caller):
+    caller.send(
+        b"POST /a/ HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+    )
+    assert await caller.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    caller.send(b"a")
+    assert (await caller.read_answer()).body == b"a"
--- /dev/null
+++ b/tests/hosted/test_requests.py
@@ -0,0 +1,217 @@
+"""Requests through a gateway: whole answers, true refusals, runs at most once."""
+
+import asyncio
+
+import pytest
+
+from swifttrestle_standins.hosted.site import wait_until
+from swifttrestle_standins.hosted.upstreams import make_content, make_event
+from tests.common.http import RawCaller, ask, write_request
+from tests.hosted.sites import LONG, SHORT, count_runs, door, on_site, script
+
+
+def make_stream(name, events=4):
+    return b"".join(make_event(name, number) for number in range(1, events + 1))
+
+
+@on_site()
+async def test_each_kind_of_request_gets_its_own_whole_answer(site):
+    for path, request_id, headers, wanted in (
+        ("/verdict/a", "v1", {"X_Token_Usage": LONG}, make_stream("v1")),
+        ("/chat/a", "c1", {"X_Token_Usage": SHORT}, make_stream("c1")),
+        ("/goal/a", "g1", {}, make_content("g1")),
+        ("/card/a", "k1", {"method": "GET"}, make_content("k1")),
+    ):
+        answer = await ask(door(site), path, request_id, **headers)
+        assert (answer.status, answer.whole, answer.body) == (200, True, wanted), path
+        assert answer.headers["x-request-id"] == request_id
+        assert answer.headers["x-server-signature"] == "stand-in"
+        assert count_runs(site, request_id) == 1
+
+
+@on_site()
+async def test_a_long_prompt_is_read_by_one_engine_and_answered_by_another(site):
+    await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
+    stages = [
+        (headers.get("x-stage"), "x-kv-source" in headers)
+        for engine in ("e0", "e1", "e2")
+        for name, headers in site.upstreams[engine].arrivals
+    ]
+    assert stages == [("prefill", False), (None, True)]
+    assert site.upstreams["e0"].handles == {}
+
+
+@on_site()
+async def test_a_short_prompt_goes_straight_to_a_decoding_engine(site):
+    await ask(door(site), "/chat/a", "c1", X_Token_Usage=SHORT)
+    assert site.upstreams["e0"].arrivals == []
+
+
+@on_site()
+async def test_what_only_the_system_may_set_is_dropped_from_callers(site):
+    await ask(
+        door(site), "/goal/a", "g1", X_Stage="prefill", X_Kv_Source="1.2.3.4:5/h",
+        X_Expect_Instance="nobody", X_Request_Priority="0", X_Deadline_Ms="1500",
+        X_Kv_Hold="h", X_Pin_Ms="9", X_Kv_Backup="1.2.3.4:5", Kv_Fetch="1.2.3.4:5",
+        X_Expect_Version="7", X_Other="stays",
+    )  # fmt: skip
+    (arrival,) = [a for u in site.upstreams.values() for a in u.arrivals]
+    headers = arrival[1]
+    for name in ("x-stage", "x-kv-source", "x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-fetch",
+                 "x-expect-version"):  # fmt: skip
+        assert name not in headers, name
+    assert headers["x-expect-instance"] in ("s0", "s1")
+    assert headers["x-other"] == "stays"
+    assert 0 < int(headers["x-deadline-ms"]) <= 1500
+
+
+@pytest.mark.parametrize(
+    ("path", "step", "status", "runs"),
+    [
+        ("/goal/a", "busy", 200, 1),
+        ("/goal/a", "reset", 502, 0),
+        ("/goal/a", "reset-after", 502, 1),
+        ("/goal/a", "crossed", 502, 1),
+        ("/goal/a", "unsigned", 502, 1),
+        ("/goal/a", "fail", 500, 1),
+        ("/card/a", "busy", 200, 1),
+        ("/card/a", "reset", 200, 1),
+        ("/card/a", "reset-after", 200, 2),
+        ("/card/a", "crossed", 200, 2),
+        ("/card/a", "unsigned", 200, 2),
+        ("/card/a", "fail", 200, 2),
+        ("/card/a", "silent", 200, 2),
+        ("/chat/a", "reset", 502, 0),
+        ("/verdict/a", "reset", 200, 1),
+    ],
+)
+@on_site()
+async def test_only_what_may_be_repeated_is_tried_again_after_it_may_have_run(
+    site, path, step, status, runs
+):
+    script(site, "s" if path[1] in "gc" and path != "/chat/a" else "e", step)
+    headers = {"X_Token_Usage": SHORT} if path in ("/chat/a", "/verdict/a") else {}
+    answer = await ask(door(site), path, "r1", X_Deadline_Ms="1500", **headers)
+    assert answer.status == status
+    assert count_runs(site, "r1") == runs
+    if status == 502:
+        assert "retry-after" not in answer.headers
+
+
+@on_site(plain=1)
+async def test_a_refusal_says_when_to_come_back_and_that_nothing_ran(site):
+    script(site, "s", "busy", "busy", "busy", "busy")
+    answer = await ask(door(site), "/goal/a", "g1")
+    assert answer.status == 503
+    assert 0 < answer.retry_after < 2
+    assert count_runs(site, "g1") == 0
+
+
+@on_site()
+async def test_a_request_that_may_have_run_is_never_refused_as_not_run(site):
+    script(site, "s", "reset-after", "busy", "busy", "busy")
+    answer = await ask(door(site), "/goal/a", "g1")
+    assert answer.status == 502
+    assert count_runs(site, "g1") == 1
+
+
+@on_site()
+async def test_the_routes_time_limit_brings_the_final_answer(site):
+    site.routes[2]["timeoutMs"] = 150
+    site.declare()
+    gateway = site.gateways["g0"].gateway
+    await wait_until(lambda: gateway.config_version == 6, "second version")
+    script(site, "s", "silent")
+    answer = await ask(door(site), "/goal/a", "g1")
+    assert answer.status == 504
+    assert count_runs(site, "g1") == 1
+
+
+@on_site()
+async def test_a_resumable_stream_goes_on_elsewhere_inside_one_answer(site):
+    script(site, "e", "", "cut")
+    answer = await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.body == make_stream("v1")
+    assert count_runs(site, "v1") == 3 - 1
+
+
+@on_site()
+async def test_a_stream_that_may_not_be_resumed_looks_broken_when_it_breaks(site):
+    script(site, "e", "cut")
+    answer = await ask(door(site), "/chat/a", "c1", X_Token_Usage=SHORT)
+    assert (answer.status, answer.whole) == (200, False)
+    assert count_runs(site, "c1") == 1
+
+
+@pytest.mark.parametrize(("path", "tokens"), [("/verdict/a", LONG), ("/chat/a", SHORT)])
+@on_site()
+async def test_work_stops_at_the_engine_when_the_caller_leaves(site, path, tokens):
+    for upstream in site.upstreams.values():
+        upstream.hold.clear()
+    caller = await RawCaller.connect(door(site))
+    caller.send(write_request(path, "r1", X_Token_Usage=tokens))
+    arrived = [u for n, u in site.upstreams.items() if n.startswith("e")]
+    await wait_until(lambda: any(u.arrivals for u in arrived), "arrival")
+    caller.close()
+    await wait_until(lambda: any("r1" in u.cancelled for u in arrived), "cancellation")
+    engine = site.gateways["g0"].gateway
+    await wait_until(lambda: engine.count_open_work() == 0, "open work to end")
+
+
+@on_site()
+async def test_a_handle_that_is_not_used_is_freed(site):
+    script(site, "e", "", "busy", "busy", "busy")
+    answer = await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
+    assert answer.status == 503
+    await wait_until(lambda: site.upstreams["e0"].freed, "freed handle")
+    assert site.upstreams["e0"].handles == {}
+
+
+@on_site()
+async def test_an_instance_that_was_replaced_at_its_address_gets_no_second_request(site):
+    other = site.upstreams["s0"]
+    other.instance = "s0-new"
+    for number in range(6):
+        answer = await ask(door(site), "/goal/a", f"g{number}")
+        assert answer.status == 200
+    assert not any(name == "s0" for name, _ in other.arrivals)
+    assert site.gateways["g0"].gateway.knows_instance("s0") is False
+
+
+@on_site()
+async def test_unknown_paths_get_404_and_known_ones_the_longest_prefix(site):
+    assert (await ask(door(site), "/nothing/a", "x1")).status == 404
+    site.routes.append({**site.routes[2], "name": "deep", "pathPrefix": "/goal/deep/",
+                        "service": "model", "type": "streaming"})  # fmt: skip
+    site.declare()
+    await wait_until(lambda: site.gateways["g0"].gateway.config_version == 6, "second version")
+    answer = await ask(door(site), "/goal/deep/x", "x2", X_Token_Usage=SHORT)
+    assert answer.body == make_stream("x2")
+
+
+@on_site()
+async def test_requests_on_one_connection_reuse_one_upstream_connection(site):
+    caller = await RawCaller.connect(door(site))
+    for number in range(10):
+        caller.send(write_request("/card/a", f"k{number}", method="GET"))
+        answer = await caller.read_answer()
+        assert answer.body == make_content(f"k{number}")
+    caller.close()
+    assert site.gateways["g0"].gateway.count_opened_connections() <= 2
+
+
+@on_site()
+async def test_many_requests_at_once_each_get_their_own_answer(site):
+    async def one(number):
+        kind = number % 3
+        name = f"r{number}"
+        if kind == 0:
+            answer = await ask(door(site), "/card/a", name, method="GET")
+            return answer.status == 503 or answer.body == make_content(name)
+        path = "/verdict/a" if kind == 1 else "/chat/a"
+        tokens = LONG if kind == 1 else SHORT
+        answer = await ask(door(site), path, name, X_Token_Usage=tokens)
+        return answer.status == 503 or answer.body == make_stream(name)
+
+    assert all(await asyncio.gather(*(one(number) for number in range(120))))
