--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -138,6 +138,14 @@
         """Return this host's open requests at all upstreams."""
         return sum(item.own.requests for item in self._fleet.instances.values())
 
+    def count_peer_work(self) -> int:
+        """Return the peers' open requests at all upstreams, as they last reported them."""
+        return sum(item.peers.requests for item in self._fleet.instances.values())
+
+    def live_hosts(self) -> list[str]:
+        """Return the hosts whose gateways live, this one among them."""
+        return self._gossip.live_hosts()
+
     def count_opened_connections(self) -> int:
         """Return the connections to upstreams that were opened since the start."""
         return self._parts.pool.opened
--- /dev/null
+++ b/tests/hosted/test_coordination.py
@@ -0,0 +1,222 @@
+"""Configuration, discovery, peers, roles and stops of several gateways on one site."""
+
+import asyncio
+
+import pytest
+
+from swifttrestle_standins.hosted.site import wait_until
+from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
+from tests.common.http import RawCaller, ask, write_request
+from tests.hosted.sites import LONG, SHORT, build_site, count_runs, door, on_site
+
+
+def gateway(site, name="g0"):
+    return site.gateways[name].gateway
+
+
+@on_site(gateways=2)
+async def test_a_new_version_is_in_force_everywhere_and_never_goes_back(site):
+    old = site.store.objects["config", "main"]["spec"]
+    site.routes.append({**site.routes[2], "name": "added", "pathPrefix": "/added/"})
+    version = site.declare()
+    for name in site.gateways:
+        await wait_until(lambda n=name: gateway(site, n).config_version == version, "version")
+        assert (await ask(door(site, name), "/added/x", f"a-{name}")).status == 200
+    site.store.put("config", "main", old)
+    site.store.put("config", "main", {**old, "version": version + 1})
+    for name in site.gateways:
+        await wait_until(lambda n=name: gateway(site, n).config_version == version + 1, "next")
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [None, 7, {}, {"version": "x"}, {"version": 99, "routes": [{}]}, {"version": 99, "routes": 3}],
+)
+@on_site()
+async def test_a_configuration_that_cannot_be_read_is_skipped_and_the_next_one_taken(site, spec):
+    site.store.put("config", "main", spec)
+    site.routes.append({**site.routes[2], "name": "added", "pathPrefix": "/added/"})
+    version = site.declare()
+    await wait_until(lambda: gateway(site).config_version == version, "version")
+    assert (await ask(door(site), "/goal/a", "g1")).status == 200
+
+
+@on_site()
+async def test_a_record_that_cannot_be_read_is_skipped(site):
+    for number, spec in enumerate([None, 7, {}, {"service": "alerts", "address": "nowhere"}]):
+        site.store.put("servers", f"bad{number}", spec)
+    await site.add_upstream(StandInUpstream("s9", "alerts", "hall-a"))
+    await wait_until(lambda: gateway(site).knows_instance("s9"), "new instance")
+    assert not gateway(site).knows_instance("bad3")
+
+
+@pytest.mark.parametrize("way", ["draining", "unlisted"])
+@on_site()
+async def test_an_upstream_that_leaves_gets_no_new_request(site, way):
+    leaving = site.upstreams["s0"]
+    if way == "draining":
+        site.list_upstream(leaving, "draining")
+    else:
+        site.unlist_upstream(leaving)
+    await asyncio.sleep(1.9)
+    before = len(leaving.arrivals)
+    for number in range(10):
+        assert (await ask(door(site), "/goal/a", f"g{number}")).status == 200
+    assert len(leaving.arrivals) == before
+
+
+@on_site(gateways=2)
+async def test_an_outage_of_the_store_stops_no_request_and_forgets_no_upstream(site):
+    site.store.faults.down = True
+    site.store.wake()
+    await asyncio.sleep(1.5)
+    for number in range(6):
+        assert (await ask(door(site), "/goal/a", f"g{number}")).status == 200
+    site.unlist_upstream(site.upstreams["s0"])
+    site.store.faults.down = False
+    await asyncio.sleep(0.9)
+    # Upstreams that lapsed in the outage have a moment to come back.
+    assert gateway(site).knows_instance("s0")
+    await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone for good")
+    assert gateway(site).knows_instance("s1")
+
+
+@on_site()
+async def test_history_that_was_forgotten_is_listed_anew(site):
+    site.unlist_upstream(site.upstreams["s0"])
+    site.store.forget_history()
+    await site.add_upstream(StandInUpstream("s9", "alerts", "hall-a"))
+    await wait_until(lambda: gateway(site).knows_instance("s9"), "new instance")
+    await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone instance")
+
+
+@on_site(gateways=2)
+async def test_a_gateway_that_starts_in_an_outage_serves_by_its_peers_configuration(site):
+    site.store.faults.down = True
+    site.store.wake()
+    running = await site.add_gateway("late", 7)
+    await wait_until(lambda: running.gateway.config_version == 3, "version from a peer")
+    answer = await ask(door(site, "late"), "/nothing/a", "x1")
+    assert answer.status == 404
+
+
+@on_site()
+async def test_a_gateway_that_knows_no_configuration_refuses_and_never_says_not_found(site):
+    site.store.faults.down = True
+    site.gateways["g0"].task.cancel()
+    running = await site.add_gateway("alone", 8)
+    await wait_until(lambda: can_connect(running.settings.callers), "listening")
+    answer = await ask(door(site, "alone"), "/goal/a", "g1")
+    assert (answer.status, "retry-after" in answer.headers) == (503, True)
+    assert not running.gateway.is_ready()
+
+
+def can_connect(address):
+    import socket
+
+    with socket.socket() as probe:
+        return probe.connect_ex(address) == 0
+
+
+@on_site(gateways=3)
+async def test_gateways_find_each_other_and_share_their_open_work(site):
+    for name in site.gateways:
+        await wait_until(lambda n=name: len(gateway(site, n).live_hosts()) == 3, "three hosts")
+    for upstream in site.upstreams.values():
+        upstream.hold.clear()
+    asked = asyncio.ensure_future(ask(door(site), "/goal/a", "g1"))
+    await wait_until(lambda: gateway(site, "g1").count_peer_work() == 1, "peer's work")
+    for upstream in site.upstreams.values():
+        upstream.hold.set()
+    assert (await asked).status == 200
+    await wait_until(lambda: gateway(site, "g1").count_peer_work() == 0, "its end")
+
+
+@on_site(gateways=2, engines=("decode",) * 6)
+async def test_engines_get_their_roles_by_one_holder_with_rising_fences(site):
+    def roles():
+        engines = [u for u in site.upstreams.values() if isinstance(u, StandInEngine)]
+        return sorted(engine.role for engine in engines)
+
+    await wait_until(lambda: roles() == ["decode"] * 2 + ["prefill"] * 4, "planned roles")
+    orders = [order for u in site.upstreams.values() for order in getattr(u, "orders", ())]
+    assert len(orders) == 4
+    assert len({order["holder"] for order in orders}) == 1
+    assert all(order["fenceToken"] >= 1 and "expectedRev" in order for order in orders)
+    recorded = site.store.objects["swifttrestle-leases", "roles"]["spec"]["orders"]
+    assert len(recorded) == 4
+
+
+@on_site(engines=("decode",) * 3)
+async def test_an_order_without_an_answer_is_not_sent_again(site):
+    for upstream in site.upstreams.values():
+        upstream.answer_orders = False
+
+    def orders():
+        return [o for u in site.upstreams.values() for o in getattr(u, "orders", ())]
+
+    await wait_until(lambda: len(orders()) == 2, "two orders")
+    await asyncio.sleep(1.5)
+    assert len(orders()) == 2
+    assert all(len(getattr(u, "orders", ())) <= 1 for u in site.upstreams.values())
+
+
+@on_site(gateways=2)
+async def test_a_planned_stop_cuts_no_request_and_says_not_ready_at_once(site):
+    for upstream in site.upstreams.values():
+        upstream.hold.clear()
+    caller = await RawCaller.connect(door(site))
+    caller.send(write_request("/goal/a", "g1"))
+    await wait_until(lambda: gateway(site).count_open_work() == 1, "open request")
+    gateway(site).stop()
+    assert not gateway(site).is_ready()
+    late = await ask(door(site), "/nothing/a", "x1")
+    assert (late.status, late.headers["connection"]) == (404, "close")
+    await asyncio.sleep(0.5)
+    for upstream in site.upstreams.values():
+        upstream.hold.set()
+    answer = await caller.read_answer()
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+    async with asyncio.timeout(10):
+        await site.gateways["g0"].task
+    await wait_until(lambda: gateway(site, "g1").live_hosts() == ["g1"], "peer learned")
+
+
+@on_site(engines=("prefill", "decode"))
+async def test_urgent_requests_keep_slots_that_longer_answers_do_not_get(site):
+    site.upstreams["e1"].hold.clear()
+    asked = [
+        asyncio.ensure_future(ask(door(site), "/chat/a", f"c{n}", X_Token_Usage=SHORT))
+        for n in range(12)
+    ]
+    await wait_until(lambda: sum(task.done() for task in asked) >= 6, "refusals")
+    assert {task.result().status for task in asked if task.done()} == {503}
+    # Seven slots are planned on, of which one is kept: six chats are open, a verdict still goes.
+    urgent = asyncio.ensure_future(ask(door(site), "/verdict/a", "v1", X_Token_Usage=SHORT))
+    await wait_until(lambda: count_runs(site, "v1") == 1, "the urgent request at the engine")
+    site.upstreams["e1"].hold.set()
+    assert (await urgent).status == 200
+
+
+def test_requests_wait_in_the_gateway_and_are_refused_early_when_engines_are_full():
+    async def run():
+        site = await build_site(engines=("prefill", "decode"))
+        try:
+            site.upstreams["e0"].hold.clear()
+            tasks = [
+                asyncio.ensure_future(ask(door(site), "/verdict/a", f"v{n}", X_Token_Usage=LONG))
+                for n in range(30)
+            ]
+            await wait_until(lambda: any(task.done() for task in tasks), "first refusal")
+            done = [task.result() for task in tasks if task.done()]
+            assert {answer.status for answer in done} == {503}
+            assert all(0 < answer.retry_after < 1 for answer in done)
+            site.upstreams["e0"].hold.set()
+            rest = [answer for answer in await asyncio.gather(*tasks)]
+            served = [answer for answer in rest if answer.status == 200]
+            assert served
+            assert sum(count_runs(site, f"v{n}") for n in range(30)) == len(served)
+        finally:
+            await site.stop()
+
+    asyncio.run(run())
