Count what decoders hold now as demand

Cause: hold times are learned as answers end, so long ones showed late and a second decoder came 5 s late.

--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -89,6 +89,10 @@
     readers = [item for item in engines if role_of(item) is Role.PREFILL]
     if not engines:
         return None
+    # What is open now tells of long answers sooner than hold times, which are learned only
+    # as answers end.
+    held = sum(item.total.requests for item in decoders)
+    demand = Demand(demand.read_tokens, max(demand.decode_slots, held))
     wanted = find_best_count(engines, len(decoders), demand)
     reason = (
         f"{len(decoders)} of {len(engines)} decode, {wanted} wanted, "
