Hold the role lease before it is needed

No decoding engine for 18 s. Ruled out: the engines' own refusals, ejection. The holder now takes the lease at once, keeps it while it lives, and peers know who holds it.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -76,7 +76,7 @@
         self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
         self._discovery = Discovery(self._store, self._fleet, rng, self._serve_queues)
         self._handler = GatewayHandler(self._parts, lambda: self._configuration.table)
-        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, {}, {})
+        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, False, {}, {})
         self._gossip = Gossip(
             me,
             settings.internal_port,
@@ -92,8 +92,7 @@
             self._fleet,
             self._parts.demand,
             self._parts.pool,
-            settings.host,
-            self._gossip.live_hosts,
+            self._gossip,
             self._find_configuration,
         )
         self._callers = ConnectionSet()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -48,6 +48,7 @@
     incarnation: int = 0
     heard_at: float = float("-inf")
     leaving: bool = False
+    holds_roles: bool = False
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -78,6 +79,7 @@
         self._server: asyncio.Server | None = None
         self._fetching: asyncio.Task[None] | None = None
         self.leaving = False
+        self.holds_roles = False
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
@@ -99,6 +101,17 @@
         ]
         return sorted([*live, self._me.host])
 
+    def is_role_candidate(self) -> bool:
+        """Return whether this host is to plan roles: the holder while it lives, or the first.
+
+        One candidate keeps hosts from writing against each other; the lease itself decides.
+        """
+        if self.leaving:
+            return False
+        live = self.live_hosts()
+        held = any(peer.holds_roles for peer in self._peers.values() if peer.host in live)
+        return self.holds_roles or (not held and live[0] == self._me.host)
+
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
         while True:
@@ -179,6 +192,7 @@
             return
         peer.ip, peer.incarnation = report.ip, report.incarnation
         peer.leaving = report.leaving
+        peer.holds_roles = report.holds_roles
         peer.heard_at = self._now()
         self._log_live()
 
@@ -214,6 +228,7 @@
                 self._me.incarnation,
                 self._configuration.version,
                 self.leaving,
+                self.holds_roles,
                 {name: (item.tokens, item.requests) for name, item in work.items()},
                 {
                     name: (round(item.read_tokens), round(item.decode_slots, 2))
--- a/src/swifttrestle/internal/coordination/role_lease.py
+++ b/src/swifttrestle/internal/coordination/role_lease.py
@@ -79,6 +79,7 @@
         self._wait = duration + SEND_SECONDS + ARRIVAL_SECONDS
         self._seen_revision = 0
         self._seen_at = 0.0
+        self._look_at = 0.0
         self._stored: StoredObject | None = None
         self.lease: RoleLease | None = None
 
@@ -89,6 +90,8 @@
         """Return whether this process holds the lease, having tried to take it."""
         if self.lease is not None:
             return True
+        if self._now() < self._look_at:
+            return False
         try:
             known = await self._store.get(LEASE_KIND, self._name)
         except NotFoundError:
@@ -98,6 +101,8 @@
             self._seen_revision, self._seen_at = known.revision, self._now()
         mine = current.holder == self._host
         if not mine and self._now() - self._seen_at < self._wait:
+            # Nothing between now and then can make the lease free.
+            self._look_at = self._seen_at + self._wait
             return False
         taken = RoleLease(self._host, self._incarnation, current.token + 1, current.orders)
         return await self._write(taken, known.revision)
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from swifttrestle.errors import LeaseLostError, PlatformUnavailableError, UpstreamBrokenError
+from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.split import RoleChange, plan_change
@@ -50,17 +51,15 @@
         fleet: Fleet,
         demand: DemandMeter,
         pool: ConnectionPool,
-        host: str,
-        list_live: Callable[[], list[str]],
+        gossip: Gossip,
         find_configuration: Callable[[], Configuration | None],
     ) -> None:
-        """Prepare; `list_live` names the hosts that live, in order."""
+        """Prepare; the gossip tells which host is to plan."""
         self._lease = lease
         self._fleet = fleet
         self._demand = demand
         self._pool = pool
-        self._host = host
-        self._list_live = list_live
+        self._gossip = gossip
         self._find_configuration = find_configuration
         self._unsettled: dict[str, tuple[float, Role]] = {}
 
@@ -71,19 +70,24 @@
             try:
                 await self._tick()
             except (PlatformUnavailableError, LeaseLostError) as error:
+                self._gossip.holds_roles = self._lease.lease is not None
                 log_decision("role planning waits", reason=str(error))
                 await asyncio.sleep(TICK_SECONDS)
 
     async def _tick(self) -> None:
         configuration = self._find_configuration()
-        # One candidate keeps the others from writing against each other; the lease decides.
-        if configuration is None or self._list_live()[0] != self._host:
+        if configuration is None or not self._gossip.is_role_candidate():
+            return
+        # The lease is held before it is needed: a takeover waits for seconds, in which the
+        # last decoding engine may leave and the store may go away.
+        self._gossip.holds_roles = await self._lease.campaign()
+        if not self._gossip.holds_roles:
             return
         for service in configuration.services.values():
             if service.engine is None:
                 continue
             change = self._plan(service.name)
-            if change is not None and await self._lease.campaign():
+            if change is not None:
                 await self._order(change, service.engine)
 
     def _plan(self, service: str) -> RoleChange | None:
@@ -103,11 +107,12 @@
             return
         order, until = await self._lease.record(engine.name, change.role.value)
         now = asyncio.get_running_loop().time()
-        assert self._lease.lease is not None
+        held = self._lease.lease
+        assert held is not None
         if now > until:
             log_decision("order not sent", number=order.number, reason="its time was over")
             return
-        sent = RoleOrder(change.role, self._host, self._lease.lease.token, report.orders_taken)
+        sent = RoleOrder(change.role, held.holder, held.token, report.orders_taken)
         status = await self._send(engine, sent)
         settle = traits.role_change_seconds + SETTLE_SECONDS
         if status is None:
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -15,9 +15,10 @@
 class PeerReport:
     """What one gateway tells its peers.
 
-    `work` maps an upstream instance to its open prompt tokens and requests; `demand` maps a
-    service to the prompt tokens a second and the decode slots that callers offer. `known` are some
-    peers that the sender has heard of late, as pairs of host and IP.
+    `holds_roles` says that the sender holds the lease on engines' roles. `work` maps an
+    upstream instance to its open prompt tokens and requests; `demand` maps a service to the
+    prompt tokens a second and the decode slots that callers offer. `known` are some peers
+    that the sender has heard of late, as pairs of host and IP.
     """
 
     host: str
@@ -25,6 +26,7 @@
     incarnation: int
     config_version: int
     leaving: bool
+    holds_roles: bool
     work: dict[str, tuple[int, int]]
     demand: dict[str, tuple[float, float]]
     known: tuple[tuple[str, str], ...] = ()
@@ -38,6 +40,7 @@
         report.incarnation,
         report.config_version,
         report.leaving,
+        report.holds_roles,
         report.work,
         report.demand,
         report.known,
@@ -62,6 +65,7 @@
             int(incarnation),
             int(version),
             bool(leaving),
+            bool(holds_roles),
             dict(work),
             dict(offered),
             known,
@@ -72,6 +76,7 @@
                 incarnation,
                 version,
                 leaving,
+                holds_roles,
                 _read_work(work),
                 _read_demand(offered),
                 _read_known(known),
