Take no request while stopping that may outlast the process

Ruled out: the balancer (its zone had too few hosts in, so it used all). The test fails without the change.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -170,6 +170,7 @@
         # Answers from now on end their connections, so that callers go elsewhere.
         self._callers.closing = True
         await asyncio.sleep(min(LEARN_SECONDS, self._settings.bounds.stop / 2))
+        self._handler.ends_at = end
         self._callers.close_idle()
         while self._callers.count_busy() and loop.time() < end:
             await asyncio.sleep(STOP_LOOK_SECONDS)
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -20,6 +20,8 @@
 
 # Seconds after which a caller may come back to a host that knows no configuration yet.
 UNCONFIGURED_RETRY_SECONDS = 0.5
+# Seconds after which a caller that a stopping host refused may come back, to another host.
+STOPPING_RETRY_SECONDS = 0.05
 # Seconds before the deadline at which a request is given up, so that its final answer is
 # there in time.
 ANSWER_MARGIN_SECONDS = 0.01
@@ -34,6 +36,8 @@
         self._find_table = find_table
         self._plain = PlainForwarder(parts)
         self.engines = EngineForwarder(parts)
+        # The loop's time at which this process ends, once a planned stop has come so far.
+        self.ends_at: float | None = None
 
     def limits(self) -> Limits:
         """Return the limits in force."""
@@ -71,6 +75,7 @@
                 Code.NOT_CONFIGURED, "no configuration is known yet", UNCONFIGURED_RETRY_SECONDS
             )
         route = self._find_route(table, request.head)
+        self._check_time_to_end(route, request.received)
         facts = read_facts(request.head.headers)
         service = table.configuration.services.get(pick_service(route, self._parts.rng))
         if service is None:
@@ -88,6 +93,11 @@
             urgent=table.is_urgent(route, service.name),
         )
 
+    def _check_time_to_end(self, route: Route, now: float) -> None:
+        """Refuse what may outlast this process: another host can answer it whole."""
+        if self.ends_at is not None and now + route.timeout > self.ends_at:
+            raise RefusedError(Code.STOPPING, "this host is stopping", STOPPING_RETRY_SECONDS)
+
     def _find_route(self, table: RouteTable, head: RequestHead) -> Route:
         host = head.find(b"host").decode("latin-1")
         path = head.target.partition(b"?")[0].decode("latin-1")
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -182,6 +182,27 @@
     await wait_until(lambda: gateway(site, "g1").live_hosts() == ["g1"], "peer learned")
 
 
+@on_site()
+async def test_a_stopping_gateway_takes_no_request_that_may_outlast_it(site):
+    # Found by a hunt: a chat taken four seconds after the signal was cut by the end.
+    site.routes[1]["timeoutMs"] = 15000
+    site.declare()
+    await wait_until(lambda: gateway(site).config_version == 6, "second version")
+    caller = await RawCaller.connect(door(site))
+    held = site.upstreams["s0"], site.upstreams["s1"]
+    for upstream in held:
+        upstream.hold.clear()
+    caller.send(write_request("/goal/b", "g2"))
+    await wait_until(lambda: count_runs(site, "g2") == 1, "open request")
+    gateway(site).stop()
+    await asyncio.sleep(2.2)
+    late = await ask(door(site), "/chat/a", "c1", X_Token_Usage=SHORT)
+    assert (late.status, "retry-after" in late.headers) == (503, True)
+    assert count_runs(site, "c1") == 0
+    for upstream in held:
+        upstream.hold.set()
+
+
 @on_site(engines=("prefill", "decode"))
 async def test_urgent_requests_keep_slots_that_longer_answers_do_not_get(site):
     site.upstreams["e1"].hold.clear()
