--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -189,11 +189,11 @@
     site.declare()
     await wait_until(lambda: gateway(site).config_version == 6, "second version")
     caller = await RawCaller.connect(door(site))
-    held = site.upstreams["s0"], site.upstreams["s1"]
+    held = site.upstreams["e1"], site.upstreams["e2"]
     for upstream in held:
         upstream.hold.clear()
-    caller.send(write_request("/goal/b", "g2"))
-    await wait_until(lambda: count_runs(site, "g2") == 1, "open request")
+    caller.send(write_request("/chat/a", "c0", X_Token_Usage=SHORT))
+    await wait_until(lambda: count_runs(site, "c0") == 1, "open request")
     gateway(site).stop()
     await asyncio.sleep(2.2)
     late = await ask(door(site), "/chat/a", "c1", X_Token_Usage=SHORT)
@@ -201,6 +201,7 @@
     assert count_runs(site, "c1") == 0
     for upstream in held:
         upstream.hold.set()
+    assert (await caller.read_answer()).whole
 
 
 @on_site(engines=("prefill", "decode"))
