--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -40,7 +40,7 @@
 def _decode(what: str, read: Callable[[], T]) -> T:
     try:
         return read()
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise BadPlatformAnswerError(f"{what} cannot be read: {error!r}") from None
 
 
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -1,5 +1,6 @@
 """Header names of the platform's protocol, and the translation of requests and answers."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -69,9 +70,10 @@
 
 def _read_milliseconds(value: bytes | None) -> float | None:
     try:
-        return max(0.0, float(value)) / 1000 if value is not None else None
+        milliseconds = float(value) if value is not None else math.nan
     except ValueError:
         return None
+    return max(0.0, milliseconds) / 1000 if math.isfinite(milliseconds) else None
 
 
 def _read_parts(value: bytes) -> tuple[PromptPart, ...]:
--- /dev/null
+++ b/tests/cover/test_gateway_policies.py
@@ -0,0 +1,357 @@
+"""The gateway's decisions: splits of roles, placement, queueing, budgets, the role lease."""
+
+import asyncio
+import random
+
+import pytest
+
+from swifttrestle.errors import (
+    ConflictError,
+    LeaseLostError,
+    NotFoundError,
+    PlatformUnavailableError,
+)
+from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
+from swifttrestle.internal.policy.placement import pick_decoder, pick_plain, pick_reader
+from swifttrestle.internal.policy.queueing import AdmissionQueue
+from swifttrestle.internal.policy.split import count_decoders, find_best_count, plan_change
+from swifttrestle.internal.policy.windows import WindowedRetryBudget
+from swifttrestle.internal.state.declared import Configuration, Repeat, Role, Route, UpstreamRecord
+from swifttrestle.internal.state.demand import Demand, DemandMeter
+from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
+from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.platform.store import StoredObject
+
+
+def make_instance(name, role=Role.DECODE, zone="a", slots=10, **state):
+    record = UpstreamRecord(name, "s", ("127.0.0.1", 1), zone, slots, False, role)
+    return Instance(record, **state)
+
+
+def make_engines(prefill, decode):
+    readers = [make_instance(f"p{n}", Role.PREFILL, "ab"[n % 2]) for n in range(prefill)]
+    return readers + [make_instance(f"d{n}", Role.DECODE, "ab"[n % 2]) for n in range(decode)]
+
+
+@pytest.mark.parametrize(
+    ("engines", "decoders"), [(0, 0), (1, 1), (2, 1), (3, 1), (4, 2), (6, 2), (9, 3), (29, 10)]
+)
+def test_the_first_split_leaves_most_engines_to_read(engines, decoders):
+    assert count_decoders(engines) == decoders
+
+
+@pytest.mark.parametrize(
+    ("prefill", "decode", "read", "slots", "wanted"),
+    [
+        (4, 2, 100_000, 5, 2),
+        (4, 2, 100_000, 16, 4),
+        (3, 3, 400_000, 5, 2),
+        (3, 3, 150_000, 20, 3),
+        (4, 2, 2_000_000, 8, 2),
+        (2, 4, 0, 2, 4),
+        (5, 1, 100_000, 2, 2),
+        (6, 0, 100_000, 2, 2),
+        (0, 6, 300_000, 2, 2),
+    ],
+)
+def test_the_split_follows_offered_work_only_where_it_is_worth_a_change(
+    prefill, decode, read, slots, wanted
+):
+    engines = make_engines(prefill, decode)
+    best = find_best_count(engines, decode, Demand(read, slots))
+    assert best == wanted
+
+
+def test_engines_that_were_ordered_count_as_done_and_get_no_second_order():
+    engines = make_engines(2, 4)
+    first = plan_change(engines, {}, Demand())
+    assert first.role is Role.PREFILL
+    second = plan_change(engines, {first.engine.name: Role.PREFILL}, Demand())
+    assert second.engine is not first.engine
+    pending = {change.engine.name: Role.PREFILL for change in (first, second)}
+    assert plan_change(engines, pending, Demand()) is None
+
+
+def test_the_last_reading_engine_is_never_taken():
+    engines = make_engines(1, 0)
+    assert plan_change(engines, {}, Demand(10, 100)) is None
+
+
+def test_plain_instances_are_chosen_by_load_and_near_ones_first():
+    near, far = make_instance("near", zone="a"), make_instance("far", zone="b")
+    rng = random.Random(1)
+    assert pick_plain([far, near], "a", (), 0.0, rng) is near
+    near.own = OpenWork(0, 2)
+    assert pick_plain([far, near], "a", (), 0.0, rng) is far
+    far.refused_until = 1.0
+    assert pick_plain([far, near], "a", (), 0.0, rng) is near
+    assert pick_plain([far, near], "a", {"near"}, 0.0, rng) is far
+    assert pick_plain([], "a", (), 0.0, rng) is None
+
+
+@pytest.mark.parametrize(
+    ("open_requests", "urgent", "found"),
+    [(7, False, True), (8, False, False), (8, True, True), (9, True, False)],
+)
+def test_urgent_requests_get_slots_that_others_do_not(open_requests, urgent, found):
+    decoder = make_instance("d", peers=OpenWork(0, open_requests))
+    assert (pick_decoder([decoder], "a", (), 0.0, urgent) is decoder) is found
+
+
+def test_a_prompt_goes_to_the_engine_of_its_shared_part_unless_another_is_sooner():
+    readers = [make_instance(f"p{n}", Role.PREFILL) for n in range(4)]
+    chosen = pick_reader(readers, 9000, "part", (), 0.0, 1.0)
+    assert all(pick_reader(readers, 9000, "part", (), 0.0, 1.0) is chosen for _ in range(5))
+    chosen.peers = OpenWork(20_000, 2)
+    other = pick_reader(readers, 9000, "part", (), 0.0, 1.0)
+    assert other is not chosen
+    assert pick_reader([chosen], 9000, "part", (), 0.0, 0.1) is None
+
+
+def test_a_decoding_engine_reads_long_prompts_only_while_it_makes_few_tokens():
+    decoder = make_instance("d", Role.DECODE)
+    assert pick_reader([decoder], 9000, "part", (), 0.0, 1.0) is decoder
+    decoder.peers = OpenWork(0, 1)
+    assert pick_reader([decoder], 9000, "part", (), 0.0, 1.0) is None
+
+
+def test_an_engines_speed_is_learned_from_what_it_read():
+    engine = make_instance("p", Role.PREFILL)
+    for _ in range(60):
+        engine.learn(9000, 0.03)
+    assert engine.read_rate == pytest.approx(300_000, rel=0.05)
+    engine.learn(10, 1.0)
+    assert engine.read_rate == pytest.approx(300_000, rel=0.05)
+
+
+def test_repeats_stay_under_the_promise_of_all_hosts_in_every_window():
+    budget = WindowedRetryBudget(0.2, 50, 10.0)
+    budget.hosts = 10
+    taken = []
+    for step in range(4000):
+        now = step / 100
+        budget.note_request(now)
+        if budget.take(now):
+            taken.append(now)
+    for start in range(30):
+        inside = sum(start <= at < start + 10 for at in taken)
+        assert inside <= 0.2 * 1000 + 50 / 10
+    assert len(taken) > 0
+
+
+def test_a_rejected_arrival_that_was_not_asked_for_counts_too():
+    budget = WindowedRetryBudget(0.0, 4 / 0.7, 10.0)
+    for _ in range(4):
+        budget.note_repeat(0.0)
+    assert not budget.take(1.0)
+    assert budget.take(11.0)
+
+
+def test_offered_work_is_an_average_that_fades_and_adds_up_over_hosts():
+    meter = DemandMeter()
+    for step in range(2000):
+        meter.note_arrival("s", "r", 100, step / 100)
+    assert meter.total("s", 20.0).read_tokens == pytest.approx(10_000, rel=0.05)
+    meter.note_peer("other", {"s": Demand(500.0, 3.0)})
+    assert meter.total("s", 60.0) == Demand(pytest.approx(500, abs=5), pytest.approx(3, abs=0.1))
+    meter.forget_peer("other")
+    assert meter.total("s", 200.0).read_tokens < 1
+
+
+def test_peers_work_replaces_what_they_said_before_and_fades_with_their_silence():
+    fleet = Fleet()
+    fleet.put(make_instance("i").record)
+    fleet.note_peer("h", {"i": OpenWork(100, 2)}, 0.0)
+    fleet.note_peer("h", {"i": OpenWork(50, 1), "unknown": OpenWork(1, 1)}, 0.1)
+    assert fleet.instances["i"].peers == OpenWork(50, 1)
+    fleet.expire_peers(5.0)
+    assert fleet.instances["i"].peers == OpenWork(0, 0)
+
+
+def make_route(prefix, host="h", priority=0):
+    from swifttrestle.internal.state.declared import Target
+
+    return Route(prefix, host, prefix, Repeat.IDEMPOTENT, False, False, 1, 1, 0, priority, 1,
+                 (Target("s", 1.0),))  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "found"),
+    [
+        ("h", "/a/x", "/a/"),
+        ("h", "/a/b/x", "/a/b/"),
+        ("H:80", "/a/b/", "/a/b/"),
+        ("h", "/a/bc/x", "/a/"),
+        ("h", "/a", "/"),
+        ("other", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host, path, found):
+    table = RouteTable(Configuration(1, tuple(make_route(p) for p in ("/", "/a/", "/a/b/"))))
+    route = table.find(host, path)
+    assert (route.prefix if route else None) == found
+
+
+def test_the_highest_priority_of_a_service_is_the_urgent_one():
+    low, high = make_route("/a/", priority=1), make_route("/b/", priority=0)
+    table = RouteTable(Configuration(1, (low, high)))
+    assert table.is_urgent(high, "s")
+    assert not table.is_urgent(low, "s")
+
+
+def run_queue(act):
+    asyncio.run(act(AdmissionQueue()))
+
+
+def test_waiters_are_served_by_priority_then_deadline():
+    async def act(queue):
+        served, room = [], []
+
+        def find_for(name):
+            def find():
+                if not room:
+                    return None
+                served.append(name)
+                return room.pop()
+
+            return find
+
+        waits = [
+            asyncio.ensure_future(queue.wait(find_for(name), room.append, priority, deadline, 5))
+            for name, priority, deadline in (("late", 1, 1), ("second", 0, 9), ("first", 0, 2))
+        ]
+        await asyncio.sleep(0)
+        assert len(queue) == 3
+        room.extend([make_instance("i")] * 3)
+        queue.serve()
+        await asyncio.gather(*waits)
+        assert served == ["first", "second", "late"]
+
+    run_queue(act)
+
+
+def test_a_waiter_that_leaves_as_it_is_served_gives_its_place_back():
+    async def act(queue):
+        room, released = [], []
+        find = lambda: room.pop() if room else None  # noqa: E731
+        waiting = asyncio.ensure_future(queue.wait(find, released.append, 0, 1, 5))
+        await asyncio.sleep(0)
+        room.append(make_instance("i"))
+        queue.serve()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert [item.name for item in released] == ["i"]
+
+    run_queue(act)
+
+
+def test_a_waiter_is_told_when_its_time_is_over():
+    async def act(queue):
+        assert await queue.wait(lambda: None, lambda _: None, 0, 1, 0.01) is None
+        assert len(queue) == 0
+
+    run_queue(act)
+
+
+class FakeStore:
+    """One object, with writes that fail as told."""
+
+    def __init__(self):
+        self.spec, self.revision, self.lose = None, 0, ""
+
+    async def get(self, kind, name):
+        if self.spec is None:
+            raise NotFoundError(name)
+        return StoredObject(kind, name, self.revision, self.spec)
+
+    async def create(self, kind, name, spec):
+        if self.spec is not None:
+            raise ConflictError(name)
+        return self._write(kind, name, spec)
+
+    async def replace(self, kind, name, spec, revision):
+        if revision != self.revision:
+            raise ConflictError(name)
+        return self._write(kind, name, spec)
+
+    def _write(self, kind, name, spec):
+        if self.lose == "not done":
+            self.lose = ""
+            raise PlatformUnavailableError("lost")
+        self.spec, self.revision = spec, self.revision + 1
+        if self.lose == "done":
+            self.lose = ""
+            raise PlatformUnavailableError("lost")
+        return StoredObject(kind, name, self.revision, spec)
+
+
+DURATION = 0.05
+
+
+def keep(store, host):
+    keeper = RoleLeaseKeeper(store, "roles", host, 1, DURATION)
+    keeper._wait = DURATION
+    return keeper
+
+
+def test_one_host_holds_the_lease_and_tokens_rise_with_each_holder():
+    async def act():
+        store = FakeStore()
+        first, second = keep(store, "a"), keep(store, "b")
+        assert await first.campaign()
+        assert not await second.campaign()
+        order, _ = await first.record("e1", "prefill")
+        assert (order.number, first.lease.token) == (1, 1)
+        assert not await second.campaign()
+        while not await second.campaign():
+            await asyncio.sleep(0.01)
+        assert second.lease.token == 2
+        assert (await second.record("e1", "decode"))[0].number == 2
+        with pytest.raises(LeaseLostError):
+            await first.record("e1", "prefill")
+        assert first.lease is None
+
+    asyncio.run(act())
+
+
+def test_a_holder_that_writes_keeps_challengers_waiting():
+    async def act():
+        store = FakeStore()
+        first, second = keep(store, "a"), keep(store, "b")
+        assert await first.campaign()
+        for _ in range(4):
+            assert not await second.campaign()
+            await asyncio.sleep(DURATION / 2)
+            await first.record("e", "prefill")
+            second._look_at = 0.0
+        assert not await second.campaign()
+
+    asyncio.run(act())
+
+
+@pytest.mark.parametrize(("lost", "held"), [("done", True), ("not done", False)])
+def test_a_write_without_an_answer_is_read_back(lost, held):
+    async def act():
+        store = FakeStore()
+        keeper = keep(store, "a")
+        assert await keeper.campaign()
+        store.lose = lost
+        if held:
+            order, _ = await keeper.record("e1", "prefill")
+            assert order.number == 1
+        else:
+            with pytest.raises(LeaseLostError):
+                await keeper.record("e1", "prefill")
+
+    asyncio.run(act())
+
+
+def test_an_order_may_leave_only_for_a_moment_after_it_was_written_down():
+    async def act():
+        keeper = keep(FakeStore(), "a")
+        await keeper.campaign()
+        now = asyncio.get_running_loop().time()
+        _, until = await keeper.record("e1", "prefill")
+        assert 0 < until - now <= 0.6
+
+    asyncio.run(act())
--- /dev/null
+++ b/tests/cover/test_platform_adapter.py
@@ -0,0 +1,241 @@
+"""The adapter to the platform: settings, records, headers, datagrams; bad input at each door."""
+
+import copy
+from pathlib import Path
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from swifttrestle.errors import (
+    BadPlatformAnswerError,
+    FrameError,
+    InvalidSettingError,
+    UpstreamBrokenError,
+)
+from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.state.declared import Repeat, Role
+from swifttrestle.platform import wire
+from swifttrestle.platform.engine import read_handle, read_report
+from swifttrestle.platform.records import read_configuration, read_upstream
+from swifttrestle.platform.settings import PATH_VARIABLE, load_host_settings, read_host_settings
+
+SOURCES = Path(__file__).parents[2] / "src" / "swifttrestle"
+GOOD = {
+    "nodeName": "front-1",
+    "ip": "10.1.0.1",
+    "zone": "hall-a",
+    "listen": {"front": "10.1.0.1:8144", "ready": "10.1.0.1:8140"},
+    "internalPorts": [7660, 7675],
+    "seeds": ["10.2.0.1:8146"],
+    "bootstrap": True,
+    "heartbeatMs": 1200,
+    "limits": {"maxFds": 4100},
+    "bounds": {"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "leaseMs": 3000,
+               "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 56},
+    "platform": {"address": "10.200.1.7:8142"},
+    "somethingNew": {"a": 1},
+}  # fmt: skip
+
+
+def test_settings_are_decoded_into_seconds_and_addresses():
+    read = read_host_settings(GOOD)
+    assert read.callers == ("10.1.0.1", 8144)
+    assert read.internal_port == 7660
+    assert read.seeds == (("10.2.0.1", 8146),)
+    assert (read.bounds.drain, read.bounds.stop, read.bounds.lease) == (2.0, 8, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("nodeName", ""),
+        ("nodeName", None),
+        ("ip", 7),
+        ("listen", None),
+        ("listen.front", "nowhere"),
+        ("listen.ready", "10.0.0.1:99999999"),
+        ("internalPorts", []),
+        ("internalPorts", ["x"]),
+        ("seeds", ["nowhere"]),
+        ("platform.address", None),
+        ("bounds.graceS", "long"),
+        ("bounds.budgetRatio", -1),
+        ("limits.maxFds", 0),
+    ],
+)
+def test_a_wrong_setting_is_told_by_its_name(path, value):
+    raw = copy.deepcopy(GOOD)
+    *parents, last = path.split(".")
+    place = raw
+    for parent in parents:
+        place = place[parent]
+    place[last] = value
+    with pytest.raises(InvalidSettingError, match=path.split(".")[-1]):
+        read_host_settings(raw)
+
+
+@pytest.mark.parametrize("path", ["nodeName", "zone", "listen", "bounds", "platform"])
+def test_a_missing_setting_is_told_by_its_name(path):
+    raw = {name: value for name, value in GOOD.items() if name != path}
+    with pytest.raises(InvalidSettingError, match=f"{path} is missing"):
+        read_host_settings(raw)
+
+
+@pytest.mark.parametrize("content", [None, b"", b"{", b"[]"])
+def test_a_file_that_cannot_be_read_is_told_with_its_path(tmp_path, content):
+    path = tmp_path / "node.json"
+    if content is not None:
+        path.write_bytes(content)
+    with pytest.raises(InvalidSettingError):
+        load_host_settings({PATH_VARIABLE: str(path)})
+    with pytest.raises(InvalidSettingError, match=PATH_VARIABLE):
+        load_host_settings({})
+
+
+ROUTE = {"name": "r", "host": "A.Example", "pathPrefix": "/p/", "timeoutMs": 1500, "service": "s"}
+
+
+@pytest.mark.parametrize(
+    ("change", "repeat", "streaming"),
+    [
+        ({"type": "safe"}, Repeat.IDEMPOTENT, False),
+        ({"type": "unsafe"}, Repeat.AT_MOST_ONCE, False),
+        ({"type": "streaming"}, Repeat.AT_MOST_ONCE, True),
+        ({"type": "streaming", "resumable": True}, Repeat.IDEMPOTENT, True),
+        ({"type": "of a later version"}, Repeat.AT_MOST_ONCE, False),
+    ],
+)
+def test_a_route_says_what_may_be_repeated(change, repeat, streaming):
+    (route,) = read_configuration({"version": 3, "routes": [{**ROUTE, **change}]}).routes
+    assert (route.repeat, route.streaming) == (repeat, streaming)
+    assert (route.host, route.timeout, route.objective) == ("a.example", 1.5, 1.5)
+
+
+def test_a_split_route_keeps_its_shares_and_drops_empty_ones():
+    shares = [{"service": "a", "weight": 90}, {"service": "b", "weight": 0}]
+    raw = {"version": 3, "routes": [{**ROUTE, "type": "safe", "backends": shares}]}
+    (route,) = read_configuration(raw).routes
+    assert [(target.service, target.weight) for target in route.targets] == [("a", 90.0)]
+
+
+def test_a_record_says_where_an_upstream_is_and_whether_it_leaves():
+    raw = {"service": "s", "address": "10.0.0.9:80", "zone": "z", "slots": 4, "state": "draining",
+           "phase": "prefill", "seq": 9}  # fmt: skip
+    record = read_upstream("i-1", raw)
+    assert (record.address, record.leaving, record.role) == (("10.0.0.9", 80), True, Role.PREFILL)
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**60), 2**60)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(
+        st.sampled_from(
+            ["version", "routes", "services", "limits", "name", "host", "type", "timeoutMs",
+             "service", "backends", "weight", "engine", "slots", "address", "phase", "kvHandle",
+             "pathPrefix", "seq", "state"]
+        ),
+        inner,
+        max_size=6,
+    ),
+    max_leaves=20,
+)  # fmt: skip
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(JSON)
+def test_whatever_lies_in_the_store_is_read_or_refused_with_a_typed_error(raw):
+    for read in (read_configuration, lambda value: read_upstream("i", value)):
+        try:
+            read(raw)
+        except BadPlatformAnswerError as error:
+            assert "cannot be read" in str(error)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(JSON, st.binary(max_size=40))
+def test_whatever_an_engine_answers_is_read_or_refused_with_a_typed_error(raw, noise):
+    for body in (orjson.dumps(raw, option=orjson.OPT_PASSTHROUGH_SUBCLASS), noise):
+        for read in (read_handle, read_report):
+            try:
+                read(body)
+            except UpstreamBrokenError as error:
+                assert error.code.name == "UPSTREAM_BROKEN"
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.binary(max_size=60))
+def test_whatever_comes_as_a_datagram_is_read_or_refused_with_a_typed_error(noise):
+    try:
+        unpack_report(noise)
+    except FrameError as error:
+        assert error.code.name == "BAD_FRAME"
+
+
+def test_a_report_survives_its_datagram():
+    report = PeerReport(
+        "h", "10.0.0.1", 5, 7, False, True, {"i-1": (900, 2)}, {"s": (10.0, 2.5)}, (("o", "ip"),)
+    )
+    assert unpack_report(pack_report(report)) == report
+
+
+def test_a_large_report_leaves_out_what_peers_can_learn_elsewhere():
+    known = tuple((f"host-{number}", "10.0.0.1") for number in range(100))
+    report = PeerReport("h", "10.0.0.1", 5, 7, False, False, {}, {}, known)
+    assert unpack_report(pack_report(report)).known == ()
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([wire.TOKEN_SIZES, wire.PROMPT_PARTS, wire.DEADLINE, b"Host"]),
+            st.binary(max_size=20),
+        ),
+        max_size=5,
+    )
+)
+def test_whatever_a_caller_sends_in_its_headers_counts_as_given_or_not(headers):
+    facts = wire.read_facts(headers)
+    assert facts.prompt_tokens >= 0
+    assert facts.patience is None or facts.patience >= 0
+
+
+@pytest.mark.parametrize("patience", [b"nan", b"inf", b"-5", b"x"])
+def test_a_deadline_that_is_no_time_is_no_deadline_or_none_left(patience):
+    facts = wire.read_facts([(b"X-Deadline-Ms", patience)])
+    assert facts.patience is None or facts.patience == 0.0
+
+
+def test_nothing_outside_the_adapter_knows_the_platforms_words():
+    words = {value.decode() for name, value in vars(wire).items() if isinstance(value, bytes)}
+    words |= {
+        "nodeName", "budgetRatio", "pathPrefix", "targetLatencyMs", "maxAttempts", "kvHandle",
+        "expectedRev", "fenceToken", "opType", "kvHoldS", "tokenKvBytes", "heartbeatMs",
+        "internalPorts", "waitMs", "hasMore", "pageToken", "draining", "/v1/objects", "/v1/order",
+        "/v1/report", "x-instance-id",
+    }  # fmt: skip
+    words -= {"host"}
+    found = [
+        f"{path.relative_to(SOURCES)}: {word}"
+        for path in sorted(SOURCES.rglob("*.py"))
+        if "platform" not in path.relative_to(SOURCES).parts[:1]
+        and path.relative_to(SOURCES).as_posix() not in OWN_INTERFACE
+        for word in sorted(words)
+        if f'"{word}' in path.read_text().lower() or f'"{word}' in path.read_text()
+    ]
+    assert found == []
+
+
+# The product's own interface to callers and upstreams, which had its names first.
+OWN_INTERFACE = {
+    path.relative_to(SOURCES).as_posix()
+    for folder in ("internal/entry", "internal/protocol")
+    for path in (SOURCES / folder).rglob("*.py")
+    if path.name != "gossip.py"
+}
--- a/tests/hosted/test_callers.py
+++ b/tests/hosted/test_callers.py
@@ -61,21 +61,23 @@
     return run
 
 
+POST = b"POST /a/ HTTP/1.1\r\nHost: x\r\n"
+
 BAD = {
-    "two lengths": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
-    "length and chunked": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+    "two lengths": POST + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+    "length and chunked": POST + b"Content-Length: 5\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b/ HTTP/1.1\r\nHost: x\r\n\r\n",
-    "chunked and length": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    "chunked and length": POST + b"Transfer-Encoding: chunked\r\n"
     b"Content-Length: 5\r\n\r\n0\r\n\r\n",
-    "unknown coding": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
-    "two codings": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-    "signed length": b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na",
+    "unknown coding": POST + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "two codings": POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "signed length": POST + b"Content-Length: +1\r\n\r\na",
     "bare line feeds": b"GET /a/ HTTP/1.1\nHost: x\n\n",
     "bare line feed in head": b"GET /a/ HTTP/1.1\r\nHost: x\nA: b\r\n\r\n",
     "folded header": b"GET /a/ HTTP/1.1\r\nHost: x\r\n y\r\n\r\n",
     "blank before colon": b"GET /a/ HTTP/1.1\r\nHost : x\r\n\r\n",
     "no request": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
-    "bad chunk size": b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "bad chunk size": POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
 }
 
 
@@ -98,7 +100,7 @@
     [
         (b"GET /a/ HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 2000 + b"\r\n\r\n", 431),
         (b"GET /" + b"a" * 2000 + b" HTTP/1.1\r\nHost: x\r\n\r\n", 431),
-        (b"POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n", 413),
+        (POST + b"Content-Length: 3000\r\n\r\n", 413),
         (b"GET /a/ HTTP/1.1\r\nHost: x\r\n", 408),
     ],
 )
@@ -123,7 +125,7 @@
 
 @with_echo
 async def test_a_body_in_chunks_arrives_whole(handler, connections, caller):
-    caller.send(b"POST /a/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+    caller.send(POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
     caller.send(b"2\r\nde\r\n0\r\n\r\n")
     assert (await caller.read_answer()).body == b"abcde"
 
@@ -161,9 +163,7 @@
 
 @with_echo
 async def test_an_expected_continue_is_given(handler, connections, caller):
-    caller.send(
-        b"POST /a/ HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
-    )
+    caller.send(POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
     assert await caller.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
     caller.send(b"a")
     assert (await caller.read_answer()).body == b"a"
