--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -70,6 +70,7 @@
                     await self._watch()
                 self._failures = 0
             except HistoryGoneError:
+                log_decision("configuration history gone", revision=self._revision)
                 self._revision = 0
                 await asyncio.sleep(self._rng.random() * LONGEST_PAUSE / 2)
             except PlatformUnavailableError as error:
@@ -97,6 +98,9 @@
             log_decision("configuration not read", reason=str(error))
 
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
+        # A watch after a cut one may be taken by a store that has forgotten what lay between,
+        # and then hear nothing: only a fresh read tells what is there.
+        self._revision = 0
         self._failures += 1
         if self._failures == 2:
             log_decision("store lost", by="configuration", reason=str(error))
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -127,6 +127,8 @@
             log_decision("store regained", by="discovery")
 
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
+        # As for the configuration, only a fresh list tells what changed behind a cut watch.
+        self._revision = 0
         self._failures += 1
         if self._failures >= FAILURES_FOR_OUTAGE and not self._away:
             self._away = True
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -133,6 +133,11 @@
         for connection in list(self._sets[upstream.instance].open):
             connection.abort()
 
+    def cut_store_connections(self) -> None:
+        """Reset all connections to the store."""
+        for connection in list(self._sets["store"].open):
+            connection.abort()
+
     async def stop(self) -> None:
         """Stop everything."""
         for running in self.gateways.values():
--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -18,11 +18,16 @@
 
 @dataclass
 class StoreFaults:
-    """How the store fails now; `lose_answers` counts writes to do without an answer."""
+    """How the store fails now.
+
+    `lose_answers` counts writes to do without an answer. With `deaf_watches` a watch is taken
+    and hears of no change until its end, when it is told that history is gone.
+    """
 
     down: bool = False
     turned_away: set[str] = field(default_factory=set)
     lose_answers: int = 0
+    deaf_watches: bool = False
 
 
 @dataclass(frozen=True)
@@ -126,12 +131,13 @@
             return 410, {}
         try:
             async with asyncio.timeout(int(asked["waitMs"]) / 1000):
-                while not any(e.revision > since and e.kind == kind for e in self._events):
+                while self.faults.deaf_watches or not self._has_news(kind, since):
                     if self.faults.down:
                         return 503, {}
                     await self._changed.wait()
         except TimeoutError:
-            pass
+            if self.faults.deaf_watches:
+                return 410, {}
         events = [
             {"removed": event.removed, "object": event.item}
             for event in self._events
@@ -139,6 +145,9 @@
         ]
         return 200, {"events": events, "timestamp": self.revision}
 
+    def _has_news(self, kind: str, since: int) -> bool:
+        return any(event.revision > since and event.kind == kind for event in self._events)
+
     def wake(self) -> None:
         """Have waiting watches look again, as after a change of faults."""
         self._changed.set()
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -90,6 +90,22 @@
     await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone instance")
 
 
+@on_site()
+async def test_after_a_cut_watch_the_store_is_read_and_not_only_watched_again(site):
+    # Found on esspa-live, trouble-2: the store had forgotten its history, took the watch that
+    # followed a cut one, and told it nothing for five seconds.
+    site.store.faults.deaf_watches = True
+    site.routes.append({**site.routes[2], "name": "added", "pathPrefix": "/added/"})
+    version = site.declare()
+    leaving = site.upstreams["s0"]
+    site.unlist_upstream(leaving)
+    site.cut_store_connections()
+    async with asyncio.timeout(2):
+        while gateway(site).config_version != version:
+            await asyncio.sleep(0.01)
+    await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone instance")
+
+
 @on_site(gateways=2)
 async def test_a_gateway_that_starts_in_an_outage_serves_by_its_peers_configuration(site):
     site.store.faults.down = True
