--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -31,6 +31,7 @@
     urgent: bool = True
     may_have_run: bool = False
     runs: int = 0
+    lost_reads: int = 0
     arrivals: int = 0
     excluded: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -35,13 +35,16 @@
 # Share of the objective that a prompt may wait behind others at an engine; the rest is for
 # its own reading, the copy of its KV cache and the first token.
 READ_WAIT_SHARE = 0.5
+# Share of what is left that a request whose reading was lost may wait again: it is too late
+# for an early refusal, so a late answer serves its caller better.
+LATE_WAIT_SHARE = 0.3
 # A decoding engine reads a prompt itself where that takes no longer than this, in seconds:
 # less than the two hops and the copy that another engine's reading costs.
 DIRECT_READ_SECONDS = 0.008
 # An engine that has not read a prompt after this many times the predicted time is given up
 # on; no sooner than LEAST_READ_SECONDS.
 READ_PATIENCE = 4.0
-LEAST_READ_SECONDS = 0.4
+LEAST_READ_SECONDS = 1.0
 # Prompt readings of one request, the first included, and attempts to make its tokens.
 MOST_READS = 2
 MOST_DECODES = 3
@@ -122,7 +125,9 @@
             self._release_whole(found[-1])
 
         queue = self._queues[ctx.service.name]
-        longest = ctx.route.objective * WAIT_SHARE - ctx.age if first else 0.0
+        longest = ctx.route.objective * WAIT_SHARE - ctx.age
+        if not first:
+            longest = ctx.left * LATE_WAIT_SHARE
         longest = max(0.0, min(longest, ctx.left))
         waiting = len(queue)
         reader = await queue.wait(find, release, ctx.route.priority, ctx.deadline, longest)
@@ -146,6 +151,8 @@
         if not readers or self._is_short(ctx, engines):
             return self._take(Booking(decoder, decoder, tokens))
         longest = max(0.0, ctx.route.objective * READ_WAIT_SHARE - ctx.age)
+        if ctx.lost_reads:
+            longest = ctx.left * LATE_WAIT_SHARE
         affinity = find_affinity(ctx)
         reader = pick_reader(engines, tokens, affinity, ctx.excluded, now, longest)
         if reader is None:
@@ -224,6 +231,7 @@
         return handle
 
     def _note_lost_reading(self, ctx: Context, reader: Instance, reason: str) -> None:
+        ctx.lost_reads += 1
         ctx.excluded.add(reader.name)
         ctx.note(f"reader {reader.name} failed: {reason}")
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -13,6 +13,10 @@
 # Seconds by which an engine may be worse and still be chosen, for holding part of the prompt
 # or for being near: about one long prompt's reading.
 AFFINITY_SECONDS = 0.02
+# Engines that one prompt chooses between: two bring most of the evenness that more would.
+# Few engines are all in the choice, since a hash over few is uneven.
+CHOICES = 2
+FEW_ENGINES = 6
 # Share of an engine's slots that may be open before it gets no more prompts of its own choice.
 FULL_SHARE = 0.9
 # Share of a decoding engine's slots in use up to which it also reads long prompts.
@@ -77,8 +81,9 @@
     """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
 
     Decoding engines read too, at half the pace, while they make few tokens: each piece that
-    they read holds up all their streams. Of engines that are about as good, the one
-    that the prompt's shared part hashes to is taken, so that equal parts meet their cache.
+    they read holds up all their streams. The choice is between the engines that the prompt's
+    shared part hashes to, so that equal parts meet their cache, and so that hosts which see
+    the same late reports do not all choose the engine that looks idle.
     """
     usable = [
         item
@@ -92,9 +97,11 @@
     allowed = [item for item in usable if item.predict_wait() <= longest_wait]
     if not allowed:
         return None
-    best = min(_predict_read(item, tokens) for item in allowed)
-    close = [item for item in allowed if _predict_read(item, tokens) <= best + AFFINITY_SECONDS]
-    return max(close, key=lambda item: rank(affinity, item.name))
+    ranked = sorted(allowed, key=lambda item: rank(affinity, item.name), reverse=True)
+    first, *others = ranked[: CHOICES if len(ranked) > FEW_ENGINES else len(ranked)]
+    best = min(others, key=lambda item: _predict_read(item, tokens), default=first)
+    gain = _predict_read(first, tokens) - _predict_read(best, tokens)
+    return best if gain > AFFINITY_SECONDS else first
 
 
 def _predict_read(item: Instance, tokens: int) -> float:
