--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -91,6 +91,7 @@
             lease,
             self._fleet,
             self._parts.demand,
+            self._parts.ejector,
             self._parts.pool,
             self._gossip,
             self._find_configuration,
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -7,6 +7,7 @@
 from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.split import RoleChange, plan_change
 from swifttrestle.internal.state.declared import Configuration, EngineTraits, Role
 from swifttrestle.internal.state.demand import DemandMeter
@@ -38,6 +39,8 @@
 SETTLE_SECONDS = 3.0
 # Seconds before an engine that refused an order is looked at again.
 REFUSED_SECONDS = 1.0
+# Seconds for which an engine that could not be asked counts as broken.
+UNREACHED_SECONDS = 5.0
 # Bytes that an engine's answer to a call of the system may have.
 SMALL_ANSWER_BYTES = 64 * 1024
 
@@ -50,6 +53,7 @@
         lease: RoleLeaseKeeper,
         fleet: Fleet,
         demand: DemandMeter,
+        ejector: Ejector,
         pool: ConnectionPool,
         gossip: Gossip,
         find_configuration: Callable[[], Configuration | None],
@@ -58,10 +62,12 @@
         self._lease = lease
         self._fleet = fleet
         self._demand = demand
+        self._ejector = ejector
         self._pool = pool
         self._gossip = gossip
         self._find_configuration = find_configuration
         self._unsettled: dict[str, tuple[float, Role]] = {}
+        self._unreached: dict[str, float] = {}
 
     async def run(self) -> None:
         """Look at the roles for as long as the process lives."""
@@ -96,14 +102,21 @@
             name: (until, role) for name, (until, role) in self._unsettled.items() if until > now
         }
         pending = {name: role for name, (_, role) in self._unsettled.items()}
-        return plan_change(
-            self._fleet.list_service(service), pending, self._demand.total(service, now)
-        )
+        engines = self._fleet.list_service(service)
+        broken = [
+            item.name
+            for item in engines
+            if self._ejector.is_out(item.name, now) or self._unreached.get(item.name, 0.0) > now
+        ]
+        return plan_change(engines, pending, self._demand.total(service, now), broken)
 
     async def _order(self, change: RoleChange, traits: EngineTraits) -> None:
         engine = change.engine
         report = await self._ask(engine)
-        if report is None or report.changing or report.role is change.role:
+        if report is None:
+            self._unreached[engine.name] = asyncio.get_running_loop().time() + UNREACHED_SECONDS
+            return
+        if report.changing or report.role is change.role:
             return
         order, until = await self._lease.record(engine.name, change.role.value)
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -23,7 +23,7 @@
 LENT_SHARE = 0.1
 # Share of a decoding engine's slots kept for the service's most urgent requests, so that long
 # answers of the others never stand before them.
-URGENT_RESERVE = 0.15
+URGENT_RESERVE = 0.06
 
 
 def pick_plain(
--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from swifttrestle.internal.state.declared import Role
@@ -22,7 +22,7 @@
 PLANNED_SHARE = 0.85
 # A split is changed only while its busier side is loaded over this share, and only for one
 # whose busier side is lighter by this factor: a change takes an engine away for seconds.
-BUSY_SHARE = 0.8
+BUSY_SHARE = 0.95
 BETTER_FACTOR = 0.85
 
 
@@ -57,34 +57,47 @@
     return max(decode, read)
 
 
-def find_best_count(engines: Sequence[Instance], current: int, demand: Demand) -> int:
-    """Return how many engines are to make tokens; `current` where no change is worth it."""
+def find_best_count(
+    engines: Sequence[Instance], current: int, demand: Demand, least: int | None = None
+) -> int:
+    """Return how many engines are to make tokens; `current` where no change is worth it.
+
+    `least` is how many do so at least, by default as many as the number of engines asks for.
+    """
     number = len(engines)
+    least = least_decoders(number) if least is None else least
     if demand == Demand():
-        return count_decoders(number)
+        return max(least, count_decoders(number))
     now = measure_load(engines, current, demand) if 0 < current < number else math.inf
-    choices = range(least_decoders(number), number)
+    choices = range(least, number)
     if not choices:
         return current
     best = min(choices, key=lambda count: (measure_load(engines, count, demand), count))
     load = measure_load(engines, best, demand)
-    if current < least_decoders(number) or now == math.inf:
+    if current < least or now == math.inf:
         return best
     return best if now > BUSY_SHARE and load < now * BETTER_FACTOR else current
 
 
 def plan_change(
-    engines: Sequence[Instance], pending: Mapping[str, Role], demand: Demand
+    engines: Sequence[Instance],
+    pending: Mapping[str, Role],
+    demand: Demand,
+    broken: Collection[str] = (),
 ) -> RoleChange | None:
     """Return the next change, or None.
 
     `pending` holds the roles that engines have been ordered to and may not show yet; they
-    count as done, and these engines get no other order.
+    count as done, and these engines get no other order. Engines that are `broken` get none
+    either and bring no capacity; but most are back sooner than another could take their
+    role, so one that makes tokens still counts towards the least number of those.
     """
 
     def role_of(item: Instance) -> Role:
         return pending.get(item.name, item.record.role)
 
+    away = [item for item in engines if item.name in broken and role_of(item) is Role.DECODE]
+    engines = [item for item in engines if item.name not in broken]
     decoders = [item for item in engines if role_of(item) is Role.DECODE]
     readers = [item for item in engines if role_of(item) is Role.PREFILL]
     if not engines:
@@ -93,7 +106,8 @@
     # as answers end.
     held = sum(item.total.requests for item in decoders)
     demand = Demand(demand.read_tokens, max(demand.decode_slots, held))
-    wanted = find_best_count(engines, len(decoders), demand)
+    least = max(1, least_decoders(len(engines) + len(away)) - len(away))
+    wanted = find_best_count(engines, len(decoders), demand, least)
     reason = (
         f"{len(decoders)} of {len(engines)} decode, {wanted} wanted, "
         f"{demand.read_tokens:.0f} tokens/s and {demand.decode_slots:.0f} slots offered"
@@ -106,9 +120,9 @@
 
 
 def _change(
-    group: Sequence[Instance], pending: Mapping[str, Role], role: Role, reason: str
+    group: Sequence[Instance], excluded: Collection[str], role: Role, reason: str
 ) -> RoleChange | None:
-    allowed = [item for item in group if item.name not in pending]
+    allowed = [item for item in group if item.name not in excluded]
     if not allowed:
         return None
     # Zones keep their share: the engine leaves the zone that has most of its role.
