Use an ordered role before the discovery list shows it; tell a wrong role from a replaced engine

The holder now tells peers what it has ordered. A 421 from the instance that was meant says that its role is another one, and no longer removes it.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -76,7 +76,7 @@
         self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
         self._discovery = Discovery(self._store, self._fleet, rng, self._serve_queues)
         self._handler = GatewayHandler(self._parts, lambda: self._configuration.table)
-        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, False, {}, {})
+        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, False, {}, {}, {})
         self._gossip = Gossip(
             me,
             settings.internal_port,
@@ -251,7 +251,7 @@
         instances = {
             name: {
                 "service": item.record.service,
-                "role": item.record.role.value,
+                "role": item.role.value,
                 "leaving": item.record.leaving,
                 "own": vars(item.own),
                 "peers": vars(item.peers),
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, OpenWork
 from swifttrestle.platform.store import ObjectStore
@@ -31,6 +32,9 @@
 # Seconds to wait for the store's own watch before a newer configuration is fetched elsewhere.
 CONFIG_WAIT_SECONDS = 0.15
 FETCH_SECONDS = 1.0
+# Seconds for which peers are told of an order after its engine should have the role: the
+# engine's own record tells it by then, unless the store is away.
+ORDER_TOLD_SECONDS = 10.0
 # Peers that one heartbeat names, so that hosts find each other without the store.
 NAMED_PEERS = 8
 # Bytes that a configuration may have on the stream.
@@ -77,6 +81,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._sent_work: dict[str, OpenWork] = {}
         self._server: asyncio.Server | None = None
+        self._ordered: dict[str, tuple[Role, float]] = {}
         self._fetching: asyncio.Task[None] | None = None
         self.leaving = False
         self.holds_roles = False
@@ -176,6 +181,7 @@
         self._demand.note_peer(
             report.host, {name: Demand(*offered) for name, offered in report.demand.items()}
         )
+        self._take_ordered_roles(report)
         for host, ip in report.known:
             self._learn(host, ip)
         if report.config_version > self._configuration.version:
@@ -234,12 +240,38 @@
                     name: (round(item.read_tokens), round(item.decode_slots, 2))
                     for name, item in self._demand.own(self._now()).items()
                 },
+                self._list_ordered_roles(),
                 self._sample_known() if with_known else (),
             )
         )
         for peer in peers:
             self._transport.sendto(data, (peer.ip, self._port))
 
+    def note_order(self, engine: str, role: Role, ready_at: float) -> None:
+        """Tell all hosts of an order that an engine has taken; `ready_at` in the loop's time."""
+        self._fleet.note_ordered_role(engine, role, ready_at)
+        self._ordered[engine] = (role, ready_at)
+        self._send(self._fleet.own_work(), self._list_live(self._now()), with_known=False)
+
+    def _list_ordered_roles(self) -> dict[str, tuple[str, float]]:
+        now = self._now()
+        self._ordered = {
+            name: (role, ready_at)
+            for name, (role, ready_at) in self._ordered.items()
+            if now < ready_at + ORDER_TOLD_SECONDS
+        }
+        return {
+            name: (role.value, round(max(0.0, ready_at - now), 2))
+            for name, (role, ready_at) in self._ordered.items()
+        }
+
+    def _take_ordered_roles(self, report: PeerReport) -> None:
+        for name, (role, wait) in report.roles.items():
+            try:
+                self._fleet.note_ordered_role(name, Role(role), self._now() + wait)
+            except ValueError:
+                log_decision("role skipped", engine=name, role=role, sender=report.host)
+
     def _sample_known(self) -> tuple[tuple[str, str], ...]:
         live = self._list_live(self._now())
         sample = self._rng.sample(live, min(NAMED_PEERS, len(live)))
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -130,7 +130,10 @@
         settle = traits.role_change_seconds + SETTLE_SECONDS
         if status is None:
             settle = UNANSWERED_SECONDS
-        if status not in (None, 200, 202):
+        if status in (200, 202):
+            ready_at = now + traits.role_change_seconds
+            self._gossip.note_order(engine.name, change.role, ready_at)
+        elif status is not None:
             settle = REFUSED_SECONDS
         self._unsettled[engine.name] = (now + settle, change.role)
         log_decision(
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -147,7 +147,7 @@
         decoder = self._pick_decoder(ctx, engines, self._parts.zone)
         if decoder is None:
             return None
-        readers = any(item.record.role is Role.PREFILL for item in engines)
+        readers = any(item.role is Role.PREFILL for item in engines)
         if not readers or self._is_short(ctx, engines):
             return self._take(Booking(decoder, decoder, tokens))
         longest = max(0.0, ctx.route.objective * READ_WAIT_SHARE - ctx.age)
@@ -168,7 +168,7 @@
 
     def _is_short(self, ctx: Context, engines: list[Instance]) -> bool:
         """Return whether a decoding engine reads the prompt itself as soon as another would."""
-        paces = [item.pace for item in engines if item.record.role is Role.DECODE]
+        paces = [item.pace for item in engines if item.role is Role.DECODE]
         return bool(paces) and ctx.facts.prompt_tokens / max(paces) <= DIRECT_READ_SECONDS
 
     def _note_arrival(self, ctx: Context, now: float) -> None:
@@ -251,7 +251,7 @@
                 )
         except TimeoutError:
             raise UpstreamBrokenError("the prompt was not read in time") from None
-        facts = read_answer_facts(head.status, head.headers)
+        facts = read_answer_facts(head.status, head.headers, reader.name)
         if facts.not_run:
             if facts.replaced:
                 raise UpstreamLeavingError(f"{reader.name} takes no prompts at its address")
@@ -274,7 +274,7 @@
                     source = ""
                     return
                 except UpstreamLeavingError as error:
-                    self._note_wrong_engine(ctx, decoder)
+                    self._parts.note_gone(decoder)
                     reason = str(error)
                 except UpstreamBusyError as error:
                     self._parts.note_refusal(decoder, asyncio.get_running_loop().time())
@@ -295,9 +295,6 @@
             if source:
                 self._free(booking.reader, handle)
 
-    def _note_wrong_engine(self, ctx: Context, engine: Instance) -> None:
-        self._parts.note_refusal(engine, asyncio.get_running_loop().time())
-
     def _next_decoder(self, ctx: Context, relay: EventRelay, reason: str, number: int) -> Instance:
         """Return another engine for the same answer; raise RefusedError where none may run."""
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -50,7 +50,7 @@
     usable = [
         item
         for item in instances
-        if item.record.role is Role.DECODE
+        if item.role is Role.DECODE
         and item.name not in excluded
         and now >= item.role_changing_until
     ]
@@ -91,8 +91,8 @@
         if item.name not in excluded
         and now >= item.refused_until
         and now >= item.role_changing_until
-        and item.record.role is not Role.NONE
-        and not is_full(item, LENT_SHARE if item.record.role is Role.DECODE else FULL_SHARE)
+        and item.role is not Role.NONE
+        and not is_full(item, LENT_SHARE if item.role is Role.DECODE else FULL_SHARE)
     ]
     allowed = [item for item in usable if item.predict_wait() <= longest_wait]
     if not allowed:
--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -94,7 +94,7 @@
     """
 
     def role_of(item: Instance) -> Role:
-        return pending.get(item.name, item.record.role)
+        return pending.get(item.name, item.role)
 
     away = [item for item in engines if item.name in broken and role_of(item) is Role.DECODE]
     engines = [item for item in engines if item.name not in broken]
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -17,8 +17,9 @@
 
     `holds_roles` says that the sender holds the lease on engines' roles. `work` maps an
     upstream instance to its open prompt tokens and requests; `demand` maps a service to the
-    prompt tokens a second and the decode slots that callers offer. `known` are some peers
-    that the sender has heard of late, as pairs of host and IP.
+    prompt tokens a second and the decode slots that callers offer; `roles` maps an engine to
+    the role that the sender has ordered it to and the seconds until it has that. `known` are
+    some peers that the sender has heard of late, as pairs of host and IP.
     """
 
     host: str
@@ -29,6 +30,7 @@
     holds_roles: bool
     work: dict[str, tuple[int, int]]
     demand: dict[str, tuple[float, float]]
+    roles: dict[str, tuple[str, float]]
     known: tuple[tuple[str, str], ...] = ()
 
 
@@ -43,6 +45,7 @@
         report.holds_roles,
         report.work,
         report.demand,
+        report.roles,
         report.known,
     ]
     data: bytes = msgpack.packb(values)
@@ -68,6 +71,7 @@
             bool(holds_roles),
             dict(work),
             dict(offered),
+            dict(roles),
             known,
         ]:
             return PeerReport(
@@ -79,6 +83,7 @@
                 holds_roles,
                 _read_work(work),
                 _read_demand(offered),
+                _read_roles(roles),
                 _read_known(known),
             )
     raise FrameError("a datagram is no report")
@@ -98,6 +103,13 @@
         raise FrameError(f"a report's demand cannot be read: {error!r}") from None
 
 
+def _read_roles(roles: dict[Any, Any]) -> dict[str, tuple[str, float]]:
+    try:
+        return {str(name): (str(role), float(wait)) for name, (role, wait) in roles.items()}
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"a report's roles cannot be read: {error!r}") from None
+
+
 def _read_known(known: Any) -> tuple[tuple[str, str], ...]:
     try:
         return tuple((str(host), str(ip)) for host, ip in known)
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -47,6 +47,7 @@
     peers: OpenWork = NOTHING
     read_rate: float = UNKNOWN_READ_RATE
     refused_until: float = float("-inf")
+    ordered_role: Role | None = None
     role_changing_until: float = float("-inf")
     gone: bool = False
 
@@ -55,6 +56,11 @@
         """The instance's id."""
         return self.record.instance
 
+    @property
+    def role(self) -> Role:
+        """Its role, by the last order where the record does not show that yet."""
+        return self.ordered_role or self.record.role
+
     @property
     def total(self) -> OpenWork:
         """What is open here by all hosts."""
@@ -63,7 +69,7 @@
     @property
     def pace(self) -> float:
         """Prompt tokens that it reads a second in its present role."""
-        share = DECODE_READ_SHARE if self.record.role is Role.DECODE else 1.0
+        share = DECODE_READ_SHARE if self.role is Role.DECODE else 1.0
         return self.read_rate * share
 
     def predict_wait(self) -> float:
@@ -74,7 +80,7 @@
         """Learn the speed from tokens that were read in some time, with all that stood before."""
         if tokens < LEAST_LEARN_TOKENS or seconds <= 0:
             return
-        share = DECODE_READ_SHARE if self.record.role is Role.DECODE else 1.0
+        share = DECODE_READ_SHARE if self.role is Role.DECODE else 1.0
         self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
 
 
@@ -108,11 +114,21 @@
         elif known.record.service != record.service:
             self._services[known.record.service].pop(record.instance, None)
         if known.record.role is not record.role:
+            # The record has caught up with an order, or the engine was started anew.
             known.role_changing_until = float("-inf")
+            known.ordered_role = None
         known.record = record
         self._services[record.service][record.instance] = known
         return True
 
+    def note_ordered_role(self, instance: str, role: Role, ready_at: float) -> None:
+        """Take an engine as changing to a role until `ready_at`, and as in it after that."""
+        known = self.instances.get(instance)
+        if known is None or known.role is role:
+            return
+        known.ordered_role = role
+        known.role_changing_until = ready_at
+
     def remove(self, instance: str) -> bool:
         """Drop an instance; return whether it was known."""
         known = self.instances.pop(instance, None)
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -12,6 +12,7 @@
 EVENT_ID = b"last-event-id"
 DEADLINE = b"x-deadline-ms"
 EXPECTED_INSTANCE = b"x-expect-instance"
+INSTANCE = b"x-instance-id"
 PROMPT_PARTS = b"x-prompt-prefix"
 # The sizes of the prompt and of the longest answer, in tokens, by a comma.
 TOKEN_SIZES = b"x-token-usage"
@@ -148,7 +149,8 @@
 class AnswerFacts:
     """What the head of an upstream's answer proves.
 
-    `replaced` says that another instance, or another role, now answers at the address.
+    `replaced` says that another instance now answers at the address. An engine also answers
+    421 to a request that is not for its role, and names itself.
     """
 
     request_id: bytes
@@ -157,14 +159,17 @@
     replaced: bool
 
 
-def read_answer_facts(status: int, headers: Sequence[Header]) -> AnswerFacts:
-    """Return what an answer proves; only 421 and the explicit header say that nothing ran."""
+def read_answer_facts(status: int, headers: Sequence[Header], expected: str) -> AnswerFacts:
+    """Return what an answer proves; only 421 and the explicit header say that nothing ran.
+
+    `expected` is the instance that the request was meant for.
+    """
     found = {name.lower(): value for name, value in headers}
     return AnswerFacts(
         request_id=found.get(REQUEST_ID, b""),
         signed=ANSWER_SIGNATURE in found,
         not_run=status == _MISDIRECTED or NOT_RUN in found,
-        replaced=status == _MISDIRECTED,
+        replaced=status == _MISDIRECTED and found.get(INSTANCE) != expected.encode(),
     )
 
 
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -145,11 +145,12 @@
         self, name: str, headers: dict[str, str], step: str, request: IncomingRequest, reply: Reply
     ) -> None:
         """Read a prompt, or stream an answer."""
-        if headers.get("x-stage") == "prefill":
-            await self._read(name, headers, reply)
+        reading = headers.get("x-stage") == "prefill"
+        if self.role != ("prefill" if reading else "decode"):
+            await reply.send_whole(421, [(b"X-Instance-Id", self.instance.encode())], b"")
             return
-        if self.role != "decode":
-            await reply.send_whole(421, (), b"")
+        if reading:
+            await self._read(name, headers, reply)
             return
         source = headers.get("x-kv-source", "")
         if source and not fetch_handle(source, name):
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -189,6 +189,35 @@
     asking.cancel()
 
 
+@on_site(gateways=2, engines=("prefill", "prefill", "prefill"))
+async def test_an_ordered_role_is_used_by_all_hosts_before_the_list_shows_it(site):
+    # Found on paharpath-routes, trouble-3: the store went away while an engine changed, and
+    # its record told the old role for five seconds more.
+    for upstream in site.upstreams.values():
+        upstream.on_role_change = None
+    for name in ("g0", "g1"):
+        async with asyncio.timeout(15):
+            while (await ask(door(site, name), "/chat/a", "c", X_Token_Usage=SHORT)).status != 200:
+                await asyncio.sleep(0.05)
+    assert count_roles(site, "decode") == 1
+
+
+@pytest.mark.parametrize("stage", ["prefill", "decode"])
+@on_site(engines=("prefill", "prefill", "decode", "decode"))
+async def test_an_engine_in_another_role_than_listed_is_left_alone_and_not_taken_as_gone(
+    site, stage
+):
+    await wait_until(lambda: count_roles(site, "prefill") == 2, "planned roles")
+    for upstream in site.upstreams.values():
+        if getattr(upstream, "role", "") == stage:
+            upstream.role = "decode" if stage == "prefill" else "prefill"
+            break
+    for number in range(20):
+        answer = await ask(door(site), "/verdict/a", f"v{number}", X_Token_Usage=LONG)
+        assert answer.status == 200
+        assert gateway(site).knows_instance(upstream.instance)
+
+
 def count_roles(site, role):
     return sum(getattr(upstream, "role", "") == role for upstream in site.upstreams.values())
 
