--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,15 @@
 	$(BIN)/python -m pytest tests -n 4 --dist loadgroup
 
 lint: setup
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench deploy
+	$(BIN)/ruff check src tests bench deploy
 	$(BIN)/mypy
 
 check: lint test
 
 demo: setup
 	$(BIN)/python -m swifttrestle_standins.demo $(ARGS)
+	$(BIN)/python -m swifttrestle_standins.hosted.demo
 
 bench: setup
 	$(BIN)/python -m bench
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -28,6 +28,8 @@
 # Answers up to this size, in bytes, are read whole before the first byte goes to the caller,
 # so that a broken one can be tried again or be told as such.
 WHOLE_ANSWER_BYTES = 64 * 1024
+# Bytes to which an answer of unknown length is gathered.
+LARGEST_GATHERED_ANSWER = 64 * WHOLE_ANSWER_BYTES
 FIRST_ERROR_STATUS = 500
 LARGEST_SMALL_ANSWER = 64 * 1024
 
@@ -114,8 +116,9 @@
 
 
 async def _send_whole(ctx: Context, head: AnswerHead, body: Body) -> None:
-    content = await body.read_whole(ctx_limit(head))
+    content = await body.read_whole(max(head.length, LARGEST_GATHERED_ANSWER))
     headers = strip_answer_headers(head.headers)
+    ctx.note_first_byte()
     if head.framing is Framing.NONE:
         await ctx.reply.start(head.status, headers, Framing.NONE, 0)
         await ctx.reply.end()
@@ -123,11 +126,6 @@
     await ctx.reply.send_whole(head.status, headers, content)
 
 
-def ctx_limit(head: AnswerHead) -> int:
-    """Return the most bytes that an answer of unknown length is gathered to."""
-    return max(head.length, 64 * WHOLE_ANSWER_BYTES)
-
-
 async def _stream_answer(ctx: Context, head: AnswerHead, body: Body) -> None:
     headers = strip_answer_headers(head.headers)
     await ctx.reply.start(head.status, headers, head.framing, head.length)
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -32,6 +32,7 @@
     may_have_run: bool = False
     runs: int = 0
     lost_reads: int = 0
+    first_byte: float | None = None
     arrivals: int = 0
     excluded: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
@@ -51,6 +52,11 @@
         """Seconds since the request was read."""
         return asyncio.get_running_loop().time() - self.request.received
 
+    def note_first_byte(self) -> None:
+        """Keep the request's age at the first byte of its answer."""
+        if self.first_byte is None:
+            self.first_byte = self.age
+
     def note(self, step: str) -> None:
         """Keep a decision, with the request's age in milliseconds, for its log line."""
         self.steps.append(f"{self.age * 1000:.0f}:{step}")
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -134,6 +134,7 @@
         if reader is None:
             raise self._refuse_for_load(ctx, waiting)
         booking = found[-1]
+        self._parts.metrics.observe("gateway_queue_seconds", ctx.age)
         ctx.note(
             f"reader {booking.reader.name} wait={booking.reader.predict_wait() * 1000:.0f}ms "
             f"decoder {booking.decoder.name} open={booking.decoder.total.requests}"
@@ -226,7 +227,9 @@
             return None
         finally:
             self._release(reader, OpenWork(booking.tokens, 1))
-        reader.learn(ahead, loop.time() - began)
+        seconds = loop.time() - began
+        reader.learn(ahead, seconds)
+        self._parts.metrics.observe("gateway_read_seconds", seconds)
         ctx.note(f"read {handle.tokens} tokens")
         return handle
 
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -37,6 +37,7 @@
             await self._pass_whole_events(ctx, body)
         else:
             async for chunk in body.chunks():
+                ctx.note_first_byte()
                 await ctx.reply.send(chunk)
         await ctx.reply.end()
 
@@ -57,6 +58,7 @@
                 whole = pending[: end + len(_END_OF_EVENT)]
                 pending = pending[end + len(_END_OF_EVENT) :]
                 self._note_ids(whole)
+                ctx.note_first_byte()
                 await ctx.reply.send(whole)
         if pending:
             raise UpstreamBrokenError("the stream ended inside an event", sent=True)
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -137,7 +137,14 @@
     def _log(self, request: IncomingRequest, ctx: Context | None, code: Code, outcome: str) -> None:
         now = asyncio.get_running_loop().time()
         route = ctx.route.name if ctx else ""
-        self._parts.metrics.count("gateway_requests_total", route=route, code=code.name)
+        kind = ("stream" if ctx.route.streaming else "plain") if ctx else "none"
+        metrics = self._parts.metrics
+        metrics.count("gateway_requests_total", route=route, code=code.name)
+        metrics.observe(
+            "gateway_request_seconds", now - request.received, kind=kind, code=code.name
+        )
+        if ctx is not None and ctx.first_byte is not None:
+            metrics.observe("gateway_first_byte_seconds", ctx.first_byte, kind=kind)
         log_decision(
             "request",
             id=request.head.find(REQUEST_ID).decode("latin-1"),
--- a/src/swifttrestle/internal/metrics.py
+++ b/src/swifttrestle/internal/metrics.py
@@ -11,6 +11,9 @@
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.formats import text
 
+# Upper bounds of the latency buckets, in seconds: from one hop to the longest deadlines.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -29,6 +32,15 @@
         with self._lock:
             self._counts[key] += amount
 
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Count a duration in each bucket that holds it, in the usual form of a histogram."""
+        for bound in BUCKETS:
+            if seconds <= bound:
+                self.count(f"{name}_bucket", 1, le=f"{bound:g}", **labels)
+        self.count(f"{name}_bucket", 1, le="+Inf", **labels)
+        self.count(f"{name}_sum", seconds, **labels)
+        self.count(f"{name}_count", 1, **labels)
+
     def add_gauge(self, name: str, doc: str, read: Callable[[], float]) -> None:
         """Show the value of a function on the page."""
         self._gauges[name] = (doc, read)
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -54,6 +54,7 @@
     gateway: Gateway
     settings: HostSettings
     task: asyncio.Task[None]
+    metrics_address: tuple[str, int]
 
 
 @dataclass
@@ -117,8 +118,10 @@
         """Start a gateway on a loopback address of its own."""
         ip = f"127.0.0.{number + 1}"
         settings = read_host_settings(self._make_settings(name, ip, zone))
-        gateway = Gateway(settings, metrics_port=pick_port(ip))
-        running = RunningGateway(gateway, settings, asyncio.ensure_future(gateway.run()))
+        port = pick_port(ip)
+        gateway = Gateway(settings, metrics_port=port)
+        task = asyncio.ensure_future(gateway.run())
+        running = RunningGateway(gateway, settings, task, (ip, port))
         self.gateways[name] = running
         return running
 
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -215,3 +215,28 @@
         return answer.status == 503 or answer.body == make_stream(name)
 
     assert all(await asyncio.gather(*(one(number) for number in range(120))))
+
+
+@on_site()
+async def test_latencies_and_results_are_on_the_metrics_page(site):
+    await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
+    await ask(door(site), "/nothing/a", "x1")
+    address = site.gateways["g0"].metrics_address
+    page = (await ask(address, "/metrics", "m1", method="GET")).body.decode()
+    for line in (
+        'swifttrestle_gateway_requests_total{code="OK",route="verdict"} 1',
+        'swifttrestle_gateway_requests_total{code="UNKNOWN_SERVICE",route=""} 1',
+        'swifttrestle_gateway_first_byte_seconds_count{kind="stream"} 1',
+        'swifttrestle_gateway_read_seconds_bucket{le="+Inf"} 1',
+        "swifttrestle_config_version 3",
+        "swifttrestle_live_hosts 1",
+    ):
+        assert line in page, line
+    state = await ask(address, "/debug/state", "d1", method="GET")
+    assert b'"instances"' in state.body
+
+
+def test_the_demo_of_the_hosted_path_ends_well():
+    from swifttrestle_standins.hosted import demo
+
+    assert asyncio.run(demo.run()) == 0
