--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -121,6 +121,7 @@
 
     def _note_answer(self) -> None:
         self._failures = 0
+        self._fleet.confirmed_at = self._now()
         if self._away:
             self._away = False
             self._trust_after = self._now() + RETURN_SECONDS
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -88,6 +88,25 @@
     return head, body
 
 
+async def make_attempt(
+    ctx: Context, pool: ConnectionPool, plan: AttemptPlan, relay: EventRelay | None = None
+) -> None:
+    """Make one attempt, and keep in the context whether the request may have run.
+
+    Raises what `deliver` raises. Where the caller leaves, the request counts as having run.
+    """
+    before = ctx.may_have_run
+    ctx.may_have_run = True
+    try:
+        await deliver(ctx, pool, plan, relay)
+    except (UpstreamBusyError, UpstreamLeavingError):
+        ctx.may_have_run = before
+        raise
+    except UpstreamBrokenError as error:
+        ctx.may_have_run = before or error.sent
+        raise
+
+
 async def deliver(
     ctx: Context, pool: ConnectionPool, plan: AttemptPlan, relay: EventRelay | None = None
 ) -> None:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -12,7 +12,7 @@
     UpstreamBusyError,
     UpstreamLeavingError,
 )
-from swifttrestle.internal.forward.attempt import AttemptPlan, build_request, deliver
+from swifttrestle.internal.forward.attempt import AttemptPlan, build_request, make_attempt
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
@@ -202,7 +202,11 @@
         seconds = soonest + waiting * mean
         retry = min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, seconds))
         retry *= 0.75 + 0.5 * self._parts.rng.random()
-        return ctx.refuse(Code.OVERLOADED, f"{waiting} wait for an engine", retry)
+        reason = (
+            f"no engine has room: {waiting} wait, {len(engines)} engines, "
+            f"soonest free in {soonest * 1000:.0f} ms"
+        )
+        return ctx.refuse(Code.OVERLOADED, reason, retry)
 
     # The prompt.
 
@@ -324,17 +328,8 @@
             kv_source=source,
             last_event=relay.last_event,
         )
-        before = ctx.may_have_run
         began = asyncio.get_running_loop().time()
-        ctx.may_have_run = True
-        try:
-            await deliver(ctx, self._parts.pool, AttemptPlan(decoder, added, patience), relay)
-        except (UpstreamBusyError, UpstreamLeavingError):
-            ctx.may_have_run = before
-            raise
-        except UpstreamBrokenError as error:
-            ctx.may_have_run = before or error.sent
-            raise
+        await make_attempt(ctx, self._parts.pool, AttemptPlan(decoder, added, patience), relay)
         now = asyncio.get_running_loop().time()
         self._parts.demand.note_hold(ctx.route.name, now - began)
         self._parts.ejector.note_success(decoder.name, now)
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -22,6 +22,8 @@
 UNCONFIGURED_RETRY_SECONDS = 0.5
 # Seconds after which a caller that a stopping host refused may come back, to another host.
 STOPPING_RETRY_SECONDS = 0.05
+# Age in seconds that the log shows for a discovery list that was never confirmed.
+LONGEST_AGE = 9999.0
 # Seconds before the deadline at which a request is given up, so that its final answer is
 # there in time.
 ANSWER_MARGIN_SECONDS = 0.01
@@ -150,6 +152,7 @@
             id=request.head.find(REQUEST_ID).decode("latin-1"),
             route=route,
             config=ctx.config_version if ctx else 0,
+            list_age=round(min(now - self._parts.fleet.confirmed_at, LONGEST_AGE), 1),
             code=code.name,
             outcome=outcome,
             tokens=[ctx.facts.prompt_tokens, ctx.facts.output_tokens] if ctx else None,
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -4,7 +4,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import UpstreamBrokenError, UpstreamBusyError, UpstreamLeavingError
-from swifttrestle.internal.forward.attempt import AttemptPlan, FailedByUpstreamError, deliver
+from swifttrestle.internal.forward.attempt import AttemptPlan, FailedByUpstreamError, make_attempt
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
@@ -81,17 +81,9 @@
         )
         relay = EventRelay(ctx.route.resumable, patience) if ctx.route.streaming else None
         instance.own = instance.own.plus(ONE)
-        before = ctx.may_have_run
-        ctx.may_have_run = True
         try:
-            await deliver(ctx, self._parts.pool, plan, relay)
+            await make_attempt(ctx, self._parts.pool, plan, relay)
             self._parts.ejector.note_success(instance.name, asyncio.get_running_loop().time())
-        except (UpstreamBusyError, UpstreamLeavingError):
-            ctx.may_have_run = before
-            raise
-        except UpstreamBrokenError as error:
-            ctx.may_have_run = before or error.sent
-            raise
         finally:
             instance.own = instance.own.minus(ONE)
 
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -96,6 +96,8 @@
     def __init__(self) -> None:
         """Start with none."""
         self.instances: dict[str, Instance] = {}
+        # The loop's time at which the discovery list was last confirmed.
+        self.confirmed_at = float("-inf")
         self._services: dict[str, dict[str, Instance]] = defaultdict(dict)
         self._peers: dict[str, _PeerWork] = {}
 
