--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -61,11 +61,19 @@
 class Gateway:
     """All parts of one process."""
 
-    def __init__(self, settings: HostSettings, metrics_port: int = METRICS_PORT) -> None:
-        """Put the parts together; `run` starts them."""
+    def __init__(
+        self,
+        settings: HostSettings,
+        metrics_port: int = METRICS_PORT,
+        incarnation: int | None = None,
+    ) -> None:
+        """Put the parts together; `run` starts them.
+
+        The incarnation tells this start from others of the same host, by default by the time.
+        """
         self._settings = settings
         self._metrics_port = metrics_port
-        incarnation = time.time_ns()
+        incarnation = incarnation or time.time_ns()
         rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
         self._metrics = Metrics()
@@ -86,7 +94,14 @@
             rng,
             self._note_peers,
         )
-        lease = RoleLeaseKeeper(self._store, "roles", settings.host, incarnation, bounds.lease)
+        lease = RoleLeaseKeeper(
+            # Another machine of the same name is another holder.
+            self._store,
+            "roles",
+            f"{settings.host}@{settings.ip}",
+            incarnation,
+            bounds.lease,
+        )
         self._roles = RoleDuty(
             lease,
             self._fleet,
@@ -217,12 +232,24 @@
     def reload(self) -> None:
         """Read the settings file again."""
         try:
-            load_host_settings()
+            settings = load_host_settings()
             log_decision("settings read again", source="signal or changed file")
+            self._apply(settings)
         except InvalidSettingError as error:
             # The process goes on with the settings that it has.
             log_decision("settings not taken", reason=str(error))
 
+    def _apply(self, settings: HostSettings) -> None:
+        """Take over what may change while running: the bounds of repeats, and the seeds.
+
+        Addresses cannot change under open connections; they count from the next start.
+        """
+        if settings.callers != self._settings.callers or settings.store != self._settings.store:
+            log_decision("settings kept", names=["listen", "platform"], reason="need a restart")
+        bounds = settings.bounds
+        self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window)
+        self._gossip.add_seeds([seed[0] for seed in settings.seeds])
+
     async def _watch_file(self) -> None:
         """Notice a changed settings file that no signal told of."""
         path = find_settings_path()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -92,8 +92,13 @@
         address = (self._me.ip, self._port)
         self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
         self._server = await asyncio.start_server(self._serve_stream, *address)
+        self.add_seeds(seeds)
+
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Greet hosts by their IPs alone; their answers tell who they are."""
+        known = {peer.ip for peer in self._peers.values()}
         for ip in seeds:
-            if ip != self._me.ip:
+            if ip != self._me.ip and ip not in known:
                 self._peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
 
     def live_hosts(self) -> list[str]:
@@ -194,7 +199,10 @@
     def _note(self, report: PeerReport) -> None:
         self._peers.pop(f"seed {report.ip}", None)
         peer = self._peers.setdefault(report.host, Peer(report.host, report.ip))
-        if report.incarnation < peer.incarnation:
+        live = self._now() - peer.heard_at < SILENCE_SECONDS
+        if report.incarnation < peer.incarnation and live:
+            # A late datagram of an earlier start. A peer that has been silent may have come
+            # back with a lower number: the time of day, which it is taken from, can jump.
             return
         peer.ip, peer.incarnation = report.ip, report.incarnation
         peer.leaving = report.leaving
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -86,9 +86,12 @@
             return
         # The lease is held before it is needed: a takeover waits for seconds, in which the
         # last decoding engine may leave and the store may go away.
+        before = self._gossip.holds_roles
         self._gossip.holds_roles = await self._lease.campaign()
         if not self._gossip.holds_roles:
             return
+        if not before:
+            self._take_over_orders()
         for service in configuration.services.values():
             if service.engine is None:
                 continue
@@ -96,6 +99,21 @@
             if change is not None:
                 await self._order(change, service.engine)
 
+    def _take_over_orders(self) -> None:
+        """Count the last order of each engine as open where its role does not show it.
+
+        A former holder wrote it down and may have sent it; it may still be carried out.
+        """
+        assert self._lease.lease is not None
+        until = asyncio.get_running_loop().time() + UNANSWERED_SECONDS
+        for order in self._lease.lease.orders:
+            engine = self._fleet.instances.get(order.engine)
+            if engine is None:
+                continue
+            self._unsettled.pop(order.engine, None)
+            if engine.role.value != order.role:
+                self._unsettled[order.engine] = (until, Role(order.role))
+
     def _plan(self, service: str) -> RoleChange | None:
         now = asyncio.get_running_loop().time()
         self._unsettled = {
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -29,6 +29,12 @@
     hosts: int = 1
     _services: dict[str, WindowedRetryBudget] = field(default_factory=dict)
 
+    def change(self, share: float, extra: float, window: float) -> None:
+        """Put other bounds in force; what was counted under the same ones stays."""
+        if (share, extra, window) != (self.share, self.extra, self.window):
+            self.share, self.extra, self.window = share, extra, window
+            self._services.clear()
+
     def find(self, service: str) -> WindowedRetryBudget:
         """Return a service's budget."""
         budget = self._services.get(service)
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -114,12 +114,14 @@
         self.store.put("config", "main", spec)
         return self._version
 
-    async def add_gateway(self, name: str, number: int, zone: str = "hall-a") -> RunningGateway:
+    async def add_gateway(
+        self, name: str, number: int, zone: str = "hall-a", incarnation: int | None = None
+    ) -> RunningGateway:
         """Start a gateway on a loopback address of its own."""
         ip = f"127.0.0.{number + 1}"
         settings = read_host_settings(self._make_settings(name, ip, zone))
         port = pick_port(ip)
-        gateway = Gateway(settings, metrics_port=port)
+        gateway = Gateway(settings, metrics_port=port, incarnation=incarnation)
         task = asyncio.ensure_future(gateway.run())
         running = RunningGateway(gateway, settings, task, (ip, port))
         self.gateways[name] = running
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -117,7 +117,10 @@
         self.events = 4
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
+        # Orders that arrived, and those that were carried out.
+        self.arrived_orders: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
+        self.apply_orders = True
         self.on_role_change: Any = None
         self.answer_orders = True
         self._numbers = itertools.count(1)
@@ -197,6 +200,11 @@
 
     async def _order(self, request: IncomingRequest, reply: Reply) -> None:
         order = orjson.loads(await request.body.read_whole(BODY_LIMIT))
+        self.arrived_orders.append(order)
+        if not self.apply_orders:
+            # As an engine that would carry it out seconds later, without an answer.
+            reply.abort()
+            return
         if order.get("expectedRev") not in (None, len(self.orders)):
             await reply.send_whole(409, (), b"")
             return
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -163,6 +163,38 @@
     assert len(recorded) == 4
 
 
+@on_site(gateways=2, engines=("decode",) * 3)
+async def test_a_new_holder_counts_the_orders_that_the_former_one_left_open(site):
+    for upstream in site.upstreams.values():
+        upstream.apply_orders = False
+
+    def orders():
+        return [o for u in site.upstreams.values() for o in getattr(u, "arrived_orders", ())]
+
+    await wait_until(lambda: len(orders()) == 2, "two orders")
+    holder = next(name for name in site.gateways if orders()[0]["holder"].startswith(name))
+    other = "g1" if holder == "g0" else "g0"
+    site.gateways[holder].task.cancel()
+
+    def held_by_other():
+        return site.store.objects["swifttrestle-leases", "roles"]["spec"]["holder"].startswith(
+            other
+        )
+
+    await wait_until(held_by_other, "takeover")
+    await asyncio.sleep(1.5)
+    assert len(orders()) == 2
+
+
+@on_site(gateways=2)
+async def test_a_host_that_comes_back_with_an_earlier_clock_is_heard(site):
+    await wait_until(lambda: len(gateway(site, "g1").live_hosts()) == 2, "two hosts")
+    site.gateways["g0"].task.cancel()
+    await wait_until(lambda: gateway(site, "g1").live_hosts() == ["g1"], "its silence")
+    await site.add_gateway("g0", 0, incarnation=1)
+    await wait_until(lambda: len(gateway(site, "g1").live_hosts()) == 2, "two hosts again")
+
+
 @pytest.mark.parametrize("listed", [True, False])
 @on_site(engines=("prefill", "prefill", "prefill", "decode"))
 async def test_the_last_decoding_engine_is_replaced_by_one_that_can_be_reached(site, listed):
