--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -95,11 +95,6 @@
     )
 
 
-def list_setting_names() -> list[str]:
-    """Return the names of the decoded settings, for the docs."""
-    return [item.name for item in fields(HostSettings)]
-
-
 class _Table:
     """One JSON object with checked access; errors name the field, its value and the mend."""
 
