--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -134,6 +134,10 @@
     code = Code.UPSTREAM_BROKEN
 
 
+class FailedByUpstreamError(UpstreamBrokenError):
+    """A repeatable request ran and failed at its upstream; another one may do better."""
+
+
 class CrossedAnswerError(UpstreamBrokenError):
     """The upstream answered another request's id, attempt or offset."""
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -23,8 +23,8 @@
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.pages import Page, PageHandler
 from swifttrestle.internal.protocol.gossip import PeerReport
-from swifttrestle.internal.readiness import Page, PageHandler
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.transport.caller import (
@@ -41,6 +41,7 @@
 from swifttrestle.platform.store import ObjectStore
 
 EXIT_BAD_SETTING = 2
+# The port that deploy/system.toml names to the platform.
 METRICS_PORT = 9464
 READY_PATH = b"/v1/ready"
 # Connections that may wait to be accepted.
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -179,9 +179,7 @@
 
     async def _send(self, engine: Instance, order: RoleOrder) -> int | None:
         content = write_order(order)
-        body = Body()
-        body.feed(content)
-        body.end()
+        body = Body.from_bytes(content)
         headers = [*name_engine(engine.name), (b"Content-Type", b"application/json")]
         request = OutgoingRequest(b"POST", ORDER_PATH, headers, Framing.LENGTH, len(content), body)
         answer = await self._call(engine, request)
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -5,6 +5,7 @@
 
 from swifttrestle.errors import (
     CrossedAnswerError,
+    FailedByUpstreamError,
     UpstreamBrokenError,
     UpstreamBusyError,
     UpstreamLeavingError,
@@ -34,10 +35,6 @@
 LARGEST_SMALL_ANSWER = 64 * 1024
 
 
-class FailedByUpstreamError(UpstreamBrokenError):
-    """A repeatable request ran and failed at its upstream; another one may do better."""
-
-
 @dataclass(frozen=True)
 class AttemptPlan:
     """How one attempt is made; `patience` bounds the wait for the answer's head, in seconds."""
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -3,8 +3,13 @@
 import asyncio
 
 from swifttrestle.codes import Code
-from swifttrestle.errors import UpstreamBrokenError, UpstreamBusyError, UpstreamLeavingError
-from swifttrestle.internal.forward.attempt import AttemptPlan, FailedByUpstreamError, make_attempt
+from swifttrestle.errors import (
+    FailedByUpstreamError,
+    UpstreamBrokenError,
+    UpstreamBusyError,
+    UpstreamLeavingError,
+)
+from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -69,6 +69,14 @@
         self._more = asyncio.Event()
         self.resume_reading = _do_nothing
 
+    @classmethod
+    def from_bytes(cls, content: bytes) -> "Body":
+        """Return a body that is whole from the start."""
+        body = cls()
+        body.feed(content)
+        body.end()
+        return body
+
     @property
     def complete(self) -> bool:
         """Whether the whole body has arrived."""
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -22,9 +22,7 @@
 class Bounds:
     """The promised bounds that this program acts on; all in seconds but the retry figures."""
 
-    drain: float
     stop: float
-    config_apply: float
     lease: float
     retry_share: float
     retry_window: float
@@ -43,9 +41,6 @@
     internal_port: int
     seeds: tuple[Address, ...]
     store: Address
-    first_start: bool
-    heartbeat: float
-    max_files: int
     bounds: Bounds
 
 
@@ -67,26 +62,20 @@
     """Return the settings of the file's values; fields that are not known are passed over."""
     table = _Table(raw, "")
     listen = table.table("listen")
-    callers = listen.address("front")
     bounds = table.table("bounds")
     return HostSettings(
         host=table.text("nodeName"),
         ip=table.text("ip"),
         zone=table.text("zone"),
-        callers=callers,
+        callers=listen.address("front"),
         readiness=listen.address("ready"),
         internal_port=table.first_port("internalPorts"),
         # The file names the control address of each seed; only the host part serves here,
         # since peers talk on the internal ports, which are alike on all hosts.
         seeds=tuple(table.addresses("seeds")),
         store=table.table("platform").address("address"),
-        first_start=bool(table.get("bootstrap", False)),
-        heartbeat=table.number("heartbeatMs", 1, LONGEST_MS) / 1000,
-        max_files=int(table.table("limits").number("maxFds", 1, 1 << 30)),
         bounds=Bounds(
-            drain=bounds.number("drainMs", 0, LONGEST_MS) / 1000,
             stop=bounds.number("graceS", 0, LONGEST_MS / 1000),
-            config_apply=bounds.number("configApplyMs", 0, LONGEST_MS) / 1000,
             lease=bounds.number("leaseMs", 0, LONGEST_MS) / 1000,
             retry_share=bounds.number("budgetRatio", 0, 100),
             retry_window=bounds.number("budgetWindowS", 0.1, LONGEST_MS / 1000),
@@ -104,9 +93,6 @@
         self._raw = raw
         self._path = path
 
-    def get(self, name: str, default: Any) -> Any:
-        return self._raw.get(name, default)
-
     def table(self, name: str) -> "_Table":
         return _Table(self._find(name), self._path + name + ".")
 
@@ -123,7 +109,7 @@
         return self._check(name, split_address)
 
     def addresses(self, name: str) -> list[Address]:
-        value = self.get(name, [])
+        value = self._raw.get(name, [])
         return self._wrap(name, lambda: [split_address(item) for item in value])
 
     def first_port(self, name: str) -> int:
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -162,9 +162,7 @@
         if body is None:
             return OutgoingRequest(method, path.encode(), headers, Framing.NONE, 0, None)
         content = orjson.dumps(body)
-        sent = Body()
-        sent.feed(content)
-        sent.end()
+        sent = Body.from_bytes(content)
         headers.append((b"Content-Type", b"application/json"))
         return OutgoingRequest(method, path.encode(), headers, Framing.LENGTH, len(content), sent)
 
--- a/src/swifttrestle_standins/hosted/demo.py
+++ b/src/swifttrestle_standins/hosted/demo.py
@@ -54,8 +54,7 @@
 
 async def ask(site: Site, host: str, path: str, tokens: str, request_id: str) -> bytes:
     """Send one request through a host's gateway and return the whole body."""
-    body = Body()
-    body.end()
+    body = Body.from_bytes(b"")
     headers = [(b"Host", b"site.example"), (b"X-Request-Id", request_id.encode())]
     if tokens:
         headers.append((b"X-Token-Usage", tokens.encode()))
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -44,7 +44,7 @@
     assert read.callers == ("10.1.0.1", 8144)
     assert read.internal_port == 7660
     assert read.seeds == (("10.2.0.1", 8146),)
-    assert (read.bounds.drain, read.bounds.stop, read.bounds.lease) == (2.0, 8, 3.0)
+    assert (read.bounds.stop, read.bounds.lease, read.bounds.retry_extra) == (8, 3.0, 56)
 
 
 @pytest.mark.parametrize(
@@ -62,7 +62,6 @@
         ("platform.address", None),
         ("bounds.graceS", "long"),
         ("bounds.budgetRatio", -1),
-        ("limits.maxFds", 0),
     ],
 )
 def test_a_wrong_setting_is_told_by_its_name(path, value):
