--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -54,7 +54,13 @@
 FREE_SECONDS = 1.0
 # Bounds of the time to come back, in seconds.
 LEAST_RETRY_AFTER = 0.05
-MOST_RETRY_AFTER = 0.5
+# Seconds after which a caller may come back where no engine is listed: about one heartbeat.
+NO_ENGINE_RETRY_AFTER = 0.5
+MOST_RETRY_AFTER = 3.0
+# Callers wait as told up to a third of the time that they have left; a little less is asked.
+HONOURED_SHARE = 0.32
+# Share of the longest time to come back at which the first of the refused callers returns.
+SOONEST_RETURN = 0.6
 SMALL_ANSWER_BYTES = 64 * 1024
 
 
@@ -196,18 +202,25 @@
     def _refuse_for_load(self, ctx: Context, waiting: int) -> RefusedError:
         engines = self._parts.fleet.list_service(ctx.service.name)
         if not engines:
-            return ctx.refuse(Code.NO_UPSTREAM, "no engine is listed", MOST_RETRY_AFTER)
+            return ctx.refuse(Code.NO_UPSTREAM, "no engine is listed", NO_ENGINE_RETRY_AFTER)
         soonest = min(item.predict_wait() for item in engines)
-        mean = ctx.facts.prompt_tokens / sum(item.pace for item in engines)
-        seconds = soonest + waiting * mean
-        retry = min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, seconds))
-        retry *= 0.75 + 0.5 * self._parts.rng.random()
+        retry = self._choose_retry_after(ctx, soonest)
         reason = (
             f"no engine has room: {waiting} wait, {len(engines)} engines, "
             f"soonest free in {soonest * 1000:.0f} ms"
         )
         return ctx.refuse(Code.OVERLOADED, reason, retry)
 
+    def _choose_retry_after(self, ctx: Context, soonest: float) -> float:
+        """Return when a caller that was refused for load is to come back, in seconds.
+
+        Engines that are full now stay so for as long as the swing lasts, so the later a caller
+        comes back the better it fares. Those that are refused together come back apart.
+        """
+        longest = min(HONOURED_SHARE * ctx.left, MOST_RETRY_AFTER)
+        spread = SOONEST_RETURN + (1 - SOONEST_RETURN) * self._parts.rng.random()
+        return max(LEAST_RETRY_AFTER, soonest, longest * spread)
+
     # The prompt.
 
     async def _read_prompt(self, ctx: Context, booking: Booking) -> KvHandle | None:
