Blame no upstream for a caller's broken request; show a fault of the program to its caller

Found by reading: three malformed bodies left an instance out for two seconds, and an error outside the known ones ended a connection's task in silence. Both tests fail first.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -150,6 +150,10 @@
         """Return whether an upstream's instance is in use."""
         return name in self._fleet.instances
 
+    def is_left_out(self, name: str) -> bool:
+        """Return whether an instance is left out as broken now."""
+        return self._parts.ejector.is_out(name, asyncio.get_running_loop().time())
+
     def count_open_work(self) -> int:
         """Return this host's open requests at all upstreams."""
         return sum(item.own.requests for item in self._fleet.instances.values())
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -239,7 +239,7 @@
             self._note_lost_reading(ctx, reader, str(error))
             return None
         except UpstreamBrokenError as error:
-            self._parts.note_broken(reader, loop.time(), str(error))
+            self._parts.note_broken(ctx, reader, loop.time(), str(error))
             self._note_lost_reading(ctx, reader, str(error))
             return None
         finally:
@@ -302,7 +302,7 @@
                 except UpstreamBrokenError as error:
                     ctx.runs += 1
                     now = asyncio.get_running_loop().time()
-                    self._parts.note_broken(decoder, now, str(error))
+                    self._parts.note_broken(ctx, decoder, now, str(error))
                     reason = str(error)
                     # The handle was taken by the run that broke.
                     if error.sent:
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import Ejector
@@ -77,8 +78,13 @@
         self.pool.forget(instance.name)
         log_decision("instance replaced", instance=instance.name, source="its address")
 
-    def note_broken(self, instance: Instance, now: float, reason: str) -> None:
-        """Count a failure; the instance may be left out from now on."""
+    def note_broken(self, ctx: Context, instance: Instance, now: float, reason: str) -> None:
+        """Count a failure; the instance may be left out from now on.
+
+        Where the caller broke its own request off, the instance is not to blame.
+        """
+        if ctx.request.body.broken:
+            return
         group = [item.name for item in self.fleet.list_service(instance.record.service)]
         if self.ejector.note_failure(instance.name, group, now):
             log_decision("instance left out", instance=instance.name, reason=reason)
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -97,4 +97,4 @@
             ctx.runs += 1
         if not isinstance(error, FailedByUpstreamError):
             now = asyncio.get_running_loop().time()
-            self._parts.note_broken(instance, now, str(error))
+            self._parts.note_broken(ctx, instance, now, str(error))
--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -13,6 +13,7 @@
 import httptools
 
 from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.declared import Limits
 from swifttrestle.internal.transport.messages import (
     LAST_CHUNK,
@@ -275,7 +276,13 @@
             self._keep = self._keep and keep
             self.started = False
             self.busy = True
-            await self._handler.handle(request, self)
+            try:
+                await self._handler.handle(request, self)
+            except Exception as error:
+                # A fault of the program: its caller must see a broken answer, not silence.
+                log_decision("request handler failed", error=repr(error))
+                self.abort()
+                return
             self.busy = False
             if not request.body.complete or not self._keep:
                 # An answer that came before its request was whole is that request's only one,
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -82,6 +82,11 @@
         """Whether the whole body has arrived."""
         return self._ended and self._error is None
 
+    @property
+    def broken(self) -> bool:
+        """Whether the rest of the body will not come."""
+        return self._error is not None
+
     @property
     def overfull(self) -> bool:
         """Whether the sender should be held up."""
--- a/tests/hosted/test_callers.py
+++ b/tests/hosted/test_callers.py
@@ -25,6 +25,8 @@
         return Limits(header_bytes=1000, body_bytes=2000, header_seconds=0.2, idle_seconds=0.3)
 
     async def handle(self, request, reply):
+        if request.head.target == b"/fault/":
+            raise ValueError("a fault of the program")
         self.seen.append((request.head.method, request.head.target))
         try:
             if self.hold is not None:
@@ -161,6 +163,15 @@
     assert (await caller.read_answer()).status == 0
 
 
+@with_echo
+async def test_a_fault_of_the_program_ends_the_connection_and_not_only_its_task(
+    handler, connections, caller
+):
+    caller.send(b"GET /fault/ HTTP/1.1\r\nHost: x\r\n\r\n")
+    async with asyncio.timeout(5):
+        assert (await caller.read_answer()).status == 0
+
+
 @with_echo
 async def test_an_expected_continue_is_given(handler, connections, caller):
     caller.send(POST + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n")
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -217,6 +217,20 @@
     assert all(await asyncio.gather(*(one(number) for number in range(120))))
 
 
+@on_site(plain=1)
+async def test_callers_that_break_their_requests_off_do_not_get_an_upstream_left_out(site):
+    for number in range(8):
+        caller = await RawCaller.connect(door(site))
+        head = write_request("/goal/a", f"g{number}", method="POST").decode()
+        head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked")
+        caller.send(head.encode() + b"3\r\nabc\r\n")
+        await wait_until(lambda: site.gateways["g0"].gateway.count_open_work() == 1, "open work")
+        caller.send(b"zz\r\n")
+        assert (await caller.read_answer()).status in (400, 502)
+        caller.close()
+    assert not site.gateways["g0"].gateway.is_left_out("s0")
+
+
 @on_site()
 async def test_latencies_and_results_are_on_the_metrics_page(site):
     await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
