--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -134,7 +134,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass bytes of the answer's body on."""
-        if self._body is None:
+        if self._body is None or self._body.complete:
+            # Bytes of a second answer, parsed from the same read as the first: nobody's.
             return
         self._body.feed(data)
         if self._body.overfull and self._transport is not None:
