--- a/tests/hosted/test_callers.py
+++ b/tests/hosted/test_callers.py
@@ -1,6 +1,7 @@
 """The door for callers: strict framing, limits, polite and impolite ends."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -117,6 +118,30 @@
     run()
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_a_spoiled_request_never_ends_the_listener(seed):
+    rng = random.Random(seed)
+    data = bytearray(POST + b"Content-Length: 5\r\nX-A: b\r\n\r\nabcde" + BAD["two codings"])
+    for _ in range(rng.randint(1, 6)):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    cut = rng.randrange(1, len(data))
+
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(bytes(data[:cut]))
+        await caller.writer.drain()
+        caller.send(bytes(data[cut:]))
+        await caller.writer.drain()
+        caller.close()
+        other = await RawCaller.connect(caller.writer.get_extra_info("peername")[:2])
+        other.send(POST + b"Content-Length: 2\r\n\r\nok")
+        async with asyncio.timeout(10):
+            assert (await other.read_answer()).body == b"ok"
+        other.close()
+
+    run()
+
+
 @with_echo
 async def test_pipelined_requests_are_answered_in_their_order(handler, connections, caller):
     one = b"POST /%d/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d"
