--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -8,7 +8,6 @@
 from swifttrestle.errors import (
     BadPlatformAnswerError,
     HistoryGoneError,
-    NotFoundError,
     PlatformUnavailableError,
 )
 from swifttrestle.internal.lines import log_decision
@@ -90,13 +89,6 @@
                 self.take(change.item.spec, "store")
         self._revision = seen.revision
 
-    async def refresh(self) -> None:
-        """Read the store once, for a peer has told of a newer version."""
-        try:
-            self.take((await self._store.get(CONFIG_KIND, CONFIG_NAME)).spec, "store")
-        except (PlatformUnavailableError, NotFoundError) as error:
-            log_decision("configuration not read", reason=str(error))
-
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
         # A watch after a cut one may be taken by a store that has forgotten what lay between,
         # and then hear nothing: only a fresh read tells what is there.
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -277,25 +277,18 @@
     def __init__(self) -> None:
         """Start empty."""
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
-        self._open: dict[str, int] = defaultdict(int)
         self.opened = 0
 
-    def count_open(self, instance: str) -> int:
-        """Return the connections in use to an instance."""
-        return self._open[instance]
-
     @contextlib.asynccontextmanager
     async def borrow(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection; it is kept only where `give_back` says so before the end."""
         connection = self._take_idle(instance) or await self._connect(address)
-        self._open[instance] += 1
         try:
             yield connection
         except BaseException:
             connection.close()
             raise
         finally:
-            self._open[instance] -= 1
             if connection.usable and connection.idle_until:
                 self._idle[instance].append(connection)
             else:
@@ -315,8 +308,6 @@
         """Close all idle connections to an instance that is gone."""
         for connection in self._idle.pop(instance, ()):
             connection.close()
-        if not self._open.get(instance):
-            self._open.pop(instance, None)
 
     def _take_idle(self, instance: str) -> UpstreamConnection | None:
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -45,7 +45,6 @@
     name: str
     revision: int
     spec: Any
-    created: int = 0
 
 
 @dataclass(frozen=True)
@@ -119,10 +118,6 @@
         raw = await self._call(b"PUT", f"/v1/objects/{kind}/{name}", body)
         return _read_object(kind, raw)
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Remove an object, whatever its revision."""
-        await self._call(b"DELETE", f"/v1/objects/{kind}/{name}", None)
-
     async def _pages(self, kind: str) -> AsyncIterator[Any]:
         path = f"/v1/objects/{kind}"
         while True:
@@ -189,7 +184,6 @@
             str(metadata["name"]),
             int(metadata["revision"]),
             raw.get("spec"),
-            int(metadata.get("created") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadPlatformAnswerError(f"an object cannot be read: {error!r}") from None
