Give each test process loopback addresses of its own

Cause: a test failed once with 'g0 ready did not come': a port that was picked and bound later on 127.0.0.1 had been taken by another test process meanwhile. Reproduced by handing out a port in use: the same symptom. Gateways of stand-in sites now listen on addresses of their process alone; the test of the holder's name compares with the site's own address, as strictly.

--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -1,6 +1,7 @@
 """A whole small site in one event loop: the store, upstreams, and gateways on loopback."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -20,6 +21,16 @@
 WAIT_SECONDS = 20.0
 
 
+def pick_ip(number: int) -> str:
+    """Return a loopback address of this process alone.
+
+    A port is picked first and bound later; on an address of its own no other process, and no
+    outgoing connection, can take it in between.
+    """
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{1 + high % 250}.{1 + low}.{number + 1}"
+
+
 def pick_port(ip: str) -> int:
     """Return a port that is free at an address for TCP and UDP now."""
     while True:
@@ -75,7 +86,7 @@
 
     async def start(self) -> None:
         """Start the store."""
-        self._peer_port = pick_port("127.0.0.1")
+        self._peer_port = pick_port(pick_ip(0))
         self.store_address = await self._serve("store", self.store)
 
     async def add_upstream(self, upstream: StandInUpstream) -> StandInUpstream:
@@ -118,7 +129,7 @@
         self, name: str, number: int, zone: str = "hall-a", incarnation: int | None = None
     ) -> RunningGateway:
         """Start a gateway on a loopback address of its own."""
-        ip = f"127.0.0.{number + 1}"
+        ip = pick_ip(number)
         settings = read_host_settings(self._make_settings(name, ip, zone))
         port = pick_port(ip)
         gateway = Gateway(settings, metrics_port=port, incarnation=incarnation)
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -159,7 +159,7 @@
     assert len(orders) == 4
     (holder,) = {order["holder"] for order in orders}
     # Another machine of the same name would be another holder.
-    assert holder in ("g0@127.0.0.1", "g1@127.0.0.2")
+    assert holder in {f"{name}@{site.gateways[name].settings.ip}" for name in ("g0", "g1")}
     assert all(order["fenceToken"] >= 1 and "expectedRev" in order for order in orders)
     recorded = site.store.objects["swifttrestle-leases", "roles"]["spec"]["orders"]
     assert len(recorded) == 4
