--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -17,21 +17,26 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.coordination.roles import RoleDuty
+from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.forward.shared_booking import SharedBooker
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.pages import Page, PageHandler
 from swifttrestle.internal.protocol.gossip import PeerReport
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
     RequestHandler,
 )
+from swifttrestle.internal.transport.datagrams import PeerSocket
 from swifttrestle.internal.transport.upstream import Address, ConnectionPool
 from swifttrestle.platform.settings import (
     PATH_VARIABLE,
@@ -83,18 +88,40 @@
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._store = ObjectStore(settings.store, ConnectionPool())
         self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
-        self._discovery = Discovery(self._store, self._fleet, rng, self._serve_queues)
-        self._handler = GatewayHandler(self._parts, lambda: self._configuration.table)
-        me = PeerReport(settings.host, settings.ip, incarnation, 0, False, False, {}, {}, {})
+        socket = PeerSocket(settings.ip, settings.internal_port)
+        me = PeerReport(
+            settings.host,
+            settings.ip,
+            settings.zone,
+            settings.link_mbps,
+            incarnation,
+            0,
+            False,
+            False,
+            {},
+            {},
+            {},
+        )
         self._gossip = Gossip(
             me,
-            settings.internal_port,
+            socket,
             self._fleet,
             self._parts.demand,
             self._configuration,
             rng,
             self._note_peers,
         )
+        relay = ListingRelay(socket, settings.host, self._gossip.list_members)
+        self._discovery = Discovery(self._store, self._fleet, rng, relay, self._serve_queues)
+        self._booker = SharedBooker(
+            LocalBooker(self._parts),
+            self._parts,
+            socket,
+            settings.host,
+            self._gossip.list_members,
+        )
+        self._gossip.list_close = self._booker.list_other_schedulers
+        self._handler = GatewayHandler(self._parts, self._booker, lambda: self._configuration.table)
         lease = RoleLeaseKeeper(
             # Another machine of the same name is another holder.
             self._store,
@@ -128,6 +155,7 @@
         self._start(self._gossip.run())
         self._start(self._gossip.register(self._store))
         self._start(self._roles.run())
+        self._start(self._booker.run())
         self._start(self._watch_file())
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
@@ -166,6 +194,10 @@
         """Return the hosts whose gateways live, this one among them."""
         return self._gossip.live_hosts()
 
+    def list_members(self) -> list[Member]:
+        """Return the live hosts with their addresses and zones."""
+        return self._gossip.list_members()
+
     def count_opened_connections(self) -> int:
         """Return the connections to upstreams that were opened since the start."""
         return self._parts.pool.opened
@@ -222,7 +254,7 @@
         self._servers.append(server)
 
     def _serve_queues(self) -> None:
-        self._handler.engines.serve_queues()
+        self._booker.serve_queues()
 
     def _note_peers(self) -> None:
         self._budgets.hosts = len(self._gossip.live_hosts())
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable
 
 from swifttrestle.errors import HistoryGoneError, PlatformUnavailableError
+from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.protocol.listings import ListingChanges
+from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.platform.records import UPSTREAM_KIND, read_upstream
 from swifttrestle.platform.store import Change, ObjectStore, StoredObject
@@ -16,11 +19,17 @@
 PACE_SECONDS = 0.8
 # Seconds a watch waits. Heartbeats end it sooner, so a longer silence means a broken path.
 WAIT_SECONDS = 2.0
+# The same for a host that tells others what it sees: they take its silence for a fault.
+TELLING_WAIT_SECONDS = PACE_SECONDS
 # First and longest pause after a failed call, in seconds.
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.8
 # Seconds after an outage in which lapsed upstreams may come back before they count as gone;
 # the platform promises about two.
 RETURN_SECONDS = 2.2
+# Seconds of silence after which a host that hears of changes from others reads the list
+# itself: one and a half times the pace, so that a leaving upstream gets no new work after the
+# two seconds promised, also where the host that told of it is gone.
+FOLLOW_SECONDS = 1.2
 # Failed calls in a row after which the store counts as away: a single one may be a cut watch.
 FAILURES_FOR_OUTAGE = 2
 
@@ -29,9 +38,18 @@
     """One task that lists and watches upstreams."""
 
     def __init__(
-        self, store: ObjectStore, fleet: Fleet, rng: random.Random, changed: Callable[[], None]
+        self,
+        store: ObjectStore,
+        fleet: Fleet,
+        rng: random.Random,
+        relay: ListingRelay,
+        changed: Callable[[], None],
     ) -> None:
         """Write into a fleet; `changed` is called after each change."""
+        self._relay = relay
+        self._told = asyncio.Event()
+        self._asking = False
+        self._told_at = float("-inf")
         self._store = store
         self._fleet = fleet
         self._rng = rng
@@ -42,18 +60,23 @@
         self._trust_after = float("-inf")
         self._missing: set[str] = set()
         self.known = False
+        relay.receive(self._take_told)
 
     async def run(self) -> None:
         """List, then watch, for as long as the process lives."""
         while True:
+            began = self._now()
             try:
                 if not self._revision:
                     await self._list()
+                elif self._follows():
+                    await self._follow()
+                    continue
                 else:
                     await self._watch()
                 self._note_answer()
                 self._drop_missing()
-                await asyncio.sleep(PACE_SECONDS)
+                await asyncio.sleep(self._find_pause(began))
             except HistoryGoneError:
                 log_decision("discovery history gone", revision=self._revision)
                 self._revision = 0
@@ -61,6 +84,12 @@
             except PlatformUnavailableError as error:
                 await self._wait_out(error)
 
+    def _find_pause(self, began: float) -> float:
+        """Return the seconds until the next call, the last of which began at a time."""
+        if not self._relay.tells():
+            return PACE_SECONDS
+        return max(0.0, PACE_SECONDS - (self._now() - began))
+
     async def _list(self) -> None:
         snapshot = await self._store.list(UPSTREAM_KIND)
         self._note_answer()
@@ -72,38 +101,109 @@
         self._revision = snapshot.revision
         self.known = True
         self._changed()
+        # What changed before this list was read is not known one by one.
+        self._tell(self._revision, (), ())
 
     async def _watch(self) -> None:
-        seen = await self._store.watch(UPSTREAM_KIND, self._revision, WAIT_SECONDS)
+        self._asking = True
+        wait = TELLING_WAIT_SECONDS if self._relay.tells() else WAIT_SECONDS
+        try:
+            seen = await self._store.watch(UPSTREAM_KIND, self._revision, wait)
+        finally:
+            self._asking = False
         self._note_answer()
-        self._revision = seen.revision
+        since, self._revision = self._revision, seen.revision
+        records: dict[str, UpstreamRecord] = {}
+        removed: set[str] = set()
         for change in seen.changes:
-            self._apply(change)
+            # Only what holds at the end is told: an instance may go and come back in between.
+            name = change.item.name
+            records.pop(name, None)
+            removed.discard(name)
+            record = self._apply(change)
+            if record is not None:
+                records[name] = record
+            elif change.removed:
+                removed.add(name)
         if seen.changes:
             self._changed()
+        self._tell(since, tuple(records.values()), tuple(removed))
 
-    def _apply(self, change: Change) -> None:
+    def _apply(self, change: Change) -> UpstreamRecord | None:
+        """Take one change over; return the record where more than its heartbeat changed."""
         if change.removed:
             self._remove(change.item.name)
-        else:
-            self._put(change.item)
+            return None
+        return self._put(change.item)
 
-    def _put(self, item: StoredObject) -> None:
+    def _put(self, item: StoredObject) -> UpstreamRecord | None:
         try:
             record = read_upstream(item.name, item.spec)
         except PlatformUnavailableError as error:
             log_decision("discovery record skipped", instance=item.name, reason=str(error))
+            return None
+        return record if self._put_record(record, item.revision, "store") else None
+
+    def _put_record(self, record: UpstreamRecord, revision: int, source: str) -> bool:
+        was_missing = record.instance in self._missing
+        self._missing.discard(record.instance)
+        if not self._fleet.put(record):
+            return was_missing
+        log_decision(
+            "instance listed",
+            instance=record.instance,
+            service=record.service,
+            role=record.role.value,
+            leaving=record.leaving,
+            revision=revision,
+            source=source,
+        )
+        return True
+
+    # Changes that other hosts tell of.
+
+    def _tell(
+        self, since: int, records: tuple[UpstreamRecord, ...], removed: tuple[str, ...]
+    ) -> None:
+        distrust = max(0.0, self._trust_after - self._now())
+        self._relay.send(ListingChanges(since, self._revision, distrust, records, removed))
+
+    def _follows(self) -> bool:
+        """Return whether another host watches for this one, and is heard."""
+        return self._now() - self._told_at < FOLLOW_SECONDS and not self._relay.watches()
+
+    async def _follow(self) -> None:
+        """Wait for the next word of another host; read the list itself where none comes."""
+        self._told.clear()
+        try:
+            async with asyncio.timeout(max(0.0, self._told_at + FOLLOW_SECONDS - self._now())):
+                await self._told.wait()
+        except TimeoutError:
+            log_decision("list watcher silent", revision=self._revision)
+            self._revision = 0
+        self._drop_missing()
+
+    def _take_told(self, changes: ListingChanges) -> None:
+        """Take over what another host has seen; read the list where something is missing."""
+        if changes.revision < self._revision:
+            return
+        self._told_at = self._now()
+        if self._asking or not self._revision:
+            # The store's own answer is on its way, and may be the older one.
             return
-        self._missing.discard(item.name)
-        if self._fleet.put(record):
-            log_decision(
-                "instance listed",
-                instance=item.name,
-                service=record.service,
-                role=record.role.value,
-                leaving=record.leaving,
-                revision=item.revision,
-            )
+        self._trust_after = max(self._trust_after, self._told_at + changes.distrust)
+        if changes.since > self._revision:
+            self._revision = 0
+        else:
+            self._fleet.confirmed_at = self._told_at
+            self._revision = changes.revision
+            for record in changes.records:
+                self._put_record(record, changes.revision, "peer")
+            for name in changes.removed:
+                self._remove(name)
+        if changes.records or changes.removed:
+            self._changed()
+        self._told.set()
 
     def _remove(self, name: str) -> None:
         if self._now() < self._trust_after:
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -11,13 +11,16 @@
 
 import orjson
 
-from swifttrestle.errors import FrameError, NotFoundError, PlatformUnavailableError
+from swifttrestle.errors import NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.scheduling import is_large
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, OpenWork
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 from swifttrestle.platform.store import ObjectStore
 
 PEER_KIND = "swifttrestle-peers"
@@ -49,19 +52,21 @@
 
     host: str
     ip: str
+    zone: str = ""
+    link_mbps: float = 0.0
     incarnation: int = 0
     heard_at: float = float("-inf")
     leaving: bool = False
     holds_roles: bool = False
 
 
-class Gossip(asyncio.DatagramProtocol):
+class Gossip:
     """This gateway's part in the exchange."""
 
     def __init__(
         self,
         me: PeerReport,
-        port: int,
+        socket: PeerSocket,
         fleet: Fleet,
         demand: DemandMeter,
         configuration: ConfigurationKeeper,
@@ -70,7 +75,7 @@
     ) -> None:
         """Prepare; `changed` is called when peers' work has changed."""
         self._me = me
-        self._port = port
+        self._socket = socket
         self._fleet = fleet
         self._demand = demand
         self._configuration = configuration
@@ -78,20 +83,26 @@
         self._changed = changed
         self._peers: dict[str, Peer] = {}
         self._live: frozenset[str] = frozenset()
-        self._transport: asyncio.DatagramTransport | None = None
         self._sent_work: dict[str, OpenWork] = {}
         self._server: asyncio.Server | None = None
         self._ordered: dict[str, tuple[Role, float]] = {}
         self._fetching: asyncio.Task[None] | None = None
+        # Open work as it was last told to the other schedulers, and when to tell all peers.
+        self._sent_close: dict[str, OpenWork] = {}
+        self._report_at = 0.0
+        self._close: set[str] = set()
+        # Returns the hosts that are to hear of this host's open work sooner than the others.
+        self.list_close: Callable[[], set[str]] = set
         self.leaving = False
         self.holds_roles = False
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
-        loop = asyncio.get_running_loop()
-        address = (self._me.ip, self._port)
-        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
-        self._server = await asyncio.start_server(self._serve_stream, *address)
+        self._socket.receive(DatagramKind.REPORT, self._take_report)
+        await self._socket.open()
+        self._server = await asyncio.start_server(
+            self._serve_stream, self._socket.ip, self._socket.port
+        )
         self.add_seeds(seeds)
 
     def add_seeds(self, seeds: list[str]) -> None:
@@ -111,6 +122,17 @@
         ]
         return sorted([*live, self._me.host])
 
+    def list_members(self) -> list[Member]:
+        """Return this host and the peers heard of late, with their addresses and zones."""
+        now = self._now()
+        live = [
+            Member(peer.host, peer.ip, peer.zone, peer.link_mbps)
+            for peer in self._peers.values()
+            if now - peer.heard_at < SILENCE_SECONDS and not peer.leaving
+        ]
+        me = self._me
+        return [*live, Member(me.host, me.ip, me.zone, me.link_mbps)]
+
     def is_role_candidate(self) -> bool:
         """Return whether this host is to plan roles: the holder while it lives, or the first.
 
@@ -152,10 +174,32 @@
             if now >= beat_at:
                 beat_at = now + HEARTBEAT_SECONDS * (0.9 + 0.2 * self._rng.random())
                 self._expire(now)
+                self._close = self.list_close()
                 self._send(work, list(self._peers.values()), with_known=True)
-            elif work != self._sent_work:
-                self._send(work, self._list_live(now), with_known=False)
-            await asyncio.sleep(REPORT_SECONDS + REPORT_SECONDS_PER_PEER * len(self._peers))
+            else:
+                self._report(work, now)
+            await asyncio.sleep(_find_pause(len(self._close) or len(self._peers)))
+
+    def _report(self, work: dict[str, OpenWork], now: float) -> None:
+        """Tell of changed work: close peers at once, all peers at the pace of their number."""
+        if now >= self._report_at and self._is_news(work):
+            self._send(work, self._list_live(now), with_known=False)
+        elif self._close and self._list_engines(work) != self._list_engines(self._sent_close):
+            close = [peer for peer in self._list_live(now) if peer.host in self._close]
+            self._send_to(work, close, with_known=False)
+
+    def _is_news(self, work: dict[str, OpenWork]) -> bool:
+        """Return whether peers are to hear of open work before the next heartbeat.
+
+        In a large fleet the schedulers know of the engines' work, and all other work is over
+        before a report of it could be used.
+        """
+        if not is_large(len(self._live)):
+            return work != self._sent_work
+        return self._list_engines(work) != self._list_engines(self._sent_work)
+
+    def _list_engines(self, work: dict[str, OpenWork]) -> dict[str, OpenWork]:
+        return {name: item for name, item in work.items() if self._fleet.is_engine(name)}
 
     def say_leaving(self) -> None:
         """Tell all peers at once that this gateway stops."""
@@ -164,20 +208,13 @@
 
     def close(self) -> None:
         """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
         if self._server is not None:
             self._server.close()
 
-    # Called by the event loop.
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a peer's report over."""
-        try:
-            report = unpack_report(data)
-        except FrameError as error:
-            log_decision("datagram skipped", sender=addr[0], reason=str(error))
-            return
+    def _take_report(self, data: bytes, _: str) -> None:
+        """Take a peer's report over; raise FrameError."""
+        report = unpack_report(data)
         if report.host == self._me.host:
             return
         self._note(report)
@@ -193,9 +230,6 @@
             self._fetch_later(report)
         self._changed()
 
-    def error_received(self, exc: Exception) -> None:
-        """Pass over a peer that nobody listens for; its silence says the same."""
-
     def _note(self, report: PeerReport) -> None:
         self._peers.pop(f"seed {report.ip}", None)
         peer = self._peers.setdefault(report.host, Peer(report.host, report.ip))
@@ -205,6 +239,7 @@
             # back with a lower number: the time of day, which it is taken from, can jump.
             return
         peer.ip, peer.incarnation = report.ip, report.incarnation
+        peer.zone, peer.link_mbps = report.zone, report.link_mbps
         peer.leaving = report.leaving
         peer.holds_roles = report.holds_roles
         peer.heard_at = self._now()
@@ -233,12 +268,17 @@
 
     def _send(self, work: dict[str, OpenWork], peers: list[Peer], with_known: bool) -> None:
         self._sent_work = work
-        if self._transport is None:
-            return
+        self._report_at = self._now() + _find_pause(len(self._peers))
+        self._send_to(work, peers, with_known)
+
+    def _send_to(self, work: dict[str, OpenWork], peers: list[Peer], with_known: bool) -> None:
+        self._sent_close = work
         data = pack_report(
             PeerReport(
                 self._me.host,
                 self._me.ip,
+                self._me.zone,
+                self._me.link_mbps,
                 self._me.incarnation,
                 self._configuration.version,
                 self.leaving,
@@ -253,7 +293,7 @@
             )
         )
         for peer in peers:
-            self._transport.sendto(data, (peer.ip, self._port))
+            self._socket.send(peer.ip, DatagramKind.REPORT, data)
 
     def note_order(self, engine: str, role: Role, ready_at: float) -> None:
         """Tell all hosts of an order that an engine has taken; `ready_at` in the loop's time."""
@@ -298,7 +338,7 @@
             return
         try:
             async with asyncio.timeout(FETCH_SECONDS):
-                reader, writer = await asyncio.open_connection(report.ip, self._port)
+                reader, writer = await asyncio.open_connection(report.ip, self._socket.port)
                 try:
                     writer.write(ASK_CONFIGURATION)
                     content = await reader.read(-1)
@@ -325,3 +365,8 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _find_pause(peers: int) -> float:
+    """Return the seconds between reports to so many peers."""
+    return REPORT_SECONDS + REPORT_SECONDS_PER_PEER * peers
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/listing_relay.py
@@ -0,0 +1,53 @@
+"""In a large fleet a few hosts of each zone watch the discovery list and tell the others.
+
+Each waiting watch is a call to the store, and each heartbeat of an upstream ends it; so many
+hosts that all watch ask the store the same question at the same time.
+"""
+
+from collections.abc import Callable, Sequence
+
+from swifttrestle.internal.policy.scheduling import is_large, list_watchers
+from swifttrestle.internal.protocol.listings import ListingChanges, pack_changes, unpack_changes
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
+
+
+class ListingRelay:
+    """Sends changes of the list to this host's zone, and hands on those that come from it."""
+
+    def __init__(
+        self, socket: PeerSocket, host: str, list_members: Callable[[], Sequence[Member]]
+    ) -> None:
+        """Use the host's socket and its view of the hosts that live."""
+        self._socket = socket
+        self._host = host
+        self._list_members = list_members
+
+    def receive(self, take: Callable[[ListingChanges], None]) -> None:
+        """Hand changes from other hosts to `take`."""
+        self._socket.receive(DatagramKind.LISTING, lambda data, _: take(unpack_changes(data)))
+
+    def watches(self) -> bool:
+        """Return whether this host is to watch the list itself."""
+        return not is_large(len(self._list_members())) or self.tells()
+
+    def tells(self) -> bool:
+        """Return whether this host is to watch the list for others too."""
+        members = self._list_members()
+        if not is_large(len(members)):
+            return False
+        return any(item.host == self._host for item in list_watchers(members, self._zone(members)))
+
+    def send(self, changes: ListingChanges) -> None:
+        """Tell this host's zone, if its hosts are to hear of it from this one."""
+        if not self.tells():
+            return
+        members = self._list_members()
+        zone = self._zone(members)
+        data = pack_changes(changes)
+        for member in members:
+            if member.zone == zone and member.host != self._host:
+                self._socket.send(member.ip, DatagramKind.LISTING, data)
+
+    def _zone(self, members: Sequence[Member]) -> str:
+        return next((item.zone for item in members if item.host == self._host), "")
--- /dev/null
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -0,0 +1,175 @@
+"""Books engines for requests: one to read the prompt and one to make the tokens."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import defaultdict
+
+from swifttrestle.internal.forward.parts import Parts
+from swifttrestle.internal.policy.placement import pick_decoder, pick_reader
+from swifttrestle.internal.policy.queueing import AdmissionQueue
+from swifttrestle.internal.policy.scheduling import find_group
+from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
+from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.fleet import Instance, OpenWork
+
+# Share of what is left that a request whose reading was lost may wait again: it is too late
+# for an early refusal, so a late answer serves its caller better.
+LATE_WAIT_SHARE = 0.3
+# A decoding engine reads a prompt itself where that takes no longer than this, in seconds:
+# less than the two hops and the copy that another engine's reading costs.
+DIRECT_READ_SECONDS = 0.008
+# Share of the longest wait for a reading that is allowed at another zone's engine: what is
+# known of its open work is older, and its cache of the request's shared parts is colder.
+FAR_WAIT_SHARE = 0.5
+
+
+class Booker(ABC):
+    """Finds engines for requests and is told how each was used."""
+
+    @abstractmethod
+    async def book(self, request: BookingRequest) -> Booking | NoRoom:
+        """Return the engines of a request, or NoRoom once its longest wait is over."""
+
+    @abstractmethod
+    def end(self, booking: Booking, stage: Stage, outcome: Outcome, seconds: float) -> None:
+        """Give one engine of a booking back after its use of so many seconds."""
+
+    @abstractmethod
+    def serve_queues(self) -> None:
+        """Look at the waiting requests; called when room may have come."""
+
+
+class LocalBooker(Booker):
+    """Books by this host's own knowledge of open work."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Use the host's shared parts."""
+        self._parts = parts
+        # Short prompts wait for a decoding engine only, and so not behind long ones.
+        self._queues: dict[tuple[str, bool], AdmissionQueue[Booking]] = defaultdict(AdmissionQueue)
+
+    def serve_queues(self) -> None:
+        """Give engines to waiters."""
+        for queue in self._queues.values():
+            queue.serve()
+
+    async def book(self, request: BookingRequest) -> Booking | NoRoom:
+        """Book at once, or as soon as engines have room."""
+        began = _now()
+        queue = self._queues[request.service, self.is_short(request)]
+        longest = max(0.0, min(request.longest_wait, request.left))
+        waiting = len(queue)
+        ahead = queue.count_before(request.priority, began + request.left)
+        if ahead and self._predict_turn(request, ahead) > longest:
+            longest = 0.0
+        booking = await queue.wait(
+            lambda: self.find(request, _now() - began),
+            self.release,
+            request.priority,
+            began + request.left,
+            longest,
+        )
+        if booking is not None:
+            return booking
+        engines = self._parts.fleet.list_service(request.service)
+        return NoRoom(waiting, min((item.predict_wait() for item in engines), default=0.0))
+
+    def book_now(self, request: BookingRequest) -> Booking | None:
+        """Book if there is room that no waiting request is to have, else return None."""
+        queue = self._queues[request.service, self.is_short(request)]
+        return queue.take(lambda: self.find(request), request.priority)
+
+    def end(self, booking: Booking, stage: Stage, outcome: Outcome, seconds: float) -> None:
+        """Take an engine's work off, and learn its speed from a prompt that it has read."""
+        if stage is Stage.READ:
+            if outcome is Outcome.DONE:
+                booking.reader.learn(booking.ahead, seconds)
+            self._release(booking.reader, OpenWork(booking.tokens, 1))
+        else:
+            self._release(booking.decoder, OpenWork(booking.tokens if booking.direct else 0, 1))
+
+    def release(self, booking: Booking) -> None:
+        """Undo a booking that nobody will use."""
+        if not booking.direct:
+            self.end(booking, Stage.READ, Outcome.CANCELLED, 0.0)
+        self.end(booking, Stage.DECODE, Outcome.CANCELLED, 0.0)
+
+    def find(self, request: BookingRequest, waited: float = 0.0) -> Booking | None:
+        """Return engines with room, booked, or None; the request has waited for so long."""
+        now = _now()
+        engines = self._parts.list_usable(request.service, now)
+        decoder = self._pick_decoder(request, engines, request.zone)
+        if decoder is None:
+            return None
+        readers = any(item.role is Role.PREFILL for item in engines)
+        if not readers or reads_soon(request.tokens, engines):
+            return self._take(decoder, decoder, request.tokens)
+        longest = max(0.0, request.longest_read_wait - waited)
+        if request.late:
+            longest = (request.left - waited) * LATE_WAIT_SHARE
+        reader = self._pick_reader(request, engines, longest)
+        if reader is None:
+            return None
+        if reader.record.role is Role.DECODE:
+            return self._take(reader, reader, request.tokens)
+        decoder = self._pick_decoder(request, engines, reader.record.zone)
+        return self._take(reader, decoder, request.tokens) if decoder else None
+
+    def _pick_reader(
+        self, request: BookingRequest, engines: list[Instance], longest: float
+    ) -> Instance | None:
+        """Return a reader of the request's group, or one of another where that is at rest."""
+        group = find_group(engines, request.zone)
+        near = [item for item in engines if group in ("", item.record.zone)]
+        far = [item for item in engines if group not in ("", item.record.zone)]
+        for choice, limit in ((near, longest), (far, longest * FAR_WAIT_SHARE)):
+            reader = pick_reader(
+                choice, request.tokens, request.affinity, request.excluded, _now(), limit
+            )
+            if reader is not None:
+                return reader
+        return None
+
+    def is_short(self, request: BookingRequest) -> bool:
+        """Return whether a decoding engine reads the prompt itself as soon as another would."""
+        return reads_soon(request.tokens, self._parts.fleet.list_service(request.service))
+
+    def _predict_turn(self, request: BookingRequest, ahead: int) -> float:
+        """Return the seconds until so many waiting requests like this one have been placed.
+
+        A request that would wait longer than it may is better refused at once: its caller
+        then has more time for another try.
+        """
+        engines = self._parts.list_usable(request.service, _now())
+        group = find_group(engines, request.zone)
+        paces = [
+            item.pace
+            for item in engines
+            if item.role is Role.PREFILL and group in ("", item.record.zone)
+        ]
+        return ahead * request.tokens / sum(paces) if paces else 0.0
+
+    def _pick_decoder(
+        self, request: BookingRequest, engines: list[Instance], near: str
+    ) -> Instance | None:
+        return pick_decoder(engines, near, request.excluded, _now(), urgent=request.urgent)
+
+    def _take(self, reader: Instance, decoder: Instance, tokens: int) -> Booking:
+        wait = reader.predict_wait()
+        decoder.own = decoder.own.plus(OpenWork(0, 1))
+        reader.own = reader.own.plus(OpenWork(tokens, 0 if reader is decoder else 1))
+        return Booking(reader, decoder, tokens, reader.total.tokens, wait)
+
+    def _release(self, engine: Instance, work: OpenWork) -> None:
+        engine.own = engine.own.minus(work)
+        self.serve_queues()
+
+
+def reads_soon(tokens: int, engines: list[Instance]) -> bool:
+    """Return whether a decoding engine reads so many tokens as soon as another would."""
+    paces = [item.pace for item in engines if item.role is Role.DECODE]
+    return bool(paces) and tokens / max(paces) <= DIRECT_READ_SECONDS
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import defaultdict
 from dataclasses import dataclass
 
 from swifttrestle.codes import Code
@@ -10,17 +9,19 @@
     RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
+    UpstreamError,
     UpstreamLeavingError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, build_request, make_attempt
+from swifttrestle.internal.forward.booking import LATE_WAIT_SHARE, Booker, reads_soon
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.policy.placement import pick_decoder, pick_reader
-from swifttrestle.internal.policy.queueing import WAIT_SHARE, AdmissionQueue
-from swifttrestle.internal.state.declared import Role
-from swifttrestle.internal.state.fleet import Instance, OpenWork
+from swifttrestle.internal.policy.placement import pick_decoder
+from swifttrestle.internal.policy.queueing import WAIT_SHARE
+from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
+from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle.internal.transport.upstream import OutgoingRequest, call_once
 from swifttrestle.platform.engine import (
@@ -35,12 +36,6 @@
 # Share of the objective that a prompt may wait behind others at an engine; the rest is for
 # its own reading, the copy of its KV cache and the first token.
 READ_WAIT_SHARE = 0.5
-# Share of what is left that a request whose reading was lost may wait again: it is too late
-# for an early refusal, so a late answer serves its caller better.
-LATE_WAIT_SHARE = 0.3
-# A decoding engine reads a prompt itself where that takes no longer than this, in seconds:
-# less than the two hops and the copy that another engine's reading costs.
-DIRECT_READ_SECONDS = 0.008
 # An engine that has not read a prompt after this many times the predicted time is given up
 # on; no sooner than LEAST_READ_SECONDS.
 READ_PATIENCE = 4.0
@@ -64,150 +59,85 @@
 SMALL_ANSWER_BYTES = 64 * 1024
 
 
-@dataclass(frozen=True)
-class Booking:
-    """The engines of one request: the one that reads its prompt and the one that decodes.
+@dataclass
+class _Use:
+    """The use of one booked engine so far; `began` in the loop's time."""
 
-    Both are the same where the decoding engine reads the prompt itself.
-    """
-
-    reader: Instance
-    decoder: Instance
-    tokens: int
-
-    @property
-    def direct(self) -> bool:
-        """Whether one engine does both."""
-        return self.reader is self.decoder
+    began: float
+    outcome: Outcome = Outcome.CANCELLED
 
 
 class EngineForwarder:
     """Serves the requests of all model services."""
 
-    def __init__(self, parts: Parts) -> None:
-        """Use the host's shared parts."""
+    def __init__(self, parts: Parts, booker: Booker) -> None:
+        """Use the host's shared parts, and engines that `booker` finds."""
         self._parts = parts
-        self._queues: dict[str, AdmissionQueue] = defaultdict(AdmissionQueue)
+        self._booker = booker
         self._background: set[asyncio.Task[None]] = set()
 
-    def serve_queues(self) -> None:
-        """Give engines to waiters; called when room may have come."""
-        for queue in self._queues.values():
-            queue.serve()
-
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError where it is given up on."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable, self._longest_pause(ctx))
         for number in range(MOST_READS):
             booking = await self._book(ctx, first=number == 0)
-            handle: KvHandle | None = None
+            use = _Use(asyncio.get_running_loop().time())
             try:
-                if not booking.direct:
-                    handle = await self._read_prompt(ctx, booking)
-                    if handle is None:
-                        continue
-                await self._decode(ctx, booking, handle, relay)
-                return
+                handle = None if booking.direct else await self._read_prompt(ctx, booking)
+                if handle is not None or booking.direct:
+                    await self._decode(ctx, booking, use, handle, relay)
+                    return
             finally:
-                self._release(booking.decoder, OpenWork(0, 1))
-                if booking.direct:
-                    self._release(booking.decoder, OpenWork(booking.tokens, 0))
+                seconds = asyncio.get_running_loop().time() - use.began
+                self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
         raise ctx.refuse(Code.NO_UPSTREAM, "no engine read the prompt", LEAST_RETRY_AFTER)
 
     # Booking.
 
     async def _book(self, ctx: Context, first: bool) -> Booking:
-        found: list[Booking] = []
-
-        def find() -> Instance | None:
-            booking = self._find(ctx)
-            if booking is None:
-                return None
-            found.append(booking)
-            return booking.reader
-
-        def release(_: Instance) -> None:
-            self._release_whole(found[-1])
-
-        queue = self._queues[ctx.service.name]
         longest = ctx.route.objective * WAIT_SHARE - ctx.age
         if not first:
             longest = ctx.left * LATE_WAIT_SHARE
-        longest = max(0.0, min(longest, ctx.left))
-        waiting = len(queue)
-        reader = await queue.wait(find, release, ctx.route.priority, ctx.deadline, longest)
-        if reader is None:
-            raise self._refuse_for_load(ctx, waiting)
-        booking = found[-1]
+        request = BookingRequest(
+            service=ctx.service.name,
+            zone=self._parts.zone,
+            tokens=ctx.facts.prompt_tokens,
+            affinity=find_affinity(ctx),
+            priority=ctx.route.priority,
+            urgent=ctx.urgent,
+            left=ctx.left,
+            longest_wait=max(0.0, min(longest, ctx.left)),
+            longest_read_wait=ctx.route.objective * READ_WAIT_SHARE - ctx.age,
+            late=ctx.lost_reads > 0,
+            excluded=frozenset(ctx.excluded),
+        )
+        found = await self._booker.book(request)
+        if isinstance(found, NoRoom):
+            raise self._refuse_for_load(ctx, found)
         self._parts.metrics.observe("gateway_queue_seconds", ctx.age)
         ctx.note(
-            f"reader {booking.reader.name} wait={booking.reader.predict_wait() * 1000:.0f}ms "
-            f"decoder {booking.decoder.name} open={booking.decoder.total.requests}"
+            f"reader {found.reader.name} wait={found.wait * 1000:.0f}ms "
+            f"decoder {found.decoder.name} open={found.decoder.total.requests} "
+            f"by {found.ticket.host if found.ticket else 'this host'}"
         )
-        return booking
-
-    def _find(self, ctx: Context) -> Booking | None:
-        now = asyncio.get_running_loop().time()
-        engines = self._parts.list_usable(ctx.service.name, now)
-        tokens = ctx.facts.prompt_tokens
-        decoder = self._pick_decoder(ctx, engines, self._parts.zone)
-        if decoder is None:
-            return None
-        readers = any(item.role is Role.PREFILL for item in engines)
-        if not readers or self._is_short(ctx, engines):
-            return self._take(Booking(decoder, decoder, tokens))
-        longest = max(0.0, ctx.route.objective * READ_WAIT_SHARE - ctx.age)
-        if ctx.lost_reads:
-            longest = ctx.left * LATE_WAIT_SHARE
-        affinity = find_affinity(ctx)
-        reader = pick_reader(engines, tokens, affinity, ctx.excluded, now, longest)
-        if reader is None:
-            return None
-        if reader.record.role is Role.DECODE:
-            return self._take(Booking(reader, reader, tokens))
-        decoder = self._pick_decoder(ctx, engines, reader.record.zone)
-        return self._take(Booking(reader, decoder, tokens)) if decoder else None
-
-    def _pick_decoder(self, ctx: Context, engines: list[Instance], near: str) -> Instance | None:
-        now = asyncio.get_running_loop().time()
-        return pick_decoder(engines, near, ctx.excluded, now, urgent=ctx.urgent)
-
-    def _is_short(self, ctx: Context, engines: list[Instance]) -> bool:
-        """Return whether a decoding engine reads the prompt itself as soon as another would."""
-        paces = [item.pace for item in engines if item.role is Role.DECODE]
-        return bool(paces) and ctx.facts.prompt_tokens / max(paces) <= DIRECT_READ_SECONDS
+        return found
 
     def _note_arrival(self, ctx: Context, now: float) -> None:
         self._parts.budgets.find(ctx.service.name).note_request(now)
         engines = self._parts.fleet.list_service(ctx.service.name)
-        tokens = 0 if self._is_short(ctx, engines) else ctx.facts.prompt_tokens
+        tokens = ctx.facts.prompt_tokens
+        tokens = 0 if reads_soon(tokens, engines) else tokens
         self._parts.demand.note_arrival(ctx.service.name, ctx.route.name, tokens, now)
 
-    def _take(self, booking: Booking) -> Booking:
-        decoder, reader = booking.decoder, booking.reader
-        decoder.own = decoder.own.plus(OpenWork(0, 1))
-        requests = 0 if booking.direct else 1
-        reader.own = reader.own.plus(OpenWork(booking.tokens, requests))
-        return booking
-
-    def _release_whole(self, booking: Booking) -> None:
-        self._release(booking.decoder, OpenWork(0, 1))
-        self._release(booking.reader, OpenWork(booking.tokens, 0 if booking.direct else 1))
-
-    def _release(self, engine: Instance, work: OpenWork) -> None:
-        engine.own = engine.own.minus(work)
-        self.serve_queues()
-
-    def _refuse_for_load(self, ctx: Context, waiting: int) -> RefusedError:
+    def _refuse_for_load(self, ctx: Context, found: NoRoom) -> RefusedError:
         engines = self._parts.fleet.list_service(ctx.service.name)
         if not engines:
             return ctx.refuse(Code.NO_UPSTREAM, "no engine is listed", NO_ENGINE_RETRY_AFTER)
-        soonest = min(item.predict_wait() for item in engines)
-        retry = self._choose_retry_after(ctx, soonest)
+        retry = self._choose_retry_after(ctx, found.soonest)
         reason = (
-            f"no engine has room: {waiting} wait, {len(engines)} engines, "
-            f"soonest free in {soonest * 1000:.0f} ms"
+            f"no engine has room: {found.waiting} wait, {len(engines)} engines, "
+            f"soonest free in {found.soonest * 1000:.0f} ms"
         )
         return ctx.refuse(Code.OVERLOADED, reason, retry)
 
@@ -226,36 +156,55 @@
     async def _read_prompt(self, ctx: Context, booking: Booking) -> KvHandle | None:
         """Have the prompt read; None where the engine refused or failed."""
         reader, loop = booking.reader, asyncio.get_running_loop()
-        ahead, began = reader.total.tokens, loop.time()
-        limit = max(LEAST_READ_SECONDS, READ_PATIENCE * ahead / reader.pace)
+        use = _Use(loop.time())
+        expected = booking.wait + booking.tokens / reader.pace
+        limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
         try:
             handle = await self._call_reader(ctx, reader, min(limit, max(0.0, ctx.left)))
-        except UpstreamLeavingError as error:
-            self._parts.note_gone(reader)
-            self._note_lost_reading(ctx, reader, str(error))
-            return None
-        except UpstreamBusyError as error:
-            self._parts.note_refusal(reader, loop.time())
-            self._note_lost_reading(ctx, reader, str(error))
-            return None
-        except UpstreamBrokenError as error:
-            self._parts.note_broken(ctx, reader, loop.time(), str(error))
-            self._note_lost_reading(ctx, reader, str(error))
+            use.outcome = Outcome.DONE
+        except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
+            use.outcome = self._note_failed(ctx, reader, error)
+            self._note_lost_reading(ctx, reader, use.outcome, str(error))
             return None
         finally:
-            self._release(reader, OpenWork(booking.tokens, 1))
-        seconds = loop.time() - began
-        reader.learn(ahead, seconds)
+            seconds = loop.time() - use.began
+            self._booker.end(booking, Stage.READ, use.outcome, seconds)
         self._parts.metrics.observe("gateway_read_seconds", seconds)
         ctx.note(f"read {handle.tokens} tokens")
         return handle
 
-    def _note_lost_reading(self, ctx: Context, reader: Instance, reason: str) -> None:
+    def _note_failed(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
+        """Remember an engine's failure; return it as an outcome of its use."""
+        now = asyncio.get_running_loop().time()
+        match error:
+            case UpstreamLeavingError():
+                self._parts.note_gone(engine)
+                return Outcome.GONE
+            case UpstreamBusyError():
+                self._parts.note_refusal(engine, now)
+                return Outcome.REFUSED
+        self._parts.note_broken(ctx, engine, now, str(error))
+        return Outcome.CANCELLED if ctx.request.body.broken else Outcome.BROKEN
+
+    def _note_lost_reading(
+        self, ctx: Context, reader: Instance, outcome: Outcome, reason: str
+    ) -> None:
+        """Count a reading that failed; raise RefusedError where none may follow.
+
+        The first reading that an engine takes up is free, and each that is rejected counts as
+        a repeat: after a rejection the next one is free again, after a broken one it counts.
+        """
         ctx.lost_reads += 1
         ctx.excluded.add(reader.name)
         ctx.note(f"reader {reader.name} failed: {reason}")
         now = asyncio.get_running_loop().time()
-        if not self._parts.budgets.find(ctx.service.name).take(now):
+        budget = self._parts.budgets.find(ctx.service.name)
+        if outcome in (Outcome.REFUSED, Outcome.GONE):
+            budget.note_repeat(now)
+            allowed = budget.allows(now)
+        else:
+            allowed = budget.take(now)
+        if not allowed:
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
 
     async def _call_reader(self, ctx: Context, reader: Instance, limit: float) -> KvHandle:
@@ -283,7 +232,12 @@
     # The tokens.
 
     async def _decode(
-        self, ctx: Context, booking: Booking, handle: KvHandle | None, relay: EventRelay
+        self,
+        ctx: Context,
+        booking: Booking,
+        use: "_Use",
+        handle: KvHandle | None,
+        relay: EventRelay,
     ) -> None:
         source = name_handle_source(booking.reader.record.address, handle) if handle else ""
         decoder = booking.decoder
@@ -292,22 +246,20 @@
                 try:
                     await self._try_decoder(ctx, decoder, source, relay)
                     source = ""
+                    if decoder is booking.decoder:
+                        use.outcome = Outcome.DONE
                     return
-                except UpstreamLeavingError as error:
-                    self._parts.note_gone(decoder)
-                    reason = str(error)
-                except UpstreamBusyError as error:
-                    self._parts.note_refusal(decoder, asyncio.get_running_loop().time())
-                    reason = str(error)
-                except UpstreamBrokenError as error:
-                    ctx.runs += 1
-                    now = asyncio.get_running_loop().time()
-                    self._parts.note_broken(ctx, decoder, now, str(error))
+                except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
+                    outcome = self._note_failed(ctx, decoder, error)
+                    if decoder is booking.decoder:
+                        use.outcome = outcome
                     reason = str(error)
-                    # The handle was taken by the run that broke.
-                    if error.sent:
-                        self._free(booking.reader, handle)
-                        source, handle = "", None
+                    if isinstance(error, UpstreamBrokenError):
+                        ctx.runs += 1
+                        # The handle was taken by the run that broke.
+                        if error.sent:
+                            self._free(booking.reader, handle)
+                            source, handle = "", None
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
                 decoder = self._next_decoder(ctx, relay, reason, number)
@@ -321,7 +273,7 @@
         allowed = number + 1 < MOST_DECODES and ctx.runs < ctx.route.max_attempts
         allowed = allowed and (ctx.repeatable or not ctx.may_have_run)
         engines = self._parts.list_usable(ctx.service.name, now)
-        decoder = self._pick_decoder(ctx, engines, self._parts.zone)
+        decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now, urgent=ctx.urgent)
         budget = self._parts.budgets.find(ctx.service.name)
         if not allowed or decoder is None or not budget.take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.codes import TABLE, Code, Ran
 from swifttrestle.errors import CallerGoneError, RefusedError, SwifttrestleError
+from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.engines import EngineForwarder
 from swifttrestle.internal.forward.parts import Parts
@@ -32,12 +33,14 @@
 class GatewayHandler(RequestHandler):
     """Routes requests by the configuration in force."""
 
-    def __init__(self, parts: Parts, find_table: Callable[[], RouteTable | None]) -> None:
-        """Read the route table in force by `find_table`."""
+    def __init__(
+        self, parts: Parts, booker: Booker, find_table: Callable[[], RouteTable | None]
+    ) -> None:
+        """Book engines by `booker`; read the route table in force by `find_table`."""
         self._parts = parts
         self._find_table = find_table
         self._plain = PlainForwarder(parts)
-        self.engines = EngineForwarder(parts)
+        self._engines = EngineForwarder(parts, booker)
         # The loop's time at which this process ends, once a planned stop has come so far.
         self.ends_at: float | None = None
 
@@ -109,7 +112,7 @@
         return route
 
     async def _serve(self, ctx: Context) -> None:
-        forwarder = self.engines if ctx.service.engine else self._plain
+        forwarder = self._engines if ctx.service.engine else self._plain
         try:
             async with asyncio.timeout(max(0.0, ctx.left - ANSWER_MARGIN_SECONDS)):
                 await forwarder.serve(ctx)
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -83,8 +83,11 @@
 
         Where the caller broke its own request off, the instance is not to blame.
         """
-        if ctx.request.body.broken:
-            return
+        if not ctx.request.body.broken:
+            self.note_failure(instance, now, reason)
+
+    def note_failure(self, instance: Instance, now: float, reason: str) -> None:
+        """Count a failure of an instance; it may be left out from now on."""
         group = [item.name for item in self.fleet.list_service(instance.record.service)]
         if self.ejector.note_failure(instance.name, group, now):
             log_decision("instance left out", instance=instance.name, reason=reason)
--- a/src/swifttrestle/internal/policy/queueing.py
+++ b/src/swifttrestle/internal/policy/queueing.py
@@ -5,54 +5,68 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
-from swifttrestle.internal.state.fleet import Instance
+T = TypeVar("T")
 
 # Share of the objective after which a request that found no engine is refused: an early
-# refusal lets its caller come back in time.
-WAIT_SHARE = 0.2
+# refusal lets its caller come back in time. Callers count a quarter of the objective as early,
+# from their side of links that may take some tens of milliseconds for a long prompt.
+WAIT_SHARE = 0.1
 
 
 @dataclass(order=True)
-class _Waiter:
+class _Waiter(Generic[T]):
     priority: int
     deadline: float
     number: int
-    find: Callable[[], Instance | None] = field(compare=False)
-    granted: asyncio.Future[Instance] = field(compare=False)
+    find: Callable[[], T | None] = field(compare=False)
+    granted: asyncio.Future[T] = field(compare=False)
 
 
-class AdmissionQueue:
-    """Waiters for one service's engines, by priority and then by deadline."""
+class AdmissionQueue(Generic[T]):
+    """Waiters for one kind of place at engines, by priority and then by deadline."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[_Waiter[T]] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
         """Return the requests that wait."""
         return sum(1 for waiter in self._waiters if not waiter.granted.done())
 
+    def count_before(self, priority: int, deadline: float) -> int:
+        """Return the waiters that would be served before another one."""
+        return sum(
+            1
+            for waiter in self._waiters
+            if not waiter.granted.done()
+            and (waiter.priority, waiter.deadline) <= (priority, deadline)
+        )
+
+    def take(self, find: Callable[[], T | None], priority: int) -> T | None:
+        """Return what `find` gives, unless requests wait that go first."""
+        return None if self._has_before(priority) else find()
+
     async def wait(
         self,
-        find: Callable[[], Instance | None],
-        release: Callable[[Instance], None],
+        find: Callable[[], T | None],
+        release: Callable[[T], None],
         priority: int,
         deadline: float,
         longest: float,
-    ) -> Instance | None:
-        """Return an engine as soon as `find` gives one, or None after `longest` seconds.
+    ) -> T | None:
+        """Return a place as soon as `find` gives one, or None after `longest` seconds.
 
-        `find` must book the engine that it returns; `release` undoes that where the waiter
+        `find` must book the place that it returns; `release` undoes that where the waiter
         left in the same moment. A request that finds one at once still goes behind those
         that wait and are as urgent.
         """
-        if not self._has_before(priority):
-            found = find()
-            if found is not None or longest <= 0:
-                return found
-        granted: asyncio.Future[Instance] = asyncio.get_running_loop().create_future()
+        found = self.take(find, priority)
+        if found is not None or longest <= 0:
+            return found
+        granted: asyncio.Future[T] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(priority, deadline, next(self._numbers), find, granted)
         heapq.heappush(self._waiters, waiter)
         try:
@@ -68,7 +82,7 @@
             granted.cancel()
 
     def serve(self) -> None:
-        """Give engines to waiters while there are any; called when room may have come."""
+        """Give places to waiters while there are any; called when room may have come."""
         while self._waiters:
             waiter = self._waiters[0]
             if not waiter.granted.done():
--- a/src/swifttrestle/internal/policy/windows.py
+++ b/src/swifttrestle/internal/policy/windows.py
@@ -32,6 +32,11 @@
         """Count an arrival beyond the first that was not asked for, such as a rejected one."""
         self._repeats.append(now)
 
+    def count_repeats(self, now: float) -> int:
+        """Return the repeats in the window that ends now."""
+        self._expire(now)
+        return len(self._repeats)
+
     def allows(self, now: float) -> bool:
         """Return whether one repeat may be taken now."""
         self._expire(now)
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/bookings.py
@@ -0,0 +1,116 @@
+"""Datagrams by which a host has engines booked by the one that schedules a group of them."""
+
+from dataclasses import astuple, dataclass
+from enum import IntEnum
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.state.bookings import BookingRequest, Outcome, Stage
+
+
+class MessageKind(IntEnum):
+    """The first field of a booking datagram."""
+
+    ASK = 1
+    WAIT = 2
+    GRANT = 3
+    REFUSE = 4
+    END = 5
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Asks for engines; `number` names the booking among all of its host's."""
+
+    number: int
+    request: BookingRequest
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Says that the request waits in the scheduler's queue."""
+
+    number: int
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Names the booked engines.
+
+    `ahead` are the tokens to be read at the reader, the request's own included, and `wait` is
+    its predicted wait in seconds.
+    """
+
+    number: int
+    reader: str
+    decoder: str
+    ahead: int
+    wait: float
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Says that no engine has room; one is predicted to be free in `soonest` seconds."""
+
+    number: int
+    waiting: int
+    soonest: float
+
+
+@dataclass(frozen=True)
+class End:
+    """Gives one engine of a booking back; `seconds` is how long it was used."""
+
+    number: int
+    stage: Stage
+    outcome: Outcome
+    seconds: float
+
+
+Message = Ask | Wait | Grant | Refuse | End
+
+
+def pack_message(host: str, message: Message) -> bytes:
+    """Return the datagram of a message from a host."""
+    match message:
+        case Ask(number, request):
+            values: list[Any] = [MessageKind.ASK, host, number, *astuple(request)]
+            values[-1] = sorted(request.excluded)
+        case Wait(number):
+            values = [MessageKind.WAIT, host, number]
+        case Grant(number, reader, decoder, ahead, wait):
+            values = [MessageKind.GRANT, host, number, reader, decoder, ahead, wait]
+        case Refuse(number, waiting, soonest):
+            values = [MessageKind.REFUSE, host, number, waiting, soonest]
+        case End(number, stage, outcome, seconds):
+            values = [MessageKind.END, host, number, int(stage), int(outcome), seconds]
+    data: bytes = msgpack.packb(values)
+    return data
+
+
+def unpack_message(data: bytes) -> tuple[str, Message]:
+    """Return the sending host and its message; raise FrameError."""
+    try:
+        return _read(msgpack.unpackb(data))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"a booking datagram cannot be read: {error!r}") from None
+
+
+def _read(values: Any) -> tuple[str, Message]:
+    match values:
+        case [MessageKind.ASK, str(host), int(number), *fields, list(excluded)]:
+            values = [*fields, frozenset(excluded)]
+            return host, Ask(number, BookingRequest(*values).checked())
+        case [MessageKind.WAIT, str(host), int(number)]:
+            return host, Wait(number)
+        case [
+            MessageKind.GRANT, str(host), int(number), str(reader), str(decoder), int(ahead), wait
+        ]:  # fmt: skip
+            return host, Grant(number, reader, decoder, ahead, float(wait))
+        case [MessageKind.REFUSE, str(host), int(number), int(waiting), soonest]:
+            return host, Refuse(number, waiting, float(soonest))
+        case [MessageKind.END, str(host), int(number), stage, outcome, seconds]:
+            return host, End(number, Stage(stage), Outcome(outcome), float(seconds))
+    raise FrameError("a booking datagram is of no known kind")
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -24,6 +24,8 @@
 
     host: str
     ip: str
+    zone: str
+    link_mbps: float
     incarnation: int
     config_version: int
     leaving: bool
@@ -39,6 +41,8 @@
     values = [
         report.host,
         report.ip,
+        report.zone,
+        report.link_mbps,
         report.incarnation,
         report.config_version,
         report.leaving,
@@ -65,6 +69,8 @@
         case [
             str(host),
             str(ip),
+            str(zone),
+            float(link_mbps),
             int(incarnation),
             int(version),
             bool(leaving),
@@ -77,6 +83,8 @@
             return PeerReport(
                 host,
                 ip,
+                zone,
+                link_mbps,
                 incarnation,
                 version,
                 leaving,
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -0,0 +1,80 @@
+"""Datagrams by which a host that watches the discovery list tells others what changed."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+
+# Kept under one packet of the usual links, so that a datagram is never split.
+LARGEST_DATAGRAM = 1400
+
+
+@dataclass(frozen=True)
+class ListingChanges:
+    """All that changed in the discovery list after `since`, up to `revision`.
+
+    A record that only showed another heartbeat is left out. `distrust` are the seconds for
+    which records that went in an outage of the store may still come back.
+    """
+
+    since: int
+    revision: int
+    distrust: float
+    records: tuple[UpstreamRecord, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+def pack_changes(changes: ListingChanges) -> bytes:
+    """Return the datagram of changes.
+
+    Where they do not fit, it holds none and says that it starts where it ends: whoever is
+    behind then reads the list itself.
+    """
+    data = _pack(changes)
+    if len(data) <= LARGEST_DATAGRAM:
+        return data
+    return _pack(ListingChanges(changes.revision, changes.revision, changes.distrust))
+
+
+def _pack(changes: ListingChanges) -> bytes:
+    records = [
+        (
+            item.instance,
+            item.service,
+            item.address,
+            item.zone,
+            item.slots,
+            item.leaving,
+            item.role.value,
+        )
+        for item in changes.records
+    ]
+    values = (changes.since, changes.revision, changes.distrust, records, changes.removed)
+    data: bytes = msgpack.packb(values)
+    return data
+
+
+def unpack_changes(data: bytes) -> ListingChanges:
+    """Return the changes of a datagram; raise FrameError."""
+    try:
+        since, revision, distrust, records, removed = msgpack.unpackb(data)
+        return ListingChanges(
+            int(since),
+            int(revision),
+            float(distrust),
+            tuple(_read_record(item) for item in records),
+            tuple(str(name) for name in removed),
+        )
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"a listing datagram cannot be read: {error!r}") from None
+
+
+def _read_record(values: Any) -> UpstreamRecord:
+    instance, service, (host, port), zone, slots, leaving, role = values
+    address = (str(host), int(port))
+    return UpstreamRecord(
+        str(instance), str(service), address, str(zone), int(slots), bool(leaving), Role(role)
+    )
--- /dev/null
+++ b/src/swifttrestle/internal/state/bookings.py
@@ -0,0 +1,93 @@
+"""Engines booked for one request: what is asked, what was found, how each was given back."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from swifttrestle.internal.state.fleet import Instance
+
+
+class Stage(IntEnum):
+    """What an engine is booked for."""
+
+    READ = 1
+    DECODE = 2
+
+
+class Outcome(IntEnum):
+    """How an engine that was booked turned out."""
+
+    DONE = 0
+    CANCELLED = 1
+    REFUSED = 2
+    BROKEN = 3
+    GONE = 4
+
+
+@dataclass(frozen=True)
+class BookingRequest:
+    """What decides which engines serve a request; times in seconds from now.
+
+    `left` is the time to the deadline, `longest_wait` the time that it may wait for engines,
+    `longest_read_wait` the predicted wait for its reading that is short enough: less by
+    what it has waited before, unless `late`, where its objective is over in any case.
+    """
+
+    service: str
+    zone: str
+    tokens: int
+    affinity: str
+    priority: int
+    urgent: bool
+    left: float
+    longest_wait: float
+    longest_read_wait: float
+    late: bool = False
+    excluded: frozenset[str] = field(default_factory=frozenset)
+
+    def checked(self) -> "BookingRequest":
+        """Return the request as it came from a peer; raise TypeError for a wrong field."""
+        texts = (self.service, self.zone, self.affinity)
+        numbers = (self.tokens, self.priority, self.left, self.longest_wait, self.longest_read_wait)
+        if not all(isinstance(value, str) for value in (*texts, *self.excluded)):
+            raise TypeError("a name in a booking is no text")
+        if not all(isinstance(value, int | float) for value in numbers):
+            raise TypeError("a figure in a booking is no number")
+        return self
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """A booking that another host keeps: the host and its number for the booking."""
+
+    host: str
+    number: int
+
+
+@dataclass(frozen=True)
+class Booking:
+    """The engines of one request: the one that reads its prompt and the one that decodes.
+
+    Both are the same where the decoding engine reads the prompt itself. `ahead` are the
+    tokens to be read at the reader, these included, and `wait` its predicted wait in seconds,
+    both from the moment of booking. `ticket` is set where another host keeps the booking.
+    """
+
+    reader: Instance
+    decoder: Instance
+    tokens: int
+    ahead: int = 0
+    wait: float = 0.0
+    ticket: Ticket | None = None
+
+    @property
+    def direct(self) -> bool:
+        """Whether one engine does both."""
+        return self.reader is self.decoder
+
+
+@dataclass(frozen=True)
+class NoRoom:
+    """No engine was found in time: how many waited, and when one is predicted to be free."""
+
+    waiting: int
+    soonest: float
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -46,6 +46,8 @@
     own: OpenWork = NOTHING
     peers: OpenWork = NOTHING
     read_rate: float = UNKNOWN_READ_RATE
+    # Measurements of its speed so far.
+    measured: int = 0
     refused_until: float = float("-inf")
     ordered_role: Role | None = None
     role_changing_until: float = float("-inf")
@@ -81,7 +83,9 @@
         if tokens < LEAST_LEARN_TOKENS or seconds <= 0:
             return
         share = DECODE_READ_SHARE if self.role is Role.DECODE else 1.0
-        self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
+        self.measured += 1
+        weight = max(LEARN_SHARE, 1 / (1 + self.measured))
+        self.read_rate += weight * (tokens / seconds / share - self.read_rate)
 
 
 @dataclass
@@ -105,6 +109,19 @@
         """Return the instances of a service that are not leaving."""
         return [item for item in self._services[service].values() if not item.record.leaving]
 
+    def list_engine_services(self) -> list[str]:
+        """Return the services of which model engines are listed."""
+        return [
+            service
+            for service, items in self._services.items()
+            if any(item.record.role is not Role.NONE for item in items.values())
+        ]
+
+    def is_engine(self, instance: str) -> bool:
+        """Return whether an instance is a model engine that is known here."""
+        known = self.instances.get(instance)
+        return known is not None and known.record.role is not Role.NONE
+
     def put(self, record: UpstreamRecord) -> bool:
         """Take a record over; return whether anything but its heartbeat changed."""
         known = self.instances.get(record.instance)
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -31,7 +31,11 @@
 
 @dataclass(frozen=True)
 class HostSettings:
-    """One host's settings; `internal_port` is the first port that peers may use."""
+    """One host's settings.
+
+    `internal_port` is the first port that peers may use; `link_mbps` is the speed of the
+    host's network link in megabits a second, 0 where it is not told.
+    """
 
     host: str
     ip: str
@@ -42,6 +46,7 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    link_mbps: float = 0.0
 
 
 def load_host_settings(env: Mapping[str, str] = os.environ) -> HostSettings:
@@ -73,6 +78,7 @@
         # The file names the control address of each seed; only the host part serves here,
         # since peers talk on the internal ports, which are alike on all hosts.
         seeds=tuple(table.addresses("seeds")),
+        link_mbps=table.optional_table("limits").optional_number("linkMbps"),
         store=table.table("platform").address("address"),
         bounds=Bounds(
             stop=bounds.number("graceS", 0, LONGEST_MS / 1000),
@@ -96,6 +102,14 @@
     def table(self, name: str) -> "_Table":
         return _Table(self._find(name), self._path + name + ".")
 
+    def optional_table(self, name: str) -> "_Table":
+        return _Table(self._raw.get(name) or {}, self._path + name + ".")
+
+    def optional_number(self, name: str) -> float:
+        if self._raw.get(name) is None:
+            return 0.0
+        return self.number(name, 0, float("inf"))
+
     def text(self, name: str) -> str:
         value = self._find(name)
         if not isinstance(value, str) or not value:
--- /dev/null
+++ b/tests/cover/test_bookings.py
@@ -0,0 +1,302 @@
+"""Engines booked through the scheduler of a zone: counts, queueing, losses, takeovers."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.forward import shared_booking
+from swifttrestle.internal.forward.booking import LocalBooker
+from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.forward.shared_booking import SharedBooker
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.scheduling import find_group, find_scheduler, is_large
+from swifttrestle.internal.protocol.bookings import (
+    Ask,
+    End,
+    Grant,
+    Refuse,
+    Wait,
+    pack_message,
+    unpack_message,
+)
+from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.internal.state.members import Member
+
+REQUEST = BookingRequest("s", "a", 9000, "part", 0, True, 2.0, 0.05, 0.1)
+
+
+class Network:
+    """Datagrams between hosts of one loop; `lose` says which are lost."""
+
+    def __init__(self):
+        self.receivers, self.lose, self.sent = {}, lambda message: False, []
+
+    def socket(self, ip):
+        return _Socket(self, ip)
+
+
+class _Socket:
+    def __init__(self, network, ip):
+        self.network, self.ip = network, ip
+
+    def receive(self, _, receiver):
+        self.network.receivers[self.ip] = receiver
+
+    def send(self, ip, _, data):
+        message = unpack_message(data)[1]
+        self.network.sent.append(message)
+        if not self.network.lose(message) and ip in self.network.receivers:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.network.receivers[ip], data, self.ip)
+
+
+class Host:
+    """One host's part in the bookings, over a fleet of its own with the same engines."""
+
+    def __init__(self, network, name, members, engines):
+        fleet = Fleet()
+        for engine, role in engines:
+            fleet.put(UpstreamRecord(engine, "s", ("127.0.0.1", 1), "a", 10, False, role))
+        budgets = RetryBudgets(0.2, 50, 10)
+        self.parts = Parts("a", fleet, budgets, Metrics(), random.Random(1))
+        self.booker = SharedBooker(
+            LocalBooker(self.parts), self.parts, network.socket(name), name, lambda: members
+        )
+
+    def open_work(self):
+        return sum(item.own.requests for item in self.parts.fleet.instances.values())
+
+
+def run_hosts(act, monkeypatch, names="hij", engines=(("p", Role.PREFILL), ("d", Role.DECODE))):
+    """Run `act` with the hosts, the scheduler first."""
+    monkeypatch.setattr(shared_booking, "is_large", lambda _: True)
+
+    async def whole():
+        network = Network()
+        members = [Member(name, name, "a") for name in names]
+        hosts = {name: Host(network, name, members, engines) for name in names}
+        first = find_scheduler(members, "s", "").host
+        others = [host for name, host in hosts.items() if name != first]
+        await act(network, members, hosts[first], *others)
+
+    asyncio.run(whole())
+
+
+def end_all(host, booking):
+    host.booker.end(booking, Stage.READ, Outcome.DONE, 0.05)
+    host.booker.end(booking, Stage.DECODE, Outcome.DONE, 0.01)
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def test_the_scheduler_counts_what_others_have_booked_until_it_is_given_back(monkeypatch):
+    async def act(_, members, scheduler, other, third):
+        booking = await other.booker.book(REQUEST)
+        assert (booking.reader.name, booking.decoder.name) == ("p", "d")
+        assert booking.ticket.host == find_scheduler(members, "s", "").host
+        assert scheduler.open_work() == 2
+        assert other.open_work() == third.open_work() == 0
+        end_all(other, booking)
+        await settle()
+        assert scheduler.open_work() == 0
+
+    run_hosts(act, monkeypatch)
+
+
+def test_hosts_that_ask_in_the_same_moment_do_not_flood_an_engine(monkeypatch):
+    async def act(_, members, scheduler, *others):
+        asked = [host.booker.book(REQUEST) for host in others for _ in range(5)]
+        found = await asyncio.gather(*asked)
+        reader = scheduler.parts.fleet.instances["p"]
+        own = REQUEST.tokens / reader.pace
+        assert 0 < reader.predict_wait() <= REQUEST.longest_read_wait + own
+        assert sum(isinstance(item, Booking) for item in found) == 2
+        refused = [item.waiting for item in found if isinstance(item, NoRoom)]
+        assert sorted(refused) == [0] + [1] * 7
+
+    run_hosts(act, monkeypatch)
+
+
+def test_a_request_that_waits_gets_the_engine_that_another_host_gives_back(monkeypatch):
+    async def act(network, members, scheduler, other, third):
+        first, second = await other.booker.book(REQUEST), await third.booker.book(REQUEST)
+        waiting = asyncio.ensure_future(third.booker.book(REQUEST))
+        await settle()
+        assert Wait in {type(message) for message in network.sent}
+        end_all(other, first)
+        assert isinstance(await waiting, Booking)
+        end_all(third, second)
+
+    run_hosts(act, monkeypatch)
+
+
+def test_a_request_whose_turn_would_come_too_late_is_refused_at_once(monkeypatch):
+    async def act(network, members, scheduler, other, third):
+        held = [await other.booker.book(REQUEST) for _ in range(2)]
+        waiting = asyncio.ensure_future(third.booker.book(REQUEST))
+        await settle()
+        # One prompt takes 90 ms, and a request waits 50 ms at most.
+        hopeless = asyncio.ensure_future(third.booker.book(REQUEST))
+        await settle()
+        assert hopeless.done()
+        assert hopeless.result().waiting == 1
+        assert not waiting.done()
+        end_all(other, held[0])
+        assert isinstance(await waiting, Booking)
+
+    run_hosts(act, monkeypatch)
+
+
+def test_a_silent_scheduler_is_replaced_by_own_knowledge_and_left_alone_for_a_while(monkeypatch):
+    async def act(network, members, scheduler, other, _):
+        network.lose = lambda message: isinstance(message, Grant)
+        booking = await other.booker.book(REQUEST)
+        assert booking.ticket is None
+        await settle()
+        # What the scheduler had booked for the lost answer was given back.
+        assert scheduler.open_work() == 0
+        network.sent.clear()
+        end_all(other, booking)
+        end_all(other, await other.booker.book(REQUEST))
+        assert not network.sent
+
+    run_hosts(act, monkeypatch)
+
+
+def test_a_caller_that_leaves_while_it_waits_leaves_nothing_booked(monkeypatch):
+    async def act(_, members, scheduler, other, third):
+        held = [await other.booker.book(REQUEST) for _ in range(2)]
+        waiting = asyncio.ensure_future(third.booker.book(REQUEST))
+        await settle()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        await settle()
+        for booking in held:
+            end_all(other, booking)
+        await settle()
+        assert scheduler.open_work() == 0
+
+    run_hosts(act, monkeypatch)
+
+
+@pytest.mark.parametrize(
+    ("later", "lost", "open_work"), [(0.1, False, 2), (9, False, 0), (0.1, True, 0)]
+)
+def test_a_booking_whose_end_is_lost_expires_with_its_request_or_its_host(
+    monkeypatch, later, lost, open_work
+):
+    async def act(network, members, scheduler, other, _):
+        booking = await other.booker.book(REQUEST)
+        network.lose = lambda message: isinstance(message, End)
+        end_all(other, booking)
+        if lost:
+            members[:] = [item for item in members if item.host != other.booker._host]
+        scheduler.booker._sweep(asyncio.get_running_loop().time() + later)
+        assert scheduler.open_work() == open_work
+
+    run_hosts(act, monkeypatch)
+
+
+def test_an_engine_that_a_host_found_broken_is_left_out_by_the_scheduler_too(monkeypatch):
+    engines = [("p", Role.PREFILL), ("q", Role.PREFILL), ("d", Role.DECODE)]
+
+    async def act(_, members, scheduler, other, third):
+        broken = []
+        for _ in range(3):
+            booking = await other.booker.book(REQUEST)
+            broken.append(booking.reader)
+            other.booker.end(booking, Stage.READ, Outcome.BROKEN, 0.1)
+            other.booker.end(booking, Stage.DECODE, Outcome.CANCELLED, 0.1)
+            await settle()
+        assert broken == [broken[0]] * 3
+        assert (await third.booker.book(REQUEST)).reader is not broken[0]
+
+    run_hosts(act, monkeypatch, engines=engines)
+
+
+def test_an_engine_that_only_the_asking_host_cannot_use_is_not_given_to_it(monkeypatch):
+    engines = [("p", Role.PREFILL), ("q", Role.PREFILL), ("d", Role.DECODE)]
+
+    async def act(_, members, scheduler, other, third):
+        chosen = (await other.booker.book(REQUEST)).reader
+        other.parts.note_refusal(chosen, asyncio.get_running_loop().time())
+        assert (await other.booker.book(REQUEST)).reader is not chosen
+
+    run_hosts(act, monkeypatch, engines=engines)
+
+
+def test_short_prompts_do_not_wait_behind_long_ones(monkeypatch):
+    async def act(_, members, scheduler, other, third):
+        held = [await other.booker.book(REQUEST) for _ in range(2)]
+        waiting = asyncio.ensure_future(other.booker.book(REQUEST))
+        await settle()
+        short = BookingRequest("s", "a", 100, "part", 1, False, 2.0, 0.05, 0.1)
+        assert (await third.booker.book(short)).direct
+        assert not waiting.done()
+        assert isinstance(await waiting, NoRoom)
+        assert len(held) == 2
+
+    run_hosts(act, monkeypatch)
+
+
+@pytest.mark.parametrize(
+    ("zones", "zone", "group"),
+    [
+        ("aaaa", "a", "a"),
+        ("aaabbbb", "a", ""),
+        ("bbbb", "a", ""),
+        ("aaaabbbb", "b", "b"),
+        ("", "a", ""),
+    ],
+)
+def test_a_zone_with_engines_enough_is_scheduled_apart(zones, zone, group):
+    engines = [
+        Instance(UpstreamRecord(f"e{n}", "s", ("h", 1), name, 10, False, Role.PREFILL))
+        for n, name in enumerate(zones)
+    ]
+    assert find_group(engines, zone) == group
+
+
+def test_all_hosts_find_one_scheduler_and_another_where_it_is_gone():
+    members = [Member(f"h{n}", f"ip{n}", "ab"[n % 2]) for n in range(20)]
+    first = find_scheduler(members, "s", "a")
+    assert first.zone == "a"
+    assert find_scheduler(members[::-1], "s", "a") == first
+    rest = [item for item in members if item != first]
+    assert find_scheduler(rest, "s", "a") not in (None, first)
+    assert find_scheduler([], "s", "a") is None
+    slow = [Member(f"h{n}", f"ip{n}", "a", 10.0) for n in range(9)]
+    assert find_scheduler([*slow, Member("fast", "ip", "a", 200.0)], "s", "a").host == "fast"
+    assert (is_large(16), is_large(17)) == (False, True)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Ask(1, BookingRequest("s", "a", 9, "p", 0, True, 1.5, 0.1, 0.2, True, frozenset({"e"}))),
+        Wait(2),
+        Grant(3, "p", "d", 9000, 0.25),
+        Refuse(4, 7, 0.5),
+        End(5, Stage.DECODE, Outcome.REFUSED, 0.125),
+    ],
+)
+def test_a_booking_message_survives_its_datagram(message):
+    assert unpack_message(pack_message("host", message)) == ("host", message)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.one_of(st.binary(max_size=60), st.lists(st.integers(0, 6), max_size=14).map(bytes)))
+def test_noise_for_a_booking_datagram_is_refused_with_a_typed_error(noise):
+    try:
+        unpack_message(noise)
+    except FrameError as error:
+        assert error.code.name == "BAD_FRAME"
--- /dev/null
+++ b/tests/hosted/test_large_fleets.py
@@ -0,0 +1,134 @@
+"""What changes where many hosts serve: schedulers, and watchers of the list for a zone."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from swifttrestle.internal.policy import scheduling
+from swifttrestle_standins.hosted.site import wait_until
+from tests.common.http import ask
+from tests.hosted.sites import LONG, count_runs, door, on_site
+
+WATCH = "GET /v1/objects/servers?"
+
+
+@contextlib.asynccontextmanager
+async def heartbeats(site):
+    """Have one upstream's record change some times a second, as heartbeats do."""
+
+    async def beat():
+        number = 0
+        while True:
+            number += 1
+            spec = {**site.store.objects["servers", "s1"]["spec"], "seq": number}
+            site.store.put("servers", "s1", spec)
+            await asyncio.sleep(0.1)
+
+    task = asyncio.ensure_future(beat())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def names_knowing(site, instance):
+    return {name for name, item in site.gateways.items() if item.gateway.knows_instance(instance)}
+
+
+async def wait_for_all_hosts(site):
+    count = len(site.gateways)
+    for item in site.gateways.values():
+        await wait_until(lambda i=item: len(i.gateway.live_hosts()) == count, "all hosts")
+
+
+def count_watches(site):
+    return sum(1 for call in site.store.calls if call.startswith(WATCH))
+
+
+@pytest.fixture(autouse=True)
+def large(monkeypatch):
+    monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 2)
+
+
+@on_site(gateways=5)
+async def test_two_hosts_of_a_zone_watch_the_list_and_the_others_hear_of_it(site):
+    async with heartbeats(site):
+        await wait_for_all_hosts(site)
+        await asyncio.sleep(1.0)
+        site.store.calls.clear()
+        site.unlist_upstream(site.upstreams["s0"])
+        await wait_until(lambda: not names_knowing(site, "s0"), "gone at all hosts")
+        await asyncio.sleep(2.0)
+        # Two watchers at a pace of 0.8 s, for two seconds and the start; five would make 15.
+        assert count_watches(site) <= 8
+
+
+@pytest.mark.parametrize("way", ["watchers stopped", "datagrams lost"])
+@on_site(gateways=4)
+async def test_a_host_that_hears_nothing_of_the_list_reads_it_in_time(site, way):
+    async with heartbeats(site):
+        await wait_for_all_hosts(site)
+        await asyncio.sleep(1.0)
+        members = site.gateways["g0"].gateway.list_members()
+        watchers = [item.host for item in scheduling.list_watchers(members, "hall-a")]
+        others = set(site.gateways) - set(watchers)
+        for name in watchers:
+            running = site.gateways[name]
+            if way == "watchers stopped":
+                running.task.cancel()
+            else:
+                running.gateway._discovery._relay.send = lambda _: None
+        site.unlist_upstream(site.upstreams["s0"])
+        async with asyncio.timeout(2.0):
+            while names_knowing(site, "s0") & others:
+                await asyncio.sleep(0.01)
+
+
+@on_site(gateways=4)
+async def test_an_outage_in_a_large_fleet_forgets_no_upstream_that_comes_back(site):
+    async with heartbeats(site):
+        await wait_for_all_hosts(site)
+        site.store.faults.down = True
+        site.store.wake()
+        await asyncio.sleep(2.0)
+        leaving = site.upstreams["s0"]
+        site.unlist_upstream(leaving)
+        site.store.faults.down = False
+        await asyncio.sleep(1.0)
+        assert names_knowing(site, "s0") == set(site.gateways)
+        site.list_upstream(leaving)
+        await asyncio.sleep(2.0)
+        assert names_knowing(site, "s0") == set(site.gateways)
+
+
+@on_site(gateways=4, engines=("prefill", "prefill", "decode", "decode"))
+async def test_each_request_of_a_large_fleet_runs_once_and_leaves_nothing_booked(site):
+    await wait_for_all_hosts(site)
+    asked = [
+        ask(door(site, name), "/verdict/a", f"{name}-{number}", X_Token_Usage=LONG)
+        for name in site.gateways
+        for number in range(3)
+    ]
+    answers = await asyncio.gather(*asked)
+    served = [answer for answer in answers if answer.status == 200]
+    assert len(served) >= 4
+    assert all(answer.status in (200, 503) for answer in answers)
+    for answer in served:
+        assert count_runs(site, answer.headers["x-request-id"]) == 1
+    await wait_until(
+        lambda: not sum(item.gateway.count_open_work() for item in site.gateways.values()),
+        "bookings given back",
+    )
+
+
+@on_site(gateways=4, engines=("prefill", "prefill", "decode", "decode"))
+async def test_requests_go_on_where_the_scheduler_is_gone(site):
+    await wait_for_all_hosts(site)
+    members = site.gateways["g0"].gateway.list_members()
+    first = scheduling.find_scheduler(members, "model", "hall-a").host
+    site.gateways[first].gateway._gossip._socket.close()
+    other = next(name for name in site.gateways if name != first)
+    for number in range(4):
+        answer = await ask(door(site, other), "/verdict/a", f"v{number}", X_Token_Usage=LONG)
+        assert answer.status == 200
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -159,6 +159,20 @@
     await wait_until(lambda: engine.count_open_work() == 0, "open work to end")
 
 
+@pytest.mark.parametrize(("share", "status", "runs"), [(0.0, 503, 0), (5.0, 200, 1)])
+@on_site(engines=("prefill", "prefill", "decode"))
+async def test_a_rejected_reading_counts_as_one_repeat_and_the_next_as_none(
+    site, share, status, runs
+):
+    budgets = site.gateways["g0"].gateway._budgets
+    budgets.change(share, 0.0, 10.0)
+    script(site, "e", "busy")
+    answer = await ask(door(site), "/verdict/a", "v1", X_Token_Usage=LONG)
+    assert (answer.status, count_runs(site, "v1")) == (status, runs)
+    now = asyncio.get_running_loop().time()
+    assert budgets.find("model").count_repeats(now) == 1
+
+
 @on_site()
 async def test_a_handle_that_is_not_used_is_freed(site):
     script(site, "e", "", "busy", "busy", "busy")
