Let another host plan roles where the holder is cut off from the store

Its peers still heard it, so it stayed the only candidate: no role changed until 29.9 s, with 12 of 29 engines decoding where 4 were wanted and prompts offered at more than twice what the others read.

Change: hosts tell their peers when they cannot reach the store and are no candidates then; the holder watches the discovery list itself, so that it notices; the host next in line looks at the lease every five seconds, so that its takeover need not wait the lease out anew; calls on the lease end after one second, since orders must leave within half a second of them. No plan takes decoding engines away that what is open now needs.

Ruled out: that the plan wanted no change (its reasons in the log at 29.9 s show 4 of 12 wanted).

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -98,6 +98,7 @@
             0,
             False,
             False,
+            False,
             {},
             {},
             {},
@@ -111,7 +112,9 @@
             rng,
             self._note_peers,
         )
-        relay = ListingRelay(socket, settings.host, self._gossip.list_members)
+        relay = ListingRelay(
+            socket, settings.host, self._gossip.list_members, lambda: self._gossip.holds_roles
+        )
         self._discovery = Discovery(self._store, self._fleet, rng, relay, self._serve_queues)
         self._booker = SharedBooker(
             LocalBooker(self._parts),
@@ -138,6 +141,7 @@
             self._parts.pool,
             self._gossip,
             self._find_configuration,
+            lambda: self._discovery.store_away,
         )
         self._callers = ConnectionSet()
         self._pages = ConnectionSet()
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -62,6 +62,11 @@
         self.known = False
         relay.receive(self._take_told)
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the store has not answered this host's latest calls."""
+        return self._away
+
     async def run(self) -> None:
         """List, then watch, for as long as the process lives."""
         while True:
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -58,6 +58,7 @@
     heard_at: float = float("-inf")
     leaving: bool = False
     holds_roles: bool = False
+    lacks_store: bool = False
 
 
 class Gossip:
@@ -95,6 +96,7 @@
         self.list_close: Callable[[], set[str]] = set
         self.leaving = False
         self.holds_roles = False
+        self._lacks_store_until = float("-inf")
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
@@ -138,11 +140,32 @@
 
         One candidate keeps hosts from writing against each other; the lease itself decides.
         """
-        if self.leaving:
-            return False
-        live = self.live_hosts()
-        held = any(peer.holds_roles for peer in self._peers.values() if peer.host in live)
-        return self.holds_roles or (not held and live[0] == self._me.host)
+        return not self.leaving and (self.holds_roles or self._list_candidates()[:1] == [True])
+
+    def is_next_role_candidate(self) -> bool:
+        """Return whether this host takes the planning over where the candidate is gone."""
+        return not self.leaving and True in self._list_candidates()[:2]
+
+    def _list_candidates(self) -> list[bool]:
+        """Return the hosts that may plan roles, in order: whether each is this one.
+
+        Those that cannot reach the store are left out: they could neither hold the lease nor
+        take it.
+        """
+        now = self._now()
+        able = [
+            (not peer.holds_roles, peer.host, False)
+            for peer in self._list_live(now)
+            if not peer.leaving and not peer.lacks_store
+        ]
+        if now >= self._lacks_store_until:
+            able.append((not self.holds_roles, self._me.host, True))
+        return [mine for _, _, mine in sorted(able)]
+
+    def note_store_lost(self, seconds: float) -> None:
+        """Tell the peers that this host cannot reach the store, for so many seconds."""
+        self._lacks_store_until = self._now() + seconds
+        self._send(self._fleet.own_work(), self._list_live(self._now()), with_known=False)
 
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
@@ -242,6 +265,7 @@
         peer.zone, peer.link_mbps = report.zone, report.link_mbps
         peer.leaving = report.leaving
         peer.holds_roles = report.holds_roles
+        peer.lacks_store = report.lacks_store
         peer.heard_at = self._now()
         self._log_live()
 
@@ -283,6 +307,7 @@
                 self._configuration.version,
                 self.leaving,
                 self.holds_roles,
+                self._now() < self._lacks_store_until,
                 {name: (item.tokens, item.requests) for name, item in work.items()},
                 {
                     name: (round(item.read_tokens), round(item.decode_slots, 2))
--- a/src/swifttrestle/internal/coordination/listing_relay.py
+++ b/src/swifttrestle/internal/coordination/listing_relay.py
@@ -16,9 +16,17 @@
     """Sends changes of the list to this host's zone, and hands on those that come from it."""
 
     def __init__(
-        self, socket: PeerSocket, host: str, list_members: Callable[[], Sequence[Member]]
+        self,
+        socket: PeerSocket,
+        host: str,
+        list_members: Callable[[], Sequence[Member]],
+        has_duty: Callable[[], bool],
     ) -> None:
-        """Use the host's socket and its view of the hosts that live."""
+        """Use the host's socket and its view of the hosts that live.
+
+        A host that `has_duty` watches for itself, so that it notices where it is cut off.
+        """
+        self._has_duty = has_duty
         self._socket = socket
         self._host = host
         self._list_members = list_members
@@ -29,7 +37,7 @@
 
     def watches(self) -> bool:
         """Return whether this host is to watch the list itself."""
-        return not is_large(len(self._list_members())) or self.tells()
+        return not is_large(len(self._list_members())) or self._has_duty() or self.tells()
 
     def tells(self) -> bool:
         """Return whether this host is to watch the list for others too."""
--- a/src/swifttrestle/internal/coordination/role_lease.py
+++ b/src/swifttrestle/internal/coordination/role_lease.py
@@ -22,6 +22,9 @@
 LEASE_KIND = "swifttrestle-leases"
 # Seconds after the start of the recording write in which an order must leave this host.
 SEND_SECONDS = 0.5
+# Seconds for one call on the lease: twice the time in which an order must leave, after which
+# its answer is of no use.
+CALL_SECONDS = 1.0
 # Seconds for an order that has left to arrive, and for the clocks' small differences.
 ARRIVAL_SECONDS = 1.0
 # Orders kept on the lease, newest last: more than may be open at once.
@@ -93,12 +96,10 @@
         if self._now() < self._look_at:
             return False
         try:
-            known = await self._store.get(LEASE_KIND, self._name)
+            known = await self.observe()
         except NotFoundError:
             return await self._create()
         current = read_role_lease(known.spec)
-        if known.revision != self._seen_revision:
-            self._seen_revision, self._seen_at = known.revision, self._now()
         mine = current.holder == self._host
         if not mine and self._now() - self._seen_at < self._wait:
             # Nothing between now and then can make the lease free.
@@ -107,6 +108,13 @@
         taken = RoleLease(self._host, self._incarnation, current.token + 1, current.orders)
         return await self._write(taken, known.revision)
 
+    async def observe(self) -> StoredObject:
+        """Read the lease and remember when it was first seen so; raise NotFoundError."""
+        known = await self._get()
+        if known.revision != self._seen_revision:
+            self._seen_revision, self._seen_at = known.revision, self._now()
+        return known
+
     async def _create(self) -> bool:
         first = RoleLease(self._host, self._incarnation, 1, ())
         try:
@@ -136,10 +144,11 @@
 
     async def _write(self, wanted: RoleLease, revision: int) -> bool:
         try:
-            stored = await self._store.replace(LEASE_KIND, self._name, wanted.spec(), revision)
+            async with asyncio.timeout(CALL_SECONDS):
+                stored = await self._store.replace(LEASE_KIND, self._name, wanted.spec(), revision)
         except (ConflictError, NotFoundError):
             return self._lose("another wrote it")
-        except PlatformUnavailableError:
+        except (PlatformUnavailableError, TimeoutError):
             return await self._read_back(wanted)
         self._keep(wanted, stored)
         return True
@@ -147,7 +156,7 @@
     async def _read_back(self, wanted: RoleLease) -> bool:
         """Find out whether a write without an answer was done."""
         try:
-            stored = await self._store.get(LEASE_KIND, self._name)
+            stored = await self._get()
         except (NotFoundError, PlatformUnavailableError):
             return self._lose("the write has no answer")
         if read_role_lease(stored.spec) != wanted:
@@ -155,6 +164,13 @@
         self._keep(wanted, stored)
         return True
 
+    async def _get(self) -> StoredObject:
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                return await self._store.get(LEASE_KIND, self._name)
+        except TimeoutError:
+            raise PlatformUnavailableError("the lease was not read in time") from None
+
     def _keep(self, lease: RoleLease, stored: StoredObject) -> None:
         if self.lease is None:
             log_decision("lease taken", lease=self._name, token=lease.token)
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -1,9 +1,15 @@
 """The duty of planning engines' roles: one gateway at a time, by leased and recorded orders."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
-from swifttrestle.errors import LeaseLostError, PlatformUnavailableError, UpstreamBrokenError
+from swifttrestle.errors import (
+    LeaseLostError,
+    NotFoundError,
+    PlatformUnavailableError,
+    UpstreamBrokenError,
+)
 from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.lines import log_decision
@@ -30,6 +36,13 @@
 
 # Seconds between two looks at the roles.
 TICK_SECONDS = 0.5
+# Share of a service's engines that may be ordered in one look, at least one: a large fleet
+# follows a swing as fast as a small one does.
+TICK_SHARE = 0.1
+# Seconds for which a host whose calls on the lease failed leaves the planning to others.
+STORE_LOST_SECONDS = 3.0
+# Seconds between two looks at the lease by the host that is next in line.
+STAND_BY_SECONDS = 5.0
 # Seconds for one call to an engine.
 CALL_SECONDS = 1.0
 # Seconds after which an order without an answer cannot be carried out any more; engines may
@@ -57,8 +70,10 @@
         pool: ConnectionPool,
         gossip: Gossip,
         find_configuration: Callable[[], Configuration | None],
+        is_store_away: Callable[[], bool],
     ) -> None:
         """Prepare; the gossip tells which host is to plan."""
+        self._is_store_away = is_store_away
         self._lease = lease
         self._fleet = fleet
         self._demand = demand
@@ -68,6 +83,7 @@
         self._find_configuration = find_configuration
         self._unsettled: dict[str, tuple[float, Role]] = {}
         self._unreached: dict[str, float] = {}
+        self._look_at = 0.0
 
     async def run(self) -> None:
         """Look at the roles for as long as the process lives."""
@@ -76,13 +92,21 @@
             try:
                 await self._tick()
             except (PlatformUnavailableError, LeaseLostError) as error:
-                self._gossip.holds_roles = self._lease.lease is not None
+                # Should the lease still be this host's, the next write on it will show that.
+                self._gossip.holds_roles = False
+                self._gossip.note_store_lost(STORE_LOST_SECONDS)
                 log_decision("role planning waits", reason=str(error))
                 await asyncio.sleep(TICK_SECONDS)
 
     async def _tick(self) -> None:
         configuration = self._find_configuration()
-        if configuration is None or not self._gossip.is_role_candidate():
+        if configuration is None:
+            return
+        if self._gossip.holds_roles and self._is_store_away():
+            # Orders could not be written down, and the list here is an old one.
+            raise PlatformUnavailableError("the store is away")
+        if not self._gossip.is_role_candidate():
+            await self._stand_by()
             return
         # The lease is held before it is needed: a takeover waits for seconds, in which the
         # last decoding engine may leave and the store may go away.
@@ -93,11 +117,26 @@
         if not before:
             self._take_over_orders()
         for service in configuration.services.values():
-            if service.engine is None:
-                continue
-            change = self._plan(service.name)
-            if change is not None:
-                await self._order(change, service.engine)
+            if service.engine is not None:
+                await self._plan_service(service.name, service.engine)
+
+    async def _stand_by(self) -> None:
+        """Look at the lease from time to time, so that a takeover need not wait it out."""
+        now = asyncio.get_running_loop().time()
+        if now < self._look_at or not self._gossip.is_next_role_candidate():
+            return
+        self._look_at = now + STAND_BY_SECONDS
+        with contextlib.suppress(NotFoundError):
+            await self._lease.observe()
+
+    async def _plan_service(self, service: str, traits: EngineTraits) -> None:
+        """Order what the plan wants: more at once where there are many engines."""
+        engines = len(self._fleet.list_service(service))
+        for _ in range(max(1, int(engines * TICK_SHARE))):
+            change = self._plan(service)
+            if change is None:
+                return
+            await self._order(change, traits)
 
     def _take_over_orders(self) -> None:
         """Count the last order of each engine as open where its role does not show it.
--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -107,6 +107,9 @@
     held = sum(item.total.requests for item in decoders)
     demand = Demand(demand.read_tokens, max(demand.decode_slots, held))
     least = max(1, least_decoders(len(engines) + len(away)) - len(away))
+    # What is being made is not to be crowded onto fewer engines, however much waits to be read.
+    slots = sum(item.record.slots for item in engines) / len(engines)
+    least = max(least, min(len(decoders), math.ceil(held / (slots * PLANNED_SHARE))))
     wanted = find_best_count(engines, len(decoders), demand, least)
     reason = (
         f"{len(decoders)} of {len(engines)} decode, {wanted} wanted, "
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -15,7 +15,8 @@
 class PeerReport:
     """What one gateway tells its peers.
 
-    `holds_roles` says that the sender holds the lease on engines' roles. `work` maps an
+    `holds_roles` says that the sender holds the lease on engines' roles, `lacks_store` that it
+    cannot reach the store now. `work` maps an
     upstream instance to its open prompt tokens and requests; `demand` maps a service to the
     prompt tokens a second and the decode slots that callers offer; `roles` maps an engine to
     the role that the sender has ordered it to and the seconds until it has that. `known` are
@@ -30,6 +31,7 @@
     config_version: int
     leaving: bool
     holds_roles: bool
+    lacks_store: bool
     work: dict[str, tuple[int, int]]
     demand: dict[str, tuple[float, float]]
     roles: dict[str, tuple[str, float]]
@@ -47,6 +49,7 @@
         report.config_version,
         report.leaving,
         report.holds_roles,
+        report.lacks_store,
         report.work,
         report.demand,
         report.roles,
@@ -75,6 +78,7 @@
             int(version),
             bool(leaving),
             bool(holds_roles),
+            bool(lacks_store),
             dict(work),
             dict(offered),
             dict(roles),
@@ -89,6 +93,7 @@
                 version,
                 leaving,
                 holds_roles,
+                lacks_store,
                 _read_work(work),
                 _read_demand(offered),
                 _read_roles(roles),
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from swifttrestle.errors import PlatformUnavailableError
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from tests.common.http import RawCaller, ask, write_request
@@ -351,3 +352,26 @@
             await site.stop()
 
     asyncio.run(run())
+
+
+async def refuse_call(*_):
+    raise PlatformUnavailableError("cut off")
+
+
+@on_site(gateways=3, engines=("prefill",) * 3 + ("decode",) * 2)
+async def test_planning_goes_on_where_its_holder_cannot_reach_the_store(site):
+    # Found on esspa-live-grown, quiet-1: the first host held the lease, was cut off from the
+    # store, and stayed the only candidate, so that no role changed for eight seconds.
+    def holder():
+        lease = site.store.objects.get(("swifttrestle-leases", "roles"))
+        return lease["spec"]["holder"].partition("@")[0] if lease else ""
+
+    for name in site.gateways:
+        await wait_until(lambda n=name: len(gateway(site, n).live_hosts()) == 3, "three hosts")
+    first = await wait_until(holder, "a holder")
+    gateway(site, first)._store._call = refuse_call
+    for name in ("e3", "e4"):
+        site.unlist_upstream(site.upstreams[name])
+    await wait_until(lambda: holder() != first, "another holder")
+    readers = [site.upstreams[name] for name in ("e0", "e1", "e2")]
+    await wait_until(lambda: any(item.role == "decode" for item in readers), "a decoding engine")
