Start bookings at a number of each life; tell when a reader, not any engine, is free

A host that starts anew counted its bookings from 1 and could meet numbers that its scheduler still kept from its former life; each of those was refused as asked twice, and the host booked by its own old knowledge (found by reading; the test fails without the change). The time to come back of a refusal named the soonest of all engines, decoding ones too, so that it was always 0 ms.

--- a/src/swifttrestle/internal/forward/booking.py
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -71,8 +71,7 @@
         )
         if booking is not None:
             return booking
-        engines = self._parts.fleet.list_service(request.service)
-        return NoRoom(waiting, min((item.predict_wait() for item in engines), default=0.0))
+        return NoRoom(waiting, self._predict_soonest(request.service))
 
     def book_now(self, request: BookingRequest) -> Booking | None:
         """Book if there is room that no waiting request is to have, else return None."""
@@ -134,6 +133,12 @@
         """Return whether a decoding engine reads the prompt itself as soon as another would."""
         return reads_soon(request.tokens, self._parts.fleet.list_service(request.service))
 
+    def _predict_soonest(self, service: str) -> float:
+        """Return the seconds until the first reader has read all that is open there."""
+        engines = self._parts.fleet.list_service(service)
+        readers = [item for item in engines if item.role is Role.PREFILL] or engines
+        return min((item.predict_wait() for item in readers), default=0.0)
+
     def _predict_turn(self, request: BookingRequest, ahead: int) -> float:
         """Return the seconds until so many waiting requests like this one have been placed.
 
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -60,6 +60,8 @@
 EXPIRY_SECONDS = 0.5
 # Seconds after which a prompt counts as read where nothing was heard.
 LONGEST_READ_SECONDS = 2.0
+# Bits of the number at which a host starts to count its bookings.
+NUMBER_BITS = 40
 # Seconds between two looks for bookings that have expired.
 SWEEP_SECONDS = 0.25
 
@@ -93,7 +95,8 @@
         self._socket = socket
         self._host = host
         self._list_members = list_members
-        self._numbers = itertools.count(1)
+        # A host that starts anew must not meet the numbers of its former life.
+        self._numbers = itertools.count(parts.rng.getrandbits(NUMBER_BITS))
         self._asked: dict[int, asyncio.Queue[Message]] = {}
         self._silent_until: dict[str, float] = {}
         self._kept: dict[Ticket, _Kept] = {}
--- a/tests/cover/test_bookings.py
+++ b/tests/cover/test_bookings.py
@@ -61,12 +61,12 @@
 class Host:
     """One host's part in the bookings, over a fleet of its own with the same engines."""
 
-    def __init__(self, network, name, members, engines):
+    def __init__(self, network, name, members, engines, seed=1):
         fleet = Fleet()
         for engine, role in engines:
             fleet.put(UpstreamRecord(engine, "s", ("127.0.0.1", 1), "a", 10, False, role))
         budgets = RetryBudgets(0.2, 50, 10)
-        self.parts = Parts("a", fleet, budgets, Metrics(), random.Random(1))
+        self.parts = Parts("a", fleet, budgets, Metrics(), random.Random(seed))
         self.booker = SharedBooker(
             LocalBooker(self.parts), self.parts, network.socket(name), name, lambda: members
         )
@@ -213,6 +213,16 @@
     run_hosts(act, monkeypatch)
 
 
+def test_a_host_that_starts_anew_does_not_reuse_its_former_numbers(monkeypatch):
+    async def act(network, members, scheduler, other, _):
+        held = await other.booker.book(REQUEST)
+        again = Host(network, other.booker._host, members, TWO_ENGINES, seed=2)
+        booking = await again.booker.book(REQUEST)
+        assert booking.ticket not in (None, held.ticket)
+
+    run_hosts(act, monkeypatch)
+
+
 def test_an_engine_that_a_host_found_broken_is_left_out_by_the_scheduler_too(monkeypatch):
     engines = [("p", Role.PREFILL), ("q", Role.PREFILL), ("d", Role.DECODE)]
 
