--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import fields
+from pathlib import Path
 from typing import Any
 
 import fire
@@ -22,6 +23,7 @@
 from swifttrestle.internal.coordination.actors import STATUS
 from swifttrestle.internal.coordination.writes import plain_spec, read_or_none, write_once
 from swifttrestle.internal.described import write_default
+from swifttrestle.internal.explanation import explain_request, read_log_lines
 from swifttrestle.internal.files import Document, read_documents
 from swifttrestle.internal.protocol.platform import RestObjectApi, StoredObject
 from swifttrestle.internal.settings import ENV_PREFIX, check_platform, read_environment
@@ -98,6 +100,17 @@
                 if old != new:
                     _say(f"{document.key} {field}: {old!r} -> {new!r}")
 
+    def explain_request(self, request_id: str, logs: str) -> None:
+        """Tell what became of a request, from a folder with the gateways' logs.
+
+        Example: swifttrestle-ctl explain-request 74947cc48ea21ecb --logs=logs
+        """
+        folder = Path(logs)
+        if not folder.is_dir():
+            raise InvalidSettingError(f"--logs: {logs!r} is no folder; give one with log files")
+        for line in explain_request(read_log_lines(folder), str(request_id)):
+            _say(line)
+
     def get(self, kind: str, name: str = "", output: str = "table") -> None:
         """Show resources of a kind, as table, yaml (to edit and apply) or json.
 
--- /dev/null
+++ b/tests/cover/test_explanation.py
@@ -0,0 +1,71 @@
+"""The story of a request from the logs of several hosts."""
+
+import orjson
+import pytest
+
+from swifttrestle.ctl import Ctl
+from swifttrestle.errors import NotFoundError
+from swifttrestle.internal.explanation import LogLine, explain_request, read_log_lines
+
+REQUEST = LogLine(
+    100.2,
+    "h1",
+    "request",
+    {
+        "id": "r1", "route": "verdicts", "config": 3, "list_age": 0.4, "code": "ANSWER_LOST",
+        "outcome": "reset", "ms": 200.0,
+        "steps": ["5:reader p1 wait=10ms decoder d1 open=2 by h2", "150:read 9000 tokens",
+                  "190:decoder d1 failed: reset"],
+    },
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("line", "told"),
+    [
+        (LogLine(95.0, "h2", "instance left out", {"instance": "d1", "reason": "reset"}), True),
+        (LogLine(99.0, "h3", "role ordered", {"engine": "p1", "role": "decode"}), True),
+        (LogLine(95.0, "h2", "instance left out", {"instance": "d2", "reason": "reset"}), False),
+        (LogLine(80.0, "h2", "instance left out", {"instance": "d1", "reason": "reset"}), False),
+        (LogLine(101.0, "h2", "instance left out", {"instance": "d1", "reason": "reset"}), False),
+        (LogLine(20.0, "h1", "configuration in force", {"version": 3}), True),
+        (LogLine(20.0, "h1", "configuration in force", {"version": 2}), False),
+        (LogLine(20.0, "h2", "configuration in force", {"version": 3}), False),
+        (LogLine(99.0, "h1", "store lost", {"by": "discovery"}), True),
+        (LogLine(99.0, "h2", "store lost", {"by": "discovery"}), False),
+        (LogLine(99.0, "h1", "request", {"id": "r2", "steps": []}), False),
+    ],
+)
+def test_what_explains_a_request_is_told_and_nothing_else(line, told):
+    story = explain_request([REQUEST, line], "r1")
+    assert len(story) == 5 + told
+
+
+def test_the_story_goes_in_order_of_time_from_the_arrival():
+    early = LogLine(99.0, "h3", "instance left out", {"instance": "d1"})
+    story = explain_request([REQUEST, early], "r1")
+    assert [line.split()[0] for line in story] == [
+        "-1.000", "+0.000", "+0.005", "+0.150", "+0.190", "+0.200",
+    ]  # fmt: skip
+    assert "by h2" in story[2]
+    assert "ends with ANSWER_LOST" in story[-1]
+
+
+def write_logs(folder):
+    (folder / "h1").mkdir()
+    line = {"time": REQUEST.time, "host": "h1", "event": "request", **REQUEST.fields}
+    lines = [b"no line of a gateway", b'{"time": "x"}', b"[]", orjson.dumps(line)]
+    (folder / "h1" / "out.log").write_bytes(b"\n".join(lines))
+
+
+def test_lines_are_read_from_all_files_and_others_left_out(tmp_path):
+    write_logs(tmp_path)
+    assert list(read_log_lines(tmp_path)) == [REQUEST]
+
+
+def test_the_command_tells_the_story_or_what_is_missing(tmp_path, capsys):
+    write_logs(tmp_path)
+    Ctl().explain_request("r1", str(tmp_path))
+    assert "decoder d1 failed: reset" in capsys.readouterr().out
+    with pytest.raises(NotFoundError, match="lines_dropped"):
+        Ctl().explain_request("r9", str(tmp_path))
