--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -13,11 +13,11 @@
 from swifttrestle.platform.records import UPSTREAM_KIND, read_upstream
 from swifttrestle.platform.store import Change, ObjectStore, StoredObject
 
-# Seconds between two watches. Each upstream's heartbeat ends a waiting watch, so a watch
-# without a pause would be a call for each heartbeat; this pace is well under the time in
-# which a leaving upstream must get no new work.
+# Seconds between two watches. Each change of any record ends a waiting watch, so in a release
+# or while roles change a watch without a pause would be a call for each of them; this pace is
+# well under the time in which a leaving upstream must get no new work.
 PACE_SECONDS = 0.8
-# Seconds a watch waits. Heartbeats end it sooner, so a longer silence means a broken path.
+# Seconds a watch waits: so short that a path which is broken in silence is noticed in time.
 WAIT_SECONDS = 2.0
 # The same for a host that tells others what it sees: they take its silence for a fault.
 TELLING_WAIT_SECONDS = PACE_SECONDS
--- a/src/swifttrestle/internal/coordination/listing_relay.py
+++ b/src/swifttrestle/internal/coordination/listing_relay.py
@@ -1,7 +1,7 @@
 """In a large fleet a few hosts of each zone watch the discovery list and tell the others.
 
-Each waiting watch is a call to the store, and each heartbeat of an upstream ends it; so many
-hosts that all watch ask the store the same question at the same time.
+Each watch is a call to the store, and a short one, since a host has to notice in time that its
+path to the store is broken; many hosts that all watch ask the same question all the time.
 """
 
 from collections.abc import Callable, Sequence
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Plays rounds by hand: python -m tests.soak --first 1 --seeds 50 [--hosts 4] [--seconds 6]."""
 
 import asyncio
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -12,6 +13,8 @@
 
 def play(first=1, seeds=10, hosts=4, seconds=6.0, callers=12):
     """Play rounds; each that finds something keeps its logs, and the last line counts them."""
+    # A soak that is ended from outside takes its processes along.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = []
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
