Standard names in the own interface: request handler, admission queue, idempotency records

Door, WaitingLine, Place, Wish, Judgement and Claims become EntryHandler, BlockingAdmissionQueue, QueueEntry, AdmissionRequest, AdmissionResult and IdempotencyRecords; judging becomes deciding; files and tests follow.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -6,7 +6,7 @@
 import orjson
 import psutil
 
-from swifttrestle.internal.coordination.acceptance import judge, split_shards
+from swifttrestle.internal.coordination.acceptance import decide_acceptance, split_shards
 from swifttrestle.internal.logs import setup_logs
 from swifttrestle.internal.protocol.peers import ShardCopy
 from swifttrestle.internal.protocol.platform import StoredObject
@@ -43,9 +43,9 @@
     print("|" + "---|" * 8)
     for upstreams, workspaces in SIZES:
         objects = make_objects(upstreams, workspaces)
-        accepted: dict[str, Resource] = judge(objects, {}).accepted
+        accepted: dict[str, Resource] = decide_acceptance(objects, {}).accepted
         began = time.process_time()
-        judge(objects, accepted)
+        decide_acceptance(objects, accepted)
         judged = time.process_time()
         shards = split_shards(accepted)
         split = time.process_time()
--- a/bench/model.py
+++ b/bench/model.py
@@ -269,7 +269,7 @@
         ahead = line.index(request) if waiting else len(line)
         if request.work.priority == "urgent":
             ahead = 0
-        judged = self.admission.judge(
+        judged = self.admission.decide(
             candidates, request.work, left, ahead, self.policy.queue_limit
         )
         if judged.decision is Decision.GO and self._send(request, judged.roomy):
--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -11,11 +11,11 @@
 from swifttrestle.internal.checks import split_address
 from swifttrestle.internal.clock import MonotonicClock
 from swifttrestle.internal.entry.attempts import Attempts
-from swifttrestle.internal.entry.claims import Claims
-from swifttrestle.internal.entry.line import WaitingLine
+from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import RelayParts
 from swifttrestle.internal.entry.reports import ReportReader
-from swifttrestle.internal.entry.serving import Door
+from swifttrestle.internal.entry.serving import EntryHandler
+from swifttrestle.internal.entry.waiting import BlockingAdmissionQueue
 from swifttrestle.internal.policy.routing import LeastPredicted
 from swifttrestle.internal.process import Process, run_program, wants_help
 from swifttrestle.internal.protocol.peers import ENTRY
@@ -39,7 +39,7 @@
         self.table = UpstreamTable(settings.zone, closings, MonotonicClock())
         self.process = Process(settings, ENTRY, (), self.table, closings)
         seed = settings.seed or zlib.crc32(settings.name.encode())
-        self.line = WaitingLine(self.process.clock)
+        self.line = BlockingAdmissionQueue(self.process.clock)
         attempts = Attempts(
             self.table,
             LeastPredicted(),
@@ -57,12 +57,12 @@
             self.process.metrics,
             settings.stall_seconds,
         )
-        self.door = Door(
+        self.handler = EntryHandler(
             config=self.process.config,
             table=self.table,
             line=self.line,
             parts=parts,
-            claims=Claims(self.process.api, settings.name),
+            claims=IdempotencyRecords(self.process.api, settings.name),
             metrics=self.process.metrics,
             threads=settings.threads,
             max_streams=settings.max_streams,
@@ -73,7 +73,7 @@
         )
         self.server = make_server(
             split_address(settings.listen),
-            self.door,
+            self.handler,
             settings.threads,
             settings.max_body_bytes,
             settings.max_header_bytes,
@@ -83,9 +83,9 @@
     def _add_views(self) -> None:
         process = self.process
         process.add_dump("upstreams", self.table.dump)
-        process.add_dump("open_requests", lambda: self.door.open_requests)
+        process.add_dump("open_requests", lambda: self.handler.open_requests)
         process.metrics.add_gauge(
-            "open_requests", "Requests taken and not ended", lambda: self.door.open_requests
+            "open_requests", "Requests taken and not ended", lambda: self.handler.open_requests
         )
         process.metrics.add_gauge(
             "open_streams", "Streams in the relay pump", lambda: self.pump.open_streams
@@ -113,11 +113,11 @@
 
     def _stop(self) -> None:
         """Refuse new requests, then wait for the open ones; none is cut."""
-        self.door.stopping = True
+        self.handler.stopping = True
         give_up = time.monotonic() + self._settings.stop_seconds
-        with self.door.idle:
-            while self.door.open_requests and time.monotonic() < give_up:
-                self.door.idle.wait(0.2)
+        with self.handler.idle:
+            while self.handler.open_requests and time.monotonic() < give_up:
+                self.handler.idle.wait(0.2)
         self.reports.stop()
         self.server.stop()
 
--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -1,4 +1,4 @@
-"""Checks of arguments at the door; each message shows the bad value and the mend.
+"""Checks of arguments as they come in; each message shows the bad value and the mend.
 
 Each check returns the value it was given, so that it can stand in an assignment, and
 raises ValueError otherwise. Callers wrap that error with the name of the field.
--- a/src/swifttrestle/internal/coordination/acceptance.py
+++ b/src/swifttrestle/internal/coordination/acceptance.py
@@ -35,7 +35,7 @@
     faults: tuple[FieldFault, ...]
 
 
-def judge(stored: Iterable[StoredObject], accepted: dict[str, Resource]) -> Verdict:
+def decide_acceptance(stored: Iterable[StoredObject], accepted: dict[str, Resource]) -> Verdict:
     """Return what to accept, given operators' objects and what was accepted before."""
     wanted: dict[str, Resource] = {}
     faults: list[FieldFault] = []
--- a/src/swifttrestle/internal/coordination/authority.py
+++ b/src/swifttrestle/internal/coordination/authority.py
@@ -1,7 +1,7 @@
 """The configuration lease: judges operators' objects and writes accepted shards."""
 
 from swifttrestle.errors import ConflictError, LeaseLostError, PlatformUnavailableError
-from swifttrestle.internal.coordination.acceptance import judge, split_shards
+from swifttrestle.internal.coordination.acceptance import decide_acceptance, split_shards
 from swifttrestle.internal.coordination.leases import LeaseKeeper
 from swifttrestle.internal.coordination.watcher import ObjectCache
 from swifttrestle.internal.coordination.writes import read_or_none, write_once
@@ -62,7 +62,7 @@
         if versions == self._judged:
             return
         accepted = list_resources(self._store.current)
-        verdict = judge(stored, accepted)
+        verdict = decide_acceptance(stored, accepted)
         if verdict.faults != self.faults:
             for fault in verdict.faults:
                 log_fault("resource not accepted", fault=str(fault))
--- a/src/swifttrestle/internal/entry/claims.py
+++ b/src/swifttrestle/internal/entry/idempotency.py
@@ -28,7 +28,7 @@
 KEEP_MOST = 200_000
 
 
-class Claims:
+class IdempotencyRecords:
     """The ids taken so far."""
 
     def __init__(self, api: ObjectApi, owner: str) -> None:
--- a/src/swifttrestle/internal/entry/reports.py
+++ b/src/swifttrestle/internal/entry/reports.py
@@ -6,7 +6,7 @@
 from urllib3.exceptions import HTTPError
 
 from swifttrestle.errors import UpstreamError
-from swifttrestle.internal.entry.line import WaitingLine
+from swifttrestle.internal.entry.waiting import BlockingAdmissionQueue
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.engine import HttpEngine
 from swifttrestle.internal.state.upstreams import UpstreamTable
@@ -21,7 +21,7 @@
     """Keeps the upstream table's reports and prefix beliefs fresh."""
 
     def __init__(
-        self, table: UpstreamTable, line: WaitingLine, metrics: Metrics, pause: float
+        self, table: UpstreamTable, line: BlockingAdmissionQueue, metrics: Metrics, pause: float
     ) -> None:
         """Read each engine's report every `pause` seconds."""
         self._table = table
--- a/src/swifttrestle/internal/entry/requests.py
+++ b/src/swifttrestle/internal/entry/requests.py
@@ -1,4 +1,4 @@
-"""What callers send: bodies and headers, checked at the door."""
+"""What callers send: bodies and headers, checked as they come in."""
 
 import re
 from dataclasses import dataclass
--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -1,4 +1,4 @@
-"""The callers' door: who calls, what for, and the way of each request to its answer."""
+"""What callers meet: who calls, what for, and the way of each request to its answer."""
 
 import hashlib
 import threading
@@ -15,10 +15,10 @@
     make_error_headers,
 )
 from swifttrestle.internal.entry.attempts import Attempt, Attempts, Target
-from swifttrestle.internal.entry.claims import Claims
-from swifttrestle.internal.entry.line import WaitingLine, Wish
+from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import Relay, RelayParts
 from swifttrestle.internal.entry.requests import Completion, Terms, read_completion, read_terms
+from swifttrestle.internal.entry.waiting import AdmissionRequest, BlockingAdmissionQueue
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.admission import DeadlineAdmission
 from swifttrestle.internal.policy.retries import RetryBudget
@@ -35,7 +35,7 @@
 T = TypeVar("T")
 
 
-class Door(Handler):
+class EntryHandler(Handler):
     """Answers callers' requests; called in the HTTP server's worker threads."""
 
     def __init__(
@@ -43,9 +43,9 @@
         *,
         config: ConfigStore,
         table: UpstreamTable,
-        line: WaitingLine,
+        line: BlockingAdmissionQueue,
         parts: RelayParts,
-        claims: Claims,
+        claims: IdempotencyRecords,
         metrics: Metrics,
         threads: int,
         max_streams: int,
@@ -54,7 +54,7 @@
         """Serve with so many worker threads and at most so many open streams."""
         self._config = config
         self._table = table
-        self._line = line
+        self._queue = line
         self._parts = parts
         self._attempts: Attempts = parts.attempts
         self._claims = claims
@@ -79,7 +79,7 @@
         }
         self._budget.ratio = current.policy.retry_ratio
         self._table.configure(current)
-        self._line.notify()
+        self._queue.notify()
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request, or refuse it with a numbered code."""
@@ -254,7 +254,7 @@
             return target is not None
 
         limit = policy.queue_limit * (2 if terms.priority == URGENT else 1)
-        wish = Wish(
+        request_for_room = AdmissionRequest(
             terms,
             work,
             DeadlineAdmission(policy.urgent_reserve),
@@ -262,7 +262,7 @@
             find=lambda: self._table.candidates(wanted) or self._table.candidates(selection),
             take=take,
         )
-        self._line.admit(selection.service.model or selection.service.name, wish)
+        self._queue.admit(selection.service.model or selection.service.name, request_for_room)
         return taken[0]
 
     def _make_done(
@@ -274,7 +274,7 @@
             self._metrics.count(
                 "ended_total", service=service.name, outcome=outcome, in_time=in_time
             )
-            self._line.notify()
+            self._queue.notify()
             self._leave()
 
         return done
@@ -306,7 +306,7 @@
                 raise
             finally:
                 self._table.end(upstream)
-                self._line.notify()
+                self._queue.notify()
             return answer
 
         with self._claim(service, terms), _Hold(self, terms.priority):
@@ -340,17 +340,17 @@
 
 
 class _Hold:
-    """Holds one of the door's threads for as long as a request waits."""
+    """Holds one of the handler's threads for as long as a request waits."""
 
-    def __init__(self, door: Door, priority: str) -> None:
-        self._door = door
+    def __init__(self, handler: EntryHandler, priority: str) -> None:
+        self._handler = handler
         self._priority = priority
 
     def __enter__(self) -> None:
-        self._door.hold_thread(self._priority)
+        self._handler.hold_thread(self._priority)
 
     def __exit__(self, *_: object) -> None:
-        self._door.release_thread()
+        self._handler.release_thread()
 
 
 def _temper(refusal: RefusedError, lost: UpstreamError | None) -> RefusedError:
--- a/src/swifttrestle/internal/entry/line.py
+++ b/src/swifttrestle/internal/entry/waiting.py
@@ -1,4 +1,4 @@
-"""The waiting line: requests that found no room, urgent first, then the earliest deadline.
+"""Requests that found no room and wait: urgent first, then the earliest deadline.
 
 A request waits only while it can still be answered in time. The moment that it cannot, it
 gets its refusal; it is never held back to keep its caller quiet.
@@ -17,15 +17,15 @@
 from swifttrestle.internal.policy.routing import URGENT, Candidate, Work
 
 LOOK_AGAIN_SECONDS = 0.05
-REJUDGE_SECONDS = 1.0
+DECIDE_AGAIN_SECONDS = 1.0
 BACKGROUND_SLACK = 3.0
 Find = Callable[[], list[Candidate]]
 Take = Callable[[tuple[Candidate, ...]], bool]
 
 
 @dataclass(frozen=True, order=True)
-class Place:
-    """A request's place: rank, then deadline, then order of arrival."""
+class QueueEntry:
+    """A request's entry: rank, then deadline, then order of arrival."""
 
     rank: int
     due: float
@@ -33,8 +33,8 @@
 
 
 @dataclass(frozen=True)
-class Wish:
-    """What a request wants of the line.
+class AdmissionRequest:
+    """What a request that needs room brings along.
 
     `find` returns the candidates of this moment, `take` counts the request on one of the
     roomy ones or returns False, and `limit` is the most requests that may wait before it.
@@ -48,61 +48,65 @@
     take: Take
 
 
-class WaitingLine:
-    """All requests of one entry that wait for room, one line a group of upstreams."""
+class BlockingAdmissionQueue:
+    """All requests of one entry that wait for room, one queue a group of upstreams."""
 
     def __init__(self, clock: Clock) -> None:
         """Start empty."""
         self._clock = clock
         self._changed = threading.Condition()
-        self._places: dict[str, list[Place]] = {}
+        self._entries: dict[str, list[QueueEntry]] = {}
         self._numbers = itertools.count()
 
     @property
     def waiting(self) -> int:
         """Requests that wait now."""
-        return sum(len(places) for places in self._places.values())
+        return sum(len(entries) for entries in self._entries.values())
 
     def notify(self) -> None:
         """Room may have come free."""
         with self._changed:
             self._changed.notify_all()
 
-    def admit(self, group: str, wish: Wish) -> None:
-        """Return once the wish has taken one of the roomy candidates; raise RefusedError."""
-        terms = wish.terms
+    def admit(self, group: str, request: AdmissionRequest) -> None:
+        """Return once the request has taken one of the roomy candidates; raise RefusedError."""
+        terms = request.terms
         slack = BACKGROUND_SLACK if terms.priority == "background" else 1.0
         due = terms.started + terms.deadline * slack
         rank = 0 if terms.priority == URGENT else 1
-        place = Place(rank, due, next(self._numbers))
+        entry = QueueEntry(rank, due, next(self._numbers))
         with self._changed:
-            places = self._places.setdefault(group, [])
-            places.append(place)
-            places.sort()
+            entries = self._entries.setdefault(group, [])
+            entries.append(entry)
+            entries.sort()
             try:
-                self._wait(places, place, wish)
+                self._wait(entries, entry, request)
             finally:
-                places.remove(place)
+                entries.remove(entry)
                 self._changed.notify_all()
 
-    def _wait(self, places: list[Place], place: Place, wish: Wish) -> None:
-        judged_at = float("-inf")
+    def _wait(
+        self, entries: list[QueueEntry], entry: QueueEntry, request: AdmissionRequest
+    ) -> None:
+        decided_at = float("-inf")
         while True:
             now = self._clock.now()
-            left = wish.terms.left(now)
+            left = request.terms.left(now)
             if left <= 0:
-                raise RefusedError(Code.DEADLINE_PASSED, "the deadline passed in the line")
-            ahead = places.index(place)
-            # The first in line is judged at each look; the rest now and then, since each
-            # judgement costs a look at every upstream and none of them could go.
-            if not ahead or now - judged_at >= REJUDGE_SECONDS:
-                judged_at = now
-                candidates = wish.find()
-                judged = wish.admission.judge(candidates, wish.work, left, ahead, wish.limit)
-                if judged.decision is Decision.GO and wish.take(judged.roomy):
+                raise RefusedError(Code.DEADLINE_PASSED, "the deadline passed in the queue")
+            ahead = entries.index(entry)
+            # The first is decided on at each look; the rest now and then, since each
+            # decision costs a look at every upstream and none of them could go.
+            if not ahead or now - decided_at >= DECIDE_AGAIN_SECONDS:
+                decided_at = now
+                candidates = request.find()
+                result = request.admission.decide(
+                    candidates, request.work, left, ahead, request.limit
+                )
+                if result.decision is Decision.GO and request.take(result.roomy):
                     return
-                if judged.decision is Decision.REFUSE:
-                    _refuse(candidates, ahead, wish.limit, judged.retry_after)
+                if result.decision is Decision.REFUSE:
+                    _refuse(candidates, ahead, request.limit, result.retry_after)
             self._changed.wait(min(left, LOOK_AGAIN_SECONDS))
 
 
--- a/src/swifttrestle/internal/policy/admission.py
+++ b/src/swifttrestle/internal/policy/admission.py
@@ -1,6 +1,6 @@
 """Whether a request goes now, waits or is refused at once, and when to come back.
 
-Room is judged on each upstream: a share of its slots is kept for urgent requests, so that
+Room is looked at on each upstream: a share of its slots is kept for urgent requests, so that
 a burst of chat or of long prompts never stands before an alert.
 """
 
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True)
-class Judgement:
+class AdmissionResult:
     """A decision with the candidates that have room, and seconds until room is expected."""
 
     decision: Decision
@@ -34,13 +34,13 @@
 
 
 class Admission(ABC):
-    """Judges requests against the candidates of this moment."""
+    """Decides on requests by the candidates of this moment."""
 
     @abstractmethod
-    def judge(
+    def decide(
         self, candidates: Sequence[Candidate], work: Work, left: float, ahead: int, limit: int
-    ) -> Judgement:
-        """Judge one request.
+    ) -> AdmissionResult:
+        """Decide on one request.
 
         `left` is the seconds to its deadline, `ahead` the requests that wait before it, and
         `limit` the most that may wait.
@@ -50,12 +50,12 @@
 class AdmitAll(Admission):
     """Baseline: everything goes at once, whatever the load."""
 
-    def judge(
+    def decide(
         self, candidates: Sequence[Candidate], work: Work, left: float, ahead: int, limit: int
-    ) -> Judgement:
+    ) -> AdmissionResult:
         """Let the request go."""
         decision = Decision.GO if candidates else Decision.REFUSE
-        return Judgement(decision, tuple(candidates), LEAST_RETRY_AFTER)
+        return AdmissionResult(decision, tuple(candidates), LEAST_RETRY_AFTER)
 
 
 class DeadlineAdmission(Admission):
@@ -65,21 +65,21 @@
         """Keep a share of each upstream's slots for urgent requests."""
         self._reserve = urgent_reserve
 
-    def judge(
+    def decide(
         self, candidates: Sequence[Candidate], work: Work, left: float, ahead: int, limit: int
-    ) -> Judgement:
+    ) -> AdmissionResult:
         """Judge one request by room, predicted finish and the line before it."""
         if not candidates:
-            return Judgement(Decision.REFUSE, (), LEAST_RETRY_AFTER)
+            return AdmissionResult(Decision.REFUSE, (), LEAST_RETRY_AFTER)
         in_time = [c for c in candidates if predict_finish(c, work) <= left]
         roomy = tuple(c for c in in_time if self.has_room(c, work.priority))
         if roomy and not ahead:
-            return Judgement(Decision.GO, roomy, 0.0)
+            return AdmissionResult(Decision.GO, roomy, 0.0)
         wait = self._predict_wait(candidates, work, ahead)
         fastest = min(predict_finish(c, work) for c in candidates)
         if ahead >= limit or wait + fastest > left:
-            return Judgement(Decision.REFUSE, (), self._bound(wait))
-        return Judgement(Decision.WAIT, roomy, self._bound(wait))
+            return AdmissionResult(Decision.REFUSE, (), self._bound(wait))
+        return AdmissionResult(Decision.WAIT, roomy, self._bound(wait))
 
     def has_room(self, candidate: Candidate, priority: str) -> bool:
         """Return whether an upstream has room for one more request of a priority."""
--- a/src/swifttrestle/internal/state/upstreams.py
+++ b/src/swifttrestle/internal/state/upstreams.py
@@ -1,6 +1,6 @@
 """What an entry knows of its upstreams: reports, own open requests, health, learned speed.
 
-`begin` is the one door through which work goes to an upstream. It checks that the upstream
+`begin` is the one way by which work goes to an upstream. It checks that the upstream
 is not closed and counts the request under one lock, and `count_open` takes the same lock:
 an entry that says "closed, none open" can therefore not have a request slipping through.
 """
