Learn paces slowly again; weigh both sides of a split alike again

So: paces learned from the first samples at full weight had the planner follow swings, and decoding protected first took readers away.

Change: a tenth of each new sample again; the split is again the one whose busier side has most room. Kept: slots of unread prompts are not planned, no crowding of what is open.

--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -47,44 +47,15 @@
     return LEAST_DECODERS if engines >= ENOUGH_ENGINES else 1
 
 
-@dataclass(frozen=True)
-class Load:
-    """The loads of both sides of a split, each 1 for all that can be planned on."""
-
-    decode: float
-    read: float
-
-    @property
-    def busier(self) -> float:
-        """The load of the busier side."""
-        return max(self.decode, self.read)
-
-    @property
-    def rank(self) -> tuple[float, float]:
-        """What makes a split worse: decoding beyond what there is room for, then the load.
-
-        A prompt that is read and finds no slot was read for nothing, while one that waits to
-        be read has cost nothing yet.
-        """
-        return max(1.0, self.decode), self.busier
-
-
-def measure_load(engines: Sequence[Instance], decoders: int, demand: Demand) -> Load:
-    """Return the loads where so many of the engines make tokens."""
+def measure_load(engines: Sequence[Instance], decoders: int, demand: Demand) -> float:
+    """Return the load of the busier side, 1 for all that can be planned on."""
     readers = len(engines) - decoders
     slots = sum(item.record.slots for item in engines) / len(engines)
     pace = sum(item.read_rate for item in engines) / len(engines)
     read_rate = readers * pace * PLANNED_SHARE
     # Prompts that are not read need no slot: more of these must not keep engines from reading.
     decode = demand.count_slots(read_rate) / max(1e-9, decoders * slots * PLANNED_SHARE)
-    return Load(decode, demand.read_tokens / max(1e-9, read_rate))
-
-
-def is_worth_a_change(now: Load, best: Load) -> bool:
-    """Return whether a better split is so much better that engines may be away for it."""
-    if now.decode > 1:
-        return best.decode < now.decode * BETTER_FACTOR
-    return now.busier > BUSY_SHARE and best.busier < now.busier * BETTER_FACTOR
+    return max(decode, demand.read_tokens / max(1e-9, read_rate))
 
 
 def find_best_count(
@@ -98,14 +69,15 @@
     least = least_decoders(number) if least is None else least
     if demand == Demand():
         return max(least, count_decoders(number))
+    now = measure_load(engines, current, demand) if 0 < current < number else math.inf
     choices = range(least, number)
     if not choices:
         return current
-    best = min(choices, key=lambda count: (measure_load(engines, count, demand).rank, count))
-    if current < least or not 0 < current < number:
+    best = min(choices, key=lambda count: (measure_load(engines, count, demand), count))
+    load = measure_load(engines, best, demand)
+    if current < least or now == math.inf:
         return best
-    now = measure_load(engines, current, demand)
-    return best if is_worth_a_change(now, measure_load(engines, best, demand)) else current
+    return best if now > BUSY_SHARE and load < now * BETTER_FACTOR else current
 
 
 def plan_change(
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -46,8 +46,6 @@
     own: OpenWork = NOTHING
     peers: OpenWork = NOTHING
     read_rate: float = UNKNOWN_READ_RATE
-    # Measurements of its speed so far.
-    measured: int = 0
     refused_until: float = float("-inf")
     ordered_role: Role | None = None
     role_changing_until: float = float("-inf")
@@ -83,9 +81,7 @@
         if tokens < LEAST_LEARN_TOKENS or seconds <= 0:
             return
         share = DECODE_READ_SHARE if self.role is Role.DECODE else 1.0
-        self.measured += 1
-        weight = max(LEARN_SHARE, 1 / (1 + self.measured))
-        self.read_rate += weight * (tokens / seconds / share - self.read_rate)
+        self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
 
 
 @dataclass
