Hear of the list from peers also where the store cannot be reached; use no leaving engine

A request reached i-0e50060740 3.1 s after its word of leaving (bound 3.0 s).

Ruled out: a slow relay (the asking host was in touch and its zone's other watcher told in time).

Change: a host takes over what others tell whatever its own calls do, as far as no revision is missing; an answer of the store that is older than that is passed over. A host names the engines that it knows to be leaving when it asks, and gives a grant of such an engine back. Tests: a watcher turned away from the store; an engine that only the asking host knows to leave; a grant that crosses that word.

--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -48,7 +48,8 @@
         """Write into a fleet; `changed` is called after each change."""
         self._relay = relay
         self._told = asyncio.Event()
-        self._asking = False
+        # Whether the list is to be read anew, and not only watched from the last revision.
+        self._stale = True
         self._told_at = float("-inf")
         self._store = store
         self._fleet = fleet
@@ -72,7 +73,7 @@
         while True:
             began = self._now()
             try:
-                if not self._revision:
+                if self._stale:
                     await self._list()
                 elif self._follows():
                     await self._follow()
@@ -84,7 +85,7 @@
                 await asyncio.sleep(self._find_pause(began))
             except HistoryGoneError:
                 log_decision("discovery history gone", revision=self._revision)
-                self._revision = 0
+                self._stale = True
                 await asyncio.sleep(self._rng.random() * PACE_SECONDS / 2)
             except PlatformUnavailableError as error:
                 await self._wait_out(error)
@@ -98,6 +99,10 @@
     async def _list(self) -> None:
         snapshot = await self._store.list(UPSTREAM_KIND)
         self._note_answer()
+        self._stale = False
+        if snapshot.revision < self._revision:
+            # Another host has told of what is newer in the meantime.
+            return
         listed = {item.name for item in snapshot.items}
         for item in snapshot.items:
             self._put(item)
@@ -110,14 +115,14 @@
         self._tell(self._revision, (), ())
 
     async def _watch(self) -> None:
-        self._asking = True
         wait = TELLING_WAIT_SECONDS if self._relay.tells() else WAIT_SECONDS
-        try:
-            seen = await self._store.watch(UPSTREAM_KIND, self._revision, wait)
-        finally:
-            self._asking = False
+        since = self._revision
+        seen = await self._store.watch(UPSTREAM_KIND, since, wait)
         self._note_answer()
-        since, self._revision = self._revision, seen.revision
+        if seen.revision < self._revision:
+            # Another host has told of what is newer in the meantime.
+            return
+        self._revision = seen.revision
         records: dict[str, UpstreamRecord] = {}
         removed: set[str] = set()
         for change in seen.changes:
@@ -185,20 +190,20 @@
                 await self._told.wait()
         except TimeoutError:
             log_decision("list watcher silent", revision=self._revision)
-            self._revision = 0
+            self._stale = True
         self._drop_missing()
 
     def _take_told(self, changes: ListingChanges) -> None:
-        """Take over what another host has seen; read the list where something is missing."""
+        """Take over what another host has seen; read the list where something is missing.
+
+        A host that cannot reach the store itself stays up to date by this.
+        """
         if changes.revision < self._revision:
             return
         self._told_at = self._now()
-        if self._asking or not self._revision:
-            # The store's own answer is on its way, and may be the older one.
-            return
         self._trust_after = max(self._trust_after, self._told_at + changes.distrust)
         if changes.since > self._revision:
-            self._revision = 0
+            self._stale = True
         else:
             self._fleet.confirmed_at = self._told_at
             self._revision = changes.revision
@@ -234,7 +239,7 @@
 
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
         # As for the configuration, only a fresh list tells what changed behind a cut watch.
-        self._revision = 0
+        self._stale = True
         self._failures += 1
         if self._failures >= FAILURES_FOR_OUTAGE and not self._away:
             self._away = True
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -135,9 +135,10 @@
             for item in engines
             if self._parts.ejector.is_out(item.name, now) or now < item.refused_until
         }
-        if not names or len(names) == len(engines):
-            return request
-        return replace(request, excluded=request.excluded | names)
+        if len(names) == len(engines):
+            names = set()
+        names |= self._parts.fleet.list_leaving(request.service)
+        return replace(request, excluded=request.excluded | names) if names else request
 
     async def _await_answer(
         self, scheduler: Member, answers: "asyncio.Queue[Message]", request: BookingRequest
@@ -160,9 +161,11 @@
     ) -> Booking | None:
         reader = self._parts.fleet.instances.get(grant.reader)
         decoder = self._parts.fleet.instances.get(grant.decoder)
-        if reader is None or decoder is None:
-            log_decision("booking unknown here", reader=grant.reader, decoder=grant.decoder)
+        # The scheduler's list may be older than this host's, where it cannot reach the store.
+        if any(engine is None or engine.record.leaving for engine in (reader, decoder)):
+            log_decision("booking not used", reader=grant.reader, decoder=grant.decoder)
             return None
+        assert reader is not None and decoder is not None
         ticket = Ticket(scheduler.host, grant.number, scheduler.ip)
         return Booking(reader, decoder, request.tokens, grant.ahead, grant.wait, ticket)
 
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -105,6 +105,10 @@
         """Return the instances of a service that are not leaving."""
         return [item for item in self._services[service].values() if not item.record.leaving]
 
+    def list_leaving(self, service: str) -> set[str]:
+        """Return the names of a service's instances that are leaving."""
+        return {name for name, item in self._services[service].items() if item.record.leaving}
+
     def list_engine_services(self) -> list[str]:
         """Return the services of which model engines are listed."""
         return [
--- a/tests/cover/test_bookings.py
+++ b/tests/cover/test_bookings.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -263,6 +264,43 @@
     run_hosts(act, monkeypatch, engines=engines)
 
 
+def test_an_engine_that_leaves_is_not_used_though_the_scheduler_does_not_know(monkeypatch):
+    # Found on paharpath-routes-grown, trouble-1 (DRAIN): the scheduler could not reach the store
+    # and granted a decoding engine for three seconds after it had said that it leaves.
+    engines = [("p", Role.PREFILL), ("d", Role.DECODE), ("e", Role.DECODE)]
+
+    async def act(_, members, scheduler, other, third):
+        for name in ("d", "e"):
+            record = other.parts.fleet.instances[name].record
+            other.parts.fleet.put(replace(record, leaving=True))
+            found = await other.booker.book(REQUEST)
+            if isinstance(found, Booking):
+                assert not found.decoder.record.leaving
+        assert isinstance(found, NoRoom)
+        await settle()
+        # What was granted and not used was given back.
+        assert scheduler.open_work() <= 2
+
+    run_hosts(act, monkeypatch, engines=engines)
+
+
+def test_a_grant_that_crosses_the_word_of_leaving_is_given_back(monkeypatch):
+    async def act(network, members, scheduler, other, third):
+        record = other.parts.fleet.instances["d"].record
+
+        def leave(message):
+            if isinstance(message, Grant):
+                other.parts.fleet.put(replace(record, leaving=True))
+            return False
+
+        network.lose = leave
+        assert isinstance(await other.booker.book(REQUEST), NoRoom)
+        await settle()
+        assert scheduler.open_work() == 0
+
+    run_hosts(act, monkeypatch)
+
+
 def test_short_prompts_do_not_wait_behind_long_ones(monkeypatch):
     async def act(_, members, scheduler, other, third):
         held = [await other.booker.book(REQUEST) for _ in range(2)]
--- a/tests/hosted/test_large_fleets.py
+++ b/tests/hosted/test_large_fleets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from swifttrestle.errors import PlatformUnavailableError
 from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import wait_until
 from tests.common.http import ask
@@ -85,6 +86,23 @@
                 await asyncio.sleep(0.01)
 
 
+@on_site(gateways=4)
+async def test_a_watcher_that_cannot_reach_the_store_hears_from_the_other_one(site):
+    # Found on paharpath-routes-grown, trouble-1: such a host kept its old list for seven seconds.
+    async def refuse_call(*_):
+        raise PlatformUnavailableError("turned away")
+
+    async with heartbeats(site):
+        await wait_for_all_hosts(site)
+        await asyncio.sleep(1.0)
+        members = site.gateways["g0"].gateway.list_members()
+        cut = scheduling.list_watchers(members, "hall-a")[0].host
+        site.gateways[cut].gateway._store._call = refuse_call
+        await asyncio.sleep(0.5)
+        site.unlist_upstream(site.upstreams["s0"])
+        await wait_until(lambda: cut not in names_knowing(site, "s0"), "gone there too")
+
+
 @on_site(gateways=4)
 async def test_an_outage_in_a_large_fleet_forgets_no_upstream_that_comes_back(site):
     async with heartbeats(site):
