One filter for live peers, one figure for enough engines

Cause: the gossip told three times which peers live (names, members, peers to send to), and the number of engines that keeps both roles stood in two modules. Change: both stand once; live hosts are the members' names.

--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -104,21 +104,14 @@
 
     def live_hosts(self) -> list[str]:
         """Return this host and the peers heard of late, in order of name."""
-        now = self._now()
-        live = [
-            peer.host
-            for peer in self._peers.values()
-            if now - peer.heard_at < SILENCE_SECONDS and not peer.leaving
-        ]
-        return sorted([*live, self._me.host])
+        return sorted(member.host for member in self.list_members())
 
     def list_members(self) -> list[Member]:
         """Return this host and the peers heard of late, with their addresses and zones."""
-        now = self._now()
         live = [
             Member(peer.host, peer.ip, peer.zone, peer.link_mbps)
-            for peer in self._peers.values()
-            if now - peer.heard_at < SILENCE_SECONDS and not peer.leaving
+            for peer in self._list_live(self._now())
+            if not peer.leaving
         ]
         me = self._me
         return [*live, Member(me.host, me.ip, me.zone, me.link_mbps)]
--- a/src/swifttrestle/internal/policy/scheduling.py
+++ b/src/swifttrestle/internal/policy/scheduling.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from swifttrestle.internal.policy.placement import rank
+from swifttrestle.internal.policy.split import ENOUGH_ENGINES
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.members import Member
 
@@ -11,9 +12,6 @@
 SMALL_FLEET_HOSTS = 16
 # Hosts of a zone that watch the discovery list for all of it: one may be lost unnoticed.
 WATCHERS = 2
-# Engines in an availability zone from which on its hosts use those first: as many as keep
-# both roles when one is lost.
-ENOUGH_ENGINES = 4
 
 
 def is_large(members: int) -> bool:
@@ -30,7 +28,10 @@
 
 
 def find_group(engines: Sequence[Instance], zone: str) -> str:
-    """Return the zone whose engines serve a host of `zone`, or "" for those of all zones."""
+    """Return the zone whose engines serve a host of `zone`, or "" for those of all zones.
+
+    A zone is on its own where it has engines enough to keep both roles when one is lost.
+    """
     near = sum(1 for item in engines if item.record.zone == zone)
     return zone if near >= ENOUGH_ENGINES else ""
 
