Give every process of a test fleet loopback addresses of its own

A fleet picked a free port of 127.0.0.1, closed it and had a process bind it later; in between, any outgoing connection over loopback, of any test, may get that port as its local end, and the port that a restart needs is open to the same for minutes.

Ruled out: a process left from an earlier test (the port was picked a moment before; the stand-in had not started once); the hosted tests, whose addresses have been on IPs of their own already.

Change: the fleet of the own interface uses the same addresses as the hosted stand-ins, an IP of 127.0.0.0/8 for each, moved into one module. Outgoing connections leave from 127.0.0.1, so they cannot take one.

--- a/src/swifttrestle_standins/fleet.py
+++ b/src/swifttrestle_standins/fleet.py
@@ -4,10 +4,10 @@
 are picked by the system once and kept over restarts.
 """
 
+import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -18,15 +18,12 @@
 
 import urllib3
 
+from swifttrestle_standins.loopback import pick_ip, pick_port
+
 SECRET = "demo-secret-of-loopback-only"
 STOP_SECONDS = 30.0
-
-
-def pick_port() -> int:
-    """Return a port of loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Number of the first loopback address that a fleet uses; gateways in one process use lower ones.
+FIRST_IP_NUMBER = 100
 
 
 def wait_until(check: Any, seconds: float = 60.0, what: str = "condition") -> Any:
@@ -105,6 +102,7 @@
         """Keep logs and state files in a folder."""
         self.folder = folder
         self.members: dict[str, Started] = {}
+        self._ip_numbers = itertools.count(FIRST_IP_NUMBER)
         # No connection is kept: one that a server has just closed for its idleness would fail
         # the next call, which no scenario means to test.
         close = {"Connection": "close"}
@@ -127,20 +125,26 @@
         started.start()
         return started
 
+    def pick_address(self) -> str:
+        """Return an address on a loopback IP of its own, so that nothing else can take it."""
+        ip = pick_ip(next(self._ip_numbers))
+        return f"{ip}:{pick_port(ip)}"
+
     def add_platform(self, **flags: Any) -> Started:
         """Start the platform's stand-in at an address that restarts keep."""
+        flags = {"listen": self.pick_address(), **flags}
         return self.add("platform", "swifttrestle_standins.platform", flags)
 
     def add_engine(self, name: str, **flags: Any) -> Started:
         """Start an engine's stand-in."""
-        flags = {"listen": f"127.0.0.1:{pick_port()}", **flags}
+        flags = {"listen": self.pick_address(), **flags}
         if flags.get("fencing") == "checked":
             flags.setdefault("state_file", str(self.folder / f"{name}.state"))
         return self.add(name, "swifttrestle_standins.engine", flags)
 
     def add_service(self, name: str) -> Started:
         """Start a plain service's stand-in."""
-        listen = f"127.0.0.1:{pick_port()}"
+        listen = self.pick_address()
         return self.add(name, "swifttrestle_standins.service", {"listen": listen})
 
     def product_flags(self, name: str, host: str, zone: str) -> dict[str, Any]:
@@ -150,7 +154,7 @@
             "host": host,
             "zone": zone,
             "platform": f"http://{self.members['platform'].addresses['listen']}",
-            "peer_listen": f"127.0.0.1:{pick_port()}",
+            "peer_listen": self.pick_address(),
             "peer_secret": SECRET,
             "heartbeat_seconds": 0.3,
         }
@@ -159,7 +163,7 @@
         self, name: str, host: str, zone: str, program: str = "swifttrestle.entry", **flags: Any
     ) -> Started:
         """Start an entry, or a program that stands in for it, given as module:function."""
-        base = {**self.product_flags(name, host, zone), "listen": f"127.0.0.1:{pick_port()}"}
+        base = {**self.product_flags(name, host, zone), "listen": self.pick_address()}
         base |= {"report_seconds": 0.2}
         return self.add(name, program, base | flags)
 
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -1,8 +1,6 @@
 """A whole small site in one event loop: the store, upstreams, and gateways on loopback."""
 
 import asyncio
-import os
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,37 +14,12 @@
 from swifttrestle.platform.settings import HostSettings, read_host_settings
 from swifttrestle_standins.hosted.store import StandInStore
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
+from swifttrestle_standins.loopback import pick_ip, pick_port
 
 STEP_SECONDS = 0.01
 WAIT_SECONDS = 20.0
 
 
-def pick_ip(number: int) -> str:
-    """Return a loopback address of this process alone.
-
-    A port is picked first and bound later; on an address of its own no other process, and no
-    outgoing connection, can take it in between.
-    """
-    high, low = divmod(os.getpid(), 250)
-    return f"127.{1 + high % 250}.{1 + low}.{number + 1}"
-
-
-def pick_port(ip: str) -> int:
-    """Return a port that is free at an address for TCP and UDP now."""
-    while True:
-        with (
-            socket.socket() as stream,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-        ):
-            stream.bind((ip, 0))
-            port: int = stream.getsockname()[1]
-            try:
-                datagram.bind((ip, port))
-            except OSError:
-                continue
-            return port
-
-
 async def wait_until(check: Callable[[], Any], what: str = "condition") -> Any:
     """Return the first true value of a check; raise TimeoutError."""
     try:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,8 +7,9 @@
 import sys
 from pathlib import Path
 
-from swifttrestle_standins.hosted.site import Site, pick_ip, pick_port
+from swifttrestle_standins.hosted.site import Site
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
+from swifttrestle_standins.loopback import pick_ip, pick_port
 from tests.hosted.sites import declare_routes
 from tests.soak.proxy import Proxy
 
