Large fleets: heartbeats go to representatives of each zone, which tell who lives

Cause: every host sent two heartbeats a second to every other one, and schedulers their open work to all, seven times a second at 66 hosts.

Change, from 17 hosts on: a host speaks to the two representatives of its zone. They tell their zone and the other zones' representatives by summaries, which name rosters by digests; the entries cross the network once. Words have ages, a lost host is withdrawn at once, a zone that loses both representatives speaks for itself after 0.9 s. Open work at engines goes to schedulers alone, callers' demand is summed by zone, and representatives plan roles. The ranks of hosts and engines are remembered. Gossip is split: peers, rosters, candidates, ordered roles, zone demand.

Found by the new tests while writing them, and mended: a word learned late counted as fresh; other zones were forgotten for half a second where a zone lost both representatives.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -27,7 +27,6 @@
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.pages import Page, PageHandler
-from swifttrestle.internal.protocol.gossip import PeerReport
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.members import Member
@@ -89,22 +88,10 @@
         self._store = ObjectStore(settings.store, ConnectionPool())
         self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
         socket = PeerSocket(settings.ip, settings.internal_port)
-        me = PeerReport(
-            settings.host,
-            settings.ip,
-            settings.zone,
-            settings.link_mbps,
-            incarnation,
-            0,
-            False,
-            False,
-            False,
-            {},
-            {},
-            {},
-        )
+        me = Member(settings.host, settings.ip, settings.zone, settings.link_mbps)
         self._gossip = Gossip(
             me,
+            incarnation,
             socket,
             self._fleet,
             self._parts.demand,
@@ -113,7 +100,10 @@
             self._note_peers,
         )
         relay = ListingRelay(
-            socket, settings.host, self._gossip.list_members, lambda: self._gossip.holds_roles
+            socket,
+            settings.host,
+            self._gossip.list_members,
+            lambda: self._gossip.candidates.holds_roles,
         )
         self._discovery = Discovery(self._store, self._fleet, rng, relay, self._serve_queues)
         self._booker = SharedBooker(
@@ -123,7 +113,7 @@
             settings.host,
             self._gossip.list_members,
         )
-        self._gossip.list_close = self._booker.list_other_schedulers
+        self._gossip.list_schedulers = self._booker.list_schedulers
         self._handler = GatewayHandler(self._parts, self._booker, lambda: self._configuration.table)
         lease = RoleLeaseKeeper(
             # Another machine of the same name is another holder.
@@ -200,7 +190,7 @@
 
     def list_members(self) -> list[Member]:
         """Return the live hosts with their addresses and zones."""
-        return self._gossip.list_members()
+        return list(self._gossip.list_members())
 
     def count_opened_connections(self) -> int:
         """Return the connections to upstreams that were opened since the start."""
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -1,55 +1,54 @@
 """Gateways tell each other who lives, what they have open, and the newest configuration.
 
-Reports are datagrams, sent when something changed and otherwise as heartbeats.
+Reports are datagrams, sent when something changed and otherwise as heartbeats: in a small
+fleet to every peer, in a large one to the representatives of the own zone, which tell the
+others who lives (see `rosters`).
 """
 
 import asyncio
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 
 from swifttrestle.errors import NotFoundError, PlatformUnavailableError
+from swifttrestle.internal.coordination.candidates import RoleCandidates
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
+from swifttrestle.internal.coordination.rosters import Rosters
+from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.policy.scheduling import is_large
+from swifttrestle.internal.policy.scheduling import is_large, list_representatives
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.protocol.rosters import Summary
 from swifttrestle.internal.state.declared import Role
-from swifttrestle.internal.state.demand import Demand, DemandMeter
+from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, OpenWork
 from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.state.peers import Heartbeat, Peer, PeerTable
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 from swifttrestle.platform.store import ObjectStore
 
 PEER_KIND = "swifttrestle-peers"
-# Seconds between heartbeats to each peer.
+# Seconds between heartbeats.
 HEARTBEAT_SECONDS = 0.5
-# Seconds of silence after which a peer counts as gone: four lost heartbeats.
-SILENCE_SECONDS = 2.0
-# Least seconds between reports of open work, and the further time for each peer, so that the
-# datagrams a second stay bounded as the number of hosts grows.
+# Seconds without a word of the own zone's representatives after which a host of a large fleet
+# speaks to all of its zone itself: both of them missed a heartbeat, and nobody is taken for
+# gone yet.
+UNTOLD_SECONDS = 0.9
+# Least seconds between reports of open work, and the further time for each host that hears
+# them, so that the datagrams a second stay bounded as the number of hosts grows.
 REPORT_SECONDS = 0.01
 REPORT_SECONDS_PER_PEER = 0.002
-# Seconds for which peers are told of an order after its engine should have the role: the
-# engine's own record tells it by then, unless the store is away.
-ORDER_TOLD_SECONDS = 10.0
+# Seconds between two looks at what is to be told in a large fleet, at hosts that are no
+# schedulers: a fifth of a heartbeat.
+LARGE_REPORT_SECONDS = 0.1
 # Peers that one heartbeat names, so that hosts find each other without the store.
 NAMED_PEERS = 8
+# Silent peers that a host of a large fleet greets with each heartbeat, so that parts of a
+# fleet that lost each other meet again.
+GREETED_PEERS = 2
 
-
-@dataclass
-class Peer:
-    """One other gateway; `heard_at` is in the loop's time."""
-
-    host: str
-    ip: str
-    zone: str = ""
-    link_mbps: float = 0.0
-    incarnation: int = 0
-    heard_at: float = float("-inf")
-    leaving: bool = False
-    holds_roles: bool = False
-    lacks_store: bool = False
+Work = dict[str, OpenWork]
 
 
 class Gossip:
@@ -57,7 +56,8 @@
 
     def __init__(
         self,
-        me: PeerReport,
+        me: Member,
+        incarnation: int,
         socket: PeerSocket,
         fleet: Fleet,
         demand: DemandMeter,
@@ -67,26 +67,26 @@
     ) -> None:
         """Prepare; `changed` is called when peers' work has changed."""
         self._me = me
+        self._incarnation = incarnation
         self._socket = socket
         self._fleet = fleet
-        self._demand = demand
         self._configuration = configuration
         self._exchange = ConfigurationExchange(socket.ip, socket.port, configuration)
         self._rng = rng
         self._changed = changed
-        self._peers: dict[str, Peer] = {}
+        self._peers = PeerTable(me)
+        self._demand = ZoneDemand(me, self._peers, demand)
+        self._rosters = Rosters(me, socket, self._peers, self._take_summary, self._now)
+        self.candidates = RoleCandidates(me, self._peers, self._now)
+        self._ordered = OrderedRoles(fleet, self._now)
         self._live: frozenset[str] = frozenset()
-        self._sent_work: dict[str, OpenWork] = {}
-        self._ordered: dict[str, tuple[Role, float]] = {}
-        # Open work as it was last told to the other schedulers, and when to tell all peers.
-        self._sent_close: dict[str, OpenWork] = {}
+        # Open work as it was last told to anyone, and when to tell it again.
+        self._sent_work: Work = {}
         self._report_at = 0.0
+        # Tells the hosts that schedule engines, and whether this host is one of them.
+        self.list_schedulers: Callable[[], set[str]] = set
         self._close: set[str] = set()
-        # Returns the hosts that are to hear of this host's open work sooner than the others.
-        self.list_close: Callable[[], set[str]] = set
-        self.leaving = False
-        self.holds_roles = False
-        self._lacks_store_until = float("-inf")
+        self._schedules = False
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
@@ -97,56 +97,22 @@
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Greet hosts by their IPs alone; their answers tell who they are."""
-        known = {peer.ip for peer in self._peers.values()}
         for ip in seeds:
-            if ip != self._me.ip and ip not in known:
-                self._peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
+            self._peers.greet(ip)
 
     def live_hosts(self) -> list[str]:
         """Return this host and the peers heard of late, in order of name."""
-        return sorted(member.host for member in self.list_members())
+        return [member.host for member in self.list_members()]
 
-    def list_members(self) -> list[Member]:
+    def list_members(self) -> tuple[Member, ...]:
         """Return this host and the peers heard of late, with their addresses and zones."""
-        live = [
-            Member(peer.host, peer.ip, peer.zone, peer.link_mbps)
-            for peer in self._list_live(self._now())
-            if not peer.leaving
-        ]
-        me = self._me
-        return [*live, Member(me.host, me.ip, me.zone, me.link_mbps)]
-
-    def is_role_candidate(self) -> bool:
-        """Return whether this host is to plan roles: the holder while it lives, or the first.
-
-        One candidate keeps hosts from writing against each other; the lease itself decides.
-        """
-        return not self.leaving and (self.holds_roles or self._list_candidates()[:1] == [True])
-
-    def is_next_role_candidate(self) -> bool:
-        """Return whether this host takes the planning over where the candidate is gone."""
-        return not self.leaving and True in self._list_candidates()[:2]
-
-    def _list_candidates(self) -> list[bool]:
-        """Return the hosts that may plan roles, in order: whether each is this one.
-
-        Those that cannot reach the store are left out: they could neither hold the lease nor
-        take it.
-        """
-        now = self._now()
-        able = [
-            (not peer.holds_roles, peer.host, False)
-            for peer in self._list_live(now)
-            if not peer.leaving and not peer.lacks_store
-        ]
-        if now >= self._lacks_store_until:
-            able.append((not self.holds_roles, self._me.host, True))
-        return [mine for _, _, mine in sorted(able)]
+        return self._peers.list_members(self._now())
 
-    def note_store_lost(self, seconds: float) -> None:
-        """Tell the peers that this host cannot reach the store, for so many seconds."""
-        self._lacks_store_until = self._now() + seconds
-        self._send(self._fleet.own_work(), self._list_live(self._now()), with_known=False)
+    @property
+    def members_version(self) -> int:
+        """A number that rises with each change of the members."""
+        self.list_members()
+        return self._peers.version
 
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
@@ -154,7 +120,7 @@
             try:
                 await self._write_record(store)
                 for item in (await store.list(PEER_KIND)).items:
-                    self._learn(item.name, str(item.spec.get("ip", "")))
+                    self._peers.learn(item.name, str(item.spec.get("ip", "")))
                 return
             except (PlatformUnavailableError, AttributeError) as error:
                 log_decision("peers not read", reason=str(error))
@@ -169,175 +135,264 @@
         except NotFoundError:
             await store.create(PEER_KIND, self._me.host, spec)
 
+    # Sending.
+
     async def run(self) -> None:
         """Send reports for as long as the process lives."""
         beat_at = 0.0
+        was_untold = False
         while True:
             now = self._now()
-            work = self._fleet.own_work()
-            if now >= beat_at:
+            untold = self._is_untold(now)
+            if now >= beat_at or (untold and not was_untold):
                 beat_at = now + HEARTBEAT_SECONDS * (0.9 + 0.2 * self._rng.random())
                 self._expire(now)
-                self._close = self.list_close()
-                self._send(work, list(self._peers.values()), with_known=True)
+                self._find_schedulers()
+                self._beat(now)
             else:
-                self._report(work, now)
-            await asyncio.sleep(_find_pause(len(self._close) or len(self._peers)))
-
-    def _report(self, work: dict[str, OpenWork], now: float) -> None:
-        """Tell of changed work: close peers at once, all peers at the pace of their number."""
-        if now >= self._report_at and self._is_news(work):
-            self._send(work, self._list_live(now), with_known=False)
-        elif self._close and self._list_engines(work) != self._list_engines(self._sent_close):
-            close = [peer for peer in self._list_live(now) if peer.host in self._close]
-            self._send_to(work, close, with_known=False)
-
-    def _is_news(self, work: dict[str, OpenWork]) -> bool:
-        """Return whether peers are to hear of open work before the next heartbeat.
-
-        In a large fleet the schedulers know of the engines' work, and all other work is over
-        before a report of it could be used.
-        """
-        if not is_large(len(self._live)):
-            return work != self._sent_work
-        return self._list_engines(work) != self._list_engines(self._sent_work)
-
-    def _list_engines(self, work: dict[str, OpenWork]) -> dict[str, OpenWork]:
-        return {name: item for name, item in work.items() if self._fleet.is_engine(name)}
+                self._report(now)
+            was_untold = untold
+            await asyncio.sleep(self._find_pause())
 
     def say_leaving(self) -> None:
         """Tell all peers at once that this gateway stops."""
-        self.leaving = True
-        self._send({}, self._list_live(self._now()), with_known=False)
+        self.candidates.leaving = True
+        self._send({}, self._peers.list_seen(self._now()))
+
+    def note_store_lost(self, seconds: float) -> None:
+        """Tell the peers that this host cannot reach the store, for so many seconds."""
+        self.candidates.note_store_lost(seconds)
+        self._send(self._list_work(), self._peers.list_seen(self._now()))
+
+    def note_order(self, engine: str, role: Role, ready_at: float) -> None:
+        """Tell all hosts of an order that an engine has taken; `ready_at` in the loop's time."""
+        self._ordered.note(engine, role, ready_at)
+        self._send(self._list_work(), self._peers.list_seen(self._now()))
 
     def close(self) -> None:
         """Stop listening."""
         self._socket.close()
         self._exchange.close()
 
-    def _take_report(self, data: bytes, _: str) -> None:
-        """Take a peer's report over; raise FrameError."""
-        report = unpack_report(data)
-        if report.host == self._me.host:
-            return
-        self._note(report)
-        work = {name: OpenWork(*counts) for name, counts in report.work.items()}
-        self._fleet.note_peer(report.host, work, self._now())
-        self._demand.note_peer(
-            report.host, {name: Demand(*offered) for name, offered in report.demand.items()}
-        )
-        self._take_ordered_roles(report)
-        for host, ip in report.known:
-            self._learn(host, ip)
-        if report.config_version > self._configuration.version:
-            self._exchange.fetch_later(report.host, report.ip, report.config_version)
-        self._changed()
-
-    def _note(self, report: PeerReport) -> None:
-        self._peers.pop(f"seed {report.ip}", None)
-        peer = self._peers.setdefault(report.host, Peer(report.host, report.ip))
-        live = self._now() - peer.heard_at < SILENCE_SECONDS
-        if report.incarnation < peer.incarnation and live:
-            # A late datagram of an earlier start. A peer that has been silent may have come
-            # back with a lower number: the time of day, which it is taken from, can jump.
+    def _is_large(self) -> bool:
+        return is_large(len(self.list_members()))
+
+    def _find_schedulers(self) -> None:
+        schedulers = self.list_schedulers() if self._is_large() else set()
+        self._schedules = self._me.host in schedulers
+        self._close = schedulers - {self._me.host}
+
+    def _find_pause(self) -> float:
+        """Return the seconds between two looks at what is to be told."""
+        if self._is_large() and not self._schedules:
+            return LARGE_REPORT_SECONDS
+        hearers = len(self._close) if self._schedules else len(self._peers.peers)
+        return REPORT_SECONDS + REPORT_SECONDS_PER_PEER * hearers
+
+    def _beat(self, now: float) -> None:
+        """Send a heartbeat: to all, or in a large fleet to those who tell the others."""
+        work = self._list_work()
+        if not self._is_large():
+            self._note_sent(work)
+            self._send(work, self._peers.peers.values(), with_known=True)
             return
-        peer.ip, peer.incarnation = report.ip, report.incarnation
-        peer.zone, peer.link_mbps = report.zone, report.link_mbps
-        peer.leaving = report.leaving
-        peer.holds_roles = report.holds_roles
-        peer.lacks_store = report.lacks_store
-        peer.heard_at = self._now()
-        self._log_live()
-
-    def _learn(self, host: str, ip: str) -> None:
-        if host and ip and host != self._me.host and host not in self._peers:
-            self._peers[host] = Peer(host, ip)
+        self._rosters.expire()
+        hearers = self._list_hearers(now, told=bool(work or self._sent_work))
+        self._note_sent(work)
+        self._send(work, hearers, with_known=True)
+        if self._represents():
+            self._rosters.send(self._make_summary(), self._list_summary_hearers())
+
+    def _report(self, now: float) -> None:
+        """Tell of changes between two heartbeats."""
+        work = self._list_work()
+        if now >= self._report_at and work != self._sent_work:
+            large = self._is_large()
+            self._note_sent(work)
+            self._send(work, self._list_named(self._close) if large else self._peers.list_seen(now))
+        if self._is_large() and self._represents():
+            marks = (self._rosters.refresh_own(), *self._rosters.list_strays())
+            if self._rosters.is_news(marks):
+                self._rosters.send(self._make_summary(), self._list_summary_hearers())
+
+    def _list_work(self) -> Work:
+        """Return what is open here as far as others use it.
+
+        In a large fleet the schedulers count what is open at the engines; all other work is
+        over before a report of it could be used.
+        """
+        work = self._fleet.own_work()
+        if not self._is_large():
+            return work
+        return {name: item for name, item in work.items() if self._fleet.is_engine(name)}
 
-    def _expire(self, now: float) -> None:
-        self._fleet.expire_peers(now)
-        self._log_live()
+    def _note_sent(self, work: Work) -> None:
+        self._sent_work = work
+        self._report_at = self._now() + self._find_pause()
 
-    def _log_live(self) -> None:
-        live = frozenset(self.live_hosts())
-        if live != self._live:
-            log_decision(
-                "live hosts", joined=sorted(live - self._live), lost=sorted(self._live - live)
-            )
-            for host in self._live - live:
-                self._demand.forget_peer(host)
-            self._live = live
+    def _list_hearers(self, now: float, told: bool) -> list[Peer]:
+        """Return who hears a heartbeat in a large fleet; open work is `told` to schedulers.
 
-    def _list_live(self, now: float) -> list[Peer]:
-        return [p for p in self._peers.values() if now - p.heard_at < SILENCE_SECONDS]
+        Hosts of a zone book by what its scheduler last told them where that one is silent.
+        """
+        zone = self._me.zone
+        untold = self._is_untold(now)
+        hearers = {item.host for item in list_representatives(self.list_members(), zone)}
+        if told:
+            hearers |= self._close
+        if untold or (told and self._schedules):
+            hearers |= {peer.host for peer in self._peers.list_seen(now) if peer.zone == zone}
+        if untold:
+            hearers |= self._list_other_representatives()
+        unseen = self._peers.list_unseen(now)
+        greeted = self._rng.sample(unseen, min(GREETED_PEERS, len(unseen)))
+        return [*self._list_named(hearers), *greeted]
+
+    def _is_untold(self, now: float) -> bool:
+        """Return whether no representative of this host's zone has spoken of late."""
+        silent = now - self._rosters.told_at >= UNTOLD_SECONDS
+        return silent and self._is_large() and not self._represents()
+
+    def _list_named(self, hosts: Iterable[str]) -> list[Peer]:
+        known = self._peers.peers
+        return [known[host] for host in hosts if host in known]
+
+    def _represents(self) -> bool:
+        found = list_representatives(self.list_members(), self._me.zone)
+        return not self.candidates.leaving and self._me.host in [item.host for item in found]
+
+    def _list_other_representatives(self) -> set[str]:
+        members = self.list_members()
+        zones = {member.zone for member in members} - {self._me.zone}
+        return {item.host for zone in zones for item in list_representatives(members, zone)}
+
+    def _list_summary_hearers(self) -> list[Member]:
+        """Return who hears this host's summaries: its zone, and other representatives."""
+        others = self._list_other_representatives()
+        return [
+            item
+            for item in self.list_members()
+            if item.host != self._me.host and (item.zone == self._me.zone or item.host in others)
+        ]
 
-    def _send(self, work: dict[str, OpenWork], peers: list[Peer], with_known: bool) -> None:
-        self._sent_work = work
-        self._report_at = self._now() + _find_pause(len(self._peers))
-        self._send_to(work, peers, with_known)
+    def _make_summary(self) -> Summary:
+        own = self._rosters.refresh_own()
+        return Summary(
+            self._me.host,
+            self._me.zone,
+            self._me.link_mbps,
+            self._incarnation,
+            self._configuration.version,
+            self.candidates.lacks_store,
+            self.candidates.find_holder(self._me.zone),
+            own,
+            (*self._rosters.list_strays(), *self._rosters.list_others(own)),
+            self._demand.sum_own_zone(self._now()),
+            self._ordered.list_told(),
+        )
 
-    def _send_to(self, work: dict[str, OpenWork], peers: list[Peer], with_known: bool) -> None:
-        self._sent_close = work
+    def _send(self, work: Work, peers: Iterable[Peer], with_known: bool = False) -> None:
         data = pack_report(
             PeerReport(
                 self._me.host,
                 self._me.ip,
                 self._me.zone,
                 self._me.link_mbps,
-                self._me.incarnation,
+                self._incarnation,
                 self._configuration.version,
-                self.leaving,
-                self.holds_roles,
-                self._now() < self._lacks_store_until,
+                self.candidates.leaving,
+                self.candidates.holds_roles,
+                self.candidates.lacks_store,
                 {name: (item.tokens, item.requests) for name, item in work.items()},
-                {
-                    name: (
-                        round(item.read_tokens),
-                        round(item.decode_slots, 2),
-                        round(item.read_slots, 2),
-                    )
-                    for name, item in self._demand.own(self._now()).items()
-                },
-                self._list_ordered_roles(),
+                self._demand.list_own(self._now()),
+                self._ordered.list_told(),
                 self._sample_known() if with_known else (),
             )
         )
         for peer in peers:
             self._socket.send(peer.ip, DatagramKind.REPORT, data)
 
-    def note_order(self, engine: str, role: Role, ready_at: float) -> None:
-        """Tell all hosts of an order that an engine has taken; `ready_at` in the loop's time."""
-        self._fleet.note_ordered_role(engine, role, ready_at)
-        self._ordered[engine] = (role, ready_at)
-        self._send(self._fleet.own_work(), self._list_live(self._now()), with_known=False)
+    def _sample_known(self) -> tuple[tuple[str, str], ...]:
+        seen = self._peers.list_seen(self._now())
+        sample = self._rng.sample(seen, min(NAMED_PEERS, len(seen)))
+        return tuple((peer.host, peer.ip) for peer in sample)
+
+    # Receiving.
 
-    def _list_ordered_roles(self) -> dict[str, tuple[str, float]]:
+    def _take_report(self, data: bytes, _: str) -> None:
+        """Take a peer's report over; raise FrameError."""
+        report = unpack_report(data)
+        if report.host == self._me.host:
+            return
         now = self._now()
-        self._ordered = {
-            name: (role, ready_at)
-            for name, (role, ready_at) in self._ordered.items()
-            if now < ready_at + ORDER_TOLD_SECONDS
-        }
-        return {
-            name: (role.value, round(max(0.0, ready_at - now), 2))
-            for name, (role, ready_at) in self._ordered.items()
-        }
-
-    def _take_ordered_roles(self, report: PeerReport) -> None:
-        for name, (role, wait) in report.roles.items():
-            try:
-                self._fleet.note_ordered_role(name, Role(role), self._now() + wait)
-            except ValueError:
-                log_decision("role skipped", engine=name, role=role, sender=report.host)
+        joined = self._note_heard(
+            Heartbeat(
+                Member(report.host, report.ip, report.zone, report.link_mbps),
+                report.incarnation,
+                report.leaving,
+                report.holds_roles,
+                report.lacks_store,
+            )
+        )
+        work = {name: OpenWork(*counts) for name, counts in report.work.items()}
+        self._fleet.note_peer(report.host, work, now)
+        self._demand.take_host(report.host, report.demand)
+        self._ordered.take(report.roles, report.host)
+        for host, ip in report.known:
+            self._peers.learn(host, ip)
+        self._take_version(report.host, report.ip, report.config_version)
+        if self._is_large():
+            self._answer_stranger(report, joined)
+        self._changed()
 
-    def _sample_known(self) -> tuple[tuple[str, str], ...]:
-        live = self._list_live(self._now())
-        sample = self._rng.sample(live, min(NAMED_PEERS, len(live)))
-        return tuple((peer.host, peer.ip) for peer in sample)
+    def _answer_stranger(self, report: PeerReport, joined: bool) -> None:
+        """Help a host that speaks to this one for want of others."""
+        if report.zone != self._me.zone and self._represents():
+            self._rosters.answer(self._make_summary(), report.ip)
+        elif joined:
+            # It may know nobody else yet.
+            self._send(self._list_work(), self._list_named([report.host]), with_known=True)
 
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+    def _take_summary(self, summary: Summary, ip: str) -> None:
+        """Take over what a representative says besides who lives."""
+        now = self._now()
+        member = Member(summary.host, ip, summary.zone, summary.link_mbps)
+        holds = summary.role_holder == summary.host
+        beat = Heartbeat(
+            member, summary.incarnation, holds_roles=holds, lacks_store=summary.lacks_store
+        )
+        self._note_heard(beat)
+        for holder in self._list_named([summary.role_holder]):
+            holder.held_roles_at = now
+        if summary.zone == self._me.zone and self._represents():
+            self._demand.forget_zone(summary.zone)
+        else:
+            self._demand.take_zone(summary.zone, summary.demand, now)
+        self._ordered.take(summary.roles, summary.host)
+        self._take_version(summary.host, ip, summary.config_version)
+
+    def _note_heard(self, beat: Heartbeat) -> bool:
+        joined = self._peers.note_heard(beat, self._now())
+        if joined or beat.leaving:
+            self._log_live()
+        return joined
+
+    def _take_version(self, host: str, ip: str, version: int) -> None:
+        if version > self._configuration.version:
+            self._exchange.fetch_later(host, ip, version)
+
+    def _expire(self, now: float) -> None:
+        self._fleet.expire_peers(now)
+        self._demand.expire(now)
+        self._log_live()
 
+    def _log_live(self) -> None:
+        live = frozenset(self.live_hosts())
+        if live != self._live:
+            log_decision(
+                "live hosts", joined=sorted(live - self._live), lost=sorted(self._live - live)
+            )
+            self._live = live
 
-def _find_pause(peers: int) -> float:
-    """Return the seconds between reports to so many peers."""
-    return REPORT_SECONDS + REPORT_SECONDS_PER_PEER * peers
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/coordination/listing_relay.py
+++ b/src/swifttrestle/internal/coordination/listing_relay.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Sequence
 
-from swifttrestle.internal.policy.scheduling import is_large, list_watchers
+from swifttrestle.internal.policy.scheduling import is_large, list_representatives
 from swifttrestle.internal.protocol.listings import ListingChanges, pack_changes, unpack_changes
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
@@ -44,7 +44,9 @@
         members = self._list_members()
         if not is_large(len(members)):
             return False
-        return any(item.host == self._host for item in list_watchers(members, self._zone(members)))
+        return any(
+            item.host == self._host for item in list_representatives(members, self._zone(members))
+        )
 
     def send(self, changes: ListingChanges) -> None:
         """Tell this host's zone, if its hosts are to hear of it from this one."""
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -80,6 +80,7 @@
         self._ejector = ejector
         self._pool = pool
         self._gossip = gossip
+        self._candidates = gossip.candidates
         self._find_configuration = find_configuration
         self._unsettled: dict[str, tuple[float, Role]] = {}
         self._unreached: dict[str, float] = {}
@@ -93,7 +94,7 @@
                 await self._tick()
             except (PlatformUnavailableError, LeaseLostError) as error:
                 # Should the lease still be this host's, the next write on it will show that.
-                self._gossip.holds_roles = False
+                self._candidates.holds_roles = False
                 self._gossip.note_store_lost(STORE_LOST_SECONDS)
                 log_decision("role planning waits", reason=str(error))
                 await asyncio.sleep(TICK_SECONDS)
@@ -102,17 +103,17 @@
         configuration = self._find_configuration()
         if configuration is None:
             return
-        if self._gossip.holds_roles and self._is_store_away():
+        if self._candidates.holds_roles and self._is_store_away():
             # Orders could not be written down, and the list here is an old one.
             raise PlatformUnavailableError("the store is away")
-        if not self._gossip.is_role_candidate():
+        if not self._candidates.is_candidate():
             await self._stand_by()
             return
         # The lease is held before it is needed: a takeover waits for seconds, in which the
         # last decoding engine may leave and the store may go away.
-        before = self._gossip.holds_roles
-        self._gossip.holds_roles = await self._lease.campaign()
-        if not self._gossip.holds_roles:
+        before = self._candidates.holds_roles
+        self._candidates.holds_roles = await self._lease.campaign()
+        if not self._candidates.holds_roles:
             return
         if not before:
             self._take_over_orders()
@@ -123,7 +124,7 @@
     async def _stand_by(self) -> None:
         """Look at the lease from time to time, so that a takeover need not wait it out."""
         now = asyncio.get_running_loop().time()
-        if now < self._look_at or not self._gossip.is_next_role_candidate():
+        if now < self._look_at or not self._candidates.is_next_candidate():
             return
         self._look_at = now + STAND_BY_SECONDS
         with contextlib.suppress(NotFoundError):
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -178,18 +178,16 @@
             booking.reader.learn(booking.ahead, seconds)
         self._send(booking.ticket.ip, End(booking.ticket.number, stage, outcome, seconds))
 
-    def list_other_schedulers(self) -> set[str]:
-        """Return the other schedulers of the services that this host schedules engines of."""
+    def list_schedulers(self) -> set[str]:
+        """Return the hosts that schedule engines of any service."""
         members = self._list_members()
         if not is_large(len(members)):
             return set()
-        others: set[str] = set()
+        found: set[str] = set()
         for service in self._parts.fleet.list_engine_services():
             engines = self._parts.fleet.list_service(service)
-            schedulers = list_schedulers(members, service, engines)
-            if self._host in schedulers:
-                others |= schedulers
-        return others - {self._host}
+            found |= list_schedulers(members, service, engines)
+        return found
 
     async def run(self) -> None:
         """Schedule for others for as long as the process lives."""
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -3,6 +3,7 @@
 import hashlib
 import random
 from collections.abc import Collection, Sequence
+from functools import lru_cache
 
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
@@ -24,6 +25,9 @@
 # Share of a decoding engine's slots kept for the service's most urgent requests, so that long
 # answers of the others never stand before them.
 URGENT_RESERVE = 0.06
+# Ranks that are remembered: those of 61 hosts of a zone for each of its 143 schedulers at the
+# size to design for, and of a few thousand pairs of engines and parts; some 3 MB at most.
+RANKS_KEPT = 16384
 
 
 def pick_plain(
@@ -108,6 +112,7 @@
     return item.predict_wait() + tokens / item.pace
 
 
+@lru_cache(RANKS_KEPT)
 def rank(key: str, name: str) -> int:
     """Return the rendezvous rank of a name for a key; the highest one is the key's own."""
     digest = hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
--- a/src/swifttrestle/internal/policy/scheduling.py
+++ b/src/swifttrestle/internal/policy/scheduling.py
@@ -10,8 +10,9 @@
 # Hosts up to which each books by its own knowledge: at this number reports of open work are
 # 42 ms apart, about as long as an engine takes to read one long prompt.
 SMALL_FLEET_HOSTS = 16
-# Hosts of a zone that watch the discovery list for all of it: one may be lost unnoticed.
-WATCHERS = 2
+# Hosts of a zone that represent it: they watch the discovery list for all of it, and hear its
+# hosts' heartbeats. One may be lost unnoticed.
+REPRESENTATIVES = 2
 
 
 def is_large(members: int) -> bool:
@@ -19,12 +20,12 @@
     return members > SMALL_FLEET_HOSTS
 
 
-def list_watchers(members: Sequence[Member], zone: str) -> list[Member]:
-    """Return the hosts of a zone that watch the discovery list for the others."""
+def list_representatives(members: Sequence[Member], zone: str) -> list[Member]:
+    """Return the hosts of a zone that watch the list and hear heartbeats for the others."""
     candidates = [item for item in members if item.zone == zone]
     return sorted(
         candidates, key=lambda item: (item.link_mbps, rank(f"list|{zone}", item.host)), reverse=True
-    )[:WATCHERS]
+    )[:REPRESENTATIVES]
 
 
 def find_group(engines: Sequence[Instance], zone: str) -> str:
--- a/src/swifttrestle/internal/state/demand.py
+++ b/src/swifttrestle/internal/state/demand.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 # Seconds over which offered work is averaged: longer than an engine is away for a change of
@@ -34,6 +34,14 @@
             self.read_slots + other.read_slots,
         )
 
+    def minus(self, other: "Demand") -> "Demand":
+        """Return what is left without the other, nothing below zero."""
+        return Demand(
+            max(0.0, self.read_tokens - other.read_tokens),
+            max(0.0, self.decode_slots - other.decode_slots),
+            max(0.0, self.read_slots - other.read_slots),
+        )
+
     def times(self, factor: float) -> "Demand":
         """Return a multiple of it."""
         return Demand(
@@ -84,6 +92,14 @@
         """Drop a peer that does not live any more."""
         self._peers.pop(peer, None)
 
+    def sum_of(self, peers: Iterable[str], now: float) -> dict[str, Demand]:
+        """Return what this host and some peers are offered, by service."""
+        sums: dict[str, Demand] = defaultdict(Demand, self.own(now))
+        for peer in peers:
+            for service, offered in self._peers.get(peer, {}).items():
+                sums[service] = sums[service].plus(offered)
+        return dict(sums)
+
     def total(self, service: str, now: float) -> Demand:
         """Return what all hosts are offered for a service."""
         total = self.own(now).get(service, Demand())
--- a/src/swifttrestle/internal/transport/datagrams.py
+++ b/src/swifttrestle/internal/transport/datagrams.py
@@ -16,6 +16,7 @@
     REPORT = 1
     BOOKING = 2
     LISTING = 3
+    ROSTER = 4
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- a/tests/hosted/test_large_fleets.py
+++ b/tests/hosted/test_large_fleets.py
@@ -72,7 +72,7 @@
         await wait_for_all_hosts(site)
         await asyncio.sleep(1.0)
         members = site.gateways["g0"].gateway.list_members()
-        watchers = [item.host for item in scheduling.list_watchers(members, "hall-a")]
+        watchers = [item.host for item in scheduling.list_representatives(members, "hall-a")]
         others = set(site.gateways) - set(watchers)
         for name in watchers:
             running = site.gateways[name]
@@ -96,7 +96,7 @@
         await wait_for_all_hosts(site)
         await asyncio.sleep(1.0)
         members = site.gateways["g0"].gateway.list_members()
-        cut = scheduling.list_watchers(members, "hall-a")[0].host
+        cut = scheduling.list_representatives(members, "hall-a")[0].host
         site.gateways[cut].gateway._store._call = refuse_call
         await asyncio.sleep(0.5)
         site.unlist_upstream(site.upstreams["s0"])
