Notice connections that fall silent; plan roles again as soon as the store is back

Two causes, both of waits that outlast what they wait for.

A watch of the configuration waited up to 32 s on such a connection, one of the discovery list 4 s; a kept connection to an upstream ate a request's whole first attempt, and so did the next one. Change: keepalive probes on every connection, 2 s to the store and 3 s elsewhere; a watch must be answered 0.8 s after its time; watches of the configuration last up to a second for each live host, at random, so that some host asks about each second and tells the others; after a kept connection was silent the idle ones are closed, every two seconds at most.

Change: a host is a candidate again as soon as its list is read anew. A test holds the pause for 60 s and sees the lease taken again.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -42,7 +42,7 @@
     HostSettings,
     load_host_settings,
 )
-from swifttrestle.platform.store import ObjectStore
+from swifttrestle.platform.store import SILENCE_MS, ObjectStore
 
 EXIT_BAD_SETTING = 2
 # The port that deploy/system.toml names to the platform.
@@ -85,8 +85,10 @@
         self._fleet = Fleet()
         self._budgets = RetryBudgets(bounds.retry_share, bounds.retry_extra, bounds.retry_window)
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
-        self._store = ObjectStore(settings.store, ConnectionPool())
-        self._configuration = ConfigurationKeeper(self._store, rng, self._serve_queues)
+        self._store = ObjectStore(settings.store, ConnectionPool(SILENCE_MS))
+        self._configuration = ConfigurationKeeper(
+            self._store, rng, self._serve_queues, lambda: len(self._gossip.live_hosts())
+        )
         socket = PeerSocket(settings.ip, settings.internal_port)
         me = Member(settings.host, settings.ip, settings.zone, settings.link_mbps)
         self._gossip = Gossip(
--- a/src/swifttrestle/internal/coordination/candidates.py
+++ b/src/swifttrestle/internal/coordination/candidates.py
@@ -36,6 +36,10 @@
         """Be no candidate for so many seconds."""
         self._lacks_store_until = self._now() + seconds
 
+    def note_store_back(self) -> None:
+        """Be a candidate again: the store has answered this host since."""
+        self._lacks_store_until = NEVER
+
     def is_candidate(self) -> bool:
         """Return whether this host is to plan roles: the holder while it lives, or the first."""
         return not self.leaving and (self.holds_roles or self._list_order()[:1] == [self._me.host])
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -18,13 +18,27 @@
 # First and longest pause after a failed call, in seconds; a change must be in force within
 # two seconds of its acknowledgement once the store can be reached.
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.5
+# Seconds of a watch for each live host: watches that end at different moments have some host
+# ask the store about each second, and the others hear of what it learns. A watch may wait on a
+# connection that has fallen silent, and all of a fleet's connections may do so at once.
+WATCH_SECONDS_PER_HOST = 1.0
+LEAST_WATCH_SECONDS = 2.0
+# Share of that below which no watch is, so that they do not all end together.
+LEAST_WATCH_SHARE = 0.3
 
 
 class ConfigurationKeeper:
     """The version in force; it only rises."""
 
-    def __init__(self, store: ObjectStore, rng: random.Random, changed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        rng: random.Random,
+        changed: Callable[[], None],
+        count_hosts: Callable[[], int],
+    ) -> None:
         """Read from the store; `changed` is called after each change."""
+        self._count_hosts = count_hosts
         self._store = store
         self._rng = rng
         self._changed = changed
@@ -83,12 +97,18 @@
         self._revision = snapshot.revision
 
     async def _watch(self) -> None:
-        seen = await self._store.watch(CONFIG_KIND, self._revision, WATCH_SECONDS)
+        seen = await self._store.watch(CONFIG_KIND, self._revision, self._choose_wait())
         for change in seen.changes:
             if change.item.name == CONFIG_NAME and not change.removed:
                 self.take(change.item.spec, "store")
         self._revision = seen.revision
 
+    def _choose_wait(self) -> float:
+        """Return the seconds of the next watch."""
+        longest = WATCH_SECONDS_PER_HOST * self._count_hosts()
+        longest = min(WATCH_SECONDS, max(LEAST_WATCH_SECONDS, longest))
+        return longest * (LEAST_WATCH_SHARE + (1 - LEAST_WATCH_SHARE) * self._rng.random())
+
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
         # A watch after a cut one may be taken by a store that has forgotten what lay between,
         # and then hear nothing: only a fresh read tells what is there.
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -85,6 +85,7 @@
         self._unsettled: dict[str, tuple[float, Role]] = {}
         self._unreached: dict[str, float] = {}
         self._look_at = 0.0
+        self._was_away = False
 
     async def run(self) -> None:
         """Look at the roles for as long as the process lives."""
@@ -100,6 +101,7 @@
                 await asyncio.sleep(TICK_SECONDS)
 
     async def _tick(self) -> None:
+        self._note_store()
         configuration = self._find_configuration()
         if configuration is None:
             return
@@ -121,6 +123,13 @@
             if service.engine is not None:
                 await self._plan_service(service.name, service.engine)
 
+    def _note_store(self) -> None:
+        """Plan again as soon as the store is back, and not when the pause is over."""
+        away = self._is_store_away()
+        if self._was_away and not away:
+            self._candidates.note_store_back()
+        self._was_away = away
+
     async def _stand_by(self) -> None:
         """Look at the lease from time to time, so that a takeover need not wait it out."""
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -26,8 +26,18 @@
 # Seconds to connect. A host in the same region answers in milliseconds; one lost opening
 # packet is sent again after a second, and waiting for that costs more than another upstream.
 CONNECT_SECONDS = 0.6
+# A connection may fall silent without a word while new ones work. The kernel probes one on which
+# nothing was heard for this many seconds, again after as many, and breaks it off after so many
+# probes without an answer: sooner than the three seconds after which a host counts as sound.
+PROBE_SECONDS = 1
+PROBES = 2
 # Milliseconds that sent data may stay unacknowledged before the kernel breaks the connection.
 UNACKNOWLEDGED_MS = 3000
+# Seconds without a byte of an answer after which a kept connection counts as silent.
+SILENT_SECONDS = 0.4
+# Seconds between two times at which all idle connections are closed for one that is silent: its
+# upstream alone may be at fault, and new connections cost.
+DROP_SECONDS = 2.0
 # A kept connection is dropped this long before its upstream would close it, in seconds, so
 # that no request crosses the close.
 IDLE_MARGIN_SECONDS = 0.7
@@ -65,6 +75,9 @@
         self._informational = False
         self._broken: Exception | None = None
         self.sent = False
+        self._sent_at = 0.0
+        self._exchanges = 0
+        self._heard = False
         self.reusable = True
         self.idle_until = 0.0
 
@@ -77,6 +90,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; any that no request waits for end the connection."""
+        self._heard = True
         if self._head is None and self._body is None:
             self._fail(UpstreamBrokenError("bytes came that no request waits for", sent=True))
             return
@@ -168,6 +182,9 @@
         self._head = asyncio.get_running_loop().create_future()
         assert self._transport is not None
         self.sent = True
+        self._sent_at = asyncio.get_running_loop().time()
+        self._exchanges += 1
+        self._heard = False
         self._transport.write(
             write_request_head(
                 request.method, request.target, request.headers, request.framing, request.length
@@ -197,6 +214,11 @@
         self._answer, self._body, self._head = None, None, None
         return whole and self.usable
 
+    def is_silent(self) -> bool:
+        """Return whether this connection was kept, and nothing has come since its last request."""
+        waited = asyncio.get_running_loop().time() - self._sent_at
+        return self._exchanges > 1 and not self._heard and waited >= SILENT_SECONDS
+
     def close(self) -> None:
         """Close at once; the upstream sees that nobody waits any more."""
         self.reusable = False
@@ -274,9 +296,11 @@
 class ConnectionPool:
     """Kept connections to each instance of an upstream; newest first, so that few stay warm."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, unacknowledged_ms: int = UNACKNOWLEDGED_MS) -> None:
+        """Start empty; break connections whose data stays unacknowledged for so long."""
+        self._unacknowledged_ms = unacknowledged_ms
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
+        self._drop_at = float("-inf")
         self.opened = 0
 
     @contextlib.asynccontextmanager
@@ -287,6 +311,8 @@
             yield connection
         except BaseException:
             connection.close()
+            if connection.is_silent():
+                self._drop_idle()
             raise
         finally:
             if connection.usable and connection.idle_until:
@@ -305,10 +331,19 @@
         connection.idle_until = now + keep if keep > 0 else 0.0
 
     def forget(self, instance: str) -> None:
-        """Close all idle connections to an instance that is gone."""
+        """Close all idle connections to an instance: it is gone, or they are silent."""
         for connection in self._idle.pop(instance, ()):
             connection.close()
 
+    def _drop_idle(self) -> None:
+        """Close all idle connections: they may have fallen silent with one that was in use."""
+        now = asyncio.get_running_loop().time()
+        if now < self._drop_at:
+            return
+        self._drop_at = now + DROP_SECONDS
+        for instance in list(self._idle):
+            self.forget(instance)
+
     def _take_idle(self, instance: str) -> UpstreamConnection | None:
         now = asyncio.get_running_loop().time()
         idle = self._idle[instance]
@@ -332,10 +367,19 @@
         self.opened += 1
         sock = transport.get_extra_info("socket")
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+            _bound_silence(sock, self._unacknowledged_ms)
         return protocol
 
 
+def _bound_silence(sock: socket.socket, unacknowledged_ms: int) -> None:
+    """Have the kernel break a connection whose other end is not heard any more."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+
+
 async def call_once(
     pool: ConnectionPool, instance: str, address: Address, request: OutgoingRequest, limit: int
 ) -> tuple[AnswerHead, bytes]:
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -33,6 +33,12 @@
 CALL_SECONDS = 2.0
 # Seconds that a watch waits for a change; the store's own bound.
 WATCH_SECONDS = 30.0
+# Seconds beyond that in which a watch must be answered: four times what a slow store takes. One
+# that is not answered may wait on a connection that has fallen silent.
+WATCH_MARGIN_SECONDS = 0.8
+# Milliseconds after which a silent connection to the store is broken: with the time to read
+# anew, less than the three seconds after which a host must know what it says.
+SILENCE_MS = 2000
 # Bytes that one page of a list, or one object, may have.
 LARGEST_ANSWER = 16 * 1024 * 1024
 
@@ -93,7 +99,7 @@
     async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
         """Wait for changes after a revision; raise HistoryGoneError where they are forgotten."""
         path = f"/v1/objects/{kind}?watch={revision}&waitMs={int(seconds * 1000)}"
-        raw = await self._call(b"GET", path, None, seconds + CALL_SECONDS)
+        raw = await self._call(b"GET", path, None, seconds + WATCH_MARGIN_SECONDS)
         try:
             changes = [
                 Change(_read_object(kind, event["object"]), bool(event["removed"]))
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -31,6 +31,20 @@
         raise TimeoutError(f"{what} did not come within {WAIT_SECONDS:g} s") from None
 
 
+class _ServerConnection(CallerConnection):
+    """A stand-in's end of a connection."""
+
+    _silent = False
+
+    def fall_silent(self) -> None:
+        """Say nothing any more, without closing."""
+        self._silent = True
+
+    def _write(self, data: bytes) -> None:
+        if not self._silent:
+            super()._write(data)
+
+
 @dataclass
 class RunningGateway:
     """One started gateway and where it listens."""
@@ -127,6 +141,13 @@
         for connection in list(self._sets["store"].open):
             connection.abort()
 
+    def silence_connections(self) -> None:
+        """Have all open connections to the store and to upstreams say nothing any more."""
+        for connections in self._sets.values():
+            for connection in list(connections.open):
+                assert isinstance(connection, _ServerConnection)
+                connection.fall_silent()
+
     async def stop(self) -> None:
         """Stop everything."""
         for running in self.gateways.values():
@@ -151,7 +172,7 @@
         self._sets[name] = connections
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerConnection(handler, connections), "127.0.0.1", 0
+            lambda: _ServerConnection(handler, connections), "127.0.0.1", 0
         )
         self._servers.append(server)
         host, port = server.sockets[0].getsockname()[:2]
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -379,3 +379,35 @@
     await wait_until(lambda: holder() != first, "another holder")
     readers = [site.upstreams[name] for name in ("e0", "e1", "e2")]
     await wait_until(lambda: any(item.role == "decode" for item in readers), "a decoding engine")
+
+
+@on_site(gateways=3)
+async def test_a_new_version_is_heard_of_although_all_connections_fell_silent(site):
+    # Watches of the configuration wait long, and one on a silent connection hears nothing.
+    await wait_until(lambda: len(gateway(site).live_hosts()) == 3, "peers")
+    site.silence_connections()
+    site.routes.append({**site.routes[2], "name": "added", "pathPrefix": "/added/"})
+    version = site.declare()
+    for name in site.gateways:
+        await wait_until(lambda n=name: gateway(site, n).config_version == version, "version")
+
+
+@on_site()
+async def test_an_upstream_that_leaves_is_noticed_although_all_connections_fell_silent(site):
+    site.silence_connections()
+    site.unlist_upstream(site.upstreams["s0"])
+    await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone")
+
+
+@on_site()
+async def test_roles_are_planned_again_as_soon_as_the_store_is_back(site):
+    candidates = gateway(site)._gossip.candidates
+    await wait_until(lambda: candidates.holds_roles, "lease")
+    site.store.faults.down = True
+    site.store.wake()
+    await wait_until(lambda: candidates.lacks_store and gateway(site)._discovery.store_away, "lost")
+    # Its pause is renewed by each call that fails, so that it would last for seconds more.
+    candidates.note_store_lost(60.0)
+    site.store.faults.down = False
+    await wait_until(lambda: candidates.holds_roles, "lease again")
+    assert not candidates.lacks_store
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -268,3 +268,13 @@
     from swifttrestle_standins.hosted import demo
 
     assert asyncio.run(demo.run()) == 0
+
+
+@on_site()
+async def test_a_repeatable_request_is_answered_although_all_kept_connections_fell_silent(site):
+    # Each upstream has a kept connection by now; the first attempt goes out on a silent one.
+    for number in range(8):
+        assert (await ask(address_of(site), "/card/a", f"c{number}")).status == 200
+    site.silence_connections()
+    answer = await ask(address_of(site), "/card/a", "after")
+    assert answer.status == 200
