Choose engines by the prompt parts that they keep

The hash of a document chose an engine, but a difference of 20 ms in waits, which were computed as if all of a prompt had to be read, sent it elsewhere, where the same document was read again.

Change: bookings note which parts an engine was sent; waits, open work and paces count what is to be read. Reports tell peers of prompts sent. Found by its tests: a decoding engine counted as keeping a prompt whose reading had failed.

Also: registering a host is a module of its own.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -87,7 +87,7 @@
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._store = ObjectStore(settings.store, ConnectionPool(SILENCE_MS))
         self._configuration = ConfigurationKeeper(
-            self._store, rng, self._serve_queues, lambda: len(self._gossip.live_hosts())
+            self._store, rng, self._note_configuration, lambda: len(self._gossip.live_hosts())
         )
         socket = PeerSocket(settings.ip, settings.internal_port)
         me = Member(settings.host, settings.ip, settings.zone, settings.link_mbps)
@@ -97,6 +97,7 @@
             socket,
             self._fleet,
             self._parts.demand,
+            self._parts.sent_prompts,
             self._configuration,
             rng,
             self._note_peers,
@@ -252,6 +253,16 @@
     def _serve_queues(self) -> None:
         self._booker.serve_queues()
 
+    def _note_configuration(self) -> None:
+        configuration = self._find_configuration()
+        if configuration is not None:
+            self._fleet.memory = {
+                name: service.engine.kv_tokens
+                for name, service in configuration.services.items()
+                if service.engine is not None
+            }
+        self._serve_queues()
+
     def _note_peers(self) -> None:
         self._budgets.hosts = len(self._gossip.live_hosts())
         self._serve_queues()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 
-from swifttrestle.errors import NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.coordination.candidates import RoleCandidates
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
+from swifttrestle.internal.coordination.registration import register_host
 from swifttrestle.internal.coordination.rosters import Rosters
 from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.lines import log_decision
@@ -25,10 +26,10 @@
 from swifttrestle.internal.state.fleet import Fleet, OpenWork
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import Heartbeat, Peer, PeerTable
+from swifttrestle.internal.state.prompt_cache import SentPrompt
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 from swifttrestle.platform.store import ObjectStore
 
-PEER_KIND = "swifttrestle-peers"
 # Seconds between heartbeats.
 HEARTBEAT_SECONDS = 0.5
 # Seconds without a word of the own zone's representatives after which a host of a large fleet
@@ -47,6 +48,8 @@
 # Silent peers that a host of a large fleet greets with each heartbeat, so that parts of a
 # fleet that lost each other meet again.
 GREETED_PEERS = 2
+# Prompts that one report tells of, some 60 bytes each.
+MOST_PROMPTS = 12
 
 Work = dict[str, OpenWork]
 
@@ -61,6 +64,7 @@
         socket: PeerSocket,
         fleet: Fleet,
         demand: DemandMeter,
+        sent_prompts: deque[SentPrompt],
         configuration: ConfigurationKeeper,
         rng: random.Random,
         changed: Callable[[], None],
@@ -75,6 +79,7 @@
         self._rng = rng
         self._changed = changed
         self._peers = PeerTable(me)
+        self._sent_prompts = sent_prompts
         self._demand = ZoneDemand(me, self._peers, demand)
         self._rosters = Rosters(me, socket, self._peers, self._take_summary, self._now)
         self.candidates = RoleCandidates(me, self._peers, self._now)
@@ -116,24 +121,7 @@
 
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
-        while True:
-            try:
-                await self._write_record(store)
-                for item in (await store.list(PEER_KIND)).items:
-                    self._peers.learn(item.name, str(item.spec.get("ip", "")))
-                return
-            except (PlatformUnavailableError, AttributeError) as error:
-                log_decision("peers not read", reason=str(error))
-                await asyncio.sleep(1.0 + self._rng.random())
-
-    async def _write_record(self, store: ObjectStore) -> None:
-        spec = {"ip": self._me.ip}
-        try:
-            known = await store.get(PEER_KIND, self._me.host)
-            if known.spec != spec:
-                await store.replace(PEER_KIND, self._me.host, spec, known.revision)
-        except NotFoundError:
-            await store.create(PEER_KIND, self._me.host, spec)
+        await register_host(store, self._me, self._peers, self._rng)
 
     # Sending.
 
@@ -199,7 +187,8 @@
         self._rosters.expire()
         hearers = self._list_hearers(now, told=bool(work or self._sent_work))
         self._note_sent(work)
-        self._send(work, hearers, with_known=True)
+        self._send(work, hearers)
+        self._send(work, self._choose_greeted(now), with_known=True)
         if self._represents():
             self._rosters.send(self._make_summary(), self._list_summary_hearers())
 
@@ -244,9 +233,11 @@
             hearers |= {peer.host for peer in self._peers.list_seen(now) if peer.zone == zone}
         if untold:
             hearers |= self._list_other_representatives()
+        return self._list_named(hearers)
+
+    def _choose_greeted(self, now: float) -> list[Peer]:
         unseen = self._peers.list_unseen(now)
-        greeted = self._rng.sample(unseen, min(GREETED_PEERS, len(unseen)))
-        return [*self._list_named(hearers), *greeted]
+        return self._rng.sample(unseen, min(GREETED_PEERS, len(unseen)))
 
     def _is_untold(self, now: float) -> bool:
         """Return whether no representative of this host's zone has spoken of late."""
@@ -307,11 +298,19 @@
                 self._demand.list_own(self._now()),
                 self._ordered.list_told(),
                 self._sample_known() if with_known else (),
+                self._take_prompts(),
             )
         )
         for peer in peers:
             self._socket.send(peer.ip, DatagramKind.REPORT, data)
 
+    def _take_prompts(self) -> tuple[SentPrompt, ...]:
+        """Return prompts to tell of; in a large fleet schedulers know what they have booked."""
+        waiting = self._sent_prompts
+        if self._is_large():
+            waiting.clear()
+        return tuple(waiting.popleft() for _ in range(min(MOST_PROMPTS, len(waiting))))
+
     def _sample_known(self) -> tuple[tuple[str, str], ...]:
         seen = self._peers.list_seen(self._now())
         sample = self._rng.sample(seen, min(NAMED_PEERS, len(seen)))
@@ -337,6 +336,8 @@
         work = {name: OpenWork(*counts) for name, counts in report.work.items()}
         self._fleet.note_peer(report.host, work, now)
         self._demand.take_host(report.host, report.demand)
+        for prompt in report.prompts:
+            self._fleet.note_prompt(prompt.engine, prompt.parts)
         self._ordered.take(report.roles, report.host)
         for host, ip in report.known:
             self._peers.learn(host, ip)
--- a/src/swifttrestle/internal/forward/booking.py
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -83,8 +83,13 @@
         if stage is Stage.READ:
             if outcome is Outcome.DONE:
                 booking.reader.learn(booking.ahead, seconds)
+            else:
+                booking.reader.cache.forget(booking.unread)
             self._release(booking.reader, OpenWork(booking.tokens, 1))
         else:
+            if outcome is Outcome.DONE:
+                # It has fetched what the reader read, and keeps that like its own.
+                self._parts.note_prompt(booking.decoder, booking.parts)
             self._release(booking.decoder, OpenWork(booking.tokens if booking.direct else 0, 1))
 
     def release(self, booking: Booking) -> None:
@@ -102,7 +107,7 @@
             return None
         readers = any(item.role is Role.PREFILL for item in engines)
         if not readers or reads_soon(request.tokens, engines):
-            return self._take(decoder, decoder, request.tokens)
+            return self._take(decoder, decoder, request)
         longest = max(0.0, request.longest_read_wait - waited)
         if request.late:
             longest = (request.left - waited) * LATE_WAIT_SHARE
@@ -110,9 +115,9 @@
         if reader is None:
             return None
         if reader.record.role is Role.DECODE:
-            return self._take(reader, reader, request.tokens)
+            return self._take(reader, reader, request)
         decoder = self._pick_decoder(request, engines, reader.record.zone)
-        return self._take(reader, decoder, request.tokens) if decoder else None
+        return self._take(reader, decoder, request) if decoder else None
 
     def _pick_reader(
         self, request: BookingRequest, engines: list[Instance], longest: float
@@ -123,7 +128,13 @@
         far = [item for item in engines if group not in ("", item.record.zone)]
         for choice, limit in ((near, longest), (far, longest * FAR_WAIT_SHARE)):
             reader = pick_reader(
-                choice, request.tokens, request.affinity, request.excluded, _now(), limit
+                choice,
+                request.tokens,
+                request.affinity,
+                request.excluded,
+                _now(),
+                limit,
+                request.parts,
             )
             if reader is not None:
                 return reader
@@ -152,18 +163,24 @@
             for item in engines
             if item.role is Role.PREFILL and group in ("", item.record.zone)
         ]
-        return ahead * request.tokens / sum(paces) if paces else 0.0
+        tokens = request.tokens * self._parts.demand.read_share(request.service)
+        return ahead * tokens / sum(paces) if paces else 0.0
 
     def _pick_decoder(
         self, request: BookingRequest, engines: list[Instance], near: str
     ) -> Instance | None:
         return pick_decoder(engines, near, request.excluded, _now(), urgent=request.urgent)
 
-    def _take(self, reader: Instance, decoder: Instance, tokens: int) -> Booking:
+    def _take(self, reader: Instance, decoder: Instance, request: BookingRequest) -> Booking:
         wait = reader.predict_wait()
+        tokens = max(0, request.tokens - reader.cache.count(request.parts))
+        unread = reader.cache.list_unread(request.parts)
+        self._parts.note_prompt(reader, request.parts)
         decoder.own = decoder.own.plus(OpenWork(0, 1))
         reader.own = reader.own.plus(OpenWork(tokens, 0 if reader is decoder else 1))
-        return Booking(reader, decoder, tokens, reader.total.tokens, wait)
+        return Booking(
+            reader, decoder, tokens, reader.total.tokens, wait, parts=request.parts, unread=unread
+        )
 
     def _release(self, engine: Instance, work: OpenWork) -> None:
         engine.own = engine.own.minus(work)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -22,6 +22,7 @@
 from swifttrestle.internal.policy.queueing import WAIT_SHARE
 from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
 from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.prompt_cache import PromptPart
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle.internal.transport.upstream import OutgoingRequest, call_once
 from swifttrestle.platform.engine import (
@@ -111,13 +112,16 @@
             longest_read_wait=ctx.route.objective * READ_WAIT_SHARE - ctx.age,
             late=ctx.lost_reads > 0,
             excluded=frozenset(ctx.excluded),
+            parts=name_parts(ctx),
         )
         found = await self._booker.book(request)
         if isinstance(found, NoRoom):
             raise self._refuse_for_load(ctx, found)
         self._parts.metrics.observe("gateway_queue_seconds", ctx.age)
+        if not found.direct:
+            self._parts.demand.note_read(ctx.service.name, request.tokens, found.tokens)
         ctx.note(
-            f"reader {found.reader.name} wait={found.wait * 1000:.0f}ms "
+            f"reader {found.reader.name} wait={found.wait * 1000:.0f}ms unread={found.tokens} "
             f"decoder {found.decoder.name} open={found.decoder.total.requests} "
             f"by {found.ticket.host if found.ticket else 'this host'}"
         )
@@ -332,6 +336,12 @@
                 log_decision("handle not freed", engine=reader.name, reason=str(error))
 
 
+def name_parts(ctx: Context) -> tuple[PromptPart, ...]:
+    """Return the prompt's parts under names that other models' parts do not have."""
+    facts = ctx.facts
+    return tuple(PromptPart(f"{facts.model}/{item.part}", item.tokens) for item in facts.parts)
+
+
 def find_affinity(ctx: Context) -> str:
     """Return the id of the last part that other requests share, or of the whole request."""
     parts = ctx.facts.parts
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -1,6 +1,7 @@
 """What the forwarders share: the fleet, the connections, the budget and the ejector."""
 
 import random
+from collections import deque
 from dataclasses import dataclass, field
 
 from swifttrestle.internal.forward.context import Context
@@ -10,6 +11,7 @@
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
 from swifttrestle.internal.transport.upstream import ConnectionPool
 
 # Seconds for which an instance that refused gets no more work where others can take it.
@@ -18,6 +20,8 @@
 EJECTION_CAP = 0.5
 # Seconds over which a broken instance comes back to its full share.
 RETURN_SECONDS = 2.0
+# Prompts that may wait to be told of; older ones are of no use to peers any more.
+MOST_UNTOLD_PROMPTS = 64
 
 
 @dataclass
@@ -60,6 +64,8 @@
         self.metrics = metrics
         self.rng = rng
         self.demand = DemandMeter()
+        # Prompts that peers have not been told of yet.
+        self.sent_prompts: deque[SentPrompt] = deque(maxlen=MOST_UNTOLD_PROMPTS)
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
 
     def list_usable(self, service: str, now: float) -> list[Instance]:
@@ -68,6 +74,12 @@
         usable = [item for item in listed if not self.ejector.is_out(item.name, now)]
         return usable or listed
 
+    def note_prompt(self, engine: Instance, parts: tuple[PromptPart, ...]) -> None:
+        """Take an engine as keeping a prompt's parts, and have peers told of it."""
+        if parts:
+            self.fleet.note_prompt(engine.name, parts)
+            self.sent_prompts.append(SentPrompt(engine.name, parts))
+
     def note_refusal(self, instance: Instance, now: float) -> None:
         """Leave an instance alone for a moment."""
         instance.refused_until = now + REFUSED_SECONDS
--- a/src/swifttrestle/internal/forward/scheduler.py
+++ b/src/swifttrestle/internal/forward/scheduler.py
@@ -95,7 +95,8 @@
         kept = _Kept(booking, ticket.host, read_until, decode_until, reading=not booking.direct)
         self._kept[ticket] = kept
         reader, decoder = booking.reader.name, booking.decoder.name
-        self._send(ip, Grant(ticket.number, reader, decoder, booking.ahead, booking.wait))
+        grant = Grant(ticket.number, reader, decoder, booking.ahead, booking.wait, booking.tokens)
+        self._send(ip, grant)
 
     def end(self, host: str, end: End) -> None:
         """Take back an engine of a host's booking, or its waiting request."""
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -167,7 +167,7 @@
             return None
         assert reader is not None and decoder is not None
         ticket = Ticket(scheduler.host, grant.number, scheduler.ip)
-        return Booking(reader, decoder, request.tokens, grant.ahead, grant.wait, ticket)
+        return Booking(reader, decoder, grant.tokens, grant.ahead, grant.wait, ticket)
 
     def end(self, booking: Booking, stage: Stage, outcome: Outcome, seconds: float) -> None:
         """Give an engine back, to the scheduler that keeps the booking."""
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.prompt_cache import PromptPart
 
 # What another availability zone costs in the choice of a plain instance, in open requests:
 # the bytes that cross are priced, so a near instance is kept until it is one request worse.
@@ -80,14 +81,15 @@
 
 def pick_reader(
     instances: Sequence[Instance], tokens: int, affinity: str, excluded: Collection[str],
-    now: float, longest_wait: float,
+    now: float, longest_wait: float, parts: Sequence[PromptPart] = (),
 ) -> Instance | None:  # fmt: skip
     """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
 
-    Decoding engines read too, at half the pace, while they make few tokens: each piece that
-    they read holds up all their streams. The choice is between the engines that the prompt's
-    shared part hashes to, so that equal parts meet their cache, and so that hosts which see
-    the same late reports do not all choose the engine that looks idle.
+    Parts that an engine keeps need no reading; such an engine may have a longer wait, as long
+    as the prompt is read no later. Decoding engines read too, at half the pace, while they make
+    few tokens: each piece that they read holds up all their streams. The choice is between the
+    engines that the prompt's shared part hashes to, so that few engines keep each part, and so
+    that hosts which see the same late reports do not all choose the engine that looks idle.
     """
     usable = [
         item
@@ -98,20 +100,20 @@
         and item.role is not Role.NONE
         and not is_full(item, LENT_SHARE if item.role is Role.DECODE else FULL_SHARE)
     ]
-    allowed = [item for item in usable if item.predict_wait() <= longest_wait]
+    kept = {item.name: min(tokens, item.cache.count(parts)) for item in usable}
+    read_in = {
+        item.name: item.predict_wait() + (tokens - kept[item.name]) / item.pace for item in usable
+    }
+    allowed = [item for item in usable if read_in[item.name] <= longest_wait + tokens / item.pace]
     if not allowed:
         return None
     ranked = sorted(allowed, key=lambda item: rank(affinity, item.name), reverse=True)
     first, *others = ranked[: CHOICES if len(ranked) > FEW_ENGINES else len(ranked)]
-    best = min(others, key=lambda item: _predict_read(item, tokens), default=first)
-    gain = _predict_read(first, tokens) - _predict_read(best, tokens)
+    best = min(others, key=lambda item: read_in[item.name], default=first)
+    gain = read_in[first.name] - read_in[best.name]
     return best if gain > AFFINITY_SECONDS else first
 
 
-def _predict_read(item: Instance, tokens: int) -> float:
-    return item.predict_wait() + tokens / item.pace
-
-
 @lru_cache(RANKS_KEPT)
 def rank(key: str, name: str) -> int:
     """Return the rendezvous rank of a name for a key; the highest one is the key's own."""
--- a/src/swifttrestle/internal/protocol/bookings.py
+++ b/src/swifttrestle/internal/protocol/bookings.py
@@ -1,6 +1,6 @@
 """Datagrams by which a host has engines booked by the one that schedules a group of them."""
 
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, replace
 from enum import IntEnum
 from typing import Any
 
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.state.bookings import BookingRequest, Outcome, Stage
+from swifttrestle.internal.state.prompt_cache import PromptPart
 
 
 class MessageKind(IntEnum):
@@ -39,8 +40,9 @@
 class Grant:
     """Names the booked engines.
 
-    `ahead` are the tokens to be read at the reader, the request's own included, and `wait` is
-    its predicted wait in seconds.
+    `ahead` are the tokens to be read at the reader, the request's own included, `wait` is its
+    predicted wait in seconds, and `tokens` are those of the request that the reader does not
+    keep already.
     """
 
     number: int
@@ -48,6 +50,7 @@
     decoder: str
     ahead: int
     wait: float
+    tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -76,12 +79,14 @@
     """Return the datagram of a message from a host."""
     match message:
         case Ask(number, request):
-            values: list[Any] = [MessageKind.ASK, host, number, *astuple(request)]
-            values[-1] = sorted(request.excluded)
+            parts = [(item.part, item.tokens) for item in request.parts]
+            fields = astuple(replace(request, excluded=frozenset(), parts=()))[:-2]
+            values: list[Any] = [MessageKind.ASK, host, number, *fields]
+            values += [sorted(request.excluded), parts]
         case Wait(number):
             values = [MessageKind.WAIT, host, number]
-        case Grant(number, reader, decoder, ahead, wait):
-            values = [MessageKind.GRANT, host, number, reader, decoder, ahead, wait]
+        case Grant(number, reader, decoder, ahead, wait, tokens):
+            values = [MessageKind.GRANT, host, number, reader, decoder, ahead, wait, tokens]
         case Refuse(number, waiting, soonest):
             values = [MessageKind.REFUSE, host, number, waiting, soonest]
         case End(number, stage, outcome, seconds):
@@ -100,15 +105,16 @@
 
 def _read(values: Any) -> tuple[str, Message]:
     match values:
-        case [MessageKind.ASK, str(host), int(number), *fields, list(excluded)]:
-            values = [*fields, frozenset(excluded)]
+        case [MessageKind.ASK, str(host), int(number), *fields, list(excluded), list(parts)]:
+            values = [*fields, frozenset(excluded), tuple(PromptPart(*item) for item in parts)]
             return host, Ask(number, BookingRequest(*values).checked())
         case [MessageKind.WAIT, str(host), int(number)]:
             return host, Wait(number)
         case [
-            MessageKind.GRANT, str(host), int(number), str(reader), str(decoder), int(ahead), wait
+            MessageKind.GRANT, str(host), int(number), str(reader), str(decoder), int(ahead), wait,
+            int(tokens),
         ]:  # fmt: skip
-            return host, Grant(number, reader, decoder, ahead, float(wait))
+            return host, Grant(number, reader, decoder, ahead, float(wait), tokens)
         case [MessageKind.REFUSE, str(host), int(number), int(waiting), soonest]:
             return host, Refuse(number, waiting, float(soonest))
         case [MessageKind.END, str(host), int(number), stage, outcome, seconds]:
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -6,6 +6,7 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
 
 # Kept under one packet of the usual links, so that a datagram is never split.
 LARGEST_DATAGRAM = 1400
@@ -21,7 +22,8 @@
     prompt tokens a second, the decode slots and those of them that follow a reading, as
     callers offer them; `roles` maps an engine to
     the role that the sender has ordered it to and the seconds until it has that. `known` are
-    some peers that the sender has heard of late, as pairs of host and IP.
+    some peers that the sender has heard of late, as pairs of host and IP. `prompts` are those
+    that the sender has sent to engines since its last report.
     """
 
     host: str
@@ -37,6 +39,7 @@
     demand: dict[str, tuple[float, float, float]]
     roles: dict[str, tuple[str, float]]
     known: tuple[tuple[str, str], ...] = ()
+    prompts: tuple[SentPrompt, ...] = ()
 
 
 def pack_report(report: PeerReport) -> bytes:
@@ -55,10 +58,11 @@
         report.demand,
         report.roles,
         report.known,
+        [(item.engine, [(p.part, p.tokens) for p in item.parts]) for item in report.prompts],
     ]
     data: bytes = msgpack.packb(values)
     if len(data) > LARGEST_DATAGRAM:
-        values[-1] = ()
+        values[-2:] = (), ()
         data = msgpack.packb(values)
     return data
 
@@ -84,6 +88,7 @@
             dict(offered),
             dict(roles),
             known,
+            prompts,
         ]:
             return PeerReport(
                 host,
@@ -99,6 +104,7 @@
                 _read_demand(offered),
                 _read_roles(roles),
                 _read_known(known),
+                _read_prompts(prompts),
             )
     raise FrameError("a datagram is no report")
 
@@ -132,3 +138,13 @@
         return tuple((str(host), str(ip)) for host, ip in known)
     except (TypeError, ValueError) as error:
         raise FrameError(f"a report's peers cannot be read: {error!r}") from None
+
+
+def _read_prompts(prompts: Any) -> tuple[SentPrompt, ...]:
+    try:
+        return tuple(
+            SentPrompt(str(engine), tuple(PromptPart(str(part), int(size)) for part, size in parts))
+            for engine, parts in prompts
+        )
+    except (TypeError, ValueError) as error:
+        raise FrameError(f"a report's prompts cannot be read: {error!r}") from None
--- a/src/swifttrestle/internal/state/bookings.py
+++ b/src/swifttrestle/internal/state/bookings.py
@@ -4,6 +4,7 @@
 from enum import IntEnum
 
 from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.prompt_cache import PromptPart
 
 
 class Stage(IntEnum):
@@ -30,6 +31,7 @@
     `left` is the time to the deadline, `longest_wait` the time that it may wait for engines,
     `longest_read_wait` the predicted wait for its reading that is short enough: less by
     what it has waited before, unless `late`, where its objective is over in any case.
+    `parts` are those of the prompt, named so that no two models share a name.
     """
 
     service: str
@@ -43,11 +45,20 @@
     longest_read_wait: float
     late: bool = False
     excluded: frozenset[str] = field(default_factory=frozenset)
+    parts: tuple[PromptPart, ...] = ()
 
     def checked(self) -> "BookingRequest":
         """Return the request as it came from a peer; raise TypeError for a wrong field."""
-        texts = (self.service, self.zone, self.affinity)
-        numbers = (self.tokens, self.priority, self.left, self.longest_wait, self.longest_read_wait)
+        texts: tuple[object, ...] = (self.service, self.zone, self.affinity)
+        texts += tuple(item.part for item in self.parts)
+        numbers: tuple[object, ...] = (
+            self.tokens,
+            self.priority,
+            self.left,
+            self.longest_wait,
+            self.longest_read_wait,
+        )
+        numbers += tuple(item.tokens for item in self.parts)
         if not all(isinstance(value, str) for value in (*texts, *self.excluded)):
             raise TypeError("a name in a booking is no text")
         if not all(isinstance(value, int | float) for value in numbers):
@@ -68,9 +79,11 @@
 class Booking:
     """The engines of one request: the one that reads its prompt and the one that decodes.
 
-    Both are the same where the decoding engine reads the prompt itself. `ahead` are the
-    tokens to be read at the reader, these included, and `wait` its predicted wait in seconds,
-    both from the moment of booking. `ticket` is set where another host keeps the booking.
+    Both are the same where the decoding engine reads the prompt itself. `tokens` are those that
+    the reader does not keep already, `ahead` those to be read at the reader, these included,
+    and `wait` its predicted wait in seconds, both from the moment of booking. `ticket` is set
+    where another host keeps the booking; `parts` are those of the prompt, `unread` those of
+    them that are to be read.
     """
 
     reader: Instance
@@ -79,6 +92,8 @@
     ahead: int = 0
     wait: float = 0.0
     ticket: Ticket | None = None
+    parts: tuple[PromptPart, ...] = ()
+    unread: tuple[PromptPart, ...] = ()
 
     @property
     def direct(self) -> bool:
--- a/src/swifttrestle/internal/state/demand.py
+++ b/src/swifttrestle/internal/state/demand.py
@@ -12,6 +12,8 @@
 UNKNOWN_HOLD_SECONDS = 0.5
 # Share of the newest measurement in a learned hold time.
 LEARN_SHARE = 0.1
+# The same for the share of prompts that must be read, which differs much from one to the next.
+READ_LEARN_SHARE = 0.02
 
 
 @dataclass(frozen=True)
@@ -63,15 +65,29 @@
         self._sums: dict[str, Demand] = defaultdict(Demand)
         self._at: dict[str, float] = {}
         self._holds: dict[str, float] = {}
+        self._read_shares: dict[str, float] = {}
         self._peers: dict[str, Mapping[str, Demand]] = {}
 
     def note_arrival(self, service: str, route: str, tokens: int, now: float) -> None:
         """Count one offered request; `tokens` are those that another engine is to read."""
         hold = self._holds.get(route, UNKNOWN_HOLD_SECONDS)
+        # Whole prompts count, although engines keep some parts: prompts that find theirs kept are
+        # served more often than others, so the share that is read says too little of the rest.
         offered = Demand(tokens, hold, hold if tokens else 0.0)
         self._sums[service] = self._fade(service, now).plus(offered)
         self._at[service] = now
 
+    def note_read(self, service: str, tokens: int, unread: int) -> None:
+        """Learn which share of prompts engines do not keep already and must read."""
+        if tokens <= 0:
+            return
+        known = self._read_shares.get(service, 1.0)
+        self._read_shares[service] = known + READ_LEARN_SHARE * (unread / tokens - known)
+
+    def read_share(self, service: str) -> float:
+        """Return the share of long prompts' tokens that engines must read."""
+        return self._read_shares.get(service, 1.0)
+
     def note_hold(self, route: str, seconds: float) -> None:
         """Learn how long a route's requests hold a decode slot."""
         known = self._holds.get(route, seconds)
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.prompt_cache import PromptCache, PromptPart
 
 # Tokens a second that an engine reads until its speed has been measured; low, so that the
 # first measurement corrects it upwards and no engine is flooded before.
@@ -50,6 +51,7 @@
     ordered_role: Role | None = None
     role_changing_until: float = float("-inf")
     gone: bool = False
+    cache: PromptCache = field(default_factory=PromptCache)
 
     @property
     def name(self) -> str:
@@ -98,6 +100,8 @@
         self.instances: dict[str, Instance] = {}
         # The loop's time at which the discovery list was last confirmed.
         self.confirmed_at = float("-inf")
+        # Tokens of memory of one engine, by service, as far as services declare them.
+        self.memory: dict[str, int] = {}
         self._services: dict[str, dict[str, Instance]] = defaultdict(dict)
         self._peers: dict[str, _PeerWork] = {}
 
@@ -165,6 +169,12 @@
         self._peers[peer] = _PeerWork(now, work)
         self._add(work.items(), sign=1)
 
+    def note_prompt(self, instance: str, parts: Iterable[PromptPart]) -> None:
+        """Take an engine as keeping the parts of a prompt that was sent to it."""
+        known = self.instances.get(instance)
+        if known is not None:
+            known.cache.note(parts, self.memory.get(known.record.service, 0))
+
     def expire_peers(self, now: float) -> None:
         """Forget the work of peers that have been silent."""
         for peer, known in list(self._peers.items()):
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from swifttrestle.internal.state.prompt_cache import PromptPart
+
 Header = tuple[bytes, bytes]
 
 REQUEST_ID = b"x-request-id"
@@ -16,6 +18,7 @@
 PROMPT_PARTS = b"x-prompt-prefix"
 # The sizes of the prompt and of the longest answer, in tokens, by a comma.
 TOKEN_SIZES = b"x-token-usage"
+MODEL = b"x-model"
 STAGE = b"x-stage"
 KV_SOURCE = b"x-kv-source"
 PRIORITY = b"x-request-priority"
@@ -33,20 +36,13 @@
 )  # fmt: skip
 
 
-@dataclass(frozen=True)
-class PromptPart:
-    """One part of a prompt; parts with the same id are the same tokens."""
-
-    part: str
-    tokens: int
-
-
 @dataclass(frozen=True)
 class RequestFacts:
     """What the headers of a request say; `patience` is in seconds, None where not given."""
 
     request_id: bytes
     patience: float | None
+    model: str
     prompt_tokens: int
     output_tokens: int
     parts: tuple[PromptPart, ...]
@@ -59,6 +55,7 @@
     return RequestFacts(
         request_id=found.get(REQUEST_ID, b""),
         patience=_read_milliseconds(found.get(DEADLINE)),
+        model=found.get(MODEL, b"").decode("latin-1"),
         prompt_tokens=_read_whole(sizes[0]),
         output_tokens=_read_whole(sizes[1]) if len(sizes) > 1 else 0,
         parts=_read_parts(found.get(PROMPT_PARTS, b"")),
--- /dev/null
+++ b/tests/cover/test_prompt_cache.py
@@ -0,0 +1,184 @@
+"""Which parts of prompts engines are believed to keep, and what follows for a booking."""
+
+import asyncio
+import random
+
+import pytest
+
+from swifttrestle.internal.forward.booking import LocalBooker
+from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.placement import pick_reader
+from swifttrestle.internal.protocol.bookings import Ask, Grant, pack_message, unpack_message
+from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
+from swifttrestle.internal.state.bookings import BookingRequest, Outcome, Stage
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.demand import DemandMeter
+from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
+from swifttrestle.internal.state.prompt_cache import PromptCache, PromptPart, SentPrompt
+
+SYSTEM = PromptPart("m/system", 2000)
+DOCUMENT = PromptPart("m/document", 4000)
+OWN = PromptPart("m/own", 3000)
+PROMPT = (SYSTEM, DOCUMENT, OWN)
+
+
+@pytest.mark.parametrize(
+    ("sent", "asked", "kept"),
+    [
+        ((), PROMPT, 0),
+        (PROMPT, PROMPT, 9000),
+        ((SYSTEM, DOCUMENT), PROMPT, 6000),
+        ((SYSTEM,), PROMPT, 2000),
+        # A part is of no use without those before it.
+        ((DOCUMENT, OWN), PROMPT, 0),
+        ((SYSTEM, OWN), PROMPT, 2000),
+        (PROMPT, (SYSTEM, PromptPart("m/other", 10)), 2000),
+        (PROMPT, (PromptPart("n/system", 2000),), 0),
+    ],
+)
+def test_an_engine_keeps_a_part_where_it_keeps_all_before_it(sent, asked, kept):
+    cache = PromptCache()
+    cache.note(sent, 100_000)
+    assert cache.count(asked) == kept
+    assert sum(item.tokens for item in cache.list_unread(asked)) == (
+        sum(item.tokens for item in asked) - kept
+    )
+
+
+def test_parts_that_were_not_used_for_longest_give_way_first():
+    cache = PromptCache()
+    cache.note([SYSTEM, PromptPart("m/a", 4000)], 10_000)
+    cache.note([SYSTEM, PromptPart("m/b", 4000)], 10_000)
+    assert cache.count([SYSTEM, PromptPart("m/a", 4000)]) == 2000
+    assert cache.count([SYSTEM, PromptPart("m/b", 4000)]) == 6000
+
+
+def test_a_part_that_is_sent_twice_fills_its_memory_once():
+    cache = PromptCache()
+    for _ in range(50):
+        cache.note(PROMPT, 12_000)
+    assert cache.count(PROMPT) == 9000
+
+
+def test_parts_are_forgotten_where_their_reading_failed():
+    cache = PromptCache()
+    cache.note([SYSTEM], 100_000)
+    unread = cache.list_unread(PROMPT)
+    cache.note(PROMPT, 100_000)
+    cache.forget(unread)
+    assert cache.count(PROMPT) == 2000
+
+
+def make_reader(name, open_tokens=0, kept=()):
+    record = UpstreamRecord(name, "s", ("127.0.0.1", 1), "a", 40, False, Role.PREFILL)
+    engine = Instance(record, own=OpenWork(open_tokens, 1 if open_tokens else 0))
+    engine.cache.note(kept, 100_000)
+    return engine
+
+
+@pytest.mark.parametrize(
+    ("open_tokens", "expected"),
+    # 4,000 kept tokens are 40 ms of reading at 100 tokens a ms.
+    [(0, "keeper"), (1000, "keeper"), (30_000, "idle")],
+)
+def test_a_prompt_goes_where_it_is_read_soonest_with_what_is_kept(open_tokens, expected):
+    readers = [
+        make_reader("keeper", open_tokens, (SYSTEM, DOCUMENT)),
+        make_reader("idle", 0, (SYSTEM,)),
+    ]
+    chosen = pick_reader(readers, 9000, "document", (), 0.0, 1.0, PROMPT)
+    assert chosen.name == expected
+
+
+def test_a_prompt_may_wait_longer_where_its_parts_are_kept_and_be_read_no_later():
+    busy = make_reader("keeper", 5000, (SYSTEM, DOCUMENT))
+    stranger = make_reader("stranger", 5000)
+    # 5,000 tokens are 50 ms: more than the wait allowed, less than with the 60 ms saved.
+    assert pick_reader([busy], 9000, "document", (), 0.0, 0.01, PROMPT) is busy
+    assert pick_reader([stranger], 9000, "document", (), 0.0, 0.01, PROMPT) is None
+
+
+def make_booker():
+    fleet = Fleet()
+    for name, role in (("p", Role.PREFILL), ("d", Role.DECODE)):
+        fleet.put(UpstreamRecord(name, "s", ("127.0.0.1", 1), "a", 40, False, role))
+    fleet.memory["s"] = 200_000
+    parts = Parts("a", fleet, RetryBudgets(0.2, 10, 10), Metrics(), random.Random(1))
+    return parts, LocalBooker(parts)
+
+
+REQUEST = BookingRequest("s", "a", 9000, "document", 0, True, 20.0, 0.0, 1.0, parts=PROMPT)
+
+
+def test_a_booking_counts_only_what_is_to_be_read_and_gives_just_that_back():
+    async def run():
+        parts, booker = make_booker()
+        first = await booker.book(REQUEST)
+        assert (first.tokens, first.reader.own.tokens) == (9000, 9000)
+        second = await booker.book(REQUEST)
+        assert second.tokens == 0
+        assert second.reader.own.tokens == 9000
+        for booking in (first, second):
+            booker.end(booking, Stage.READ, Outcome.DONE, 0.1)
+            booker.end(booking, Stage.DECODE, Outcome.DONE, 0.1)
+        assert all(item.own == OpenWork() for item in parts.fleet.instances.values())
+        assert (await booker.book(REQUEST)).tokens == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("outcome", [Outcome.BROKEN, Outcome.REFUSED, Outcome.GONE])
+def test_a_prompt_that_was_not_read_is_not_taken_for_kept(outcome):
+    async def run():
+        _, booker = make_booker()
+        booking = await booker.book(REQUEST)
+        booker.end(booking, Stage.READ, outcome, 0.1)
+        booker.end(booking, Stage.DECODE, Outcome.CANCELLED, 0.1)
+        assert (await booker.book(REQUEST)).tokens == 9000
+
+    asyncio.run(run())
+
+
+def test_peers_are_told_once_of_what_engines_were_sent():
+    async def run():
+        parts, booker = make_booker()
+        booking = await booker.book(REQUEST)
+        assert [item.engine for item in parts.sent_prompts] == ["p"]
+        booker.end(booking, Stage.DECODE, Outcome.DONE, 0.1)
+        # The decoding engine has fetched it by then.
+        assert [item.engine for item in parts.sent_prompts] == ["p", "d"]
+        assert all(item.parts == PROMPT for item in parts.sent_prompts)
+
+    asyncio.run(run())
+
+
+def test_prompts_survive_their_datagrams():
+    sent = (SentPrompt("p", PROMPT), SentPrompt("d", ()))
+    report = PeerReport("h", "10.0.0.1", "a", 10.0, 5, 7, False, False, False, {}, {}, {}, (), sent)
+    assert unpack_report(pack_report(report)) == report
+    for message in (Ask(1, REQUEST), Grant(1, "p", "d", 9000, 0.5, 3000)):
+        assert unpack_message(pack_message("h", message)) == ("h", message)
+
+
+def test_a_full_report_of_prompts_fits_one_packet():
+    parts = tuple(PromptPart(f"m/{n:012x}", 3000) for n in range(3))
+    sent = tuple(SentPrompt(f"i-{n:010x}", parts) for n in range(12))
+    known = tuple((f"front-kirkos-hall-{n}", "10.200.100.100") for n in range(8))
+    report = PeerReport(
+        "front-kirkos-hall-1", "10.1.0.1", "kirkos-hall", 10.0, 1 << 62, 7, False, False, False,
+        {f"i-{n:010x}": (100_000, 20) for n in range(6)}, {}, {}, known, sent,
+    )  # fmt: skip
+    assert len(pack_report(report)) < 1400
+    assert unpack_report(pack_report(report)).prompts == sent
+
+
+def test_the_share_of_prompts_that_is_read_is_learned_and_offered_work_stays_whole():
+    meter = DemandMeter()
+    for _ in range(500):
+        meter.note_read("s", 9000, 4500)
+    assert meter.read_share("s") == pytest.approx(0.5, abs=0.01)
+    meter.note_arrival("s", "route", 8000, 10.0)
+    assert meter.own(10.0)["s"].read_tokens == pytest.approx(8000 / 4.0)
+    meter.note_read("s", 0, 0)
+    assert meter.read_share("other") == 1.0
