--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint check demo bench soak clean
+.PHONY: setup test lint check demo bench report soak clean
 
 setup: $(VENV)/.ready
 
@@ -30,6 +30,10 @@
 bench: setup
 	$(BIN)/python -m bench
 
+# One page of what the standard days were worth, from the journal.
+report: setup
+	$(BIN)/python -m bench report
+
 soak: setup
 	$(BIN)/python -m pytest tests/quality -n 2 --soak
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from bench import configuration, guards, mix, relay, slopes
+from bench import configuration, guards, mix, relay, report, slopes
 
 BENCHES = {
     "configuration": configuration.main,
@@ -16,7 +16,7 @@
 def main() -> None:
     """Run the benches that are named, or all."""
     for name in sys.argv[1:] or list(BENCHES):
-        BENCHES[name]()
+        {**BENCHES, "report": report.main}[name]()
 
 
 if __name__ == "__main__":
