Count the live hosts of a large fleet wherever the bound of repeats is shared

Cause, found on reading the change again: a host's share of the bound on repeats followed reports, which hosts that represent nobody hardly get since. Such a host kept the number that it had when the fleet had just become large, 17 or so of 66, and would have taken four times its share.

Change: who lives tells the rest of the host when it changes, whichever way it was heard of. The test counts nine hosts at each of nine, then eight; it failed before (the hosts counted fewer).

--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -69,7 +69,7 @@
         rng: random.Random,
         changed: Callable[[], None],
     ) -> None:
-        """Prepare; `changed` is called when peers' work has changed."""
+        """Prepare; `changed` is called when peers' work, or who lives, has changed."""
         self._me = me
         self._incarnation = incarnation
         self._socket = socket
@@ -394,6 +394,7 @@
                 "live hosts", joined=sorted(live - self._live), lost=sorted(self._live - live)
             )
             self._live = live
+            self._changed()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/tests/hosted/test_rosters.py
+++ b/tests/hosted/test_rosters.py
@@ -75,6 +75,18 @@
     assert heard == {name: set() for name in plain}
 
 
+@on_site(gateways=3)
+async def test_every_host_shares_the_bound_of_repeats_with_all_that_live(site):
+    await add_zones(site)
+    budgets = [item.gateway._budgets for item in site.gateways.values()]
+    await wait_until(lambda: all(item.hosts == 9 for item in budgets), "nine hosts counted")
+    lost = "hall-c-1"
+    kill(site, lost)
+    living = set(site.gateways) - {lost}
+    left = [site.gateways[name].gateway._budgets for name in living]
+    await wait_until(lambda: all(item.hosts == 8 for item in left), "eight hosts counted")
+
+
 @pytest.mark.parametrize("which", ["plain", "one representative"])
 @on_site(gateways=3)
 async def test_a_lost_host_is_gone_everywhere_and_nobody_else(site, which):
