Pass on the newest roster of each representative alone; keep the schedulers that were found

Two causes, found on reading the change again. A representative passed on every roster that another one had made within two seconds: a host that was gone stayed told of for that long, and in a burst of changes a summary would have outgrown a packet. And each host looked for all schedulers with each heartbeat, 143 times over 790 hosts at the size to design for.

Change: one roster a representative; the schedulers are kept for two seconds while the members are the same; who represents a zone is a module of its own.

--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -15,10 +15,11 @@
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
 from swifttrestle.internal.coordination.registration import register_host
+from swifttrestle.internal.coordination.representatives import Representatives
 from swifttrestle.internal.coordination.rosters import Rosters
 from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.policy.scheduling import is_large, list_representatives
+from swifttrestle.internal.policy.scheduling import is_large
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.protocol.rosters import Summary
 from swifttrestle.internal.state.declared import Role
@@ -48,6 +49,9 @@
 # Silent peers that a host of a large fleet greets with each heartbeat, so that parts of a
 # fleet that lost each other meet again.
 GREETED_PEERS = 2
+# Seconds for which the schedulers of the same members are kept: it takes some milliseconds to find
+# 143 of them among 790 hosts, and engines that come or go seldom change them.
+SCHEDULERS_SECONDS = 2.0
 # Prompts that one report tells of, some 60 bytes each.
 MOST_PROMPTS = 12
 
@@ -83,6 +87,7 @@
         self._demand = ZoneDemand(me, self._peers, demand)
         self._rosters = Rosters(me, socket, self._peers, self._take_summary, self._now)
         self.candidates = RoleCandidates(me, self._peers, self._now)
+        self._representatives = Representatives(me, self.list_members)
         self._ordered = OrderedRoles(fleet, self._now)
         self._live: frozenset[str] = frozenset()
         # Open work as it was last told to anyone, and when to tell it again.
@@ -92,6 +97,9 @@
         self.list_schedulers: Callable[[], set[str]] = set
         self._close: set[str] = set()
         self._schedules = False
+        # The members for which the schedulers were found, and until when that holds.
+        self._schedulers_for = (False, 0)
+        self._schedulers_until = 0.0
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
@@ -113,12 +121,6 @@
         """Return this host and the peers heard of late, with their addresses and zones."""
         return self._peers.list_members(self._now())
 
-    @property
-    def members_version(self) -> int:
-        """A number that rises with each change of the members."""
-        self.list_members()
-        return self._peers.version
-
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
         await register_host(store, self._me, self._peers, self._rng)
@@ -135,7 +137,7 @@
             if now >= beat_at or (untold and not was_untold):
                 beat_at = now + HEARTBEAT_SECONDS * (0.9 + 0.2 * self._rng.random())
                 self._expire(now)
-                self._find_schedulers()
+                self._find_schedulers(now)
                 self._beat(now)
             else:
                 self._report(now)
@@ -165,8 +167,13 @@
     def _is_large(self) -> bool:
         return is_large(len(self.list_members()))
 
-    def _find_schedulers(self) -> None:
-        schedulers = self.list_schedulers() if self._is_large() else set()
+    def _find_schedulers(self, now: float) -> None:
+        known = self._is_large(), self._peers.version
+        if known == self._schedulers_for and now < self._schedulers_until:
+            return
+        self._schedulers_for = known
+        self._schedulers_until = now + SCHEDULERS_SECONDS
+        schedulers = self.list_schedulers()
         self._schedules = self._me.host in schedulers
         self._close = schedulers - {self._me.host}
 
@@ -190,7 +197,7 @@
         self._send(work, hearers)
         self._send(work, self._choose_greeted(now), with_known=True)
         if self._represents():
-            self._rosters.send(self._make_summary(), self._list_summary_hearers())
+            self._rosters.send(self._make_summary(), self._representatives.list_hearers())
 
     def _report(self, now: float) -> None:
         """Tell of changes between two heartbeats."""
@@ -202,7 +209,7 @@
         if self._is_large() and self._represents():
             marks = (self._rosters.refresh_own(), *self._rosters.list_strays())
             if self._rosters.is_news(marks):
-                self._rosters.send(self._make_summary(), self._list_summary_hearers())
+                self._rosters.send(self._make_summary(), self._representatives.list_hearers())
 
     def _list_work(self) -> Work:
         """Return what is open here as far as others use it.
@@ -226,13 +233,13 @@
         """
         zone = self._me.zone
         untold = self._is_untold(now)
-        hearers = {item.host for item in list_representatives(self.list_members(), zone)}
+        hearers = self._representatives.list_own()
         if told:
             hearers |= self._close
         if untold or (told and self._schedules):
             hearers |= {peer.host for peer in self._peers.list_seen(now) if peer.zone == zone}
         if untold:
-            hearers |= self._list_other_representatives()
+            hearers |= self._representatives.list_others()
         return self._list_named(hearers)
 
     def _choose_greeted(self, now: float) -> list[Peer]:
@@ -249,22 +256,7 @@
         return [known[host] for host in hosts if host in known]
 
     def _represents(self) -> bool:
-        found = list_representatives(self.list_members(), self._me.zone)
-        return not self.candidates.leaving and self._me.host in [item.host for item in found]
-
-    def _list_other_representatives(self) -> set[str]:
-        members = self.list_members()
-        zones = {member.zone for member in members} - {self._me.zone}
-        return {item.host for zone in zones for item in list_representatives(members, zone)}
-
-    def _list_summary_hearers(self) -> list[Member]:
-        """Return who hears this host's summaries: its zone, and other representatives."""
-        others = self._list_other_representatives()
-        return [
-            item
-            for item in self.list_members()
-            if item.host != self._me.host and (item.zone == self._me.zone or item.host in others)
-        ]
+        return not self.candidates.leaving and self._me.host in self._representatives.list_own()
 
     def _make_summary(self) -> Summary:
         own = self._rosters.refresh_own()
--- a/src/swifttrestle/internal/coordination/rosters.py
+++ b/src/swifttrestle/internal/coordination/rosters.py
@@ -70,8 +70,8 @@
         self._confirmed_at: dict[bytes, float] = {}
         self._asked: dict[bytes, _Asked] = {}
         self._parts: dict[bytes, dict[int, Part]] = {}
-        # When each roster was last confirmed by a representative that made it.
-        self._heard: dict[bytes, float] = {}
+        # The newest roster that each representative made, and when it was heard.
+        self._heard: dict[str, tuple[bytes, float]] = {}
         self._words: dict[str, _Word] = {}
         self._told: frozenset[bytes] = frozenset()
         # When a representative of this host's own zone was last heard.
@@ -91,7 +91,7 @@
         """
         now = self._now()
         heard = [item for item in self._peers.list_heard(now) if item.zone != self._me.zone]
-        fresh = [digest for digest, at in self._heard.items() if now - at < FRESH_SECONDS]
+        fresh = [digest for digest, at in self._heard.values() if now - at < FRESH_SECONDS]
         covered = self._list_hosts(fresh)
         zones = {item.zone for item in heard if item.host not in covered}
         return tuple(
@@ -103,11 +103,15 @@
         """Return the marks that other representatives made, but for one equal to this host's."""
         now = self._now()
         self._heard = {
-            digest: at for digest, at in self._heard.items() if now - at < SILENCE_SECONDS
+            host: heard for host, heard in self._heard.items() if now - heard[1] < SILENCE_SECONDS
         }
+        # Two representatives that hear the same hosts make the same roster: the later word counts.
+        latest: dict[bytes, float] = {}
+        for digest, at in self._heard.values():
+            latest[digest] = max(at, latest.get(digest, NEVER))
         return tuple(
             Mark(digest, round(now - at, 3))
-            for digest, at in self._heard.items()
+            for digest, at in latest.items()
             if digest != own.digest
         )
 
@@ -166,7 +170,7 @@
         now = self._now()
         if summary.zone == self._me.zone:
             self.told_at = now
-        self._heard[summary.own.digest] = now
+        self._heard[summary.host] = (summary.own.digest, now)
         self._take(summary, ip)
         self._confirm(summary, ip, now)
         self._note_word(summary, now)
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -315,6 +315,22 @@
     assert names(table, 10.0) == ["h000", "h001", "h002", "me", "other"]
 
 
+def test_a_roster_that_its_maker_has_replaced_is_not_passed_on():
+    wire, clock = Wire(), [10.0]
+    hosts = make_roster(3).members
+    far_table, far = make_rosters(wire, FAR, clock, heard=hosts)
+    _, other = make_rosters(wire, OTHER, clock)
+    clock[0] = 11.5
+    far.send(summarise(far, FAR), [OTHER])
+    clock[0] = 12.1
+    for item in hosts[1:]:
+        far_table.note_heard(beat(item), 12.1)
+    # The first host has been silent for too long.
+    far.send(summarise(far, FAR), [OTHER])
+    (mark,) = other.list_others(other.refresh_own())
+    assert {item.host for item in other._known[mark.digest].members} == {"far", "h001", "h002"}
+
+
 def test_a_host_that_was_only_told_of_is_in_no_roster_of_this_host():
     wire, clock = Wire(), [10.0]
     _, other = make_rosters(wire, OTHER, clock, heard=[Member("gone", "10.0.0.9", "a", 1.0)])
