--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -7,12 +7,14 @@
 import sys
 from pathlib import Path
 
+from swifttrestle.internal.policy.scheduling import is_large
 from swifttrestle_standins.hosted.site import Site
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from swifttrestle_standins.loopback import pick_ip, pick_port
 from tests.hosted.sites import declare_routes
 from tests.soak.proxy import Proxy
 
+ZONES = ("hall-a", "hall-b", "hall-c")
 PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "gateway.py"
 GRACE_SECONDS = 4
 METRICS_PORT = 9464
@@ -82,13 +84,15 @@
             await self.add_upstream(StandInUpstream(f"s{number}", "alerts", "hall-a"))
         self.declare()
         for number in range(hosts):
-            settings = self._settings_of(f"g{number}", number)
+            # A large fleet has schedulers and representatives in each zone.
+            zone = ZONES[number % len(ZONES)] if is_large(hosts) else ZONES[0]
+            settings = self._settings_of(f"g{number}", number, zone)
             self.hosts[f"g{number}"] = GatewayProcess(f"g{number}", settings, self.folder)
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
-    def _settings_of(self, name, number):
+    def _settings_of(self, name, number, zone):
         ip = pick_ip(number)
-        settings = self._make_settings(name, ip, "hall-a")
+        settings = self._make_settings(name, ip, zone)
         settings["seeds"] = [f"{pick_ip(seed)}:1" for seed in range(3)]
         settings["bounds"]["graceS"] = GRACE_SECONDS
         ports = {"front": pick_port(ip), "ready": pick_port(ip)}
