Answer no report between schedulers with a summary

Cause, found on the last reading: a representative answers a host of another zone that speaks to it with a whole summary, for want of that host's own representatives. Schedulers report to those of other zones up to sixty times a second, and they are chosen from the same fast hosts as representatives: each such report was answered with a new roster and a summary.

Change: a host that its own zone told of within 0.65 s gets no answer. The test sends twenty such reports; it failed before. Small fleets never come here.

--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -37,6 +37,9 @@
 # speaks to all of its zone itself: both of them missed a heartbeat, and nobody is taken for
 # gone yet.
 UNTOLD_SECONDS = 0.9
+# Seconds for which a host that its zone's representatives told of needs no answer from those of
+# another zone: a little more than the longest pause between two heartbeats.
+REPRESENTED_SECONDS = 0.65
 # Least seconds between reports of open work, and the further time for each host that hears
 # them, so that the datagrams a second stay bounded as the number of hosts grows.
 REPORT_SECONDS = 0.01
@@ -341,6 +344,9 @@
     def _answer_stranger(self, report: PeerReport, joined: bool) -> None:
         """Help a host that speaks to this one for want of others."""
         if report.zone != self._me.zone and self._represents():
+            if self._now() - self._peers.peers[report.host].told_at < REPRESENTED_SECONDS:
+                # Its zone tells of it: it reports to a scheduler, or spoke to all.
+                return
             self._rosters.answer(self._make_summary(), report.ip)
         elif joined:
             # It may know nobody else yet.
--- a/tests/hosted/test_rosters.py
+++ b/tests/hosted/test_rosters.py
@@ -87,6 +87,22 @@
     await wait_until(lambda: all(item.hosts == 8 for item in left), "eight hosts counted")
 
 
+@on_site(gateways=3)
+async def test_reports_between_schedulers_are_not_answered_by_summaries(site):
+    # Found on reading: a scheduler that represents its zone sent one for each report that it got.
+    await add_zones(site)
+    await asyncio.sleep(1.0)
+    near = site.gateways[min(find_representatives(site, "hall-a"))].gateway._gossip
+    far = site.gateways[min(find_representatives(site, "hall-b"))].gateway._gossip
+    answers = []
+    near._rosters.answer = lambda summary, ip: answers.append(ip)
+    peers = far._list_named([near._me.host])
+    for _ in range(20):
+        far._send({}, peers)
+        await asyncio.sleep(0.01)
+    assert answers == []
+
+
 @pytest.mark.parametrize("which", ["plain", "one representative"])
 @on_site(gateways=3)
 async def test_a_lost_host_is_gone_everywhere_and_nobody_else(site, which):
