Look again at the engine that is to make the tokens once the prompt is read

Cause: the decoding engine is booked before the prompt is read and was not looked at again. Ruled out: an old discovery list; the host knew of the leaving 0.7 s before the booking was read. Before: the new test fails for engines that say so, that are not listed any more and that change their role. After: another engine makes the tokens, without a repeat, since nothing had been sent. Instances are looked at once more when a connection has come up.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -28,7 +28,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.pages import Page, PageHandler
 from swifttrestle.internal.state.declared import Configuration
-from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
@@ -171,6 +171,10 @@
         """The configuration version in force, 0 where none is known."""
         return self._configuration.version
 
+    def list_instances(self) -> dict[str, Instance]:
+        """Return the upstreams that are known now, by instance."""
+        return self._fleet.instances
+
     def knows_instance(self, name: str) -> bool:
         """Return whether an upstream's instance is in use."""
         return name in self._fleet.instances
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -114,6 +114,9 @@
     """
     instance = plan.instance
     async with pool.borrow(instance.name, instance.record.address) as connection:
+        # It may have said so while the connection came up.
+        if instance.leaving:
+            raise UpstreamLeavingError(f"{instance.name} leaves")
         try:
             head, body = await read_head(ctx, connection, plan)
         except (UpstreamBusyError, UpstreamLeavingError):
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -1,53 +1,37 @@
 """Requests to model engines: a place to make tokens first, then the prompt, then the stream."""
 
 import asyncio
-import contextlib
-from dataclasses import dataclass
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
     RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
-    UpstreamError,
     UpstreamLeavingError,
 )
-from swifttrestle.internal.forward.attempt import AttemptPlan, build_request, make_attempt
+from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.booking import LATE_WAIT_SHARE, Booker, reads_soon
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
-from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.forward.reading import PromptReader, Use
 from swifttrestle.internal.policy.placement import pick_decoder
 from swifttrestle.internal.policy.queueing import WAIT_SHARE
 from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart
-from swifttrestle.internal.transport.messages import Framing
-from swifttrestle.internal.transport.upstream import OutgoingRequest, call_once
-from swifttrestle.platform.engine import (
-    KvHandle,
-    handle_path,
-    name_engine,
-    name_handle_source,
-    read_handle,
-)
-from swifttrestle.platform.wire import Forwarding, read_answer_facts
+from swifttrestle.platform.engine import KvHandle, name_handle_source
+from swifttrestle.platform.wire import Forwarding
 
 # Share of the objective that a prompt may wait behind others at an engine; the rest is for
 # its own reading, the copy of its KV cache and the first token.
 READ_WAIT_SHARE = 0.5
-# An engine that has not read a prompt after this many times the predicted time is given up
-# on; no sooner than LEAST_READ_SECONDS.
-READ_PATIENCE = 4.0
-LEAST_READ_SECONDS = 1.0
 # Prompt readings of one request, the first included, and attempts to make its tokens.
 MOST_READS = 2
 MOST_DECODES = 3
 # Share of what is left that a repeatable request waits for its first token at one engine.
 FIRST_TOKEN_SHARE = 0.5
-# Seconds in which a freed handle's call must be answered.
-FREE_SECONDS = 1.0
 # Bounds of the time to come back, in seconds.
 LEAST_RETRY_AFTER = 0.05
 # Seconds after which a caller may come back where no engine is listed: about one heartbeat.
@@ -57,15 +41,6 @@
 HONOURED_SHARE = 0.32
 # Share of the longest time to come back at which the first of the refused callers returns.
 SOONEST_RETURN = 0.6
-SMALL_ANSWER_BYTES = 64 * 1024
-
-
-@dataclass
-class _Use:
-    """The use of one booked engine so far; `began` in the loop's time."""
-
-    began: float
-    outcome: Outcome = Outcome.CANCELLED
 
 
 class EngineForwarder:
@@ -75,7 +50,7 @@
         """Use the host's shared parts, and engines that `booker` finds."""
         self._parts = parts
         self._booker = booker
-        self._background: set[asyncio.Task[None]] = set()
+        self._reader = PromptReader(parts, booker)
 
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError where it is given up on."""
@@ -83,9 +58,9 @@
         relay = EventRelay(ctx.route.resumable, self._longest_pause(ctx))
         for number in range(MOST_READS):
             booking = await self._book(ctx, first=number == 0)
-            use = _Use(asyncio.get_running_loop().time())
+            use = Use(asyncio.get_running_loop().time())
             try:
-                handle = None if booking.direct else await self._read_prompt(ctx, booking)
+                handle = None if booking.direct else await self._reader.read(ctx, booking)
                 if handle is not None or booking.direct:
                     await self._decode(ctx, booking, use, handle, relay)
                     return
@@ -155,97 +130,19 @@
         spread = SOONEST_RETURN + (1 - SOONEST_RETURN) * self._parts.rng.random()
         return max(LEAST_RETRY_AFTER, soonest, longest * spread)
 
-    # The prompt.
-
-    async def _read_prompt(self, ctx: Context, booking: Booking) -> KvHandle | None:
-        """Have the prompt read; None where the engine refused or failed."""
-        reader, loop = booking.reader, asyncio.get_running_loop()
-        use = _Use(loop.time())
-        expected = booking.wait + booking.tokens / reader.pace
-        limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
-        try:
-            handle = await self._call_reader(ctx, reader, min(limit, max(0.0, ctx.left)))
-            use.outcome = Outcome.DONE
-        except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
-            use.outcome = self._note_failed(ctx, reader, error)
-            self._note_lost_reading(ctx, reader, use.outcome, str(error))
-            return None
-        finally:
-            seconds = loop.time() - use.began
-            self._booker.end(booking, Stage.READ, use.outcome, seconds)
-        self._parts.metrics.observe("gateway_read_seconds", seconds)
-        ctx.note(f"read {handle.tokens} tokens")
-        return handle
-
-    def _note_failed(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
-        """Remember an engine's failure; return it as an outcome of its use."""
-        now = asyncio.get_running_loop().time()
-        match error:
-            case UpstreamLeavingError():
-                self._parts.note_gone(engine)
-                return Outcome.GONE
-            case UpstreamBusyError():
-                self._parts.note_refusal(engine, now)
-                return Outcome.REFUSED
-        self._parts.note_broken(ctx, engine, now, str(error))
-        return Outcome.CANCELLED if ctx.request.body.broken else Outcome.BROKEN
-
-    def _note_lost_reading(
-        self, ctx: Context, reader: Instance, outcome: Outcome, reason: str
-    ) -> None:
-        """Count a reading that failed; raise RefusedError where none may follow.
-
-        The first reading that an engine takes up is free, and each that is rejected counts as
-        a repeat: after a rejection the next one is free again, after a broken one it counts.
-        """
-        ctx.lost_reads += 1
-        ctx.excluded.add(reader.name)
-        ctx.note(f"reader {reader.name} failed: {reason}")
-        now = asyncio.get_running_loop().time()
-        budget = self._parts.budgets.find(ctx.service.name)
-        if outcome in (Outcome.REFUSED, Outcome.GONE):
-            budget.note_repeat(now)
-            allowed = budget.allows(now)
-        else:
-            allowed = budget.take(now)
-        if not allowed:
-            raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
-
-    async def _call_reader(self, ctx: Context, reader: Instance, limit: float) -> KvHandle:
-        added = Forwarding(reader.name, ctx.left, ctx.route.priority, prefill_only=True)
-        try:
-            async with asyncio.timeout(limit):
-                head, content = await call_once(
-                    self._parts.pool,
-                    reader.name,
-                    reader.record.address,
-                    build_request(ctx, added),
-                    SMALL_ANSWER_BYTES,
-                )
-        except TimeoutError:
-            raise UpstreamBrokenError("the prompt was not read in time") from None
-        facts = read_answer_facts(head.status, head.headers, reader.name)
-        if facts.not_run:
-            if facts.replaced:
-                raise UpstreamLeavingError(f"{reader.name} takes no prompts at its address")
-            raise UpstreamBusyError(f"{reader.name} refused with {head.status}")
-        if head.status != 200 or facts.request_id not in (b"", ctx.facts.request_id):
-            raise UpstreamBrokenError(f"{reader.name} answered {head.status}")
-        return read_handle(content)
-
     # The tokens.
 
     async def _decode(
         self,
         ctx: Context,
         booking: Booking,
-        use: "_Use",
+        use: Use,
         handle: KvHandle | None,
         relay: EventRelay,
     ) -> None:
         source = name_handle_source(booking.reader.record.address, handle) if handle else ""
-        decoder = booking.decoder
         try:
+            decoder = self._confirm_decoder(ctx, booking.decoder)
             for number in range(MOST_DECODES):
                 try:
                     await self._try_decoder(ctx, decoder, source, relay)
@@ -254,7 +151,7 @@
                         use.outcome = Outcome.DONE
                     return
                 except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
-                    outcome = self._note_failed(ctx, decoder, error)
+                    outcome = self._parts.note_failed_use(ctx, decoder, error)
                     if decoder is booking.decoder:
                         use.outcome = outcome
                     reason = str(error)
@@ -262,24 +159,44 @@
                         ctx.runs += 1
                         # The handle was taken by the run that broke.
                         if error.sent:
-                            self._free(booking.reader, handle)
+                            self._reader.free(booking.reader, handle)
                             source, handle = "", None
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
                 decoder = self._next_decoder(ctx, relay, reason, number)
         finally:
             if source:
-                self._free(booking.reader, handle)
+                self._reader.free(booking.reader, handle)
+
+    def _confirm_decoder(self, ctx: Context, decoder: Instance) -> Instance:
+        """Return the booked engine, or another one where it takes no new work any more.
+
+        It was chosen before the prompt was read, which may take seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        if decoder.takes_work(Role.DECODE, now):
+            return decoder
+        ctx.note(f"decoder {decoder.name} leaves or changes")
+        ctx.excluded.add(decoder.name)
+        return self._pick_decoder(ctx, "the engine that was to make the tokens leaves", now)
+
+    def _pick_decoder(self, ctx: Context, reason: str, now: float) -> Instance:
+        """Return an engine to make the tokens; raise RefusedError where there is none."""
+        engines = self._parts.list_usable(ctx.service.name, now)
+        decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now, urgent=ctx.urgent)
+        if decoder is None:
+            raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
+        return decoder
 
     def _next_decoder(self, ctx: Context, relay: EventRelay, reason: str, number: int) -> Instance:
         """Return another engine for the same answer; raise RefusedError where none may run."""
         now = asyncio.get_running_loop().time()
         allowed = number + 1 < MOST_DECODES and ctx.runs < ctx.route.max_attempts
         allowed = allowed and (ctx.repeatable or not ctx.may_have_run)
-        engines = self._parts.list_usable(ctx.service.name, now)
-        decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now, urgent=ctx.urgent)
-        budget = self._parts.budgets.find(ctx.service.name)
-        if not allowed or decoder is None or not budget.take(now):
+        if not allowed:
+            raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
+        decoder = self._pick_decoder(ctx, reason, now)
+        if not self._parts.budgets.find(ctx.service.name).take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
         ctx.note(f"decoder {decoder.name} after event {relay.last_event!r}")
         return decoder
@@ -308,33 +225,6 @@
         # time to go on elsewhere.
         return max(1.0, 2 * ctx.route.objective, 4 * ctx.route.gap_objective)
 
-    # Handles.
-
-    def _free(self, reader: Instance, handle: KvHandle | None) -> None:
-        """Free a handle in the background: its memory is of use to others."""
-        if handle is None or reader.gone:
-            return
-        task = asyncio.ensure_future(self._call_free(reader, handle))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _call_free(self, reader: Instance, handle: KvHandle) -> None:
-        request = OutgoingRequest(
-            b"DELETE", handle_path(handle), name_engine(reader.name), Framing.NONE, 0, None
-        )
-        with contextlib.suppress(TimeoutError):
-            try:
-                async with asyncio.timeout(FREE_SECONDS):
-                    await call_once(
-                        self._parts.pool,
-                        reader.name,
-                        reader.record.address,
-                        request,
-                        SMALL_ANSWER_BYTES,
-                    )
-            except UpstreamBrokenError as error:
-                log_decision("handle not freed", engine=reader.name, reason=str(error))
-
 
 def name_parts(ctx: Context) -> tuple[PromptPart, ...]:
     """Return the prompt's parts under names that other models' parts do not have."""
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -1,14 +1,17 @@
 """What the forwarders share: the fleet, the connections, the budget and the ejector."""
 
+import asyncio
 import random
 from collections import deque
 from dataclasses import dataclass, field
 
+from swifttrestle.errors import UpstreamBusyError, UpstreamError, UpstreamLeavingError
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
+from swifttrestle.internal.state.bookings import Outcome
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
@@ -86,10 +89,26 @@
 
     def note_gone(self, instance: Instance) -> None:
         """Drop an instance that another one has replaced at its address."""
+        if instance.leaving:
+            # The list says so already; what is open there goes on.
+            return
         self.fleet.remove(instance.name)
         self.pool.forget(instance.name)
         log_decision("instance replaced", instance=instance.name, source="its address")
 
+    def note_failed_use(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
+        """Remember an engine's failure; return it as an outcome of its use."""
+        now = asyncio.get_running_loop().time()
+        match error:
+            case UpstreamLeavingError():
+                self.note_gone(engine)
+                return Outcome.GONE
+            case UpstreamBusyError():
+                self.note_refusal(engine, now)
+                return Outcome.REFUSED
+        self.note_broken(ctx, engine, now, str(error))
+        return Outcome.CANCELLED if ctx.request.body.broken else Outcome.BROKEN
+
     def note_broken(self, ctx: Context, instance: Instance, now: float, reason: str) -> None:
         """Count a failure; the instance may be left out from now on.
 
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -74,6 +74,15 @@
         share = DECODE_READ_SHARE if self.role is Role.DECODE else 1.0
         return self.read_rate * share
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it gets no new work: it said that it leaves, or is not listed any more."""
+        return self.gone or self.record.leaving
+
+    def takes_work(self, role: Role, now: float) -> bool:
+        """Return whether it takes new work of a role now."""
+        return not self.leaving and self.role is role and now >= self.role_changing_until
+
     def predict_wait(self) -> float:
         """Return the seconds until what is open here has been read."""
         return max(0, self.total.tokens) / self.pace
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swifttrestle.errors import PlatformUnavailableError
+from swifttrestle.internal.state.declared import Role
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from tests.common.http import RawCaller, ask, write_request
@@ -51,6 +52,41 @@
     assert not gateway(site).knows_instance("bad3")
 
 
+def leave(site, upstream, way):
+    """Have an upstream leave: by its own word, by its entry's end, or for another role."""
+    if way == "draining":
+        site.list_upstream(upstream, "draining")
+    elif way == "unlisted":
+        site.unlist_upstream(upstream)
+    else:
+        upstream.role = "prefill"
+        site.list_upstream(upstream)
+
+
+@pytest.mark.parametrize("way", ["draining", "unlisted", "role"])
+@on_site()
+async def test_an_engine_that_leaves_while_the_prompt_is_read_gets_no_tokens_to_make(site, way):
+    # Found in a hunt on blitzgeld-muc (DRAIN): the decoding engine said that it leaves 0.7 s
+    # before it was booked for a prompt whose reading took 1.5 s.
+    reader = site.upstreams["e0"]
+    reader.hold.clear()
+    asked = asyncio.ensure_future(ask(address_of(site), "/chat/a", "c1", X_Token_Usage=LONG))
+    await wait_until(lambda: reader.arrivals, "reading")
+    instances = gateway(site).list_instances()
+    booked = next(site.upstreams[name] for name in ("e1", "e2") if instances[name].own.requests)
+    leave(site, booked, way)
+
+    def has_left():
+        known = gateway(site).list_instances().get(booked.instance)
+        return known is None or known.record.leaving or known.role is Role.PREFILL
+
+    await wait_until(has_left, "word of leaving")
+    reader.hold.set()
+    answer = await asked
+    assert (answer.status, answer.whole) == (200, True)
+    assert booked.arrivals == []
+
+
 @pytest.mark.parametrize("way", ["draining", "unlisted"])
 @on_site()
 async def test_an_upstream_that_leaves_gets_no_new_request(site, way):
