Fetch the parts of prompts that another engine has read

Hypothesis: a copy over the engines' links (11 ms for 13,300 tokens in place of 207 ms of reading) frees the readers. Ruled out: believing a source as soon as a prompt is booked there (some copies found nothing); sources are engines known to have read the parts.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -260,8 +260,8 @@
     def _note_configuration(self) -> None:
         configuration = self._find_configuration()
         if configuration is not None:
-            self._fleet.memory = {
-                name: service.engine.kv_tokens
+            self._fleet.traits = {
+                name: service.engine
                 for name, service in configuration.services.items()
                 if service.engine is not None
             }
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -332,7 +332,7 @@
         self._fleet.note_peer(report.host, work, now)
         self._demand.take_host(report.host, report.demand)
         for prompt in report.prompts:
-            self._fleet.note_prompt(prompt.engine, prompt.parts)
+            self._fleet.note_prompt(prompt)
         self._ordered.take(report.roles, report.host)
         for host, ip in report.known:
             self._peers.learn(host, ip)
--- a/src/swifttrestle/internal/forward/booking.py
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 
 from swifttrestle.internal.forward.parts import Parts
+from swifttrestle.internal.policy.fetching import FetchPlan, list_sources, plan_fetch
 from swifttrestle.internal.policy.placement import pick_decoder, pick_reader
 from swifttrestle.internal.policy.queueing import AdmissionQueue
 from swifttrestle.internal.policy.scheduling import find_group
@@ -32,7 +33,7 @@
 
     @abstractmethod
     def end(self, booking: Booking, stage: Stage, outcome: Outcome, seconds: float) -> None:
-        """Give one engine of a booking back after its use of so many seconds."""
+        """End one stage of a booking, of which each has both, after so many seconds."""
 
     @abstractmethod
     def serve_queues(self) -> None:
@@ -82,20 +83,21 @@
         """Take an engine's work off, and learn its speed from a prompt that it has read."""
         if stage is Stage.READ:
             if outcome is Outcome.DONE:
-                booking.reader.learn(booking.ahead, seconds)
+                self._parts.note_prompt(booking.reader, booking.parts, read=True)
+                if not booking.direct:
+                    booking.reader.learn(booking.ahead, seconds - booking.fetch_seconds)
             else:
                 booking.reader.cache.forget(booking.unread)
-            self._release(booking.reader, OpenWork(booking.tokens, 1))
+            self._release(booking.reader, OpenWork(booking.tokens, 0 if booking.direct else 1))
         else:
-            if outcome is Outcome.DONE:
+            if outcome is Outcome.DONE and not booking.direct:
                 # It has fetched what the reader read, and keeps that like its own.
-                self._parts.note_prompt(booking.decoder, booking.parts)
-            self._release(booking.decoder, OpenWork(booking.tokens if booking.direct else 0, 1))
+                self._parts.note_prompt(booking.decoder, booking.parts, read=True)
+            self._release(booking.decoder, OpenWork(0, 1))
 
     def release(self, booking: Booking) -> None:
         """Undo a booking that nobody will use."""
-        if not booking.direct:
-            self.end(booking, Stage.READ, Outcome.CANCELLED, 0.0)
+        self.end(booking, Stage.READ, Outcome.CANCELLED, 0.0)
         self.end(booking, Stage.DECODE, Outcome.CANCELLED, 0.0)
 
     def find(self, request: BookingRequest, waited: float = 0.0) -> Booking | None:
@@ -105,22 +107,27 @@
         decoder = self._pick_decoder(request, engines, request.zone)
         if decoder is None:
             return None
+        plan = self._find_plan(request, engines)
         readers = any(item.role is Role.PREFILL for item in engines)
         if not readers or reads_soon(request.tokens, engines):
-            return self._take(decoder, decoder, request)
+            return self._take(decoder, decoder, request, plan)
         longest = max(0.0, request.longest_read_wait - waited)
         if request.late:
             longest = (request.left - waited) * LATE_WAIT_SHARE
-        reader = self._pick_reader(request, engines, longest)
+        reader = self._pick_reader(request, engines, longest, plan)
         if reader is None:
             return None
         if reader.record.role is Role.DECODE:
-            return self._take(reader, reader, request)
+            return self._take(reader, reader, request, plan)
         decoder = self._pick_decoder(request, engines, reader.record.zone)
-        return self._take(reader, decoder, request) if decoder else None
+        return self._take(reader, decoder, request, plan) if decoder else None
 
     def _pick_reader(
-        self, request: BookingRequest, engines: list[Instance], longest: float
+        self,
+        request: BookingRequest,
+        engines: list[Instance],
+        longest: float,
+        plan: FetchPlan,
     ) -> Instance | None:
         """Return a reader of the request's group, or one of another where that is at rest."""
         group = find_group(engines, request.zone)
@@ -135,6 +142,7 @@
                 _now(),
                 limit,
                 request.parts,
+                plan,
             )
             if reader is not None:
                 return reader
@@ -171,17 +179,35 @@
     ) -> Instance | None:
         return pick_decoder(engines, near, request.excluded, _now(), urgent=request.urgent)
 
-    def _take(self, reader: Instance, decoder: Instance, request: BookingRequest) -> Booking:
+    def _take(
+        self, reader: Instance, decoder: Instance, request: BookingRequest, plan: FetchPlan
+    ) -> Booking:
         wait = reader.predict_wait()
-        tokens = max(0, request.tokens - reader.cache.count(request.parts))
+        kept = reader.cache.count(request.parts)
+        fetch = plan(reader, kept)
+        tokens = max(0, request.tokens - kept - (fetch.tokens if fetch else 0))
         unread = reader.cache.list_unread(request.parts)
         self._parts.note_prompt(reader, request.parts)
         decoder.own = decoder.own.plus(OpenWork(0, 1))
         reader.own = reader.own.plus(OpenWork(tokens, 0 if reader is decoder else 1))
         return Booking(
-            reader, decoder, tokens, reader.total.tokens, wait, parts=request.parts, unread=unread
+            reader,
+            decoder,
+            tokens,
+            reader.total.tokens,
+            wait,
+            parts=request.parts,
+            unread=unread,
+            source=fetch.source if fetch else None,
+            fetch_seconds=fetch.seconds if fetch else 0.0,
         )
 
+    def _find_plan(self, request: BookingRequest, engines: list[Instance]) -> FetchPlan:
+        """Return how any of the engines would fetch what others have read of the prompt."""
+        sources = list_sources(engines, request.parts, request.excluded)
+        traits = self._parts.fleet.traits.get(request.service)
+        return lambda reader, kept: plan_fetch(reader, kept, sources, traits)
+
     def _release(self, engine: Instance, work: OpenWork) -> None:
         engine.own = engine.own.minus(work)
         self.serve_queues()
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -1,6 +1,7 @@
 """What is known of one request while it is served."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from swifttrestle.codes import Code
@@ -36,6 +37,8 @@
     arrivals: int = 0
     excluded: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
+    # Called at the first byte of an answer that streams.
+    on_first_byte: Callable[[], None] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -54,8 +57,11 @@
 
     def note_first_byte(self) -> None:
         """Keep the request's age at the first byte of its answer."""
-        if self.first_byte is None:
-            self.first_byte = self.age
+        if self.first_byte is not None:
+            return
+        self.first_byte = self.age
+        if self.on_first_byte is not None:
+            self.on_first_byte()
 
     def note(self, step: str) -> None:
         """Keep a decision, with the request's age in milliseconds, for its log line."""
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -14,7 +14,12 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
-from swifttrestle.internal.forward.reading import PromptReader, Use
+from swifttrestle.internal.forward.reading import (
+    DirectReading,
+    PromptReader,
+    Use,
+    find_source_address,
+)
 from swifttrestle.internal.policy.placement import pick_decoder
 from swifttrestle.internal.policy.queueing import WAIT_SHARE
 from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
@@ -59,12 +64,15 @@
         for number in range(MOST_READS):
             booking = await self._book(ctx, first=number == 0)
             use = Use(asyncio.get_running_loop().time())
+            reading = DirectReading(booking, self._booker)
+            ctx.on_first_byte = reading.end
             try:
                 handle = None if booking.direct else await self._reader.read(ctx, booking)
                 if handle is not None or booking.direct:
                     await self._decode(ctx, booking, use, handle, relay)
                     return
             finally:
+                reading.cancel()
                 seconds = asyncio.get_running_loop().time() - use.began
                 self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
         raise ctx.refuse(Code.NO_UPSTREAM, "no engine read the prompt", LEAST_RETRY_AFTER)
@@ -97,6 +105,7 @@
             self._parts.demand.note_read(ctx.service.name, request.tokens, found.tokens)
         ctx.note(
             f"reader {found.reader.name} wait={found.wait * 1000:.0f}ms unread={found.tokens} "
+            f"from {found.source.name if found.source else 'none'} "
             f"decoder {found.decoder.name} open={found.decoder.total.requests} "
             f"by {found.ticket.host if found.ticket else 'this host'}"
         )
@@ -141,11 +150,12 @@
         relay: EventRelay,
     ) -> None:
         source = name_handle_source(booking.reader.record.address, handle) if handle else ""
+        fetch_from = find_source_address(booking) if booking.direct else None
         try:
             decoder = self._confirm_decoder(ctx, booking.decoder)
             for number in range(MOST_DECODES):
                 try:
-                    await self._try_decoder(ctx, decoder, source, relay)
+                    await self._try_decoder(ctx, decoder, source, relay, fetch_from)
                     source = ""
                     if decoder is booking.decoder:
                         use.outcome = Outcome.DONE
@@ -202,7 +212,12 @@
         return decoder
 
     async def _try_decoder(
-        self, ctx: Context, decoder: Instance, source: str, relay: EventRelay
+        self,
+        ctx: Context,
+        decoder: Instance,
+        source: str,
+        relay: EventRelay,
+        fetch_from: tuple[str, int] | None,
     ) -> None:
         patience = ctx.left
         if ctx.repeatable and ctx.runs + 1 < ctx.route.max_attempts:
@@ -213,6 +228,7 @@
             ctx.route.priority,
             kv_source=source,
             last_event=relay.last_event,
+            fetch_from=fetch_from,
         )
         began = asyncio.get_running_loop().time()
         await make_attempt(ctx, self._parts.pool, AttemptPlan(decoder, added, patience), relay)
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -77,11 +77,14 @@
         usable = [item for item in listed if not self.ejector.is_out(item.name, now)]
         return usable or listed
 
-    def note_prompt(self, engine: Instance, parts: tuple[PromptPart, ...]) -> None:
+    def note_prompt(
+        self, engine: Instance, parts: tuple[PromptPart, ...], read: bool = False
+    ) -> None:
         """Take an engine as keeping a prompt's parts, and have peers told of it."""
         if parts:
-            self.fleet.note_prompt(engine.name, parts)
-            self.sent_prompts.append(SentPrompt(engine.name, parts))
+            prompt = SentPrompt(engine.name, parts, read)
+            self.fleet.note_prompt(prompt)
+            self.sent_prompts.append(prompt)
 
     def note_refusal(self, instance: Instance, now: float) -> None:
         """Leave an instance alone for a moment."""
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -37,6 +37,31 @@
     outcome: Outcome = Outcome.CANCELLED
 
 
+class DirectReading:
+    """The reading of a prompt by the engine that makes the tokens: over with the first of these."""
+
+    def __init__(self, booking: Booking, booker: Booker) -> None:
+        """Begin now; a booking of two engines is left alone."""
+        self._booking = booking
+        self._booker = booker
+        self._began = asyncio.get_running_loop().time()
+        self._open = booking.direct
+
+    def end(self) -> None:
+        """Note that the prompt has been read."""
+        self._end(Outcome.DONE)
+
+    def cancel(self) -> None:
+        """Note that the engine does not read it any more, unless it has done so."""
+        self._end(Outcome.CANCELLED)
+
+    def _end(self, outcome: Outcome) -> None:
+        if self._open:
+            self._open = False
+            seconds = asyncio.get_running_loop().time() - self._began
+            self._booker.end(self._booking, Stage.READ, outcome, seconds)
+
+
 class PromptReader:
     """Has prompts read by the engines that were booked for it."""
 
@@ -53,10 +78,10 @@
         """
         reader, loop = booking.reader, asyncio.get_running_loop()
         use = Use(loop.time())
-        expected = booking.wait + booking.tokens / reader.pace
+        expected = booking.wait + booking.fetch_seconds + booking.tokens / reader.pace
         limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
         try:
-            handle = await self._call(ctx, reader, min(limit, max(0.0, ctx.left)))
+            handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
             use.outcome = Outcome.DONE
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._parts.note_failed_use(ctx, reader, error)
@@ -96,8 +121,15 @@
         if not allowed:
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, SOON_SECONDS)
 
-    async def _call(self, ctx: Context, reader: Instance, limit: float) -> KvHandle:
-        added = Forwarding(reader.name, ctx.left, ctx.route.priority, prefill_only=True)
+    async def _call(self, ctx: Context, booking: Booking, limit: float) -> KvHandle:
+        reader = booking.reader
+        added = Forwarding(
+            reader.name,
+            ctx.left,
+            ctx.route.priority,
+            prefill_only=True,
+            fetch_from=find_source_address(booking),
+        )
         try:
             async with asyncio.timeout(limit):
                 head, content = await call_once(
@@ -134,3 +166,9 @@
                     )
             except UpstreamBrokenError as error:
                 log_decision("handle not freed", engine=reader.name, reason=str(error))
+
+
+def find_source_address(booking: Booking) -> tuple[str, int] | None:
+    """Return where the reader is to fetch from; None where it reads all that it lacks."""
+    source = booking.source
+    return None if source is None or source.leaving else source.record.address
--- a/src/swifttrestle/internal/forward/scheduler.py
+++ b/src/swifttrestle/internal/forward/scheduler.py
@@ -92,10 +92,19 @@
         now = _now()
         decode_until = now + request.left + EXPIRY_SECONDS
         read_until = min(decode_until, now + booking.wait + LONGEST_READ_SECONDS)
-        kept = _Kept(booking, ticket.host, read_until, decode_until, reading=not booking.direct)
+        kept = _Kept(booking, ticket.host, read_until, decode_until)
         self._kept[ticket] = kept
         reader, decoder = booking.reader.name, booking.decoder.name
-        grant = Grant(ticket.number, reader, decoder, booking.ahead, booking.wait, booking.tokens)
+        grant = Grant(
+            ticket.number,
+            reader,
+            decoder,
+            booking.ahead,
+            booking.wait,
+            booking.tokens,
+            booking.source.name if booking.source else "",
+            booking.fetch_seconds,
+        )
         self._send(ip, grant)
 
     def end(self, host: str, end: End) -> None:
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -167,15 +167,24 @@
             return None
         assert reader is not None and decoder is not None
         ticket = Ticket(scheduler.host, grant.number, scheduler.ip)
-        return Booking(reader, decoder, grant.tokens, grant.ahead, grant.wait, ticket)
+        return Booking(
+            reader,
+            decoder,
+            grant.tokens,
+            grant.ahead,
+            grant.wait,
+            ticket,
+            source=self._parts.fleet.instances.get(grant.source),
+            fetch_seconds=grant.fetch_seconds,
+        )
 
     def end(self, booking: Booking, stage: Stage, outcome: Outcome, seconds: float) -> None:
         """Give an engine back, to the scheduler that keeps the booking."""
         if booking.ticket is None:
             self._local.end(booking, stage, outcome, seconds)
             return
-        if stage is Stage.READ and outcome is Outcome.DONE:
-            booking.reader.learn(booking.ahead, seconds)
+        if stage is Stage.READ and outcome is Outcome.DONE and not booking.direct:
+            booking.reader.learn(booking.ahead, seconds - booking.fetch_seconds)
         self._send(booking.ticket.ip, End(booking.ticket.number, stage, outcome, seconds))
 
     def list_schedulers(self) -> set[str]:
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Sequence
 from functools import lru_cache
 
+from swifttrestle.internal.policy.fetching import FetchPlan, fetch_nothing
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart
@@ -82,14 +83,16 @@
 def pick_reader(
     instances: Sequence[Instance], tokens: int, affinity: str, excluded: Collection[str],
     now: float, longest_wait: float, parts: Sequence[PromptPart] = (),
+    plan: FetchPlan = fetch_nothing,
 ) -> Instance | None:  # fmt: skip
     """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
 
-    Parts that an engine keeps need no reading; such an engine may have a longer wait, as long
-    as the prompt is read no later. Decoding engines read too, at half the pace, while they make
-    few tokens: each piece that they read holds up all their streams. The choice is between the
-    engines that the prompt's shared part hashes to, so that few engines keep each part, and so
-    that hosts which see the same late reports do not all choose the engine that looks idle.
+    Parts that an engine keeps need no reading, nor do those that it fetches by `plan`; it may have
+    a longer wait, as long as the prompt is read no later. Decoding engines read too, at half the
+    pace, while they make few tokens: each piece that they read holds up all their streams. The
+    choice is between the engines that the prompt's shared part hashes to, so that few engines
+    keep each part, and so that hosts which see the same late reports do not all choose the
+    engine that looks idle.
     """
     usable = [
         item
@@ -100,10 +103,7 @@
         and item.role is not Role.NONE
         and not is_full(item, LENT_SHARE if item.role is Role.DECODE else FULL_SHARE)
     ]
-    kept = {item.name: min(tokens, item.cache.count(parts)) for item in usable}
-    read_in = {
-        item.name: item.predict_wait() + (tokens - kept[item.name]) / item.pace for item in usable
-    }
+    read_in = {item.name: _predict_read(item, tokens, parts, plan) for item in usable}
     allowed = [item for item in usable if read_in[item.name] <= longest_wait + tokens / item.pace]
     if not allowed:
         return None
@@ -114,6 +114,16 @@
     return best if gain > AFFINITY_SECONDS else first
 
 
+def _predict_read(
+    item: Instance, tokens: int, parts: Sequence[PromptPart], plan: FetchPlan
+) -> float:
+    """Return the seconds until an engine will have read a prompt."""
+    kept = min(tokens, item.cache.count(parts))
+    fetch = plan(item, kept)
+    copied, seconds = (fetch.tokens, fetch.seconds) if fetch else (0, 0.0)
+    return item.predict_wait() + seconds + max(0, tokens - kept - copied) / item.pace
+
+
 @lru_cache(RANKS_KEPT)
 def rank(key: str, name: str) -> int:
     """Return the rendezvous rank of a name for a key; the highest one is the key's own."""
--- a/src/swifttrestle/internal/protocol/bookings.py
+++ b/src/swifttrestle/internal/protocol/bookings.py
@@ -41,8 +41,8 @@
     """Names the booked engines.
 
     `ahead` are the tokens to be read at the reader, the request's own included, `wait` is its
-    predicted wait in seconds, and `tokens` are those of the request that the reader does not
-    keep already.
+    predicted wait in seconds, and `tokens` are those of the request that the reader neither keeps
+    nor fetches. `source` is the engine that it fetches from, "" for none, in `fetch_seconds`.
     """
 
     number: int
@@ -51,6 +51,8 @@
     ahead: int
     wait: float
     tokens: int = 0
+    source: str = ""
+    fetch_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -85,8 +87,8 @@
             values += [sorted(request.excluded), parts]
         case Wait(number):
             values = [MessageKind.WAIT, host, number]
-        case Grant(number, reader, decoder, ahead, wait, tokens):
-            values = [MessageKind.GRANT, host, number, reader, decoder, ahead, wait, tokens]
+        case Grant():
+            values = [MessageKind.GRANT, host, *astuple(message)]
         case Refuse(number, waiting, soonest):
             values = [MessageKind.REFUSE, host, number, waiting, soonest]
         case End(number, stage, outcome, seconds):
@@ -112,9 +114,11 @@
             return host, Wait(number)
         case [
             MessageKind.GRANT, str(host), int(number), str(reader), str(decoder), int(ahead), wait,
-            int(tokens),
+            int(tokens), str(source), fetch_seconds,
         ]:  # fmt: skip
-            return host, Grant(number, reader, decoder, ahead, float(wait), tokens)
+            return host, Grant(
+                number, reader, decoder, ahead, float(wait), tokens, source, float(fetch_seconds)
+            )
         case [MessageKind.REFUSE, str(host), int(number), int(waiting), soonest]:
             return host, Refuse(number, waiting, float(soonest))
         case [MessageKind.END, str(host), int(number), stage, outcome, seconds]:
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -58,7 +58,7 @@
         report.demand,
         report.roles,
         report.known,
-        [(item.engine, [(p.part, p.tokens) for p in item.parts]) for item in report.prompts],
+        [_write_prompt(item) for item in report.prompts],
     ]
     data: bytes = msgpack.packb(values)
     if len(data) > LARGEST_DATAGRAM:
@@ -140,11 +140,19 @@
         raise FrameError(f"a report's peers cannot be read: {error!r}") from None
 
 
+def _write_prompt(prompt: SentPrompt) -> tuple[Any, ...]:
+    return prompt.engine, [(item.part, item.tokens) for item in prompt.parts], prompt.read
+
+
 def _read_prompts(prompts: Any) -> tuple[SentPrompt, ...]:
     try:
         return tuple(
-            SentPrompt(str(engine), tuple(PromptPart(str(part), int(size)) for part, size in parts))
-            for engine, parts in prompts
+            SentPrompt(
+                str(engine),
+                tuple(PromptPart(str(part), int(size)) for part, size in parts),
+                bool(read),
+            )
+            for engine, parts, read in prompts
         )
     except (TypeError, ValueError) as error:
         raise FrameError(f"a report's prompts cannot be read: {error!r}") from None
--- a/src/swifttrestle/internal/state/bookings.py
+++ b/src/swifttrestle/internal/state/bookings.py
@@ -80,10 +80,11 @@
     """The engines of one request: the one that reads its prompt and the one that decodes.
 
     Both are the same where the decoding engine reads the prompt itself. `tokens` are those that
-    the reader does not keep already, `ahead` those to be read at the reader, these included,
+    the reader neither keeps nor fetches, `ahead` those to be read at the reader, these included,
     and `wait` its predicted wait in seconds, both from the moment of booking. `ticket` is set
     where another host keeps the booking; `parts` are those of the prompt, `unread` those of
-    them that are to be read.
+    them that the reader does not keep. `source` is the engine that it fetches some of these
+    from, which takes `fetch_seconds`.
     """
 
     reader: Instance
@@ -94,6 +95,8 @@
     ticket: Ticket | None = None
     parts: tuple[PromptPart, ...] = ()
     unread: tuple[PromptPart, ...] = ()
+    source: Instance | None = None
+    fetch_seconds: float = 0.0
 
     @property
     def direct(self) -> bool:
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from swifttrestle.internal.state.declared import Role, UpstreamRecord
-from swifttrestle.internal.state.prompt_cache import PromptCache, PromptPart
+from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
+from swifttrestle.internal.state.prompt_cache import PromptCache, SentPrompt
 
 # Tokens a second that an engine reads until its speed has been measured; low, so that the
 # first measurement corrects it upwards and no engine is flooded before.
@@ -109,8 +109,8 @@
         self.instances: dict[str, Instance] = {}
         # The loop's time at which the discovery list was last confirmed.
         self.confirmed_at = float("-inf")
-        # Tokens of memory of one engine, by service, as far as services declare them.
-        self.memory: dict[str, int] = {}
+        # What services declare of their engines, by service.
+        self.traits: dict[str, EngineTraits] = {}
         self._services: dict[str, dict[str, Instance]] = defaultdict(dict)
         self._peers: dict[str, _PeerWork] = {}
 
@@ -178,11 +178,12 @@
         self._peers[peer] = _PeerWork(now, work)
         self._add(work.items(), sign=1)
 
-    def note_prompt(self, instance: str, parts: Iterable[PromptPart]) -> None:
+    def note_prompt(self, prompt: SentPrompt) -> None:
         """Take an engine as keeping the parts of a prompt that was sent to it."""
-        known = self.instances.get(instance)
+        known = self.instances.get(prompt.engine)
         if known is not None:
-            known.cache.note(parts, self.memory.get(known.record.service, 0))
+            traits = self.traits.get(known.record.service)
+            known.cache.note(prompt.parts, traits.kv_tokens if traits else 0, prompt.read)
 
     def expire_peers(self, now: float) -> None:
         """Forget the work of peers that have been silent."""
--- a/src/swifttrestle/internal/state/prompt_cache.py
+++ b/src/swifttrestle/internal/state/prompt_cache.py
@@ -24,10 +24,19 @@
 
 @dataclass(frozen=True)
 class SentPrompt:
-    """A prompt that an engine was sent, or got the KV cache of."""
+    """A prompt that an engine was sent; `read` once it has read it, or got the KV cache of it."""
 
     engine: str
     parts: tuple[PromptPart, ...]
+    read: bool = False
+
+
+@dataclass
+class _KeptPart:
+    """A part that an engine was sent, and whether it is known to have been read there."""
+
+    tokens: int
+    read: bool
 
 
 class PromptCache:
@@ -35,23 +44,32 @@
 
     def __init__(self) -> None:
         """Start with nothing kept."""
-        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._parts: OrderedDict[str, _KeptPart] = OrderedDict()
         self._tokens = 0
 
-    def note(self, parts: Iterable[PromptPart], memory: int) -> None:
-        """Believe that an engine with so many tokens of memory has read these parts."""
+    def note(self, parts: Iterable[PromptPart], memory: int, read: bool = False) -> None:
+        """Believe that an engine with so many tokens of memory reads these parts, or has."""
         for item in parts:
-            self._tokens += item.tokens - self._parts.pop(item.part, 0)
-            self._parts[item.part] = item.tokens
+            known = self._drop(item)
+            self._parts[item.part] = _KeptPart(item.tokens, read or known)
+            self._tokens += item.tokens
         limit = (memory or UNKNOWN_MEMORY_TOKENS) * KEPT_SHARE
         while self._parts and self._tokens > limit:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+            _, kept = self._parts.popitem(last=False)
+            self._tokens -= kept.tokens
 
     def forget(self, parts: Iterable[PromptPart]) -> None:
         """Believe no longer that these parts were read."""
         for item in parts:
-            self._tokens -= self._parts.pop(item.part, 0)
+            self._drop(item)
+
+    def _drop(self, item: PromptPart) -> bool:
+        """Drop a part; return whether it was known to have been read."""
+        kept = self._parts.pop(item.part, None)
+        if kept is None:
+            return False
+        self._tokens -= kept.tokens
+        return kept.read
 
     def list_unread(self, parts: Sequence[PromptPart]) -> tuple[PromptPart, ...]:
         """Return the parts that need reading: the first one that is not kept, and all after it."""
@@ -64,3 +82,13 @@
         """Return the tokens that need no reading: an engine keeps a part after those before it."""
         kept = len(parts) - len(self.list_unread(parts))
         return sum(item.tokens for item in parts[:kept])
+
+    def count_read(self, parts: Sequence[PromptPart]) -> int:
+        """Return the first tokens that are known to have been read, not just booked to be."""
+        tokens = 0
+        for item in parts:
+            kept = self._parts.get(item.part)
+            if kept is None or not kept.read:
+                break
+            tokens += item.tokens
+        return tokens
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -21,12 +21,13 @@
 MODEL = b"x-model"
 STAGE = b"x-stage"
 KV_SOURCE = b"x-kv-source"
+FETCH_FROM = b"kv-fetch"
 PRIORITY = b"x-request-priority"
 
 # What only the system may set; a caller's own values are dropped.
 _SYSTEM_HEADERS = frozenset(
     (STAGE, KV_SOURCE, PRIORITY, EXPECTED_INSTANCE, DEADLINE, b"x-expect-version",
-     b"x-kv-hold", b"x-kv-backup", b"x-pin-ms", b"kv-fetch")
+     b"x-kv-hold", b"x-kv-backup", b"x-pin-ms", FETCH_FROM)
 )  # fmt: skip
 # What concerns one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -85,7 +86,11 @@
 
 @dataclass(frozen=True)
 class Forwarding:
-    """What the system adds to a forwarded request; `left` is in seconds."""
+    """What the system adds to a forwarded request; `left` is in seconds.
+
+    `fetch_from` is the address of another engine, from which this one first copies what that one
+    keeps of the prompt beyond its own.
+    """
 
     instance: str
     left: float
@@ -93,6 +98,7 @@
     prefill_only: bool = False
     kv_source: str = ""
     last_event: bytes | None = None
+    fetch_from: tuple[str, int] | None = None
 
 
 def strip_request_headers(headers: Sequence[Header]) -> list[Header]:
@@ -121,6 +127,9 @@
         headers.append((b"X-Stage", b"prefill"))
     if added.kv_source:
         headers.append((b"X-Kv-Source", added.kv_source.encode()))
+    if added.fetch_from is not None:
+        host, port = added.fetch_from
+        headers.append((b"Kv-Fetch", f"{host}:{port}".encode()))
     return headers
 
 
--- a/tests/cover/test_bookings.py
+++ b/tests/cover/test_bookings.py
@@ -352,6 +352,7 @@
         Ask(1, BookingRequest("s", "a", 9, "p", 0, True, 1.5, 0.1, 0.2, True, frozenset({"e"}))),
         Wait(2),
         Grant(3, "p", "d", 9000, 0.25),
+        Grant(3, "p", "d", 9000, 0.25, 700, "e", 0.008),
         Refuse(4, 7, 0.5),
         End(5, Stage.DECODE, Outcome.REFUSED, 0.125),
     ],
--- a/tests/cover/test_prompt_cache.py
+++ b/tests/cover/test_prompt_cache.py
@@ -12,7 +12,7 @@
 from swifttrestle.internal.protocol.bookings import Ask, Grant, pack_message, unpack_message
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.state.bookings import BookingRequest, Outcome, Stage
-from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
 from swifttrestle.internal.state.prompt_cache import PromptCache, PromptPart, SentPrompt
@@ -103,7 +103,7 @@
     fleet = Fleet()
     for name, role in (("p", Role.PREFILL), ("d", Role.DECODE)):
         fleet.put(UpstreamRecord(name, "s", ("127.0.0.1", 1), "a", 40, False, role))
-    fleet.memory["s"] = 200_000
+    fleet.traits["s"] = EngineTraits(40, 200_000, 100_000.0, 1e11, 5.0, 0.2)
     parts = Parts("a", fleet, RetryBudgets(0.2, 10, 10), Metrics(), random.Random(1))
     return parts, LocalBooker(parts)
 
@@ -154,7 +154,7 @@
 
 
 def test_prompts_survive_their_datagrams():
-    sent = (SentPrompt("p", PROMPT), SentPrompt("d", ()))
+    sent = (SentPrompt("p", PROMPT), SentPrompt("d", (), read=True))
     report = PeerReport("h", "10.0.0.1", "a", 10.0, 5, 7, False, False, False, {}, {}, {}, (), sent)
     assert unpack_report(pack_report(report)) == report
     for message in (Ask(1, REQUEST), Grant(1, "p", "d", 9000, 0.5, 3000)):
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -41,6 +41,29 @@
     assert site.upstreams["e0"].handles == {}
 
 
+@on_site(engines=("prefill", "prefill", "decode"))
+async def test_an_engine_is_told_where_to_fetch_what_another_one_has_read(site):
+    parts = "aa:4000,bb:4000,{}:1000"
+    for number in range(2):
+        await ask(
+            address_of(site), "/chat/a", f"c{number}", X_Token_Usage=LONG, X_Model="m",
+            X_Prompt_Prefix=parts.format(f"f{number}"),
+        )  # fmt: skip
+    first = next(site.upstreams[name] for name in ("e0", "e1") if site.upstreams[name].arrivals)
+    other = next(site.upstreams[name] for name in ("e0", "e1") if name != first.instance)
+    # The first one refuses, so that the other one has to read.
+    first.script.steps.append("busy")
+    answer = await ask(
+        address_of(site), "/chat/a", "c2", X_Token_Usage=LONG, X_Model="m",
+        X_Prompt_Prefix=parts.format("f2"),
+    )  # fmt: skip
+    assert answer.status == 200
+    fetched = [headers.get("kv-fetch") for _, headers in other.arrivals]
+    keepers = {site.addresses[first.instance], site.addresses["e2"]}
+    assert len(fetched) == 1
+    assert set(fetched) <= keepers
+
+
 @on_site()
 async def test_a_short_prompt_goes_straight_to_a_decoding_engine(site):
     await ask(address_of(site), "/chat/a", "c1", X_Token_Usage=SHORT)
