Leave out upstreams that nobody reaches sooner, and try them with one request at a time

Change: a refused connection leaves an instance out at once, two silent ones in a row do; a connection must come up within 0.3 s; one request at a time tries an instance that comes back.

--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -134,6 +134,15 @@
     code = Code.UPSTREAM_BROKEN
 
 
+class UpstreamUnreachedError(UpstreamBrokenError):
+    """No connection came up; `refused` where the other end said so, else it was silent."""
+
+    def __init__(self, message: str, refused: bool) -> None:
+        """Keep whether anybody answered; no byte of the request has gone out."""
+        super().__init__(message, sent=False)
+        self.refused = refused
+
+
 class FailedByUpstreamError(UpstreamBrokenError):
     """A repeatable request ran and failed at its upstream; another one may do better."""
 
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -5,11 +5,20 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from swifttrestle.errors import UpstreamBusyError, UpstreamError, UpstreamLeavingError
+from swifttrestle.errors import (
+    UpstreamBusyError,
+    UpstreamError,
+    UpstreamLeavingError,
+    UpstreamUnreachedError,
+)
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.ejection import Ejector
+from swifttrestle.internal.policy.ejection import (
+    REFUSED_CONNECTION_WEIGHT,
+    SILENT_CONNECTION_WEIGHT,
+    Ejector,
+)
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
 from swifttrestle.internal.state.bookings import Outcome
 from swifttrestle.internal.state.demand import DemandMeter
@@ -109,19 +118,28 @@
             case UpstreamBusyError():
                 self.note_refusal(engine, now)
                 return Outcome.REFUSED
-        self.note_broken(ctx, engine, now, str(error))
+        self.note_broken(ctx, engine, now, error)
         return Outcome.CANCELLED if ctx.request.body.broken else Outcome.BROKEN
 
-    def note_broken(self, ctx: Context, instance: Instance, now: float, reason: str) -> None:
+    def note_broken(
+        self, ctx: Context, instance: Instance, now: float, error: UpstreamError
+    ) -> None:
         """Count a failure; the instance may be left out from now on.
 
         Where the caller broke its own request off, the instance is not to blame.
         """
         if not ctx.request.body.broken:
-            self.note_failure(instance, now, reason)
+            self.note_failure(instance, now, str(error), weigh_failure(error))
 
-    def note_failure(self, instance: Instance, now: float, reason: str) -> None:
+    def note_failure(self, instance: Instance, now: float, reason: str, weight: int = 1) -> None:
         """Count a failure of an instance; it may be left out from now on."""
         group = [item.name for item in self.fleet.list_service(instance.record.service)]
-        if self.ejector.note_failure(instance.name, group, now):
+        if self.ejector.note_failure(instance.name, group, now, weight):
             log_decision("instance left out", instance=instance.name, reason=reason)
+
+
+def weigh_failure(error: UpstreamError) -> int:
+    """Return how much a failure speaks for an upstream's being down."""
+    if not isinstance(error, UpstreamUnreachedError):
+        return 1
+    return REFUSED_CONNECTION_WEIGHT if error.refused else SILENT_CONNECTION_WEIGHT
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -86,6 +86,7 @@
         )
         relay = EventRelay(ctx.route.resumable, patience) if ctx.route.streaming else None
         instance.own = instance.own.plus(ONE)
+        self._parts.ejector.note_use(instance.name, now)
         try:
             await make_attempt(ctx, self._parts.pool, plan, relay)
             self._parts.ejector.note_success(instance.name, asyncio.get_running_loop().time())
@@ -97,4 +98,4 @@
             ctx.runs += 1
         if not isinstance(error, FailedByUpstreamError):
             now = asyncio.get_running_loop().time()
-            self._parts.note_broken(ctx, instance, now, str(error))
+            self._parts.note_broken(ctx, instance, now, error)
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -83,6 +83,7 @@
         try:
             handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
             use.outcome = Outcome.DONE
+            self._parts.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._parts.note_failed_use(ctx, reader, error)
             self._note_lost(ctx, reader, use.outcome, str(error))
--- a/src/swifttrestle/internal/policy/ejection.py
+++ b/src/swifttrestle/internal/policy/ejection.py
@@ -9,6 +9,12 @@
 from dataclasses import dataclass
 
 FAILURES_TO_EJECT = 3
+# What failures to connect count for: a refused connection shows that nobody listens, and one
+# that does not come up may be a lost packet once, but hardly twice in a row.
+REFUSED_CONNECTION_WEIGHT = FAILURES_TO_EJECT
+SILENT_CONNECTION_WEIGHT = 2
+# Seconds for which one request tries an upstream that comes back, before another one may.
+TRIAL_SECONDS = 0.5
 BASE_SECONDS = 2.0
 LONGEST_SECONDS = 6.0
 FORGET_SECONDS = 60.0
@@ -22,6 +28,11 @@
     ejections: int = 0
     out_until: float = float("-inf")
     back_since: float = float("-inf")
+    on_trial: bool = False
+
+    def is_tried(self, now: float) -> bool:
+        """Return whether it is back, and no request has shown yet that it works."""
+        return self.on_trial and now >= self.back_since
 
 
 class Ejector:
@@ -39,13 +50,26 @@
         if health is None:
             return
         health.failures = 0
+        if health.is_tried(now):
+            health.on_trial = False
+            health.out_until = now
         if now - health.out_until > FORGET_SECONDS:
             health.ejections = 0
 
-    def note_failure(self, name: str, group: list[str], now: float) -> bool:
+    def note_use(self, name: str, now: float) -> None:
+        """Leave an upstream that comes back to the one request that tries it first."""
+        health = self._health.get(name)
+        if health is not None and health.is_tried(now):
+            health.out_until = now + TRIAL_SECONDS
+
+    def note_failure(self, name: str, group: list[str], now: float, weight: int = 1) -> bool:
         """Count a failure; return whether the upstream is left out from now on."""
         health = self._health.setdefault(name, Health())
-        health.failures += 1
+        health.failures += weight
+        if health.is_tried(now):
+            # It failed the request that tried it.
+            health.out_until = now
+            health.failures = FAILURES_TO_EJECT
         if health.failures < FAILURES_TO_EJECT or self.is_out(name, now):
             return False
         out = sum(1 for other in group if self.is_out(other, now))
@@ -56,6 +80,7 @@
         health.failures = 0
         health.out_until = now + seconds
         health.back_since = health.out_until
+        health.on_trial = True
         return True
 
     def is_out(self, name: str, now: float) -> bool:
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.errors import UpstreamBrokenError, UpstreamUnreachedError
 from swifttrestle.internal.transport.messages import (
     LAST_CHUNK,
     AnswerHead,
@@ -25,7 +25,7 @@
 
 # Seconds to connect. A host in the same region answers in milliseconds; one lost opening
 # packet is sent again after a second, and waiting for that costs more than another upstream.
-CONNECT_SECONDS = 0.6
+CONNECT_SECONDS = 0.3
 # A connection may fall silent without a word while new ones work. The kernel probes one on which
 # nothing was heard for this many seconds, again after as many, and breaks it off after so many
 # probes without an answer: sooner than the three seconds after which a host counts as sound.
@@ -361,8 +361,9 @@
             async with asyncio.timeout(CONNECT_SECONDS):
                 transport, protocol = await loop.create_connection(UpstreamConnection, *address)
         except (OSError, TimeoutError) as error:
-            raise UpstreamBrokenError(
-                f"{address[0]}:{address[1]} cannot be connected to: {error!r}", sent=False
+            raise UpstreamUnreachedError(
+                f"{address[0]}:{address[1]} cannot be connected to: {error!r}",
+                refused=isinstance(error, ConnectionRefusedError),
             ) from None
         self.opened += 1
         sock = transport.get_extra_info("socket")
