Place prompts where they can be in time; let late ones wait for what is left

Cause: a prompt was placed where its wait was under half of its objective, whatever its own reading takes, and refused otherwise. Change: a prompt must be read within 0.75 of its objective; one that can be in time nowhere waits, behind all that can, for an engine that is nearly idle, until 0.7 of its caller's patience; it is refused at once where the offered load leaves nothing before that. One rule for short and sustained overload.

--- a/src/swifttrestle/internal/forward/booking.py
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -1,14 +1,17 @@
 """Books engines for requests: one to read the prompt and one to make the tokens."""
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections import defaultdict
+from dataclasses import replace
 
 from swifttrestle.internal.forward.parts import Parts
 from swifttrestle.internal.policy.fetching import FetchPlan, list_sources, plan_fetch
 from swifttrestle.internal.policy.placement import pick_decoder, pick_reader
 from swifttrestle.internal.policy.queueing import AdmissionQueue
 from swifttrestle.internal.policy.scheduling import find_group
+from swifttrestle.internal.policy.waiting import Backlog, predict_late_turn
 from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
@@ -19,6 +22,9 @@
 # A decoding engine reads a prompt itself where that takes no longer than this, in seconds:
 # less than the two hops and the copy that another engine's reading costs.
 DIRECT_READ_SECONDS = 0.008
+# Share of the longest wait for a reading in time that a late request may have at an engine: the
+# engine's queue stays short for those that can be in time.
+LATE_READ_SHARE = 0.1
 # Share of the longest wait for a reading that is allowed at another zone's engine: what is
 # known of its open work is older, and its cache of the request's shared parts is colder.
 FAR_WAIT_SHARE = 0.5
@@ -48,16 +54,19 @@
         self._parts = parts
         # Short prompts wait for a decoding engine only, and so not behind long ones.
         self._queues: dict[tuple[str, bool], AdmissionQueue[Booking]] = defaultdict(AdmissionQueue)
+        # Requests that cannot be in time any more, served while none of the others waits.
+        self._late: dict[tuple[str, bool], AdmissionQueue[Booking]] = defaultdict(AdmissionQueue)
 
     def serve_queues(self) -> None:
         """Give engines to waiters."""
-        for queue in self._queues.values():
+        for queue in (*self._queues.values(), *self._late.values()):
             queue.serve()
 
     async def book(self, request: BookingRequest) -> Booking | NoRoom:
         """Book at once, or as soon as engines have room."""
         began = _now()
-        queue = self._queues[request.service, self.is_short(request)]
+        kind = request.service, self.is_short(request)
+        queue = self._queues[kind]
         longest = max(0.0, min(request.longest_wait, request.left))
         waiting = len(queue)
         ahead = queue.count_before(request.priority, began + longest)
@@ -70,10 +79,33 @@
             began + longest,
             longest,
         )
+        if booking is None:
+            booking = await self._wait_late(kind, request, began)
         if booking is not None:
             return booking
         return NoRoom(waiting, self._predict_soonest(request.service))
 
+    async def _wait_late(
+        self, kind: tuple[str, bool], request: BookingRequest, began: float
+    ) -> Booking | None:
+        """Wait for what requests in time leave; None at once where that comes too late."""
+        longest = min(request.patience, request.left) - (_now() - began)
+        queue = self._late[kind]
+        if longest <= 0 or self._predict_late_turn(request, len(queue) + 1) > longest:
+            return None
+        return await queue.wait(
+            lambda: None if len(self._queues[kind]) else self.find(self._make_late(request)),
+            self.release,
+            request.priority,
+            began + request.patience,
+            longest,
+        )
+
+    def _make_late(self, request: BookingRequest) -> BookingRequest:
+        """Return the request with the wait at an engine that leaves it to others."""
+        longest = request.longest_read_wait * LATE_READ_SHARE
+        return replace(request, longest_read_wait=longest, latest_read=math.inf)
+
     def book_now(self, request: BookingRequest) -> Booking | None:
         """Book if there is room that no waiting request is to have, else return None."""
         queue = self._queues[request.service, self.is_short(request)]
@@ -114,6 +146,7 @@
         longest = max(0.0, request.longest_read_wait - waited)
         if request.late:
             longest = (request.left - waited) * LATE_WAIT_SHARE
+        request = replace(request, latest_read=request.latest_read - waited)
         reader = self._pick_reader(request, engines, longest, plan)
         if reader is None:
             return None
@@ -143,6 +176,7 @@
                 limit,
                 request.parts,
                 plan,
+                request.latest_read,
             )
             if reader is not None:
                 return reader
@@ -174,6 +208,27 @@
         tokens = request.tokens * self._parts.demand.read_share(request.service)
         return ahead * tokens / sum(paces) if paces else 0.0
 
+    def _predict_late_turn(self, request: BookingRequest, waiting: int) -> float:
+        """Return the seconds until the last of so many late requests is read."""
+        service, now = request.service, _now()
+        readers = [
+            item
+            for item in self._parts.list_usable(service, now)
+            if item.role is Role.PREFILL and now >= item.role_changing_until
+        ]
+        if not readers:
+            return math.inf
+        share = self._parts.demand.read_share(service)
+        open_tokens = sum(item.total.tokens for item in readers) / len(readers)
+        return predict_late_turn(
+            Backlog(
+                tokens=waiting * request.tokens * share + open_tokens,
+                capacity=sum(item.pace for item in readers),
+                offered=self._parts.demand.total(service, now).read_tokens * share,
+                share=1.0 / max(1, self._parts.budgets.hosts),
+            )
+        )
+
     def _pick_decoder(
         self, request: BookingRequest, engines: list[Instance], near: str
     ) -> Instance | None:
@@ -188,6 +243,8 @@
         tokens = max(0, request.tokens - kept - (fetch.tokens if fetch else 0))
         unread = reader.cache.list_unread(request.parts)
         self._parts.note_prompt(reader, request.parts)
+        for engine in (reader, decoder):
+            self._parts.ejector.note_use(engine.name, _now())
         decoder.own = decoder.own.plus(OpenWork(0, 1))
         reader.own = reader.own.plus(OpenWork(tokens, 0 if reader is decoder else 1))
         return Booking(
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -1,6 +1,7 @@
 """Requests to model engines: a place to make tokens first, then the prompt, then the stream."""
 
 import asyncio
+import math
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
@@ -21,7 +22,12 @@
     find_source_address,
 )
 from swifttrestle.internal.policy.placement import pick_decoder
-from swifttrestle.internal.policy.queueing import WAIT_SHARE
+from swifttrestle.internal.policy.waiting import (
+    IN_TIME_SHARE,
+    LATE_SHARE,
+    WAIT_SHARE,
+    find_patience,
+)
 from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom, Outcome, Stage
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
@@ -29,9 +35,6 @@
 from swifttrestle.platform.engine import KvHandle, name_handle_source
 from swifttrestle.platform.wire import Forwarding
 
-# Share of the objective that a prompt may wait behind others at an engine; the rest is for
-# its own reading, the copy of its KV cache and the first token.
-READ_WAIT_SHARE = 0.5
 # Prompt readings of one request, the first included, and attempts to make its tokens.
 MOST_READS = 2
 MOST_DECODES = 3
@@ -80,6 +83,7 @@
     # Booking.
 
     async def _book(self, ctx: Context, first: bool) -> Booking:
+        latest_read = ctx.route.objective * IN_TIME_SHARE - ctx.age
         longest = ctx.route.objective * WAIT_SHARE - ctx.age
         if not first:
             longest = ctx.left * LATE_WAIT_SHARE
@@ -92,10 +96,12 @@
             urgent=ctx.urgent,
             left=ctx.left,
             longest_wait=max(0.0, min(longest, ctx.left)),
-            longest_read_wait=ctx.route.objective * READ_WAIT_SHARE - ctx.age,
+            longest_read_wait=latest_read,
+            latest_read=latest_read if first else math.inf,
             late=ctx.lost_reads > 0,
             excluded=frozenset(ctx.excluded),
             parts=name_parts(ctx),
+            patience=min(ctx.left, find_patience(ctx.route) - ctx.age) * LATE_SHARE,
         )
         found = await self._booker.book(request)
         if isinstance(found, NoRoom):
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -103,9 +103,14 @@
         if found is not None:
             return found
         waited = _now() - began
-        longest = max(0.0, request.longest_wait - waited)
-        left = max(0.0, request.left - waited)
-        return await self._local.book(replace(request, longest_wait=longest, left=left))
+        return await self._local.book(
+            replace(
+                request,
+                longest_wait=max(0.0, request.longest_wait - waited),
+                left=max(0.0, request.left - waited),
+                patience=max(0.0, request.patience - waited),
+            )
+        )
 
     async def _ask(self, scheduler: Member, request: BookingRequest) -> Booking | NoRoom | None:
         """Return the scheduler's answer; None where none came that can be used."""
@@ -150,7 +155,7 @@
                 answer = await answers.get()
             match answer:
                 case Wait():
-                    patience = request.longest_wait + GRACE_SECONDS
+                    patience = max(request.longest_wait, request.patience) + GRACE_SECONDS
                 case Refuse(_, waiting, soonest):
                     return NoRoom(waiting, soonest)
                 case Grant():
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -1,6 +1,7 @@
 """Where a request goes: the instance of a plain service, the engines of a prompt."""
 
 import hashlib
+import math
 import random
 from collections.abc import Collection, Sequence
 from functools import lru_cache
@@ -83,10 +84,13 @@
 def pick_reader(
     instances: Sequence[Instance], tokens: int, affinity: str, excluded: Collection[str],
     now: float, longest_wait: float, parts: Sequence[PromptPart] = (),
-    plan: FetchPlan = fetch_nothing,
+    plan: FetchPlan = fetch_nothing, latest: float = math.inf,
 ) -> Instance | None:  # fmt: skip
     """Return the engine to read a prompt soonest, if its wait is within `longest_wait` seconds.
 
+    The prompt must also have been read within `latest` seconds, unless its own reading alone takes
+    longer at every engine: it cannot be in time, and is served as well as it can be.
+
     Parts that an engine keeps need no reading, nor do those that it fetches by `plan`; it may have
     a longer wait, as long as the prompt is read no later. Decoding engines read too, at half the
     pace, while they make few tokens: each piece that they read holds up all their streams. The
@@ -104,7 +108,13 @@
         and not is_full(item, LENT_SHARE if item.role is Role.DECODE else FULL_SHARE)
     ]
     read_in = {item.name: _predict_read(item, tokens, parts, plan) for item in usable}
-    allowed = [item for item in usable if read_in[item.name] <= longest_wait + tokens / item.pace]
+    if all(read_in[item.name] - item.predict_wait() > latest for item in usable):
+        latest = math.inf
+    allowed = [
+        item
+        for item in usable
+        if read_in[item.name] <= min(latest, longest_wait + tokens / item.pace)
+    ]
     if not allowed:
         return None
     ranked = sorted(allowed, key=lambda item: rank(affinity, item.name), reverse=True)
--- a/src/swifttrestle/internal/policy/queueing.py
+++ b/src/swifttrestle/internal/policy/queueing.py
@@ -9,11 +9,6 @@
 
 T = TypeVar("T")
 
-# Share of the objective after which a request that found no engine is refused: an early
-# refusal lets its caller come back in time. Callers count a quarter of the objective as early,
-# from their side of links that may take some tens of milliseconds for a long prompt.
-WAIT_SHARE = 0.1
-
 
 @dataclass(order=True)
 class _Waiter(Generic[T]):
--- a/src/swifttrestle/internal/protocol/bookings.py
+++ b/src/swifttrestle/internal/protocol/bookings.py
@@ -82,9 +82,9 @@
     match message:
         case Ask(number, request):
             parts = [(item.part, item.tokens) for item in request.parts]
-            fields = astuple(replace(request, excluded=frozenset(), parts=()))[:-2]
+            fields = astuple(replace(request, excluded=frozenset(), parts=()))[:-4]
             values: list[Any] = [MessageKind.ASK, host, number, *fields]
-            values += [sorted(request.excluded), parts]
+            values += [sorted(request.excluded), parts, request.patience, request.latest_read]
         case Wait(number):
             values = [MessageKind.WAIT, host, number]
         case Grant():
@@ -107,9 +107,13 @@
 
 def _read(values: Any) -> tuple[str, Message]:
     match values:
-        case [MessageKind.ASK, str(host), int(number), *fields, list(excluded), list(parts)]:
-            values = [*fields, frozenset(excluded), tuple(PromptPart(*item) for item in parts)]
-            return host, Ask(number, BookingRequest(*values).checked())
+        case [
+            MessageKind.ASK, str(host), int(number), *fields, list(excluded), list(parts),
+            patience, latest_read,
+        ]:  # fmt: skip
+            read = tuple(PromptPart(*item) for item in parts)
+            asked: list[Any] = [*fields, frozenset(excluded), read, patience, latest_read]
+            return host, Ask(number, BookingRequest(*asked).checked())
         case [MessageKind.WAIT, str(host), int(number)]:
             return host, Wait(number)
         case [
--- a/src/swifttrestle/internal/state/bookings.py
+++ b/src/swifttrestle/internal/state/bookings.py
@@ -1,5 +1,6 @@
 """Engines booked for one request: what is asked, what was found, how each was given back."""
 
+import math
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -28,9 +29,11 @@
 class BookingRequest:
     """What decides which engines serve a request; times in seconds from now.
 
-    `left` is the time to the deadline, `longest_wait` the time that it may wait for engines,
+    `left` is the time to the deadline, `longest_wait` the time that it may wait for engines and
+    still be in time, `patience` the time that it may wait in all, from what others leave;
     `longest_read_wait` the predicted wait for its reading that is short enough: less by
-    what it has waited before, unless `late`, where its objective is over in any case.
+    what it has waited before, unless `late`, where its objective is over in any case. Its prompt
+    must be read within `latest_read` for it to be in time.
     `parts` are those of the prompt, named so that no two models share a name.
     """
 
@@ -46,6 +49,8 @@
     late: bool = False
     excluded: frozenset[str] = field(default_factory=frozenset)
     parts: tuple[PromptPart, ...] = ()
+    patience: float = 0.0
+    latest_read: float = math.inf
 
     def checked(self) -> "BookingRequest":
         """Return the request as it came from a peer; raise TypeError for a wrong field."""
@@ -57,6 +62,8 @@
             self.left,
             self.longest_wait,
             self.longest_read_wait,
+            self.patience,
+            self.latest_read,
         )
         numbers += tuple(item.tokens for item in self.parts)
         if not all(isinstance(value, str) for value in (*texts, *self.excluded)):
--- /dev/null
+++ b/tests/cover/test_waiting.py
@@ -0,0 +1,159 @@
+"""How long requests wait for engines, and which of them are refused at once."""
+
+import asyncio
+import math
+import random
+from dataclasses import replace
+
+import pytest
+
+from swifttrestle.internal.forward.booking import LocalBooker
+from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.placement import pick_reader
+from swifttrestle.internal.policy.waiting import Backlog, find_patience, predict_late_turn
+from swifttrestle.internal.protocol.bookings import Ask, pack_message, unpack_message
+from swifttrestle.internal.state.bookings import Booking, BookingRequest, NoRoom
+from swifttrestle.internal.state.declared import Repeat, Role, Route, Target, UpstreamRecord
+from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
+
+ROUTE = Route(
+    "r", "h", "/r/", Repeat.AT_MOST_ONCE, True, False, 6.0, 0.3, 0.2, 0, 1, (Target("s", 1.0),)
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "patience"),
+    [
+        ({}, 2.0),
+        ({"objective": 0.6}, 2.4),
+        ({"gap_objective": 0.5}, 4.0),
+        ({"timeout": 1.5}, 1.5),
+        ({"streaming": False}, 6.0),
+    ],
+)
+def test_callers_wait_as_their_protocol_says(changes, patience):
+    assert find_patience(replace(ROUTE, **changes)) == pytest.approx(patience)
+
+
+@pytest.mark.parametrize(
+    ("backlog", "seconds"),
+    [
+        (Backlog(1000, 1000, 0, 1.0), 1.0),
+        (Backlog(1000, 1000, 500, 1.0), 2.0),
+        (Backlog(1000, 1000, 500, 0.25), 8.0),
+        (Backlog(1000, 1000, 1000, 1.0), math.inf),
+        (Backlog(1000, 1000, 3000, 1.0), math.inf),
+        (Backlog(1000, 0, 0, 1.0), math.inf),
+    ],
+)
+def test_late_requests_get_what_the_others_leave(backlog, seconds):
+    assert predict_late_turn(backlog) == pytest.approx(seconds)
+
+
+def make_reader(name, wait=0.0):
+    record = UpstreamRecord(name, "s", (name, 1), "a", 40, False, Role.PREFILL)
+    engine = Instance(record)
+    engine.own = OpenWork(int(wait * engine.pace), 1 if wait else 0)
+    return engine
+
+
+@pytest.mark.parametrize(
+    ("wait", "tokens", "latest", "found"),
+    [
+        # 20,000 tokens are read in 0.2 s.
+        (0.0, 20_000, 0.3, True),
+        (0.2, 20_000, 0.3, False),
+        (0.2, 20_000, math.inf, True),
+        # It can be in time nowhere, so the wait alone decides.
+        (0.2, 40_000, 0.3, True),
+        (0.6, 40_000, 0.3, False),
+    ],
+)
+def test_a_prompt_goes_where_it_can_be_in_time(wait, tokens, latest, found):
+    readers = [make_reader("p", wait)]
+    chosen = pick_reader(readers, tokens, "part", (), 0.0, 0.5, latest=latest)
+    assert (chosen is not None) is found
+
+
+# Two seconds of reading at the pace that engines count with until it is measured: times so long
+# that a pause of the test's own machine changes nothing.
+REQUEST = BookingRequest(
+    "s", "a", 200_000, "part", 0, True, 60.0, 0.0, 30.0, patience=50.0, latest_read=30.0
+)
+
+
+def run_booker(act):
+    async def whole():
+        fleet = Fleet()
+        for name, role in (("p", Role.PREFILL), ("d", Role.DECODE)):
+            fleet.put(UpstreamRecord(name, "s", (name, 1), "a", 40, False, role))
+        parts = Parts("a", fleet, RetryBudgets(0.2, 10, 10), Metrics(), random.Random(1))
+        # So many streams that it reads no long prompt itself.
+        fleet.instances["d"].own = OpenWork(0, 30)
+        await act(parts, LocalBooker(parts), fleet.instances["p"])
+
+    asyncio.run(whole())
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def test_a_late_request_waits_for_an_engine_that_is_nearly_idle():
+    async def act(parts, booker, reader):
+        reader.own = OpenWork(4_000_000, 1)
+        late = asyncio.ensure_future(booker.book(REQUEST))
+        await settle()
+        assert not late.done()
+        # 20 s before it would do for a request in time, not for one that takes what is left.
+        reader.own = OpenWork(2_000_000, 1)
+        booker.serve_queues()
+        await settle()
+        assert not late.done()
+        reader.own = OpenWork()
+        booker.serve_queues()
+        assert isinstance(await late, Booking)
+
+    run_booker(act)
+
+
+def test_requests_that_can_be_in_time_go_before_late_ones():
+    async def act(parts, booker, reader):
+        reader.own = OpenWork(4_000_000, 1)
+        late = asyncio.ensure_future(booker.book(REQUEST))
+        await settle()
+        in_time = asyncio.ensure_future(booker.book(replace(REQUEST, longest_wait=40.0)))
+        await settle()
+        reader.own = OpenWork()
+        booker.serve_queues()
+        assert isinstance(await in_time, Booking)
+        late.cancel()
+        await asyncio.gather(late, return_exceptions=True)
+
+    run_booker(act)
+
+
+@pytest.mark.parametrize(("offered", "refused"), [(0.5, False), (1.0, True), (3.0, True)])
+def test_a_late_request_is_refused_at_once_where_the_others_leave_nothing(offered, refused):
+    async def act(parts, booker, reader):
+        reader.own = OpenWork(1_500_000, 1)
+        now = asyncio.get_running_loop().time()
+        # Offered work is an average over four seconds.
+        parts.demand.note_arrival("s", "r", int(offered * reader.pace * 4), now)
+        request = replace(REQUEST, longest_read_wait=10.0, latest_read=10.0)
+        asked = asyncio.ensure_future(booker.book(request))
+        await settle()
+        assert asked.done() is refused
+        if refused:
+            assert isinstance(asked.result(), NoRoom)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+
+    run_booker(act)
+
+
+def test_the_patience_of_a_request_survives_its_datagram():
+    for request in (REQUEST, replace(REQUEST, latest_read=math.inf)):
+        assert unpack_message(pack_message("h", Ask(1, request))) == ("h", Ask(1, request))
