Order a change of roles once it has been wanted for as long as it takes

Change: a change must have been wanted at each look for the declared time of a change, but for the first split and where a lost engine would leave nobody to make tokens.

--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -14,6 +14,7 @@
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.ejection import Ejector
+from swifttrestle.internal.policy.role_delay import RoleDelay
 from swifttrestle.internal.policy.split import RoleChange, plan_change
 from swifttrestle.internal.state.declared import Configuration, EngineTraits, Role
 from swifttrestle.internal.state.demand import DemandMeter
@@ -88,6 +89,7 @@
         self._unreached: dict[str, float] = {}
         self._look_at = 0.0
         self._seen_returns = 0
+        self._delay = RoleDelay()
 
     async def run(self) -> None:
         """Look at the roles for as long as the process lives."""
@@ -146,7 +148,9 @@
         engines = len(self._fleet.list_service(service))
         for _ in range(max(1, int(engines * TICK_SHARE))):
             change = self._plan(service)
-            if change is None:
+            now = asyncio.get_running_loop().time()
+            allowed = self._delay.allows(service, change, traits.role_change_seconds, now)
+            if change is None or not allowed:
                 return
             await self._order(change, traits)
 
--- a/src/swifttrestle/internal/policy/split.py
+++ b/src/swifttrestle/internal/policy/split.py
@@ -28,11 +28,15 @@
 
 @dataclass(frozen=True)
 class RoleChange:
-    """One engine's change of role, and the figures that decided it."""
+    """One engine's change of role, and the figures that decided it.
+
+    It is `urgent` where no load is known yet, or too few engines make tokens to lose one.
+    """
 
     engine: Instance
     role: Role
     reason: str
+    urgent: bool = False
 
 
 def count_decoders(engines: int) -> int:
@@ -103,6 +107,7 @@
     readers = [item for item in engines if role_of(item) is Role.PREFILL]
     if not engines:
         return None
+    unknown = demand == Demand()
     # What is open now tells of long answers sooner than hold times, which are learned only
     # as answers end.
     held = sum(item.total.requests for item in decoders)
@@ -117,14 +122,15 @@
         f"{demand.read_tokens:.0f} tokens/s and {demand.decode_slots:.0f} slots offered"
     )
     if len(decoders) > wanted:
-        return _change(decoders, pending, Role.PREFILL, reason)
+        return _change(decoders, pending, Role.PREFILL, reason, urgent=unknown)
     if len(decoders) < wanted and len(readers) > 1:
-        return _change(readers, pending, Role.DECODE, reason)
+        urgent = unknown or len(decoders) < least_decoders(len(engines))
+        return _change(readers, pending, Role.DECODE, reason, urgent=urgent)
     return None
 
 
 def _change(
-    group: Sequence[Instance], excluded: Collection[str], role: Role, reason: str
+    group: Sequence[Instance], excluded: Collection[str], role: Role, reason: str, urgent: bool
 ) -> RoleChange | None:
     allowed = [item for item in group if item.name not in excluded]
     if not allowed:
@@ -135,4 +141,4 @@
         allowed,
         key=lambda item: (zones.count(item.record.zone), -item.total.requests, item.name),
     )
-    return RoleChange(chosen, role, reason)
+    return RoleChange(chosen, role, reason, urgent)
--- /dev/null
+++ b/tests/cover/test_role_delay.py
@@ -0,0 +1,68 @@
+"""How long a change of roles must be wanted before it is ordered."""
+
+import pytest
+
+from swifttrestle.internal.policy.role_delay import RoleDelay
+from swifttrestle.internal.policy.split import RoleChange, plan_change
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.demand import Demand
+from swifttrestle.internal.state.fleet import Instance
+
+SECONDS = 3.0
+
+
+def make_engine(name, role):
+    return Instance(UpstreamRecord(name, "s", (name, 1), "a", 40, False, role))
+
+
+def make_change(role, urgent=False):
+    return RoleChange(make_engine("e", Role.DECODE), role, "load", urgent)
+
+
+READ, DECODE = make_change(Role.PREFILL), make_change(Role.DECODE)
+URGENT = make_change(Role.DECODE, urgent=True)
+
+
+@pytest.mark.parametrize(
+    ("looks", "allowed"),
+    [
+        ([(0.0, READ)], False),
+        ([(0.0, READ), (2.9, READ)], False),
+        ([(0.0, READ), (3.0, READ)], True),
+        # A swing that is over in between starts anew.
+        ([(0.0, READ), (1.5, None), (3.0, READ)], False),
+        ([(0.0, READ), (1.5, DECODE), (3.0, READ)], False),
+        ([(0.0, READ), (1.5, DECODE), (4.5, DECODE)], True),
+        ([(0.0, URGENT)], True),
+    ],
+)
+def test_a_change_is_ordered_once_it_has_been_wanted_for_as_long_as_it_takes(looks, allowed):
+    delay = RoleDelay()
+    found = [delay.allows("s", change, SECONDS, at) for at, change in looks]
+    assert found[-1] is allowed
+    assert not any(found[:-1])
+
+
+def test_the_engines_of_one_service_do_not_hold_those_of_another_up():
+    delay = RoleDelay()
+    delay.allows("s", READ, SECONDS, 0.0)
+    assert not delay.allows("t", READ, SECONDS, 3.0)
+    assert delay.allows("s", READ, SECONDS, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("roles", "demand", "urgent"),
+    [
+        # Nothing is known yet: the first split is ordered at once.
+        ("dddddd", Demand(), True),
+        # One engine that makes tokens may be lost at any moment.
+        ("prrrrd", Demand(100_000.0, 10.0), True),
+        ("rrrrdd", Demand(50_000.0, 150.0), False),
+    ],
+)
+def test_a_split_that_cannot_wait_is_urgent(roles, demand, urgent):
+    engines = [
+        make_engine(f"e{n}", Role.DECODE if role == "d" else Role.PREFILL)
+        for n, role in enumerate(roles)
+    ]
+    assert plan_change(engines, {}, demand).urgent is urgent
