Ask engines at a host's start what they keep; count open work once for late requests

A late request's turn was predicted with all open tokens of an engine read by one host's share of the engines, nine times too late. Open tokens are read by all engines, the queue's own ones by its share.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -17,6 +17,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.coordination.kept_parts import KeptPartsLoader
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.coordination.roles import RoleDuty
@@ -137,6 +138,9 @@
             lambda: self._discovery.store_away,
             lambda: self._discovery.store_returns,
         )
+        self._kept_parts = KeptPartsLoader(
+            settings.zone, self._fleet, self._parts.pool, self._booker.books, rng
+        )
         self._callers = ConnectionSet()
         self._pages = ConnectionSet()
         self._stopping = asyncio.Event()
@@ -154,6 +158,7 @@
         self._start(self._gossip.register(self._store))
         self._start(self._roles.run())
         self._start(self._booker.run())
+        self._start(self._kept_parts.run())
         self._start(self._watch_file())
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
--- a/src/swifttrestle/internal/forward/booking.py
+++ b/src/swifttrestle/internal/forward/booking.py
@@ -219,13 +219,13 @@
         if not readers:
             return math.inf
         share = self._parts.demand.read_share(service)
-        open_tokens = sum(item.total.tokens for item in readers) / len(readers)
         return predict_late_turn(
             Backlog(
-                tokens=waiting * request.tokens * share + open_tokens,
+                tokens=waiting * request.tokens * share,
                 capacity=sum(item.pace for item in readers),
                 offered=self._parts.demand.total(service, now).read_tokens * share,
                 share=1.0 / max(1, self._parts.budgets.hosts),
+                open=sum(item.total.tokens for item in readers),
             )
         )
 
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -203,6 +203,10 @@
             found |= list_schedulers(members, service, engines)
         return found
 
+    def books(self) -> bool:
+        """Return whether this host chooses engines itself, for its own callers or for others."""
+        return not is_large(len(self._list_members())) or self._host in self.list_schedulers()
+
     async def run(self) -> None:
         """Schedule for others for as long as the process lives."""
         await self._scheduler.run()
--- a/src/swifttrestle/internal/policy/waiting.py
+++ b/src/swifttrestle/internal/policy/waiting.py
@@ -32,6 +32,7 @@
 class Backlog:
     """What stands before a late request: prompt tokens, and tokens a second at all engines.
 
+    `tokens` are those of its queue up to its own, `open` those that engines have taken already,
     `share` is the part of all engines that serves this queue, `offered` what callers offer.
     """
 
@@ -39,6 +40,7 @@
     capacity: float
     offered: float
     share: float
+    open: float = 0.0
 
 
 def find_patience(route: Route) -> float:
@@ -56,7 +58,7 @@
 def predict_late_turn(backlog: Backlog) -> float:
     """Return the seconds until a late request is read, from what requests in time leave."""
     load = backlog.offered / max(1e-9, backlog.capacity)
-    left = backlog.capacity * backlog.share * (1.0 - load)
+    left = backlog.capacity * (1.0 - load)
     if load >= FULL_LOAD or left <= 0:
         return float("inf")
-    return backlog.tokens / left
+    return (backlog.open + backlog.tokens / backlog.share) / left
--- a/src/swifttrestle/platform/engine.py
+++ b/src/swifttrestle/platform/engine.py
@@ -7,9 +7,11 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.prompt_cache import PromptPart
 
 REPORT_PATH = b"/v1/report"
 ORDER_PATH = b"/v1/order"
+KEPT_PARTS_PATH = b"/v1/kv-list"
 _HANDLE_PATH = "/v1/kv-handle/"
 
 
@@ -69,6 +71,21 @@
         raise UpstreamBrokenError(f"an engine's report cannot be read: {error!r}") from None
 
 
+def read_kept_parts(body: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts that an engine keeps, under names as in bookings; raise UpstreamBrokenError.
+
+    Each entry of `held` is an empty text, the part's id, its tokens and the model.
+    """
+    raw = _load(body)
+    try:
+        return tuple(
+            PromptPart(f"{model}/{part}", max(0, int(tokens)))
+            for _, part, tokens, model in raw["held"]
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UpstreamBrokenError(f"an engine's list cannot be read: {error!r}") from None
+
+
 def write_order(order: RoleOrder) -> bytes:
     """Return the body of an order."""
     return orjson.dumps(
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -117,6 +117,8 @@
         self.events = 4
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
+        # Tokens of the prompt parts of model "m" that it keeps, by the part's id.
+        self.kept: dict[str, int] = {}
         # Orders that arrived, and those that were carried out.
         self.arrived_orders: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
@@ -136,6 +138,10 @@
             await self._report(reply)
         elif path == "/v1/order":
             await self._order(request, reply)
+        elif path == "/v1/kv-list":
+            held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+            answer = {"epoch": 1, "nextPageToken": 0, "held": held}
+            await reply.send_whole(200, (), orjson.dumps(answer))
         elif path.startswith("/v1/kv-handle/"):
             name = path.rpartition("/")[2]
             self.freed.append(name)
--- /dev/null
+++ b/tests/cover/test_kept_parts.py
@@ -0,0 +1,93 @@
+"""What a host that starts takes over of engines' own lists of kept parts."""
+
+import asyncio
+import random
+
+import pytest
+
+from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.coordination.kept_parts import MOST_ASKED, KeptPartsLoader
+from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.prompt_cache import PromptPart
+from swifttrestle.internal.transport.upstream import ConnectionPool
+from swifttrestle.platform.engine import read_kept_parts
+
+LIST = b'{"epoch": 1, "nextPageToken": 7, "held": [["", "aa", 4000, "m"], ["", "bb", 30, "m"]]}'
+
+
+def test_an_engines_list_is_decoded_under_the_names_of_bookings():
+    assert read_kept_parts(LIST) == (PromptPart("m/aa", 4000), PromptPart("m/bb", 30))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"7",
+        b"{}",
+        b'{"held": 3}',
+        b'{"held": [["", "aa"]]}',
+        b'{"held": [["", "a", "x", "m"]]}',
+    ],
+)
+def test_a_list_that_cannot_be_read_is_a_typed_error(body):
+    with pytest.raises(UpstreamBrokenError):
+        read_kept_parts(body)
+
+
+def run_loader(answer, books=True, engines=1):
+    """Load from engines that answer these bytes; return the fleet and the calls they got."""
+
+    async def whole():
+        calls = []
+
+        async def serve(reader, writer):
+            calls.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()[:2]
+        fleet = Fleet()
+        for number in range(engines):
+            record = UpstreamRecord(f"e{number}", "s", address, "a", 40, False, Role.PREFILL)
+            fleet.put(record)
+        fleet.put(UpstreamRecord("plain", "t", address, "a", 40, False))
+        loader = KeptPartsLoader("a", fleet, ConnectionPool(), lambda: books, random.Random(1))
+        async with asyncio.timeout(20):
+            await loader.run()
+        server.close()
+        return fleet, calls
+
+    return asyncio.run(whole())
+
+
+def frame(status, body):
+    return b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body
+
+
+def test_a_host_that_starts_believes_what_engines_tell():
+    fleet, calls = run_loader(frame(200, LIST))
+    prompt = (PromptPart("m/aa", 4000), PromptPart("m/bb", 30), PromptPart("m/own", 9))
+    assert fleet.instances["e0"].cache.count_read(prompt) == 4030
+    assert len(calls) == 1
+    assert calls[0].startswith(b"GET /v1/kv-list ")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [frame(429, b"{}"), frame(200, b"[]"), b"no answer\r\n\r\n"],
+    ids=["429", "[]", "noise"],
+)
+def test_an_engine_that_does_not_tell_counts_as_empty(answer):
+    fleet, _ = run_loader(answer)
+    assert fleet.instances["e0"].cache.count((PromptPart("m/aa", 4000),)) == 0
+
+
+def test_a_host_for_which_others_book_asks_nobody():
+    assert run_loader(frame(200, LIST), books=False)[1] == []
+
+
+def test_no_host_asks_all_engines_of_a_large_fleet():
+    assert len(run_loader(frame(200, LIST), engines=3 * MOST_ASKED)[1]) == MOST_ASKED
--- a/tests/cover/test_waiting.py
+++ b/tests/cover/test_waiting.py
@@ -45,6 +45,8 @@
         (Backlog(1000, 1000, 1000, 1.0), math.inf),
         (Backlog(1000, 1000, 3000, 1.0), math.inf),
         (Backlog(1000, 0, 0, 1.0), math.inf),
+        # What engines have taken is read by all of them, whatever the queue's share.
+        (Backlog(1000, 1000, 0, 0.25, open=2000), 6.0),
     ],
 )
 def test_late_requests_get_what_the_others_leave(backlog, seconds):
--- a/tests/hosted/test_coordination.py
+++ b/tests/hosted/test_coordination.py
@@ -6,6 +6,7 @@
 
 from swifttrestle.errors import PlatformUnavailableError
 from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.prompt_cache import PromptPart
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from tests.common.http import RawCaller, ask, write_request
@@ -435,6 +436,17 @@
     await wait_until(lambda: not gateway(site).knows_instance("s0"), "gone")
 
 
+@on_site(engines=("prefill", "decode", "decode"))
+async def test_a_host_that_starts_knows_what_engines_keep(site):
+    site.upstreams["e0"].kept = {"aa": 4000}
+    await site.add_gateway("g1", 1)
+    await site.wait_ready("g1")
+    kept = (PromptPart("m/aa", 4000),)
+    await wait_until(
+        lambda: gateway(site, "g1").list_instances()["e0"].cache.count_read(kept) == 4000, "told"
+    )
+
+
 @on_site()
 async def test_an_outage_between_two_looks_at_the_store_does_not_pause_planning(site):
     # The test below failed twice beside other work: the store was lost and back between two
