Split the booking of engines by job; a scheduler's queue has its group's share of the engines

Found on reading: the turn of a late request was predicted with one host's share of the readers in a large fleet too, where the scheduler's queue is served by all of its group, so that late requests were refused there too early. The test of the share fails without the change.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -11,9 +11,10 @@
     UpstreamLeavingError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
-from swifttrestle.internal.forward.booking import LATE_WAIT_SHARE, Booker, reads_soon
+from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
+from swifttrestle.internal.forward.finding import LATE_WAIT_SHARE, reads_soon
 from swifttrestle.internal.forward.parts import Parts
 from swifttrestle.internal.forward.reading import (
     DirectReading,
--- a/tests/cover/test_waiting.py
+++ b/tests/cover/test_waiting.py
@@ -9,6 +9,7 @@
 
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.forward.turns import TurnPredictor
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.placement import pick_reader
 from swifttrestle.internal.policy.waiting import Backlog, find_patience, predict_late_turn
@@ -159,3 +160,14 @@
 def test_the_patience_of_a_request_survives_its_datagram():
     for request in (REQUEST, replace(REQUEST, latest_read=math.inf)):
         assert unpack_message(pack_message("h", Ask(1, request))) == ("h", Ask(1, request))
+
+
+@pytest.mark.parametrize(("hosts", "share"), [(1, 1.0), (9, 1 / 9), (65, 0.5)])
+def test_a_queue_has_its_hosts_share_of_the_engines_or_a_schedulers(hosts, share):
+    parts = Parts("a", Fleet(), RetryBudgets(0.2, 10, 10, hosts=hosts), Metrics(), random.Random(1))
+    readers = [
+        Instance(UpstreamRecord(f"{zone}{n}", "s", ("h", 1), zone, 40, False, Role.PREFILL))
+        for zone in "ab"
+        for n in range(5)
+    ]
+    assert TurnPredictor(parts)._find_share(REQUEST, readers) == pytest.approx(share)
