--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -209,9 +209,12 @@
 async def test_an_instance_that_was_replaced_at_its_address_gets_no_second_request(site):
     other = site.upstreams["s0"]
     other.instance = "s0-new"
-    for number in range(6):
+    # Equally loaded instances are chosen by chance: six requests missed it once in 64 runs.
+    for number in range(64):
         answer = await ask(address_of(site), "/goal/a", f"g{number}")
         assert answer.status == 200
+        if not site.gateways["g0"].gateway.knows_instance("s0"):
+            break
     assert not any(name == "s0" for name, _ in other.arrivals)
     assert site.gateways["g0"].gateway.knows_instance("s0") is False
 
