Log removals that are held back, and how much of a version came before its fetch was cut

Cause: a host that held a removal back logged nothing, and list_age showed a fresh list; whether an old list, a held removal or a lost watch was at fault could not be told from the logs. Nor could a fetch that was cut be told from one that never began, or from a process held up by its indexing.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -353,6 +353,11 @@
         gauges: list[tuple[str, str, Callable[[], float]]] = [
             ("config_version", "Configuration in force", lambda: self._configuration.version),
             ("live_hosts", "Hosts that live", lambda: len(self._gossip.live_hosts())),
+            (
+                "removals_held_back",
+                "Instances that the list lacks and that are in use",
+                lambda: self._discovery.held_back,
+            ),
             ("store_calls", "Calls to the object store", lambda: self._store.calls),
             ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
             ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -54,6 +55,7 @@
 
     def take(self, raw: Any, source: str) -> bool:
         """Put a version in force if it is newer; return whether it was."""
+        began = time.monotonic()
         try:
             configuration = read_configuration(raw)
         except BadPlatformAnswerError as error:
@@ -61,14 +63,16 @@
             return False
         if configuration.version <= self.version:
             return False
+        before = self.version
+        self.table = RouteTable(configuration)
         log_decision(
             "configuration in force",
             version=configuration.version,
-            before=self.version,
+            before=before,
             source=source,
             routes=len(configuration.routes),
+            index_ms=round((time.monotonic() - began) * 1000, 1),
         )
-        self.table = RouteTable(configuration)
         self.raw = raw
         self._changed()
         return True
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -61,10 +61,16 @@
         # Outages that are over: a short one may come and go between two looks at `store_away`.
         self.store_returns = 0
         self._trust_after = float("-inf")
-        self._missing: set[str] = set()
+        # Instances whose removal is held back, and since when.
+        self._missing: dict[str, float] = {}
         self.known = False
         relay.receive(self._take_told)
 
+    @property
+    def held_back(self) -> int:
+        """Instances that the list lacks and that are still in use."""
+        return len(self._missing)
+
     @property
     def store_away(self) -> bool:
         """Whether the store has not answered this host's latest calls."""
@@ -157,8 +163,7 @@
         return record if self._put_record(record, item.revision, "store") else None
 
     def _put_record(self, record: UpstreamRecord, revision: int, source: str) -> bool:
-        was_missing = record.instance in self._missing
-        self._missing.discard(record.instance)
+        was_missing = self._missing.pop(record.instance, None) is not None
         if not self._fleet.put(record):
             return was_missing
         log_decision(
@@ -218,12 +223,22 @@
         self._told.set()
 
     def _remove(self, name: str) -> None:
-        if self._now() < self._trust_after:
-            self._missing.add(name)
+        now = self._now()
+        if now < self._trust_after:
+            if name not in self._missing and name in self._fleet.instances:
+                self._missing[name] = now
+                log_decision(
+                    "removal held back",
+                    instance=name,
+                    seconds=round(self._trust_after - now, 2),
+                    revision=self._revision,
+                )
             return
-        self._missing.discard(name)
+        held = now - self._missing.pop(name, now)
         if self._fleet.remove(name):
-            log_decision("instance gone", instance=name, revision=self._revision)
+            log_decision(
+                "instance gone", instance=name, revision=self._revision, held=round(held, 2)
+            )
 
     def _drop_missing(self) -> None:
         if self._missing and self._now() >= self._trust_after:
--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/exchange.py
@@ -12,6 +12,8 @@
 FETCH_SECONDS = 1.0
 # Bytes that a configuration may have on the stream.
 LARGEST_CONFIGURATION = 4 * 1024 * 1024
+# Bytes that one read from a stream returns at most.
+PIECE_BYTES = 64 * 1024
 
 ASK_CONFIGURATION = b"configuration\n"
 
@@ -46,18 +48,22 @@
             await asyncio.sleep(CONFIG_WAIT_SECONDS)
         if version <= self._configuration.version:
             return
+        content = bytearray()
         try:
             async with asyncio.timeout(FETCH_SECONDS):
                 reader, writer = await asyncio.open_connection(ip, self._port)
                 try:
                     writer.write(ASK_CONFIGURATION)
-                    content = await reader.read(-1)
+                    while piece := await reader.read(PIECE_BYTES):
+                        content += piece
                 finally:
                     writer.close()
             if len(content) <= LARGEST_CONFIGURATION:
                 self._configuration.take(orjson.loads(content), f"peer {host}")
         except (OSError, TimeoutError, orjson.JSONDecodeError) as error:
-            log_decision("configuration not fetched", peer=host, reason=repr(error))
+            log_decision(
+                "configuration not fetched", peer=host, reason=repr(error), bytes=len(content)
+            )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
