--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
