Bound what the store answers by silence, not as a whole; a read is asked again after 1 s

Cause: a call to the store had 2 s for head and body together. A version of 4,248 routes takes that long on a link of 5 Mbit/s that also carries requests, so every try was cut and begun anew; one host received 520 to 650 KB/s for twelve seconds and put nothing in force. The head is still due in time, and each further byte within 2 s of the last one.

--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -110,8 +110,11 @@
             self._ended = True
             self._more.set()
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start (its rest, without `keep`); raise what broke it."""
+    async def chunks(self, byte_seconds: float | None = None) -> AsyncIterator[bytes]:
+        """Yield the body from its start (its rest, without `keep`); raise what broke it.
+
+        Where `byte_seconds` are given, so many without a byte break it.
+        """
         place = 0
         while True:
             while place - self._dropped < len(self._chunks):
@@ -127,15 +130,26 @@
             if self._ended:
                 break
             self._more.clear()
-            await self._more.wait()
+            await self._wait_for_more(byte_seconds)
         if self._error is not None:
             raise self._error
 
-    async def read_whole(self, limit: int) -> bytes:
-        """Return the whole body; raise UpstreamBrokenError where it is over the limit."""
+    async def _wait_for_more(self, seconds: float | None) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._more.wait()
+        except TimeoutError:
+            message = f"no byte for {seconds:g} s after {self.size} of a body"
+            raise UpstreamBrokenError(message, sent=True) from None
+
+    async def read_whole(self, limit: int, byte_seconds: float | None = None) -> bytes:
+        """Return the whole body; raise UpstreamBrokenError where it is over the limit.
+
+        Where `byte_seconds` are given, so many without a byte break it too.
+        """
         parts = []
         size = 0
-        async for chunk in self.chunks():
+        async for chunk in self.chunks(byte_seconds):
             size += len(chunk)
             if size > limit:
                 raise UpstreamBrokenError(f"an answer is over {limit} bytes", sent=True)
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -57,6 +57,14 @@
     body: Body | None
 
 
+@dataclass(frozen=True)
+class Patience:
+    """How long a call may take: seconds to its answer's head, and between bytes of its body."""
+
+    head: float
+    byte: float
+
+
 class UpstreamConnection(asyncio.Protocol):
     """One connection; `exchange` sends a request and returns the answer's head and body."""
 
@@ -382,11 +390,21 @@
 
 
 async def call_once(
-    pool: ConnectionPool, instance: str, address: Address, request: OutgoingRequest, limit: int
+    pool: ConnectionPool,
+    instance: str,
+    address: Address,
+    request: OutgoingRequest,
+    limit: int,
+    patience: Patience | None = None,
 ) -> tuple[AnswerHead, bytes]:
-    """Send one request and return the whole answer; raise UpstreamBrokenError."""
+    """Send one request and return the whole answer; raise UpstreamBrokenError.
+
+    Without `patience` it waits for as long as the caller lets it; with it, it also raises
+    TimeoutError where no head comes.
+    """
     async with pool.borrow(instance, address) as connection:
-        head, body = await connection.exchange(request)
-        content = await body.read_whole(limit)
+        async with asyncio.timeout(patience.head if patience else None):
+            head, body = await connection.exchange(request)
+        content = await body.read_whole(limit, patience.byte if patience else None)
         await pool.give_back(connection, head)
     return head, content
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -4,7 +4,6 @@
 raises PlatformUnavailableError, and whoever wrote reads back before it acts on the write.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
@@ -25,12 +24,21 @@
     Address,
     ConnectionPool,
     OutgoingRequest,
+    Patience,
     call_once,
 )
 
 POOL_NAME = "store"
-# Seconds that a call may take: far over the usual milliseconds, under the shortest lease.
+# Seconds in which a write must be answered: far over the usual milliseconds, under the shortest
+# lease.
 CALL_SECONDS = 2.0
+# The same for a read, which may be made again at any time: twice what a slow store takes, so that
+# one that was lost in an outage holds up the next one, which may find the store back, as little.
+READ_SECONDS = 1.0
+# Seconds without a byte after which an answer that has begun counts as broken off: more than TCP
+# takes to send a lost packet again. There is no bound for the whole, since a link that needs
+# longer than that for a large object would never read it to its end.
+BYTE_SECONDS = 2.0
 # Seconds that a watch waits for a change; the store's own bound.
 WATCH_SECONDS = 30.0
 # Seconds beyond that in which a watch must be answered: four times what a slow store takes. One
@@ -111,7 +119,8 @@
 
     async def get(self, kind: str, name: str) -> StoredObject:
         """Return one object; raise NotFoundError."""
-        return _read_object(kind, await self._call(b"GET", f"/v1/objects/{kind}/{name}", None))
+        path = f"/v1/objects/{kind}/{name}"
+        return _read_object(kind, await self._call(b"GET", path, None, READ_SECONDS))
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Make an object; raise ConflictError where it is there."""
@@ -127,7 +136,7 @@
     async def _pages(self, kind: str) -> AsyncIterator[Any]:
         path = f"/v1/objects/{kind}"
         while True:
-            page = await self._call(b"GET", path, None)
+            page = await self._call(b"GET", path, None, READ_SECONDS)
             try:
                 more = bool(page.get("hasMore")) and bool(page["items"])
                 last = page["items"][-1]["metadata"]["name"] if more else ""
@@ -144,11 +153,11 @@
     ) -> Any:
         self.calls += 1
         request = self._build(method, path, body)
+        patience = Patience(seconds, BYTE_SECONDS)
         try:
-            async with asyncio.timeout(seconds):
-                head, content = await call_once(
-                    self._pool, POOL_NAME, self._address, request, LARGEST_ANSWER
-                )
+            head, content = await call_once(
+                self._pool, POOL_NAME, self._address, request, LARGEST_ANSWER, patience
+            )
         except (UpstreamBrokenError, TimeoutError) as error:
             raise PlatformUnavailableError(f"{method.decode()} {path}: {error!r}") from None
         _check_status(head.status, path)
