Take a withdrawn instance out in time after an outage and after a cut path

Cause: after each loss of the store a host held every removal back for 2.2 s from its own notice of the return, and looked at what it held only when its next watch answered, up to 2.8 s later. The notice itself came up to 2.9 s late. Each link of that chain was under the bound of 2 s, their sum was not. Of a path that was cut a host could not tell that the store had been there; and in a large fleet one teller's doubt held back what the other one knew. Change: a timer drops what is due; reports say since when the store has answered their sender without a break, and a peer that it answered all the while shows that nothing lapsed; what a teller takes for withdrawn is gone at all who hear it; pauses and watches are shorter.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -109,7 +109,15 @@
             self._gossip.list_members,
             lambda: self._gossip.candidates.holds_roles,
         )
-        self._discovery = Discovery(self._store, self._fleet, rng, relay, self._serve_queues)
+        self._discovery = Discovery(
+            self._store,
+            self._fleet,
+            rng,
+            relay,
+            self._serve_queues,
+            self._gossip.find_store_witness,
+        )
+        self._gossip.count_store_seconds = self._discovery.count_store_seconds
         self._booker = SharedBooker(
             LocalBooker(self._parts),
             self._parts,
@@ -356,7 +364,7 @@
             (
                 "removals_held_back",
                 "Instances that the list lacks and that are in use",
-                lambda: self._discovery.held_back,
+                lambda: len(self._discovery.removals),
             ),
             ("store_calls", "Calls to the object store", lambda: self._store.calls),
             ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -6,6 +6,8 @@
 
 from swifttrestle.errors import HistoryGoneError, PlatformUnavailableError
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.removals import Removals
+from swifttrestle.internal.coordination.store_contact import StoreContact
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.protocol.listings import ListingChanges
 from swifttrestle.internal.state.declared import UpstreamRecord
@@ -17,15 +19,17 @@
 # or while roles change a watch without a pause would be a call for each of them; this pace is
 # well under the time in which a leaving upstream must get no new work.
 PACE_SECONDS = 0.8
-# Seconds a watch waits: so short that a path which is broken in silence is noticed in time.
-WAIT_SECONDS = 2.0
+# Seconds a watch waits: so short that a path which is broken in silence is noticed in time, also
+# with the store client's margin and a list after it.
+WAIT_SECONDS = 1.6
 # The same for a host that tells others what it sees: they take its silence for a fault.
 TELLING_WAIT_SECONDS = PACE_SECONDS
-# First and longest pause after a failed call, in seconds.
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.8
-# Seconds after an outage in which lapsed upstreams may come back before they count as gone;
-# the platform promises about two.
-RETURN_SECONDS = 2.2
+# First and longest pause after a failed call, in seconds. All of it delays the moment from which
+# removals count again after an outage.
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.4
+# A pause is drawn between this share of it and one and a half times as much, so that hosts do not
+# ask a store that comes back all at once.
+LEAST_PAUSE_SHARE, PAUSE_SPREAD = 0.5, 1.0
 # Seconds of silence after which a host that hears of changes from others reads the list
 # itself: one and a half times the pace, so that a leaving upstream gets no new work after the
 # two seconds promised, also where the host that told of it is gone.
@@ -44,8 +48,12 @@
         rng: random.Random,
         relay: ListingRelay,
         changed: Callable[[], None],
+        find_witness: Callable[[], float],
     ) -> None:
-        """Write into a fleet; `changed` is called after each change."""
+        """Write into a fleet; `changed` is called after each change.
+
+        `find_witness` returns the loop's time since when the store has answered some peer.
+        """
         self._relay = relay
         self._told = asyncio.Event()
         # Whether the list is to be read anew, and not only watched from the last revision.
@@ -60,22 +68,20 @@
         self._away = False
         # Outages that are over: a short one may come and go between two looks at `store_away`.
         self.store_returns = 0
-        self._trust_after = float("-inf")
-        # Instances whose removal is held back, and since when.
-        self._missing: dict[str, float] = {}
+        self._contact = StoreContact()
+        self.removals = Removals(fleet, changed, find_witness)
         self.known = False
         relay.receive(self._take_told)
 
-    @property
-    def held_back(self) -> int:
-        """Instances that the list lacks and that are still in use."""
-        return len(self._missing)
-
     @property
     def store_away(self) -> bool:
         """Whether the store has not answered this host's latest calls."""
         return self._away
 
+    def count_store_seconds(self) -> float:
+        """Return for how many seconds the store has answered this host without a break."""
+        return self._contact.count_seconds(self._now())
+
     async def run(self) -> None:
         """List, then watch, for as long as the process lives."""
         while True:
@@ -89,7 +95,6 @@
                 else:
                     await self._watch()
                 self._note_answer()
-                self._drop_missing()
                 await asyncio.sleep(self._find_pause(began))
             except HistoryGoneError:
                 log_decision("discovery history gone", revision=self._revision)
@@ -114,9 +119,9 @@
         listed = {item.name for item in snapshot.items}
         for item in snapshot.items:
             self._put(item)
+        self._revision = snapshot.revision
         for name in set(self._fleet.instances) - listed:
             self._remove(name)
-        self._revision = snapshot.revision
         self.known = True
         self._changed()
         # What changed before this list was read is not known one by one.
@@ -163,7 +168,7 @@
         return record if self._put_record(record, item.revision, "store") else None
 
     def _put_record(self, record: UpstreamRecord, revision: int, source: str) -> bool:
-        was_missing = self._missing.pop(record.instance, None) is not None
+        was_missing = self.removals.restore(record.instance)
         if not self._fleet.put(record):
             return was_missing
         log_decision(
@@ -182,7 +187,7 @@
     def _tell(
         self, since: int, records: tuple[UpstreamRecord, ...], removed: tuple[str, ...]
     ) -> None:
-        distrust = max(0.0, self._trust_after - self._now())
+        distrust = max(0.0, self.removals.find_trust() - self._now())
         self._relay.send(ListingChanges(since, self._revision, distrust, records, removed))
 
     def _follows(self) -> bool:
@@ -198,17 +203,16 @@
         except TimeoutError:
             log_decision("list watcher silent", revision=self._revision)
             self._stale = True
-        self._drop_missing()
 
     def _take_told(self, changes: ListingChanges) -> None:
         """Take over what another host has seen; read the list where something is missing.
 
-        A host that cannot reach the store itself stays up to date by this.
+        A host that cannot reach the store itself stays up to date by this. What the teller takes
+        for withdrawn is gone here too, whatever this host, or another teller, has lost since.
         """
         if changes.revision < self._revision:
             return
         self._told_at = self._now()
-        self._trust_after = max(self._trust_after, self._told_at + changes.distrust)
         if changes.since > self._revision:
             self._stale = True
         else:
@@ -217,53 +221,37 @@
             for record in changes.records:
                 self._put_record(record, changes.revision, "peer")
             for name in changes.removed:
-                self._remove(name)
+                self.removals.remove(name, self._told_at + changes.distrust, changes.revision)
         if changes.records or changes.removed:
             self._changed()
         self._told.set()
 
     def _remove(self, name: str) -> None:
-        now = self._now()
-        if now < self._trust_after:
-            if name not in self._missing and name in self._fleet.instances:
-                self._missing[name] = now
-                log_decision(
-                    "removal held back",
-                    instance=name,
-                    seconds=round(self._trust_after - now, 2),
-                    revision=self._revision,
-                )
-            return
-        held = now - self._missing.pop(name, now)
-        if self._fleet.remove(name):
-            log_decision(
-                "instance gone", instance=name, revision=self._revision, held=round(held, 2)
-            )
-
-    def _drop_missing(self) -> None:
-        if self._missing and self._now() >= self._trust_after:
-            for name in list(self._missing):
-                self._remove(name)
-            self._changed()
+        self.removals.remove(name, self.removals.find_trust(), self._revision)
 
     def _note_answer(self) -> None:
         self._failures = 0
-        self._fleet.confirmed_at = self._now()
+        now = self._now()
+        self._fleet.confirmed_at = now
+        self._contact.note_answer(now)
         if self._away:
             self._away = False
             self.store_returns += 1
-            self._trust_after = self._now() + RETURN_SECONDS
+            self.removals.note_return(now)
             log_decision("store regained", by="discovery")
 
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
         # As for the configuration, only a fresh list tells what changed behind a cut watch.
         self._stale = True
+        if not self._failures:
+            self.removals.note_loss(self._contact.answered_at)
+        self._contact.note_failure()
         self._failures += 1
         if self._failures >= FAILURES_FOR_OUTAGE and not self._away:
             self._away = True
             log_decision("store lost", by="discovery", reason=str(error))
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(self._failures - 1, 6))
-        await asyncio.sleep(pause * (0.5 + self._rng.random()))
+        await asyncio.sleep(pause * (LEAST_PAUSE_SHARE + PAUSE_SPREAD * self._rng.random()))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -98,6 +98,8 @@
         self._report_at = 0.0
         # Tells the hosts that schedule engines, and whether this host is one of them.
         self.list_schedulers: Callable[[], set[str]] = set
+        # Tells for how many seconds the store has answered this host without a break.
+        self.count_store_seconds: Callable[[], float] = float
         self._close: set[str] = set()
         self._schedules = False
         # The members for which the schedulers were found, and until when that holds.
@@ -124,6 +126,10 @@
         """Return this host and the peers heard of late, with their addresses and zones."""
         return self._peers.list_members(self._now())
 
+    def find_store_witness(self) -> float:
+        """Return the loop's time since when the store has answered some peer, or infinity."""
+        return self._peers.find_store_witness(self._now())
+
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
         await register_host(store, self._me, self._peers, self._rng)
@@ -289,6 +295,7 @@
                 self.candidates.leaving,
                 self.candidates.holds_roles,
                 self.candidates.lacks_store,
+                self.count_store_seconds(),
                 {name: (item.tokens, item.requests) for name, item in work.items()},
                 self._demand.list_own(self._now()),
                 self._ordered.list_told(),
@@ -326,6 +333,7 @@
                 report.leaving,
                 report.holds_roles,
                 report.lacks_store,
+                report.store_seconds,
             )
         )
         work = {name: OpenWork(*counts) for name, counts in report.work.items()}
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -0,0 +1,116 @@
+"""Which instances that the discovery list lacks are still used, and until when.
+
+A record may be missing because its upstream withdrew it, or because it lapsed while the store was
+away; upstreams whose records lapsed write them again soon after the store's return. What a host
+cannot tell from its own calls is which of the two it was: a path that was cut looks to it like a
+store that was away. Peers that the store answered all the while know better.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.state.fleet import Fleet
+
+# Seconds after an outage in which lapsed upstreams may come back before they count as gone;
+# the platform promises about two.
+RETURN_SECONDS = 2.2
+# Seconds between looks at what is held back: a peer may prove meanwhile that there was no outage.
+LOOK_SECONDS = 0.2
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True)
+class _Held:
+    """A removal that is held back; times are the loop's."""
+
+    since: float
+    until: float
+
+
+class Removals:
+    """Drops instances from the fleet, at once or when they had their time to come back."""
+
+    def __init__(
+        self, fleet: Fleet, changed: Callable[[], None], find_witness: Callable[[], float]
+    ) -> None:
+        """Drop from `fleet` and call `changed` where that happens later.
+
+        `find_witness` returns the earliest time since when the store has answered some peer
+        without a break, infinite where no peer says so.
+        """
+        self._fleet = fleet
+        self._changed = changed
+        self._find_witness = find_witness
+        self._held: dict[str, _Held] = {}
+        self._lost_at = NEVER
+        self._returned_at = NEVER
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        """Return how many removals are held back."""
+        return len(self._held)
+
+    def note_loss(self, answered_at: float) -> None:
+        """Take over that the store stopped to answer this host after its last answer."""
+        self._lost_at = answered_at
+
+    def note_return(self, now: float) -> None:
+        """Take over that the store answers this host again after a loss."""
+        self._returned_at = now
+
+    def find_trust(self) -> float:
+        """Return the time from which a missing record is one that was withdrawn."""
+        return min(self._returned_at + RETURN_SECONDS, self._ask_peers())
+
+    def _ask_peers(self) -> float:
+        """Return the time from which a missing record is withdrawn by what peers know."""
+        witness = self._find_witness()
+        # A peer that the store answered all the while shows that only this host's path was cut;
+        # without its word a host sent requests to an instance for 2.8 s after it had left.
+        return NEVER if witness <= self._lost_at else witness + RETURN_SECONDS
+
+    def restore(self, name: str) -> bool:
+        """Take over that an instance is listed; return whether its removal was held back."""
+        return self._held.pop(name, None) is not None
+
+    def remove(self, name: str, until: float, revision: int) -> None:
+        """Drop an instance, at once or at the loop's time `until` if it is not listed again."""
+        now = self._now()
+        if now >= until:
+            self._drop(name, revision)
+            return
+        if name in self._held or name not in self._fleet.instances:
+            return
+        self._held[name] = _Held(now, until)
+        seconds = round(until - now, 2)
+        log_decision("removal held back", instance=name, seconds=seconds, revision=revision)
+        self._look_later()
+
+    def _drop(self, name: str, revision: int) -> None:
+        now = self._now()
+        held = self._held.pop(name, _Held(now, now))
+        if self._fleet.remove(name):
+            seconds = round(now - held.since, 2)
+            log_decision("instance gone", instance=name, revision=revision, held=seconds)
+
+    def _look_later(self) -> None:
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(LOOK_SECONDS, self._look)
+
+    def _look(self) -> None:
+        """Drop what is due, by a timer: the next answer of the store may be seconds away."""
+        self._timer = None
+        now = self._now()
+        by_peers = self._ask_peers()
+        due = [name for name, held in self._held.items() if now >= min(held.until, by_peers)]
+        for name in due:
+            self._drop(name, revision=0)
+        if due:
+            self._changed()
+        if self._held:
+            self._look_later()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/store_contact.py
@@ -0,0 +1,35 @@
+"""Since when the store has answered this host without a break, for hosts that lost it."""
+
+# Seconds after the last answer for which the store still counts as reached: a pause and a waiting
+# watch, with its margin, lie between two answers.
+FRESH_SECONDS = 3.2
+NEVER = float("-inf")
+
+
+class StoreContact:
+    """The answers of the store to this host's regular calls; times are the loop's."""
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self._since = NEVER
+        # The last answer, minus infinity after a call that got none.
+        self.answered_at = NEVER
+
+    def note_answer(self, now: float) -> None:
+        """Take over that the store has answered."""
+        if now - self.answered_at > FRESH_SECONDS:
+            self._since = now
+        self.answered_at = now
+
+    def note_failure(self) -> None:
+        """Take over that a call was not answered."""
+        self.answered_at = NEVER
+
+    def count_seconds(self, now: float) -> float:
+        """Return for how many seconds the store has answered without a break, 0 where it does not.
+
+        Peers take it as proof that the store was there in that time.
+        """
+        if now - self.answered_at > FRESH_SECONDS:
+            return 0.0
+        return now - self._since
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -17,11 +17,11 @@
     """What one gateway tells its peers.
 
     `holds_roles` says that the sender holds the lease on engines' roles, `lacks_store` that it
-    cannot reach the store now. `work` maps an
-    upstream instance to its open prompt tokens and requests; `demand` maps a service to the
-    prompt tokens a second, the decode slots and those of them that follow a reading, as
-    callers offer them; `roles` maps an engine to
-    the role that the sender has ordered it to and the seconds until it has that. `known` are
+    cannot reach the store now, `store_seconds` for how long the store has answered it without a
+    break (0 where it does not). `work` maps an upstream instance to its open prompt tokens and
+    requests; `demand` maps a service to the prompt tokens a second, the decode slots and those of
+    them that follow a reading, as callers offer them; `roles` maps an engine to the role that the
+    sender has ordered it to and the seconds until it has that. `known` are
     some peers that the sender has heard of late, as pairs of host and IP. `prompts` are those
     that the sender has sent to engines since its last report.
     """
@@ -35,6 +35,7 @@
     leaving: bool
     holds_roles: bool
     lacks_store: bool
+    store_seconds: float
     work: dict[str, tuple[int, int]]
     demand: dict[str, tuple[float, float, float]]
     roles: dict[str, tuple[str, float]]
@@ -54,6 +55,7 @@
         report.leaving,
         report.holds_roles,
         report.lacks_store,
+        report.store_seconds,
         report.work,
         report.demand,
         report.roles,
@@ -84,6 +86,7 @@
             bool(leaving),
             bool(holds_roles),
             bool(lacks_store),
+            float(store_seconds),
             dict(work),
             dict(offered),
             dict(roles),
@@ -100,6 +103,7 @@
                 leaving,
                 holds_roles,
                 lacks_store,
+                store_seconds,
                 _read_work(work),
                 _read_demand(offered),
                 _read_roles(roles),
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -18,6 +18,7 @@
 KEPT_SECONDS = 0.1
 
 NEVER = float("-inf")
+UNKNOWN = float("inf")
 
 
 @dataclass
@@ -34,6 +35,8 @@
     leaving_at: float = NEVER
     held_roles_at: float = NEVER
     lacked_store_at: float = NEVER
+    # Since when the store has answered it without a break, by its own word.
+    store_since: float = UNKNOWN
 
     def is_heard(self, now: float) -> bool:
         """Return whether it has itself spoken to this host of late."""
@@ -65,6 +68,7 @@
     leaving: bool = False
     holds_roles: bool = False
     lacks_store: bool = False
+    store_seconds: float = 0.0
 
 
 class PeerTable:
@@ -105,6 +109,7 @@
         peer.leaving_at = now if beat.leaving else NEVER
         peer.held_roles_at = now if beat.holds_roles else NEVER
         peer.lacked_store_at = now if beat.lacks_store else NEVER
+        peer.store_since = now - beat.store_seconds if beat.store_seconds > 0 else UNKNOWN
         if was_live is beat.leaving:
             self._kept_until = NEVER
         return not was_live and not beat.leaving
@@ -146,6 +151,14 @@
             self._kept_until = now + KEPT_SECONDS
         return self._kept
 
+    def find_store_witness(self, now: float) -> float:
+        """Return the earliest time since when the store has answered a peer that is heard.
+
+        Infinite where none says so: then nobody can tell an outage from a path that was cut.
+        """
+        heard = (peer.store_since for peer in self.peers.values() if peer.is_heard(now))
+        return min(heard, default=UNKNOWN)
+
     def list_heard(self, now: float) -> list[Member]:
         """Return the members that have themselves spoken to this host of late."""
         return [
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -178,7 +178,7 @@
 
 def test_a_report_survives_its_datagram():
     report = PeerReport(
-        "h", "10.0.0.1", "hall-a", 10.0, 5, 7, False, True, True, {"i-1": (900, 2)},
+        "h", "10.0.0.1", "hall-a", 10.0, 5, 7, False, True, True, 2.5, {"i-1": (900, 2)},
         {"s": (10.0, 2.5, 1.5)}, {"i-1": ("decode", 1.5)}, (("o", "ip"),),
     )  # fmt: skip
     assert unpack_report(pack_report(report)) == report
@@ -187,7 +187,7 @@
 def test_a_large_report_leaves_out_what_peers_can_learn_elsewhere():
     known = tuple((f"host-{number}", "10.0.0.1") for number in range(100))
     report = PeerReport(
-        "h", "10.0.0.1", "hall-a", 10.0, 5, 7, False, False, False, {}, {}, {}, known
+        "h", "10.0.0.1", "hall-a", 10.0, 5, 7, False, False, False, 0.0, {}, {}, {}, known
     )
     assert unpack_report(pack_report(report)).known == ()
 
--- a/tests/cover/test_prompt_cache.py
+++ b/tests/cover/test_prompt_cache.py
@@ -155,7 +155,9 @@
 
 def test_prompts_survive_their_datagrams():
     sent = (SentPrompt("p", PROMPT), SentPrompt("d", (), read=True))
-    report = PeerReport("h", "10.0.0.1", "a", 10.0, 5, 7, False, False, False, {}, {}, {}, (), sent)
+    report = PeerReport(
+        "h", "10.0.0.1", "a", 10.0, 5, 7, False, False, False, 0.0, {}, {}, {}, (), sent
+    )
     assert unpack_report(pack_report(report)) == report
     for message in (Ask(1, REQUEST), Grant(1, "p", "d", 9000, 0.5, 3000)):
         assert unpack_message(pack_message("h", message)) == ("h", message)
@@ -167,7 +169,7 @@
     known = tuple((f"front-kirkos-hall-{n}", "10.200.100.100") for n in range(8))
     report = PeerReport(
         "front-kirkos-hall-1", "10.1.0.1", "kirkos-hall", 10.0, 1 << 62, 7, False, False, False,
-        {f"i-{n:010x}": (100_000, 20) for n in range(6)}, {}, {}, known, sent,
+        9.5, {f"i-{n:010x}": (100_000, 20) for n in range(6)}, {}, {}, known, sent,
     )  # fmt: skip
     assert len(pack_report(report)) < 1400
     assert unpack_report(pack_report(report)).prompts == sent
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -8,6 +8,7 @@
 from swifttrestle.errors import PlatformUnavailableError
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
+from swifttrestle.internal.protocol.listings import ListingChanges
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.platform.store import CALL_SECONDS, ObjectStore
 from swifttrestle_standins.hosted.store import StandInStore
@@ -89,7 +90,12 @@
         for name in ("s0", "s1"):
             self.store.stand_in.put("servers", name, RECORD)
         self.discovery = Discovery(
-            self.store, self.fleet, random.Random(seed), self.relay, lambda: None
+            self.store,
+            self.fleet,
+            random.Random(seed),
+            self.relay,
+            changed=lambda: None,
+            find_witness=lambda: float("inf"),
         )
         self.task = asyncio.ensure_future(self.discovery.run())
 
@@ -147,3 +153,32 @@
         host.task.cancel()
 
     run_in_virtual_time(story())
+
+
+class Follower(Alone):
+    """The relay of a host in a large fleet that hears of the list from others."""
+
+    def watches(self):
+        return False
+
+
+def test_a_teller_that_kept_the_store_is_believed_beside_one_that_lost_it():
+    # Two hosts of a zone tell the others of the list. One of them had lost its own path to the
+    # store and told that nothing is gone for 2.2 s; every host that heard both then held back what
+    # the other one, which had kept its path, told of as withdrawn.
+    async def story():
+        host = Host(1, Follower())
+        await asyncio.sleep(3.0)
+        # What the host reads itself must not decide this.
+        host.store.set_way("silent")
+        revision = host.discovery._revision
+        host.relay.take(ListingChanges(revision, revision, 2.2))
+        host.relay.take(ListingChanges(revision, revision + 1, 0.0, removed=("s0",)))
+        assert not host.knows("s0")
+        host.relay.take(ListingChanges(revision + 1, revision + 2, 2.2, removed=("s1",)))
+        assert host.knows("s1")
+        await asyncio.sleep(2.5)
+        assert not host.knows("s1")
+        host.task.cancel()
+
+    run_in_virtual_time(story())
