--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -37,7 +37,8 @@
     RequestHandler,
 )
 from swifttrestle.internal.transport.datagrams import PeerSocket
-from swifttrestle.internal.transport.upstream import Address, ConnectionPool
+from swifttrestle.internal.transport.pool import ConnectionPool
+from swifttrestle.internal.transport.upstream import Address
 from swifttrestle.platform.settings import (
     PATH_VARIABLE,
     HostSettings,
@@ -125,7 +126,7 @@
             settings.host,
             self._gossip.list_members,
         )
-        self._gossip.list_schedulers = self._booker.list_schedulers
+        self._gossip.hearers.list_schedulers = self._booker.list_schedulers
         self._handler = GatewayHandler(self._parts, self._booker, lambda: self._configuration.table)
         lease = RoleLeaseKeeper(
             # Another machine of the same name is another holder.
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -13,13 +13,12 @@
 from swifttrestle.internal.coordination.candidates import RoleCandidates
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.hearers import Hearers
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
 from swifttrestle.internal.coordination.registration import register_host
-from swifttrestle.internal.coordination.representatives import Representatives
 from swifttrestle.internal.coordination.rosters import Rosters
 from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.policy.scheduling import is_large
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.protocol.rosters import Summary
 from swifttrestle.internal.state.declared import Role
@@ -33,10 +32,6 @@
 
 # Seconds between heartbeats.
 HEARTBEAT_SECONDS = 0.5
-# Seconds without a word of the own zone's representatives after which a host of a large fleet
-# speaks to all of its zone itself: both of them missed a heartbeat, and nobody is taken for
-# gone yet.
-UNTOLD_SECONDS = 0.9
 # Seconds for which a host that its zone's representatives told of needs no answer from those of
 # another zone: a little more than the longest pause between two heartbeats.
 REPRESENTED_SECONDS = 0.65
@@ -49,12 +44,6 @@
 LARGE_REPORT_SECONDS = 0.1
 # Peers that one heartbeat names, so that hosts find each other without the store.
 NAMED_PEERS = 8
-# Silent peers that a host of a large fleet greets with each heartbeat, so that parts of a
-# fleet that lost each other meet again.
-GREETED_PEERS = 2
-# Seconds for which the schedulers of the same members are kept: it takes some milliseconds to find
-# 143 of them among 790 hosts, and engines that come or go seldom change them.
-SCHEDULERS_SECONDS = 2.0
 # Prompts that one report tells of, some 60 bytes each.
 MOST_PROMPTS = 12
 
@@ -90,7 +79,9 @@
         self._demand = ZoneDemand(me, self._peers, demand)
         self._rosters = Rosters(me, socket, self._peers, self._take_summary, self._now)
         self.candidates = RoleCandidates(me, self._peers, self._now)
-        self._representatives = Representatives(me, self.list_members)
+        self.hearers = Hearers(
+            me, self._peers, self.candidates, rng, self._now, lambda: self._rosters.told_at
+        )
         self._ordered = OrderedRoles(fleet, self._now)
         self._live: frozenset[str] = frozenset()
         # Open work as it was last told to anyone, and when to tell it again.
@@ -98,15 +89,8 @@
         self._report_at = 0.0
         # The configuration version of this host's last summary.
         self._told_version = 0
-        # Tells the hosts that schedule engines, and whether this host is one of them.
-        self.list_schedulers: Callable[[], set[str]] = set
         # Tells for how many seconds the store has answered this host without a break.
         self.count_store_seconds: Callable[[], float] = float
-        self._close: set[str] = set()
-        self._schedules = False
-        # The members for which the schedulers were found, and until when that holds.
-        self._schedulers_for = (False, 0)
-        self._schedulers_until = 0.0
 
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port, for datagrams and for streams."""
@@ -126,7 +110,7 @@
 
     def list_members(self) -> tuple[Member, ...]:
         """Return this host and the peers heard of late, with their addresses and zones."""
-        return self._peers.list_members(self._now())
+        return self.hearers.list_members()
 
     def find_store_witness(self) -> float:
         """Return the loop's time since when the store has answered some peer, or infinity."""
@@ -144,11 +128,11 @@
         was_untold = False
         while True:
             now = self._now()
-            untold = self._is_untold(now)
+            untold = self.hearers.is_untold(now)
             if now >= beat_at or (untold and not was_untold):
                 beat_at = now + HEARTBEAT_SECONDS * (0.9 + 0.2 * self._rng.random())
                 self._expire(now)
-                self._find_schedulers(now)
+                self.hearers.find_schedulers(now)
                 self._beat(now)
             else:
                 self._report(now)
@@ -175,55 +159,44 @@
         self._socket.close()
         self._exchange.close()
 
-    def _is_large(self) -> bool:
-        return is_large(len(self.list_members()))
-
-    def _find_schedulers(self, now: float) -> None:
-        known = self._is_large(), self._peers.version
-        if known == self._schedulers_for and now < self._schedulers_until:
-            return
-        self._schedulers_for = known
-        self._schedulers_until = now + SCHEDULERS_SECONDS
-        schedulers = self.list_schedulers()
-        self._schedules = self._me.host in schedulers
-        self._close = schedulers - {self._me.host}
-
     def _find_pause(self) -> float:
         """Return the seconds between two looks at what is to be told."""
-        if self._is_large() and not self._schedules:
+        if self.hearers.is_large() and not self.hearers.schedules:
             return LARGE_REPORT_SECONDS
-        hearers = len(self._close) if self._schedules else len(self._peers.peers)
+        schedules = self.hearers.schedules
+        hearers = self.hearers.count_schedulers() if schedules else len(self._peers.peers)
         return REPORT_SECONDS + REPORT_SECONDS_PER_PEER * hearers
 
     def _beat(self, now: float) -> None:
         """Send a heartbeat: to all, or in a large fleet to those who tell the others."""
         work = self._list_work()
-        if not self._is_large():
+        if not self.hearers.is_large():
             self._note_sent(work)
             self._send(work, self._peers.peers.values(), with_known=True)
             return
         self._rosters.expire()
-        hearers = self._list_hearers(now, told=bool(work or self._sent_work))
+        hearers = self.hearers.list_for_heartbeat(now, told=bool(work or self._sent_work))
         self._note_sent(work)
         self._send(work, hearers)
-        self._send(work, self._choose_greeted(now), with_known=True)
-        if self._represents():
-            self._rosters.send(self._make_summary(), self._representatives.list_hearers())
+        self._send(work, self.hearers.choose_greeted(now), with_known=True)
+        if self.hearers.is_representative():
+            self._rosters.send(self._make_summary(), self.hearers.list_for_summary())
 
     def _report(self, now: float) -> None:
         """Tell of changes between two heartbeats."""
         work = self._list_work()
         if now >= self._report_at and work != self._sent_work:
-            large = self._is_large()
+            large = self.hearers.is_large()
             self._note_sent(work)
-            self._send(work, self._list_named(self._close) if large else self._peers.list_seen(now))
-        if self._is_large() and self._represents():
+            hearers = self.hearers.list_other_schedulers() if large else self._peers.list_seen(now)
+            self._send(work, hearers)
+        if self.hearers.is_large() and self.hearers.is_representative():
             marks = (self._rosters.refresh_own(), *self._rosters.list_strays())
             # A version is told at once: on a thin link a copy that begins 0.4 s later finds the
             # store's own answer, twelve times as long, under way.
             newer = self._configuration.version > self._told_version
             if newer or self._rosters.is_news(marks):
-                self._rosters.send(self._make_summary(), self._representatives.list_hearers())
+                self._rosters.send(self._make_summary(), self.hearers.list_for_summary())
 
     def _list_work(self) -> Work:
         """Return what is open here as far as others use it.
@@ -232,7 +205,7 @@
         over before a report of it could be used.
         """
         work = self._fleet.own_work()
-        if not self._is_large():
+        if not self.hearers.is_large():
             return work
         return {name: item for name, item in work.items() if self._fleet.is_engine(name)}
 
@@ -240,38 +213,6 @@
         self._sent_work = work
         self._report_at = self._now() + self._find_pause()
 
-    def _list_hearers(self, now: float, told: bool) -> list[Peer]:
-        """Return who hears a heartbeat in a large fleet; open work is `told` to schedulers.
-
-        Hosts of a zone book by what its scheduler last told them where that one is silent.
-        """
-        zone = self._me.zone
-        untold = self._is_untold(now)
-        hearers = self._representatives.list_own()
-        if told:
-            hearers |= self._close
-        if untold or (told and self._schedules):
-            hearers |= {peer.host for peer in self._peers.list_seen(now) if peer.zone == zone}
-        if untold:
-            hearers |= self._representatives.list_others()
-        return self._list_named(hearers)
-
-    def _choose_greeted(self, now: float) -> list[Peer]:
-        unseen = self._peers.list_unseen(now)
-        return self._rng.sample(unseen, min(GREETED_PEERS, len(unseen)))
-
-    def _is_untold(self, now: float) -> bool:
-        """Return whether no representative of this host's zone has spoken of late."""
-        silent = now - self._rosters.told_at >= UNTOLD_SECONDS
-        return silent and self._is_large() and not self._represents()
-
-    def _list_named(self, hosts: Iterable[str]) -> list[Peer]:
-        known = self._peers.peers
-        return [known[host] for host in hosts if host in known]
-
-    def _represents(self) -> bool:
-        return not self.candidates.leaving and self._me.host in self._representatives.list_own()
-
     def _make_summary(self) -> Summary:
         self._told_version = self._configuration.version
         own = self._rosters.refresh_own()
@@ -315,7 +256,7 @@
     def _take_prompts(self) -> tuple[SentPrompt, ...]:
         """Return prompts to tell of; in a large fleet schedulers know what they have booked."""
         waiting = self._sent_prompts
-        if self._is_large():
+        if self.hearers.is_large():
             waiting.clear()
         return tuple(waiting.popleft() for _ in range(min(MOST_PROMPTS, len(waiting))))
 
@@ -351,20 +292,20 @@
         for host, ip in report.known:
             self._peers.learn(host, ip)
         self._take_version(report.host, report.ip, report.config_version)
-        if self._is_large():
+        if self.hearers.is_large():
             self._answer_stranger(report, joined)
         self._changed()
 
     def _answer_stranger(self, report: PeerReport, joined: bool) -> None:
         """Help a host that speaks to this one for want of others."""
-        if report.zone != self._me.zone and self._represents():
+        if report.zone != self._me.zone and self.hearers.is_representative():
             if self._now() - self._peers.peers[report.host].told_at < REPRESENTED_SECONDS:
                 # Its zone tells of it: it reports to a scheduler, or spoke to all.
                 return
             self._rosters.answer(self._make_summary(), report.ip)
         elif joined:
             # It may know nobody else yet.
-            self._send(self._list_work(), self._list_named([report.host]), with_known=True)
+            self._send(self._list_work(), self.hearers.list_named([report.host]), with_known=True)
 
     def _take_summary(self, summary: Summary, ip: str) -> None:
         """Take over what a representative says besides who lives."""
@@ -375,9 +316,9 @@
             member, summary.incarnation, holds_roles=holds, lacks_store=summary.lacks_store
         )
         self._note_heard(beat)
-        for holder in self._list_named([summary.role_holder]):
+        for holder in self.hearers.list_named([summary.role_holder]):
             holder.held_roles_at = now
-        if summary.zone == self._me.zone and self._represents():
+        if summary.zone == self._me.zone and self.hearers.is_representative():
             self._demand.forget_zone(summary.zone)
         else:
             self._demand.take_zone(summary.zone, summary.demand, now)
--- a/src/swifttrestle/internal/coordination/kept_parts.py
+++ b/src/swifttrestle/internal/coordination/kept_parts.py
@@ -16,7 +16,8 @@
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import SentPrompt
 from swifttrestle.internal.transport.messages import Framing
-from swifttrestle.internal.transport.upstream import ConnectionPool, OutgoingRequest, call_once
+from swifttrestle.internal.transport.pool import ConnectionPool, call_once
+from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle.platform.engine import KEPT_PARTS_PATH, name_engine, read_kept_parts
 
 # Seconds between two looks for the first listed engines.
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -20,11 +20,8 @@
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.transport.messages import Body, Framing
-from swifttrestle.internal.transport.upstream import (
-    ConnectionPool,
-    OutgoingRequest,
-    call_once,
-)
+from swifttrestle.internal.transport.pool import ConnectionPool, call_once
+from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle.platform.engine import (
     ORDER_PATH,
     REPORT_PATH,
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -14,11 +14,8 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import AnswerHead, Body, Framing
-from swifttrestle.internal.transport.upstream import (
-    ConnectionPool,
-    OutgoingRequest,
-    UpstreamConnection,
-)
+from swifttrestle.internal.transport.pool import ConnectionPool
+from swifttrestle.internal.transport.upstream import OutgoingRequest, UpstreamConnection
 from swifttrestle.platform.wire import (
     Forwarding,
     build_forward_headers,
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -24,7 +24,7 @@
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
-from swifttrestle.internal.transport.upstream import ConnectionPool
+from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Seconds for which an instance that refused gets no more work where others can take it.
 REFUSED_SECONDS = 0.25
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -14,7 +14,8 @@
 from swifttrestle.internal.state.bookings import Booking, Outcome, Stage
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Framing
-from swifttrestle.internal.transport.upstream import OutgoingRequest, call_once
+from swifttrestle.internal.transport.pool import call_once
+from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle.platform.engine import KvHandle, handle_path, name_engine, read_handle
 from swifttrestle.platform.wire import Forwarding, read_answer_facts
 
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -20,13 +20,8 @@
     UpstreamBrokenError,
 )
 from swifttrestle.internal.transport.messages import Body, Framing
-from swifttrestle.internal.transport.upstream import (
-    Address,
-    ConnectionPool,
-    OutgoingRequest,
-    Patience,
-    call_once,
-)
+from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
+from swifttrestle.internal.transport.upstream import Address, OutgoingRequest
 
 POOL_NAME = "store"
 # Seconds in which a write must be answered: far over the usual milliseconds, under the shortest
--- a/src/swifttrestle_standins/hosted/demo.py
+++ b/src/swifttrestle_standins/hosted/demo.py
@@ -7,7 +7,8 @@
 import sys
 
 from swifttrestle.internal.transport.messages import Body, Framing
-from swifttrestle.internal.transport.upstream import ConnectionPool, OutgoingRequest, call_once
+from swifttrestle.internal.transport.pool import ConnectionPool, call_once
+from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle_standins.hosted.site import Site, make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import (
     StandInEngine,
--- a/tests/cover/test_kept_parts.py
+++ b/tests/cover/test_kept_parts.py
@@ -10,7 +10,7 @@
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.prompt_cache import PromptPart
-from swifttrestle.internal.transport.upstream import ConnectionPool
+from swifttrestle.internal.transport.pool import ConnectionPool
 from swifttrestle.platform.engine import read_kept_parts
 
 LIST = b'{"epoch": 1, "nextPageToken": 7, "held": [["", "aa", 4000, "m"], ["", "bb", 30, "m"]]}'
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -7,7 +7,7 @@
 
 from swifttrestle.internal.coordination import discovery, exchange, gossip, removals
 from swifttrestle.internal.state import peers
-from swifttrestle.internal.transport import upstream
+from swifttrestle.internal.transport import pool
 from swifttrestle.platform import store
 
 # Seconds that the slowest store takes to answer, and a datagram between two hosts with what the
@@ -28,7 +28,7 @@
 
 FIRST_PAUSE = discovery.FIRST_PAUSE * (discovery.LEAST_PAUSE_SHARE + discovery.PAUSE_SPREAD)
 LONGEST_PAUSE = discovery.LONGEST_PAUSE * (discovery.LEAST_PAUSE_SHARE + discovery.PAUSE_SPREAD)
-LIST = upstream.CONNECT_SECONDS + SLOW_STORE
+LIST = pool.CONNECT_SECONDS + SLOW_STORE
 HEARTBEAT = gossip.HEARTBEAT_SECONDS * 1.1
 # A host notices that the store answers again: its last vain call, its pause, its next call.
 NOTICE = store.READ_SECONDS + LONGEST_PAUSE + LIST
--- a/tests/hosted/test_rosters.py
+++ b/tests/hosted/test_rosters.py
@@ -96,7 +96,7 @@
     far = site.gateways[min(find_representatives(site, "hall-b"))].gateway._gossip
     answers = []
     near._rosters.answer = lambda summary, ip: answers.append(ip)
-    peers = far._list_named([near._me.host])
+    peers = far.hearers.list_named([near._me.host])
     for _ in range(20):
         far._send({}, peers)
         await asyncio.sleep(0.01)
--- a/tests/hosted/test_upstreams.py
+++ b/tests/hosted/test_upstreams.py
@@ -8,7 +8,8 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.transport.messages import Framing
-from swifttrestle.internal.transport.upstream import ConnectionPool, OutgoingRequest, call_once
+from swifttrestle.internal.transport.pool import ConnectionPool, call_once
+from swifttrestle.internal.transport.upstream import OutgoingRequest
 
 REQUEST = OutgoingRequest(b"GET", b"/a/", [(b"Host", b"x")], Framing.NONE, 0, None)
 FIRST = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
