Bound an engine's list of kept parts by silence too

Looked at and left: role reports, orders and lease records are small and bounded by what they mean; answers to callers are bounded by the request.

--- a/src/swifttrestle/internal/coordination/kept_parts.py
+++ b/src/swifttrestle/internal/coordination/kept_parts.py
@@ -16,7 +16,7 @@
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import SentPrompt
 from swifttrestle.internal.transport.messages import Framing
-from swifttrestle.internal.transport.pool import ConnectionPool, call_once
+from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
 from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle.platform.engine import KEPT_PARTS_PATH, name_engine, read_kept_parts
 
@@ -25,8 +25,9 @@
 # Longest random wait of a host before it asks, in seconds: hosts that start together must not
 # hold one engine up together, and it is a fraction of what reading the parts again would take.
 SPREAD_SECONDS = 0.2
-# Seconds in which an engine must answer.
-CALL_SECONDS = 0.5
+# Seconds in which an engine must begin to answer, and between bytes of its answer. There is no
+# bound for the whole: a list of a megabyte takes two seconds over 5 Mbit/s.
+PATIENCE = Patience(head=0.5, byte=0.5)
 # Engines that a host asks at most: more of them are booked by a scheduler, which is one of many.
 MOST_ASKED = 16
 # Bytes that an engine's list may have: some ten thousand parts.
@@ -77,10 +78,9 @@
             b"GET", KEPT_PARTS_PATH, name_engine(engine.name), Framing.NONE, 0, None
         )
         try:
-            async with asyncio.timeout(CALL_SECONDS):
-                head, content = await call_once(
-                    self._pool, engine.name, engine.record.address, request, LARGEST_LIST
-                )
+            head, content = await call_once(
+                self._pool, engine.name, engine.record.address, request, LARGEST_LIST, PATIENCE
+            )
             parts = read_kept_parts(content) if head.status == 200 else ()
         except (UpstreamError, TimeoutError) as error:
             log_decision("kept parts not told", engine=engine.name, reason=repr(error))
