A peer vouches for the store only while it calls it, and by its own word of the last 1.2 s

A summary does not tell of the store, and undid what the report before it had told: two representatives of a zone could not vouch for each other. Followers make no calls, and vouch for nothing any more. Removals keep the revision that told them, and of two tellers' words the surer one.

--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -201,6 +201,7 @@
 
     async def _follow(self) -> None:
         """Wait for the next word of another host; read the list itself where none comes."""
+        self._contact.note_break()
         self._told.clear()
         try:
             async with asyncio.timeout(max(0.0, self._told_at + FOLLOW_SECONDS - self._now())):
@@ -250,7 +251,7 @@
         self._stale = True
         if not self._failures:
             self.removals.note_loss(self._contact.answered_at)
-        self._contact.note_failure()
+        self._contact.note_break()
         self._failures += 1
         if self._failures >= FAILURES_FOR_OUTAGE and not self._away:
             self._away = True
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.fleet import Fleet
@@ -23,10 +23,11 @@
 
 @dataclass(frozen=True)
 class _Held:
-    """A removal that is held back; times are the loop's."""
+    """A removal that is held back, and the list's revision that told it; times are the loop's."""
 
     since: float
     until: float
+    revision: int
 
 
 class Removals:
@@ -77,23 +78,24 @@
 
     def remove(self, name: str, until: float, revision: int) -> None:
         """Drop an instance, at once or at the loop's time `until` if it is not listed again."""
+        if name not in self._fleet.instances:
+            return
         now = self._now()
+        held = self._held.get(name, _Held(now, until, revision))
         if now >= until:
-            self._drop(name, revision)
-            return
-        if name in self._held or name not in self._fleet.instances:
+            self._drop(name, held)
             return
-        self._held[name] = _Held(now, until)
-        seconds = round(until - now, 2)
-        log_decision("removal held back", instance=name, seconds=seconds, revision=revision)
+        if name not in self._held:
+            seconds = round(until - now, 2)
+            log_decision("removal held back", instance=name, seconds=seconds, revision=revision)
+        self._held[name] = replace(held, until=min(until, held.until))
         self._look_later()
 
-    def _drop(self, name: str, revision: int) -> None:
-        now = self._now()
-        held = self._held.pop(name, _Held(now, now))
+    def _drop(self, name: str, held: _Held) -> None:
+        self._held.pop(name, None)
         if self._fleet.remove(name):
-            seconds = round(now - held.since, 2)
-            log_decision("instance gone", instance=name, revision=revision, held=seconds)
+            seconds = round(self._now() - held.since, 2)
+            log_decision("instance gone", instance=name, revision=held.revision, held=seconds)
 
     def _look_later(self) -> None:
         if self._timer is None:
@@ -104,9 +106,9 @@
         self._timer = None
         now = self._now()
         by_peers = self._ask_peers()
-        due = [name for name, held in self._held.items() if now >= min(held.until, by_peers)]
-        for name in due:
-            self._drop(name, revision=0)
+        due = {name: held for name, held in self._held.items() if now >= min(held.until, by_peers)}
+        for name, held in due.items():
+            self._drop(name, held)
         if due:
             self._changed()
         if self._held:
--- a/src/swifttrestle/internal/coordination/store_contact.py
+++ b/src/swifttrestle/internal/coordination/store_contact.py
@@ -12,7 +12,7 @@
     def __init__(self) -> None:
         """Start without an answer."""
         self._since = NEVER
-        # The last answer, minus infinity after a call that got none.
+        # The last answer, minus infinity after a break.
         self.answered_at = NEVER
 
     def note_answer(self, now: float) -> None:
@@ -21,8 +21,12 @@
             self._since = now
         self.answered_at = now
 
-    def note_failure(self) -> None:
-        """Take over that a call was not answered."""
+    def note_break(self) -> None:
+        """Take over that a call was not answered, or that no more calls are made for now.
+
+        A host that makes none cannot vouch for the store: an outage of two seconds would lie
+        between two of its answers, and lapsed instances would be dropped by its word.
+        """
         self.answered_at = NEVER
 
     def count_seconds(self, now: float) -> float:
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -13,6 +13,9 @@
 # Seconds for which a peer that said it stops counts as leaving: by then no roster that was
 # made before that word is in use any more, and its next start speaks for itself.
 LEAVING_SECONDS = 2 * SILENCE_SECONDS
+# Seconds for which a peer's word on the store counts: two heartbeats. In a large fleet it may be
+# the last one for long, and an outage may follow it.
+VOUCHING_SECONDS = 1.2
 # Seconds for which the list of members is kept: a tenth of the time in which a silent one is
 # found out, and far less often than it is asked for.
 KEPT_SECONDS = 0.1
@@ -35,8 +38,9 @@
     leaving_at: float = NEVER
     held_roles_at: float = NEVER
     lacked_store_at: float = NEVER
-    # Since when the store has answered it without a break, by its own word.
+    # Since when the store has answered it without a break, by its own word, and when it said so.
     store_since: float = UNKNOWN
+    store_told_at: float = NEVER
 
     def is_heard(self, now: float) -> bool:
         """Return whether it has itself spoken to this host of late."""
@@ -61,14 +65,18 @@
 
 @dataclass(frozen=True)
 class Heartbeat:
-    """What a peer says of itself."""
+    """What a peer says of itself.
+
+    `store_seconds` is for how long the store has answered it without a break, 0 where it does not,
+    and None where the message does not tell.
+    """
 
     member: Member
     incarnation: int
     leaving: bool = False
     holds_roles: bool = False
     lacks_store: bool = False
-    store_seconds: float = 0.0
+    store_seconds: float | None = None
 
 
 class PeerTable:
@@ -109,7 +117,9 @@
         peer.leaving_at = now if beat.leaving else NEVER
         peer.held_roles_at = now if beat.holds_roles else NEVER
         peer.lacked_store_at = now if beat.lacks_store else NEVER
-        peer.store_since = now - beat.store_seconds if beat.store_seconds > 0 else UNKNOWN
+        if beat.store_seconds is not None:
+            peer.store_since = now - beat.store_seconds if beat.store_seconds > 0 else UNKNOWN
+            peer.store_told_at = now
         if was_live is beat.leaving:
             self._kept_until = NEVER
         return not was_live and not beat.leaving
@@ -152,12 +162,16 @@
         return self._kept
 
     def find_store_witness(self, now: float) -> float:
-        """Return the earliest time since when the store has answered a peer that is heard.
+        """Return the earliest time since when the store has answered a peer that tells so now.
 
         Infinite where none says so: then nobody can tell an outage from a path that was cut.
         """
-        heard = (peer.store_since for peer in self.peers.values() if peer.is_heard(now))
-        return min(heard, default=UNKNOWN)
+        told = (
+            peer.store_since
+            for peer in self.peers.values()
+            if now - peer.store_told_at < VOUCHING_SECONDS
+        )
+        return min(told, default=UNKNOWN)
 
     def list_heard(self, now: float) -> list[Member]:
         """Return the members that have themselves spoken to this host of late."""
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -8,6 +8,7 @@
 from swifttrestle.internal.coordination.candidates import RoleCandidates
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
 from swifttrestle.internal.coordination.rosters import Rosters
+from swifttrestle.internal.coordination.store_contact import StoreContact
 from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.policy.scheduling import list_representatives
 from swifttrestle.internal.protocol.rosters import (
@@ -518,3 +519,43 @@
     for item in HOSTS:
         other.note_told([item], 13.0, 13.0)
     assert others.is_candidate()
+
+
+@pytest.mark.parametrize(
+    ("beats", "asked_at", "expected"),
+    [
+        # A summary says nothing of the store, and must not undo what its sender's report said.
+        ([(10.0, 6.0), (10.1, None)], 10.2, 4.0),
+        ([(10.0, 6.0), (10.5, 0.0)], 10.6, float("inf")),
+        # In a large fleet a host hears the reports of few, and of many none after their start.
+        ([(10.0, 6.0), (11.0, None)], 11.3, float("inf")),
+        ([(10.0, None)], 10.1, float("inf")),
+    ],
+)
+def test_a_peer_vouches_for_the_store_by_its_own_last_word(beats, asked_at, expected):
+    table = PeerTable(ME)
+    for at, seconds in beats:
+        table.note_heard(beat(OTHER, store_seconds=seconds), at)
+    assert table.find_store_witness(asked_at) == expected
+
+
+@pytest.mark.parametrize(
+    ("answers", "broken", "asked_at", "expected"),
+    [
+        ((1.0, 3.4, 5.8), False, 6.0, 5.0),
+        # Nobody knows what the store went through in a gap that is longer than any of its calls.
+        ((1.0, 5.0), False, 6.0, 1.0),
+        ((1.0, 3.4), True, 3.5, 0.0),
+        ((1.0, 3.4), False, 7.0, 0.0),
+        ((), False, 1.0, 0.0),
+    ],
+)
+def test_contact_with_the_store_counts_from_the_first_answer_after_a_break(
+    answers, broken, asked_at, expected
+):
+    contact = StoreContact()
+    for at in answers:
+        contact.note_answer(at)
+    if broken:
+        contact.note_break()
+    assert contact.count_seconds(asked_at) == expected
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -185,6 +185,22 @@
     run_in_virtual_time(story())
 
 
+def test_a_removal_is_held_back_no_longer_than_the_surest_teller_says():
+    async def story():
+        host = Host(1, Follower())
+        await asyncio.sleep(3.0)
+        host.store.set_way("silent")
+        revision = host.discovery._revision
+        host.relay.take(ListingChanges(revision, revision + 1, 2.2, removed=("s0",)))
+        host.relay.take(ListingChanges(revision, revision + 1, 0.5, removed=("s0",)))
+        assert host.knows("s0")
+        await asyncio.sleep(0.8)
+        assert not host.knows("s0")
+        host.task.cancel()
+
+    run_in_virtual_time(story())
+
+
 def record(name, leaving=False):
     return UpstreamRecord(name, "alerts", ("10.0.0.9", 80), "a", 6, leaving, Role.NONE)
 
