--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -116,7 +116,7 @@
             rng,
             relay,
             self._serve_queues,
-            self._gossip.find_store_witness,
+            self._gossip.find_store_up_since,
         )
         self._gossip.count_store_seconds = self._discovery.count_store_seconds
         self._booker = SharedBooker(
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -12,6 +12,7 @@
     PlatformUnavailableError,
 )
 from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.copies import ConfigurationCopy
 from swifttrestle.internal.state.routes import RouteTable
 from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
@@ -147,5 +148,4 @@
         self._failures += 1
         if self._failures == 2:
             log_decision("store lost", by="configuration", reason=str(error))
-        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(self._failures - 1, 6))
-        await asyncio.sleep(pause * (0.5 + self._rng.random()))
+        await asyncio.sleep(draw_pause(self._rng, self._failures, FIRST_PAUSE, LONGEST_PAUSE))
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -9,6 +9,7 @@
 from swifttrestle.internal.coordination.removals import Removals
 from swifttrestle.internal.coordination.store_contact import StoreContact
 from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
@@ -28,9 +29,6 @@
 # First and longest pause after a failed call, in seconds. All of it delays the moment from which
 # removals count again after an outage.
 FIRST_PAUSE, LONGEST_PAUSE = 0.1, 0.4
-# A pause is drawn between this share of it and one and a half times as much, so that hosts do not
-# ask a store that comes back all at once.
-LEAST_PAUSE_SHARE, PAUSE_SPREAD = 0.5, 1.0
 # Seconds of silence after which a host that hears of changes from others reads the list
 # itself: one and a half times the pace, so that a leaving upstream gets no new work after the
 # two seconds promised, also where the host that told of it is gone.
@@ -49,11 +47,11 @@
         rng: random.Random,
         relay: ListingRelay,
         changed: Callable[[], None],
-        find_witness: Callable[[], float],
+        find_up_since: Callable[[], float],
     ) -> None:
         """Write into a fleet; `changed` is called after each change.
 
-        `find_witness` returns the loop's time since when the store has answered some peer.
+        `find_up_since` returns the loop's time since when the store has answered some peer.
         """
         self._relay = relay
         self._told = asyncio.Event()
@@ -74,7 +72,7 @@
         # Outages that are over: a short one may come and go between two looks at `store_away`.
         self.store_returns = 0
         self._contact = StoreContact()
-        self.removals = Removals(fleet, changed, find_witness)
+        self.removals = Removals(fleet, changed, find_up_since)
         self.known = False
         relay.receive(self._take_told)
 
@@ -188,7 +186,7 @@
     def _tell(
         self, since: int, records: tuple[UpstreamRecord, ...], removed: tuple[str, ...]
     ) -> None:
-        distrust = max(0.0, self.removals.find_trust() - self._now())
+        distrust = max(0.0, self.removals.find_trusted_from() - self._now())
         changes = ListingChanges(since, self._revision, distrust, records, removed)
         # Each message repeats the one before, so that a lost one costs its hearers a pace, and
         # not a pace and a list that all of them ask for.
@@ -233,7 +231,7 @@
         self._told.set()
 
     def _remove(self, name: str) -> None:
-        self.removals.remove(name, self.removals.find_trust(), self._revision)
+        self.removals.remove(name, self.removals.find_trusted_from(), self._revision)
 
     def _note_answer(self) -> None:
         self._failures = 0
@@ -256,8 +254,7 @@
         if self._failures >= FAILURES_FOR_OUTAGE and not self._away:
             self._away = True
             log_decision("store lost", by="discovery", reason=str(error))
-        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(self._failures - 1, 6))
-        await asyncio.sleep(pause * (LEAST_PAUSE_SHARE + PAUSE_SPREAD * self._rng.random()))
+        await asyncio.sleep(draw_pause(self._rng, self._failures, FIRST_PAUSE, LONGEST_PAUSE))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -112,9 +112,9 @@
         """Return this host and the peers heard of late, with their addresses and zones."""
         return self.hearers.list_members()
 
-    def find_store_witness(self) -> float:
+    def find_store_up_since(self) -> float:
         """Return the loop's time since when the store has answered some peer, or infinity."""
-        return self._peers.find_store_witness(self._now())
+        return self._peers.find_store_up_since(self._now())
 
     async def register(self, store: ObjectStore) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -34,16 +34,16 @@
     """Drops instances from the fleet, at once or when they had their time to come back."""
 
     def __init__(
-        self, fleet: Fleet, changed: Callable[[], None], find_witness: Callable[[], float]
+        self, fleet: Fleet, changed: Callable[[], None], find_up_since: Callable[[], float]
     ) -> None:
         """Drop from `fleet` and call `changed` where that happens later.
 
-        `find_witness` returns the earliest time since when the store has answered some peer
+        `find_up_since` returns the earliest time since when the store has answered some peer
         without a break, infinite where no peer says so.
         """
         self._fleet = fleet
         self._changed = changed
-        self._find_witness = find_witness
+        self._find_up_since = find_up_since
         self._held: dict[str, _Held] = {}
         self._lost_at = NEVER
         self._returned_at = NEVER
@@ -61,16 +61,16 @@
         """Take over that the store answers this host again after a loss."""
         self._returned_at = now
 
-    def find_trust(self) -> float:
+    def find_trusted_from(self) -> float:
         """Return the time from which a missing record is one that was withdrawn."""
-        return min(self._returned_at + RETURN_SECONDS, self._ask_peers())
+        return min(self._returned_at + RETURN_SECONDS, self._find_trusted_by_peers())
 
-    def _ask_peers(self) -> float:
+    def _find_trusted_by_peers(self) -> float:
         """Return the time from which a missing record is withdrawn by what peers know."""
-        witness = self._find_witness()
+        up_since = self._find_up_since()
         # A peer that the store answered all the while shows that only this host's path was cut;
         # without its word a host sent requests to an instance for 2.8 s after it had left.
-        return NEVER if witness <= self._lost_at else witness + RETURN_SECONDS
+        return NEVER if up_since <= self._lost_at else up_since + RETURN_SECONDS
 
     def restore(self, name: str) -> bool:
         """Take over that an instance is listed; return whether its removal was held back."""
@@ -105,7 +105,7 @@
         """Drop what is due, by a timer: the next answer of the store may be seconds away."""
         self._timer = None
         now = self._now()
-        by_peers = self._ask_peers()
+        by_peers = self._find_trusted_by_peers()
         due = {name: held for name, held in self._held.items() if now >= min(held.until, by_peers)}
         for name, held in due.items():
             self._drop(name, held)
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -161,7 +161,7 @@
             self._kept_until = now + KEPT_SECONDS
         return self._kept
 
-    def find_store_witness(self, now: float) -> float:
+    def find_store_up_since(self, now: float) -> float:
         """Return the earliest time since when the store has answered a peer that tells so now.
 
         Infinite where none says so: then nobody can tell an outage from a path that was cut.
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -536,7 +536,7 @@
     table = PeerTable(ME)
     for at, seconds in beats:
         table.note_heard(beat(OTHER, store_seconds=seconds), at)
-    assert table.find_store_witness(asked_at) == expected
+    assert table.find_store_up_since(asked_at) == expected
 
 
 @pytest.mark.parametrize(
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -96,7 +96,7 @@
             random.Random(seed),
             self.relay,
             changed=lambda: None,
-            find_witness=lambda: float("inf"),
+            find_up_since=lambda: float("inf"),
         )
         self.task = asyncio.ensure_future(self.discovery.run())
 
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from swifttrestle.internal.coordination import discovery, exchange, gossip, removals
+from swifttrestle.internal.policy.backoff import find_longest
 from swifttrestle.internal.state import peers
 from swifttrestle.internal.transport import pool
 from swifttrestle.platform import store
@@ -26,8 +27,8 @@
 # Share of a thin link that callers' requests use beside it.
 REQUESTS_SHARE = 0.3
 
-FIRST_PAUSE = discovery.FIRST_PAUSE * (discovery.LEAST_PAUSE_SHARE + discovery.PAUSE_SPREAD)
-LONGEST_PAUSE = discovery.LONGEST_PAUSE * (discovery.LEAST_PAUSE_SHARE + discovery.PAUSE_SPREAD)
+FIRST_PAUSE = find_longest(discovery.FIRST_PAUSE)
+LONGEST_PAUSE = find_longest(discovery.LONGEST_PAUSE)
 LIST = pool.CONNECT_SECONDS + SLOW_STORE
 HEARTBEAT = gossip.HEARTBEAT_SECONDS * 1.1
 # A host notices that the store answers again: its last vain call, its pause, its next call.
