Notice a stop signal whichever thread is given it

Controller c2 logged nothing after 22:32:53.291, no 'stopping', and was killed 30 s later; all others of the scenario went on. Its main thread waited without a bound for an event that the signal's handler sets; Python runs handlers in the main thread alone, and a signal that the system gives to another thread does not wake it. The mechanism is shown: a process whose other thread is given the signal runs on for good (test_a_signal_that_any_thread_is_given_stops_the_process fails with the unbounded wait in both cases, and passes). Entry, controller and the stand-ins wait by the same two functions now. The gateway is not concerned: its loop is woken by signals.

--- a/src/swifttrestle/internal/process.py
+++ b/src/swifttrestle/internal/process.py
@@ -1,7 +1,6 @@
 """What entry and controller share: identity, object cache, peers, operators' port, stopping."""
 
 import random
-import signal
 import sys
 import threading
 from collections.abc import Callable
@@ -32,6 +31,7 @@
 )
 from swifttrestle.internal.state.closings import ClosingTable
 from swifttrestle.internal.state.config import ACCEPTED, ConfigStore, read_shard
+from swifttrestle.internal.stopping import catch_stop_signals, wait_until_stopped
 from swifttrestle.internal.transport.http import Exchange, Handler, make_server, server_address
 
 OPS_THREADS = 4
@@ -100,14 +100,13 @@
 
     def run_until_stopped(self, addresses: dict[str, str], stop: Callable[[], None]) -> None:
         """Print the addresses, wait for SIGTERM or SIGINT, then stop as planned."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.stopping.set())
+        catch_stop_signals(self.stopping)
         addresses |= {"peer": self.identity.peer, "ops": server_address(self.ops)}
         line = orjson.dumps({"ready": self.settings.name, **addresses}).decode()
         sys.stdout.write(line + "\n")
         sys.stdout.flush()
         log_change("started", incarnation=self.identity.incarnation, **addresses)
-        self.stopping.wait()
+        wait_until_stopped(self.stopping)
         log_change("stopping")
         stop()
         self.membership.stop()
--- a/src/swifttrestle_standins/serving.py
+++ b/src/swifttrestle_standins/serving.py
@@ -1,6 +1,5 @@
 """What the stand-ins share: a server with an admin port, and a start line with addresses."""
 
-import signal
 import sys
 import threading
 from abc import abstractmethod
@@ -8,6 +7,7 @@
 
 import orjson
 
+from swifttrestle.internal.stopping import catch_stop_signals, wait_until_stopped
 from swifttrestle.internal.transport.http import (
     Exchange,
     Handler,
@@ -53,11 +53,10 @@
     server = make_server(address, handler, THREADS)
     admin_server = make_server((address[0], 0), admin, ADMIN_THREADS)
     stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stop.set())
-    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    catch_stop_signals(stop)
     for each in (server, admin_server):
         threading.Thread(target=each.serve, daemon=True).start()
     print_ready(name, listen=server_address(server), admin=server_address(admin_server))
-    stop.wait()
+    wait_until_stopped(stop)
     for each in (server, admin_server):
         each.stop()
