--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -186,6 +186,8 @@
     def _tell(
         self, since: int, records: tuple[UpstreamRecord, ...], removed: tuple[str, ...]
     ) -> None:
+        if not self._relay.tells():
+            return
         distrust = max(0.0, self.removals.find_trusted_from() - self._now())
         changes = ListingChanges(since, self._revision, distrust, records, removed)
         # Each message repeats the one before, so that a lost one costs its hearers a pace, and
--- a/src/swifttrestle/internal/coordination/listing_relay.py
+++ b/src/swifttrestle/internal/coordination/listing_relay.py
@@ -49,9 +49,7 @@
         )
 
     def send(self, changes: ListingChanges) -> None:
-        """Tell this host's zone, if its hosts are to hear of it from this one."""
-        if not self.tells():
-            return
+        """Tell this host's zone; for a host that tells."""
         members = self._list_members()
         zone = self._zone(members)
         data = pack_changes(changes)
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -12,13 +12,13 @@
 
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.peers import NEVER
 
 # Seconds after an outage in which lapsed upstreams may come back before they count as gone;
 # the platform promises about two.
 RETURN_SECONDS = 2.2
 # Seconds between looks at what is held back: a peer may prove meanwhile that there was no outage.
 LOOK_SECONDS = 0.2
-NEVER = float("-inf")
 
 
 @dataclass(frozen=True)
--- a/src/swifttrestle/internal/coordination/store_contact.py
+++ b/src/swifttrestle/internal/coordination/store_contact.py
@@ -1,9 +1,10 @@
 """Since when the store has answered this host without a break, for hosts that lost it."""
 
+from swifttrestle.internal.state.peers import NEVER
+
 # Seconds after the last answer for which the store still counts as reached: a watch of 1.6 s with
 # its margin of 0.8 s lies between two answers, and some time for a slow host.
 FRESH_SECONDS = 3.0
-NEVER = float("-inf")
 
 
 class StoreContact:
--- a/src/swifttrestle/internal/coordination/watcher.py
+++ b/src/swifttrestle/internal/coordination/watcher.py
@@ -12,6 +12,7 @@
 from swifttrestle.errors import NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.clock import Clock
 from swifttrestle.internal.logs import log_change, log_fault
+from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.platform import ObjectApi, StoredObject
 
 FIRST_PAUSE = 0.2
@@ -70,18 +71,18 @@
             return [item for (k, _), (item, _) in self._objects.items() if k == kind]
 
     def _follow(self) -> None:
-        pause = FIRST_PAUSE
+        failures = 0
         while not self._stopped.is_set():
             try:
                 since = self._list_all()
-                pause = FIRST_PAUSE
+                failures = 0
                 self._watch(since)
             except (PlatformUnavailableError, NotFoundError) as error:
                 if self.connected:
                     log_fault("object API lost", reason=str(error))
                 self.connected = False
-            self._stopped.wait(pause * self._random.uniform(0.5, 1.5))
-            pause = min(pause * 2, LONGEST_PAUSE)
+            failures += 1
+            self._stopped.wait(draw_pause(self._random, failures, FIRST_PAUSE, LONGEST_PAUSE))
 
     def _list_all(self) -> int:
         since: int | None = None
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -1,7 +1,5 @@
 """Event streams: passed on as they come, and joined from whole events where resumed."""
 
-import asyncio
-
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.transport.messages import AnswerHead, Body, Framing
@@ -43,15 +41,7 @@
 
     async def _pass_whole_events(self, ctx: Context, body: Body) -> None:
         pending = b""
-        chunks = body.chunks()
-        while True:
-            try:
-                async with asyncio.timeout(self._longest_pause):
-                    chunk = await anext(chunks, None)
-            except TimeoutError:
-                raise UpstreamBrokenError("the stream is silent", sent=True) from None
-            if chunk is None:
-                break
+        async for chunk in body.chunks(self._longest_pause):
             pending += chunk
             end = pending.rfind(_END_OF_EVENT)
             if end >= 0:
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -130,11 +130,15 @@
             if self._ended:
                 break
             self._more.clear()
-            await self._wait_for_more(byte_seconds)
+            if byte_seconds is None:
+                # Kept off a time-out that bounds nothing: 1.4 us of each wait against 0.1 us.
+                await self._more.wait()
+            else:
+                await self._wait_for_more(byte_seconds)
         if self._error is not None:
             raise self._error
 
-    async def _wait_for_more(self, seconds: float | None) -> None:
+    async def _wait_for_more(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
                 await self._more.wait()
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -33,10 +33,16 @@
 
 @dataclass(frozen=True)
 class Patience:
-    """How long a call may take: seconds to its answer's head, and between bytes of its body."""
+    """How long a call may take: seconds to its answer's head, and between bytes of its body.
 
-    head: float
-    byte: float
+    None is no bound: for callers that bound the whole call themselves.
+    """
+
+    head: float | None = None
+    byte: float | None = None
+
+
+UNBOUNDED = Patience()
 
 
 class ConnectionPool:
@@ -133,16 +139,15 @@
     address: Address,
     request: OutgoingRequest,
     limit: int,
-    patience: Patience | None = None,
+    patience: Patience = UNBOUNDED,
 ) -> tuple[AnswerHead, bytes]:
-    """Send one request and return the whole answer; raise UpstreamBrokenError.
+    """Send one request and return the whole answer.
 
-    Without `patience` it waits for as long as the caller lets it; with it, it also raises
-    TimeoutError where no head comes.
+    Raises UpstreamBrokenError, and TimeoutError where no head comes within `patience`.
     """
     async with pool.borrow(instance, address) as connection:
-        async with asyncio.timeout(patience.head if patience else None):
+        async with asyncio.timeout(patience.head):
             head, body = await connection.exchange(request)
-        content = await body.read_whole(limit, patience.byte if patience else None)
+        content = await body.read_whole(limit, patience.byte)
         await pool.give_back(connection, head)
     return head, content
--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -11,6 +11,7 @@
 from swifttrestle.internal.state.declared import Limits
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
 from swifttrestle.internal.transport.messages import Framing
+from swifttrestle_standins.pieces import cut_pieces
 
 PREFIX = "/v1/objects/"
 BODY_LIMIT = 4 * 1024 * 1024
@@ -94,13 +95,9 @@
             reply.abort()
             return
         content = orjson.dumps(answer)
-        if self.faults.pieces <= 1:
-            await reply.send_whole(status, (), content)
-            return
         await reply.start(status, (), Framing.LENGTH, len(content))
-        size = max(1, len(content) // self.faults.pieces)
-        for start in range(0, len(content), size):
-            await reply.send(content[start : start + size])
+        for piece in cut_pieces(content, self.faults.pieces):
+            await reply.send(piece)
             await asyncio.sleep(self.faults.pause_seconds)
         await reply.end()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,6 +25,7 @@
         # A line names a test, or all cases of a parameterised one.
         name = item.nodeid if item.nodeid in known else item.nodeid.partition("[")[0]
         if name in known:
+            # Not strict: of a parameterised test only some cases may fail.
             item.add_marker(pytest.mark.xfail(reason=f"KNOWN-RED: {known[name]}", strict=False))
 
 
--- a/tests/cover/test_kept_parts.py
+++ b/tests/cover/test_kept_parts.py
@@ -12,6 +12,7 @@
 from swifttrestle.internal.state.prompt_cache import PromptPart
 from swifttrestle.internal.transport.pool import ConnectionPool
 from swifttrestle.platform.engine import read_kept_parts
+from swifttrestle_standins.pieces import cut_pieces
 
 LIST = b'{"epoch": 1, "nextPageToken": 7, "held": [["", "aa", 4000, "m"], ["", "bb", 30, "m"]]}'
 
@@ -47,11 +48,11 @@
 
         async def serve(reader, writer):
             calls.append(await reader.readuntil(b"\r\n\r\n"))
-            size = -(-len(answer) // pieces)
-            for start in range(0, len(answer), size):
-                if start:
-                    await asyncio.sleep(0.2)
-                writer.write(answer[start : start + size])
+            first, *rest = cut_pieces(answer, pieces)
+            writer.write(first)
+            for piece in rest:
+                await asyncio.sleep(0.2)
+                writer.write(piece)
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -163,16 +163,20 @@
         return False
 
 
+async def start_follower():
+    """Return a host that knows the list and can read no more of it, and the list's revision."""
+    host = Host(1, Follower())
+    await asyncio.sleep(3.0)
+    host.store.set_way("silent")
+    return host, host.discovery._revision
+
+
 def test_a_teller_that_kept_the_store_is_believed_beside_one_that_lost_it():
     # Two hosts of a zone tell the others of the list. One of them had lost its own path to the
     # store and told that nothing is gone for 2.2 s; every host that heard both then held back what
     # the other one, which had kept its path, told of as withdrawn.
     async def story():
-        host = Host(1, Follower())
-        await asyncio.sleep(3.0)
-        # What the host reads itself must not decide this.
-        host.store.set_way("silent")
-        revision = host.discovery._revision
+        host, revision = await start_follower()
         host.relay.take(ListingChanges(revision, revision, 2.2))
         host.relay.take(ListingChanges(revision, revision + 1, 0.0, removed=("s0",)))
         assert not host.knows("s0")
@@ -187,10 +191,7 @@
 
 def test_a_removal_is_held_back_no_longer_than_the_surest_teller_says():
     async def story():
-        host = Host(1, Follower())
-        await asyncio.sleep(3.0)
-        host.store.set_way("silent")
-        revision = host.discovery._revision
+        host, revision = await start_follower()
         host.relay.take(ListingChanges(revision, revision + 1, 2.2, removed=("s0",)))
         host.relay.take(ListingChanges(revision, revision + 1, 0.5, removed=("s0",)))
         assert host.knows("s0")
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -127,5 +127,5 @@
     }
 
 
-def test_a_peer_is_asked_for_what_it_knows_before_it_counts_as_silent():
+def test_a_peer_misses_two_heartbeats_before_it_counts_as_silent():
     assert 2 * HEARTBEAT < peers.SILENCE_SECONDS
--- a/tests/hosted/test_thin_links.py
+++ b/tests/hosted/test_thin_links.py
@@ -7,6 +7,7 @@
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.loopback import pick_ip, pick_port
+from swifttrestle_standins.pieces import cut_pieces
 from tests.hosted.sites import on_site
 
 # A whole answer takes this many pieces with a pause in seconds after each: 3 s, which is over the
@@ -34,9 +35,8 @@
         try:
             peer_writer.write(await reader.readline())
             content = await peer_reader.read(-1)
-            size = max(1, len(content) // PIECES)
-            for start in range(0, len(content), size):
-                writer.write(content[start : start + size])
+            for piece in cut_pieces(content, PIECES):
+                writer.write(piece)
                 await asyncio.sleep(PAUSE_SECONDS)
         finally:
             writer.close()
