--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -45,6 +45,7 @@
     NOT_FOUND = 4005
     INVALID_SETTING = 4006
     BAD_PLATFORM_ANSWER = 4007
+    BAD_ENTRY = 4008
     LEASE_LOST = 5001
     STALE_TOKEN = 5002
     BAD_FRAME = 5003
@@ -109,6 +110,9 @@
     Code.NOT_FOUND: CodeEntry(0, None, "The object does not exist."),
     Code.INVALID_SETTING: CodeEntry(0, None, "A flag or environment variable is wrong."),
     Code.BAD_PLATFORM_ANSWER: CodeEntry(0, None, "The object API sent what it never should."),
+    Code.BAD_ENTRY: CodeEntry(
+        0, None, "An entry of the store has a field that cannot be taken; the others hold."
+    ),
     Code.LEASE_LOST: CodeEntry(0, None, "The lease is not held, or its time has run out."),
     Code.STALE_TOKEN: CodeEntry(0, None, "An engine refused an order for its old fencing token."),
     Code.BAD_FRAME: CodeEntry(0, None, "A peer frame was too large or not what it should be."),
--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -2,6 +2,9 @@
 
 from swifttrestle.codes import TABLE, Code, Ran
 
+# Characters of a wrong value that a message shows.
+SHOWN_VALUE = 80
+
 
 class SwifttrestleError(Exception):
     """Base of every error raised on purpose; `code` is its result code."""
@@ -74,6 +77,20 @@
     code = Code.BAD_PLATFORM_ANSWER
 
 
+class BadEntryError(BadPlatformAnswerError):
+    """An entry of the store cannot be taken; `field`, `value` and `reason` say why."""
+
+    code = Code.BAD_ENTRY
+
+    def __init__(self, what: str, field: str, value: object, reason: str) -> None:
+        """Keep what was wrong; the message shows the value as far as it fits a line."""
+        shown = repr(value)[:SHOWN_VALUE]
+        super().__init__(f"{what} cannot be read: {field} is {shown}: {reason}")
+        self.field = field
+        self.value = value
+        self.reason = reason
+
+
 class HistoryGoneError(SwifttrestleError):
     """A watch asked for changes that the platform has forgotten; list anew."""
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -16,6 +16,7 @@
 from swifttrestle.errors import InvalidSettingError
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.kept_parts import KeptPartsLoader
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
@@ -87,9 +88,14 @@
         self._fleet = Fleet()
         self._budgets = RetryBudgets(bounds.retry_share, bounds.retry_extra, bounds.retry_window)
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
+        self._skipped = SkippedEntries(self._count_skipped)
         self._store = ObjectStore(settings.store, ConnectionPool(SILENCE_MS))
         self._configuration = ConfigurationKeeper(
-            self._store, rng, self._note_configuration, lambda: len(self._gossip.live_hosts())
+            self._store,
+            rng,
+            self._note_configuration,
+            lambda: len(self._gossip.live_hosts()),
+            self._skipped,
         )
         socket = PeerSocket(settings.ip, settings.internal_port)
         me = Member(settings.host, settings.ip, settings.zone, settings.link_mbps)
@@ -117,6 +123,7 @@
             relay,
             self._serve_queues,
             self._gossip.find_store_up_since,
+            self._skipped,
         )
         self._gossip.count_store_seconds = self._discovery.count_store_seconds
         self._booker = SharedBooker(
@@ -135,6 +142,7 @@
             f"{settings.host}@{settings.ip}",
             incarnation,
             bounds.lease,
+            self._skipped,
         )
         self._roles = RoleDuty(
             lease,
@@ -164,7 +172,7 @@
         self._start(self._configuration.run())
         self._start(self._discovery.run())
         self._start(self._gossip.run())
-        self._start(self._gossip.register(self._store))
+        self._start(self._gossip.register(self._store, self._skipped))
         self._start(self._roles.run())
         self._start(self._booker.run())
         self._start(self._kept_parts.run())
@@ -192,7 +200,7 @@
 
     def knows_instance(self, name: str) -> bool:
         """Return whether an upstream's instance is in use."""
-        return name in self._fleet.instances
+        return self._fleet.knows(name)
 
     def is_left_out(self, name: str) -> bool:
         """Return whether an instance is left out as broken now."""
@@ -275,6 +283,7 @@
     def _note_configuration(self) -> None:
         configuration = self._find_configuration()
         if configuration is not None:
+            self._fleet.declared = frozenset(configuration.services)
             self._fleet.traits = {
                 name: service.engine
                 for name, service in configuration.services.items()
@@ -282,6 +291,9 @@
             }
         self._serve_queues()
 
+    def _count_skipped(self, kind: str, field: str) -> None:
+        self._metrics.count("entries_skipped_total", kind=kind, field=field)
+
     def _note_peers(self) -> None:
         self._budgets.hosts = len(self._gossip.live_hosts())
         self._serve_queues()
--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -4,11 +4,14 @@
 raises ValueError otherwise. Callers wrap that error with the name of the field.
 """
 
+import ipaddress
 import re
 from collections.abc import Collection
 from typing import Any, TypeVar
 
 NAME_LIMIT = 100
+# Characters of a name that others choose: four times what the platform's own have.
+TEXT_LIMIT = 253
 _NAME = re.compile(r"[a-z0-9]([a-z0-9.-]*[a-z0-9])?")
 _HEX64 = re.compile(r"[0-9a-f]{64}")
 MAX_PORT = 65535
@@ -26,6 +29,17 @@
     return value
 
 
+def check_text(value: Any) -> str:
+    """Return a text that is not empty, at most TEXT_LIMIT characters long, all of them UTF-8."""
+    if not isinstance(value, str) or not 0 < len(value) <= TEXT_LIMIT:
+        raise ValueError(f"{value!r:.80} is not a text; give 1 to {TEXT_LIMIT} characters")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise ValueError(f"{value!r:.80} holds bytes that are no UTF-8; write it again") from None
+    return value
+
+
 def check_bool(value: Any) -> bool:
     """Return a truth value."""
     if not isinstance(value, bool):
@@ -78,11 +92,24 @@
 def split_address(value: Any) -> tuple[str, int]:
     """Return host and port of 'host:port'."""
     host, _, port = str(value).rpartition(":")
-    if not isinstance(value, str) or not host or not port.isdigit() or int(port) > MAX_PORT:
+    numeric = port.isascii() and port.isdigit()
+    if not isinstance(value, str) or not host or not numeric or int(port) > MAX_PORT:
         raise ValueError(f"{value!r} is not an address; give HOST:PORT, such as 127.0.0.1:8080")
     return host, int(port)
 
 
+def split_ip_address(value: Any) -> tuple[str, int]:
+    """Return host and port of 'IP:PORT'; a name would have to be looked up at each connection."""
+    host, port = split_address(value)
+    try:
+        ip = ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r:.80} is not an IP number; give IP:PORT") from None
+    if ip.is_unspecified or ip.is_multicast or not port:
+        raise ValueError(f"{value!r:.80} is nobody's address; give the IP and port of one host")
+    return host, port
+
+
 def check_address(value: Any) -> str:
     """Return an address written as 'host:port'."""
     split_address(value)
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -7,14 +7,16 @@
 from typing import Any
 
 from swifttrestle.errors import (
-    BadPlatformAnswerError,
+    BadEntryError,
     HistoryGoneError,
     PlatformUnavailableError,
 )
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.copies import ConfigurationCopy
 from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.platform.objects import StoredObject, UnreadObject
 from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
 from swifttrestle.platform.store import WATCH_SECONDS, ObjectStore
 
@@ -39,9 +41,11 @@
         rng: random.Random,
         changed: Callable[[], None],
         count_hosts: Callable[[], int],
+        skipped: SkippedEntries,
     ) -> None:
         """Read from the store; `changed` is called after each change."""
         self._count_hosts = count_hosts
+        self._skipped = skipped
         self._store = store
         self._rng = rng
         self._changed = changed
@@ -62,8 +66,8 @@
         began = time.monotonic()
         try:
             configuration = read_configuration(raw)
-        except BadPlatformAnswerError as error:
-            log_decision("configuration skipped", source=source, reason=str(error))
+        except BadEntryError as error:
+            self._skipped.skip(CONFIG_KIND, CONFIG_NAME, error, raw)
             return False
         if configuration.version <= self.version:
             return False
@@ -124,17 +128,25 @@
     async def _read(self) -> None:
         snapshot = await self._store.list(CONFIG_KIND)
         for item in snapshot.items:
-            if item.name == CONFIG_NAME:
-                self.take(item.spec, "store")
+            self._take_item(item)
+        for unread in snapshot.unread:
+            self._take_item(unread)
         self._revision = snapshot.revision
 
     async def _watch(self) -> None:
         seen = await self._store.watch(CONFIG_KIND, self._revision, self._choose_wait())
         for change in seen.changes:
-            if change.item.name == CONFIG_NAME and not change.removed:
-                self.take(change.item.spec, "store")
+            if not change.removed:
+                self._take_item(change.item)
         self._revision = seen.revision
 
+    def _take_item(self, item: StoredObject | UnreadObject) -> None:
+        """Put the version of an entry in force; whatever else is there changes nothing."""
+        if isinstance(item, UnreadObject):
+            self._skipped.skip(item.kind, item.name, item.error, item.content)
+        elif item.name == CONFIG_NAME:
+            self.take(item.spec, "store")
+
     def _choose_wait(self) -> float:
         """Return the seconds of the next watch."""
         longest = WATCH_SECONDS_PER_HOST * self._count_hosts()
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from swifttrestle.errors import HistoryGoneError, PlatformUnavailableError
+from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.coordination.removals import Removals
 from swifttrestle.internal.coordination.store_contact import StoreContact
@@ -13,8 +15,9 @@
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
-from swifttrestle.platform.records import UPSTREAM_KIND, read_upstream
-from swifttrestle.platform.store import Change, ObjectStore, StoredObject
+from swifttrestle.platform.objects import Change, StoredObject, UnreadObject
+from swifttrestle.platform.records import UPSTREAM_KIND
+from swifttrestle.platform.store import ObjectStore
 
 # Least seconds between the starts of two calls. Each change of any record ends a waiting watch, so
 # in a release or while roles change a watch without a pause would be a call for each of them; this
@@ -37,6 +40,14 @@
 FAILURES_FOR_OUTAGE = 2
 
 
+@dataclass(frozen=True)
+class _Taken:
+    """What became of an entry: whether it names an instance, and its record if that changed."""
+
+    listed: bool
+    changed: UpstreamRecord | None = None
+
+
 class Discovery:
     """One task that lists and watches upstreams."""
 
@@ -48,6 +59,7 @@
         relay: ListingRelay,
         changed: Callable[[], None],
         find_up_since: Callable[[], float],
+        skipped: SkippedEntries,
     ) -> None:
         """Write into a fleet; `changed` is called after each change.
 
@@ -62,6 +74,7 @@
         self._last_told = ListingChanges(0, 0, 0.0)
         self._store = store
         self._fleet = fleet
+        self._entries = UpstreamEntries(fleet, skipped)
         self._rng = rng
         self._changed = changed
         self._revision = 0
@@ -114,12 +127,13 @@
         if snapshot.revision < self._revision:
             # Another host has told of what is newer in the meantime.
             return
-        listed = {item.name for item in snapshot.items}
-        for item in snapshot.items:
-            self._put(item)
         self._revision = snapshot.revision
-        for name in set(self._fleet.instances) - listed:
-            self._remove(name)
+        listed = {item.name for item in snapshot.items if self._take(item).listed}
+        for unread in snapshot.unread:
+            self._take(unread)
+        if snapshot.complete:
+            for name in self._fleet.list_names() - listed:
+                self._remove(name)
         self.known = True
         self._changed()
         # What changed before this list was read is not known one by one.
@@ -140,39 +154,43 @@
         for change in seen.changes:
             # Only what holds at the end is told: an instance may go and come back in between.
             name = change.item.name
-            records.pop(name, None)
-            removed.discard(name)
-            record = self._apply(change)
-            if record is not None:
-                records[name] = record
-            elif change.removed:
+            taken = self._apply(change)
+            if taken.changed is not None:
+                records[name] = taken.changed
+                removed.discard(name)
+            elif name and not taken.listed:
+                records.pop(name, None)
                 removed.add(name)
         if seen.changes:
             self._changed()
         self._tell(since, tuple(records.values()), tuple(removed))
 
-    def _apply(self, change: Change) -> UpstreamRecord | None:
-        """Take one change over; return the record where more than its heartbeat changed."""
-        if change.removed:
-            self._remove(change.item.name)
-            return None
-        return self._put(change.item)
+    def _apply(self, change: Change) -> _Taken:
+        """Take one change over."""
+        if not change.removed:
+            return self._take(change.item)
+        self._entries.forget(change.item.name)
+        self._remove(change.item.name)
+        return _Taken(listed=False)
 
-    def _put(self, item: StoredObject) -> UpstreamRecord | None:
-        try:
-            record = read_upstream(item.name, item.spec)
-        except PlatformUnavailableError as error:
-            log_decision("discovery record skipped", instance=item.name, reason=str(error))
-            return None
-        return record if self._put_record(record, item.revision, "store") else None
+    def _take(self, item: StoredObject | UnreadObject) -> _Taken:
+        """Take one entry over; one that names no instance to use counts as gone."""
+        record = self._entries.read(item)
+        if record is None:
+            self._remove(item.name)
+            return _Taken(listed=False)
+        changed = self._put_record(record, self._revision, "store")
+        return _Taken(listed=True, changed=record if changed else None)
 
     def _put_record(self, record: UpstreamRecord, revision: int, source: str) -> bool:
+        if self._fleet.is_old_word(record):
+            return False
         was_missing = self.removals.restore(record.instance)
         if not self._fleet.put(record):
             return was_missing
         log_decision(
             "instance listed",
-            instance=record.instance,
+            instance=record.start,
             service=record.service,
             role=record.role.value,
             leaving=record.leaving,
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -12,6 +12,7 @@
 
 from swifttrestle.internal.coordination.candidates import RoleCandidates
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
 from swifttrestle.internal.coordination.hearers import Hearers
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
@@ -116,9 +117,9 @@
         """Return the loop's time since when the store has answered some peer, or infinity."""
         return self._peers.find_store_up_since(self._now())
 
-    async def register(self, store: ObjectStore) -> None:
+    async def register(self, store: ObjectStore, skipped: SkippedEntries) -> None:
         """Leave this host's address in the store, and learn the others'; retried until done."""
-        await register_host(store, self._me, self._peers, self._rng)
+        await register_host(store, self._me, self._peers, self._rng, skipped)
 
     # Sending.
 
--- a/src/swifttrestle/internal/coordination/kept_parts.py
+++ b/src/swifttrestle/internal/coordination/kept_parts.py
@@ -18,7 +18,13 @@
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
 from swifttrestle.internal.transport.upstream import OutgoingRequest
-from swifttrestle.platform.engine import KEPT_PARTS_PATH, name_engine, read_kept_parts
+from swifttrestle.platform.engine import (
+    KEPT_PARTS_PATH,
+    KeptParts,
+    is_other_start,
+    name_engine,
+    read_kept_parts,
+)
 
 # Seconds between two looks for the first listed engines.
 LOOK_SECONDS = 0.05
@@ -75,16 +81,20 @@
     async def _load(self, engine: Instance) -> None:
         """Take over what one engine keeps; what it does not tell stays unknown."""
         request = OutgoingRequest(
-            b"GET", KEPT_PARTS_PATH, name_engine(engine.name), Framing.NONE, 0, None
+            b"GET", KEPT_PARTS_PATH, name_engine(engine.record.instance), Framing.NONE, 0, None
         )
         try:
             head, content = await call_once(
                 self._pool, engine.name, engine.record.address, request, LARGEST_LIST, PATIENCE
             )
-            parts = read_kept_parts(content) if head.status == 200 else ()
+            kept = read_kept_parts(content) if head.status == 200 else KeptParts(())
         except (UpstreamError, TimeoutError) as error:
             log_decision("kept parts not told", engine=engine.name, reason=repr(error))
             return
+        if is_other_start(kept.born, engine.record.born):
+            log_decision("kept parts of another start", engine=engine.name, born=kept.born)
+            return
+        parts = kept.parts
         for part in parts:
             self._fleet.note_prompt(SentPrompt(engine.name, (part,), read=True))
         log_decision("kept parts told", engine=engine.name, parts=len(parts), status=head.status)
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/registration.py
@@ -1,12 +1,16 @@
 """Hosts leave their addresses in the store, so that they find each other at their start."""
 
 import asyncio
+import ipaddress
 import random
 
-from swifttrestle.errors import NotFoundError, PlatformUnavailableError
+from swifttrestle.errors import BadEntryError, NotFoundError, PlatformUnavailableError
+from swifttrestle.internal.checks import check_text
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import PeerTable
+from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
 
 PEER_KIND = "swifttrestle-peers"
@@ -16,16 +20,23 @@
 
 
 async def register_host(
-    store: ObjectStore, me: Member, peers: PeerTable, rng: random.Random
+    store: ObjectStore,
+    me: Member,
+    peers: PeerTable,
+    rng: random.Random,
+    skipped: SkippedEntries,
 ) -> None:
     """Write this host's address and learn those of others; retried until it is done."""
     while True:
         try:
             await _write_record(store, me)
-            for item in (await store.list(PEER_KIND)).items:
-                peers.learn(item.name, str(item.spec.get("ip", "")))
+            snapshot = await store.list(PEER_KIND)
+            for unread in snapshot.unread:
+                skipped.skip(PEER_KIND, unread.name, unread.error, unread.content)
+            for item in snapshot.items:
+                _learn_peer(item, peers, skipped)
             return
-        except (PlatformUnavailableError, AttributeError) as error:
+        except PlatformUnavailableError as error:
             log_decision("peers not read", reason=str(error))
             await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
 
@@ -38,3 +49,23 @@
             await store.replace(PEER_KIND, me.host, spec, known.revision)
     except NotFoundError:
         await store.create(PEER_KIND, me.host, spec)
+    except BadEntryError:
+        # Another writer's: the entry under this host's name is this host's to write.
+        await store.replace(PEER_KIND, me.host, spec, None)
+
+
+def _learn_peer(item: StoredObject, peers: PeerTable, skipped: SkippedEntries) -> None:
+    """Learn one host's address; an entry that cannot be taken hides no other."""
+    try:
+        peers.learn(item.name, _read_ip(item))
+    except BadEntryError as error:
+        skipped.skip(PEER_KIND, item.name, error, item.spec)
+
+
+def _read_ip(item: StoredObject) -> str:
+    """Return the address of an entry; raise BadEntryError."""
+    ip = item.spec.get("ip") if isinstance(item.spec, dict) else None
+    try:
+        return str(ipaddress.ip_address(check_text(ip)))
+    except ValueError as error:
+        raise BadEntryError(f"peer {item.name}", "ip", ip, str(error)) from None
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -78,7 +78,7 @@
 
     def remove(self, name: str, until: float, revision: int) -> None:
         """Drop an instance, at once or at the loop's time `until` if it is not listed again."""
-        if name not in self._fleet.instances:
+        if not self._fleet.knows(name):
             return
         now = self._now()
         held = self._held.get(name, _Held(now, until, revision))
--- a/src/swifttrestle/internal/coordination/role_lease.py
+++ b/src/swifttrestle/internal/coordination/role_lease.py
@@ -10,14 +10,17 @@
 from typing import Any
 
 from swifttrestle.errors import (
-    BadPlatformAnswerError,
+    BadEntryError,
     ConflictError,
     LeaseLostError,
     NotFoundError,
     PlatformUnavailableError,
 )
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.platform.store import ObjectStore, StoredObject
+from swifttrestle.internal.state.declared import Role
+from swifttrestle.platform.objects import StoredObject
+from swifttrestle.platform.store import ObjectStore
 
 LEASE_KIND = "swifttrestle-leases"
 # Seconds after the start of the recording write in which an order must leave this host.
@@ -27,6 +30,8 @@
 CALL_SECONDS = 1.0
 # Seconds for an order that has left to arrive, and for the clocks' small differences.
 ARRIVAL_SECONDS = 1.0
+# The highest token that a lease may have: what a signed number of 64 bits holds.
+LARGEST_TOKEN = 2**63 - 1
 # Orders kept on the lease, newest last: more than may be open at once.
 KEPT_ORDERS = 16
 
@@ -60,22 +65,41 @@
 
 
 def read_role_lease(spec: Any) -> RoleLease:
-    """Return the lease of a stored form; raise BadPlatformAnswerError."""
-    try:
-        orders = tuple(RecordedOrder(**item) for item in spec["orders"])
-        return RoleLease(str(spec["holder"]), int(spec["incarnation"]), int(spec["token"]), orders)
-    except (KeyError, TypeError, ValueError) as error:
-        raise BadPlatformAnswerError(f"a lease cannot be read: {error!r}") from None
+    """Return the lease of a stored form; raise BadEntryError."""
+    match spec:
+        case {
+            "holder": str(holder),
+            "incarnation": int(incarnation),
+            "token": int(token),
+            "orders": list(orders),
+        } if 0 < token <= LARGEST_TOKEN:
+            return RoleLease(holder, incarnation, token, tuple(map(_read_order, orders)))
+    raise BadEntryError("a lease", "spec", spec, "a field is missing or of another type")
+
+
+def _read_order(raw: Any) -> RecordedOrder:
+    match raw:
+        case {"number": int(number), "engine": str(engine), "role": str(role)}:
+            if role in (Role.PREFILL.value, Role.DECODE.value):
+                return RecordedOrder(number, engine, role)
+    raise BadEntryError("a lease", "orders", raw, "it is no order")
 
 
 class RoleLeaseKeeper:
     """Takes, keeps and uses one lease."""
 
     def __init__(
-        self, store: ObjectStore, name: str, host: str, incarnation: int, duration: float
+        self,
+        store: ObjectStore,
+        name: str,
+        host: str,
+        incarnation: int,
+        duration: float,
+        skipped: SkippedEntries,
     ) -> None:
         """Contend for the lease `name`; `duration` is the platform's lease time in seconds."""
         self._store = store
+        self._skipped = skipped
         self._name = name
         self._host = host
         self._incarnation = incarnation
@@ -99,7 +123,10 @@
             known = await self.observe()
         except NotFoundError:
             return await self._create()
-        current = read_role_lease(known.spec)
+        try:
+            current = read_role_lease(known.spec)
+        except BadEntryError as error:
+            current = self._replace_unread(known, error)
         mine = current.holder == self._host
         if not mine and self._now() - self._seen_at < self._wait:
             # Nothing between now and then can make the lease free.
@@ -108,6 +135,16 @@
         taken = RoleLease(self._host, self._incarnation, current.token + 1, current.orders)
         return await self._write(taken, known.revision)
 
+    def _replace_unread(self, known: StoredObject, error: BadEntryError) -> RoleLease:
+        """Return a lease of nobody in place of one that cannot be read.
+
+        It has to be waited out like any other, since a holder may have used its last word until
+        now. Its token is the revision: each holder's token came with a write of its own, so that
+        no token is above the revision.
+        """
+        self._skipped.skip(LEASE_KIND, self._name, error, known.spec)
+        return RoleLease("", 0, known.revision, ())
+
     async def observe(self) -> StoredObject:
         """Read the lease and remember when it was first seen so; raise NotFoundError."""
         known = await self._get()
@@ -159,7 +196,7 @@
             stored = await self._get()
         except (NotFoundError, PlatformUnavailableError):
             return self._lose("the write has no answer")
-        if read_role_lease(stored.spec) != wanted:
+        if stored.spec != wanted.spec():
             return self._lose("the write was not done, or is yet to come")
         self._keep(wanted, stored)
         return True
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -27,6 +27,7 @@
     REPORT_PATH,
     EngineReport,
     RoleOrder,
+    is_other_start,
     name_engine,
     read_report,
     write_order,
@@ -83,6 +84,9 @@
         self._candidates = gossip.candidates
         self._find_configuration = find_configuration
         self._unsettled: dict[str, tuple[float, Role]] = {}
+        # Until when an order that was not answered may still be carried out, by the id of its
+        # engine: a start that follows under the same id may be met by it.
+        self._unanswered: dict[str, float] = {}
         self._unreached: dict[str, float] = {}
         self._look_at = 0.0
         self._seen_returns = 0
@@ -171,8 +175,14 @@
         self._unsettled = {
             name: (until, role) for name, (until, role) in self._unsettled.items() if until > now
         }
+        self._unanswered = {name: until for name, until in self._unanswered.items() if until > now}
         pending = {name: role for name, (_, role) in self._unsettled.items()}
         engines = self._fleet.list_service(service)
+        for item in engines:
+            # An order that its former start left unanswered may still come to this one, and is
+            # refused there only where the counts of orders differ.
+            if self._unanswered.get(item.record.instance, 0.0) > now:
+                pending.setdefault(item.name, item.role)
         broken = [
             item.name
             for item in engines
@@ -192,14 +202,16 @@
         now = asyncio.get_running_loop().time()
         held = self._lease.lease
         assert held is not None
-        if now > until:
-            log_decision("order not sent", number=order.number, reason="its time was over")
+        if now > until or engine.gone:
+            reason = "its engine is gone" if engine.gone else "its time was over"
+            log_decision("order not sent", number=order.number, reason=reason)
             return
         sent = RoleOrder(change.role, held.holder, held.token, report.orders_taken)
         status = await self._send(engine, sent)
         settle = traits.role_change_seconds + SETTLE_SECONDS
         if status is None:
             settle = UNANSWERED_SECONDS
+            self._unanswered[engine.record.instance] = now + settle
         if status in (200, 202):
             ready_at = now + traits.role_change_seconds
             self._gossip.note_order(engine.name, change.role, ready_at)
@@ -218,21 +230,26 @@
         )
 
     async def _ask(self, engine: Instance) -> EngineReport | None:
-        headers = name_engine(engine.name)
+        headers = name_engine(engine.record.instance)
         request = OutgoingRequest(b"GET", REPORT_PATH, headers, Framing.NONE, 0, None)
         answer = await self._call(engine, request)
         if answer is None or answer[0] != 200:
             return None
         try:
-            return read_report(answer[1])
+            report = read_report(answer[1])
         except UpstreamBrokenError as error:
             log_decision("report skipped", engine=engine.name, reason=str(error))
             return None
+        if is_other_start(report.born, engine.record.born):
+            # Its count of orders is not that of the start which the order would be meant for.
+            log_decision("report of another start", engine=engine.name, born=report.born)
+            return None
+        return report
 
     async def _send(self, engine: Instance, order: RoleOrder) -> int | None:
         content = write_order(order)
         body = Body.from_bytes(content)
-        headers = [*name_engine(engine.name), (b"Content-Type", b"application/json")]
+        headers = [*name_engine(engine.record.instance), (b"Content-Type", b"application/json")]
         request = OutgoingRequest(b"POST", ORDER_PATH, headers, Framing.LENGTH, len(content), body)
         answer = await self._call(engine, request)
         return answer[0] if answer else None
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -68,7 +68,7 @@
             head, body = await connection.exchange(build_request(ctx, plan.forwarding))
     except TimeoutError:
         raise UpstreamBrokenError("no answer in time", sent=True) from None
-    facts = read_answer_facts(head.status, head.headers, plan.instance.name)
+    facts = read_answer_facts(head.status, head.headers, plan.instance.record.instance)
     # An engine that turns a request away may do so before it has read the id.
     if facts.request_id != ctx.facts.request_id and not (facts.not_run and not facts.request_id):
         raise CrossedAnswerError("the answer names another request", sent=True)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -156,6 +156,9 @@
         handle: KvHandle | None,
         relay: EventRelay,
     ) -> None:
+        if booking.reader.replaced:
+            # What its former start kept is gone: the engine that makes the tokens reads all itself.
+            handle = None
         source = name_handle_source(booking.reader.record.address, handle) if handle else ""
         fetch_from = find_source_address(booking) if booking.direct else None
         try:
@@ -230,7 +233,7 @@
         if ctx.repeatable and ctx.runs + 1 < ctx.route.max_attempts:
             patience *= FIRST_TOKEN_SHARE
         added = Forwarding(
-            decoder.name,
+            decoder.record.instance,
             ctx.left,
             ctx.route.priority,
             kv_source=source,
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -32,6 +32,9 @@
 EJECTION_CAP = 0.5
 # Seconds over which a broken instance comes back to its full share.
 RETURN_SECONDS = 2.0
+# Seconds for which what a start sent before its end may still arrive: some round trips, and what
+# waits on a thin link.
+LAST_BYTES_SECONDS = 0.25
 # Prompts that may wait to be told of; older ones are of no use to peers any more.
 MOST_UNTOLD_PROMPTS = 64
 
@@ -79,6 +82,7 @@
         # Prompts that peers have not been told of yet.
         self.sent_prompts: deque[SentPrompt] = deque(maxlen=MOST_UNTOLD_PROMPTS)
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
+        fleet.on_replaced = self._end_start
 
     def list_usable(self, service: str, now: float) -> list[Instance]:
         """Return a service's instances that are neither leaving nor left out as broken."""
@@ -104,10 +108,20 @@
         if instance.leaving:
             # The list says so already; what is open there goes on.
             return
-        self.fleet.remove(instance.name)
+        if self.fleet.instances.get(instance.name) is instance:
+            self.fleet.remove(instance.record.instance)
         self.pool.forget(instance.name)
         log_decision("instance replaced", instance=instance.name, source="its address")
 
+    def _end_start(self, former: Instance) -> None:
+        """End what is open at a start that a later one has replaced.
+
+        A host that lost power says nothing: without this a request there waits for its deadline.
+        """
+        log_decision("instance started anew", former=former.name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAST_BYTES_SECONDS, self.pool.break_off, former.name)
+
     def note_failed_use(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
         """Remember an engine's failure; return it as an outcome of its use."""
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -82,7 +82,7 @@
         now = asyncio.get_running_loop().time()
         again = not last and self._parts.budgets.find(ctx.service.name).allows(now)
         plan = AttemptPlan(
-            instance, Forwarding(instance.name, ctx.left), patience, retry_failure=again
+            instance, Forwarding(instance.record.instance, ctx.left), patience, retry_failure=again
         )
         relay = EventRelay(ctx.route.resumable, patience) if ctx.route.streaming else None
         instance.own = instance.own.plus(ONE)
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -126,7 +126,7 @@
     async def _call(self, ctx: Context, booking: Booking, limit: float) -> KvHandle:
         reader = booking.reader
         added = Forwarding(
-            reader.name,
+            reader.record.instance,
             ctx.left,
             ctx.route.priority,
             prefill_only=True,
@@ -143,7 +143,7 @@
                 )
         except TimeoutError:
             raise UpstreamBrokenError("the prompt was not read in time") from None
-        facts = read_answer_facts(head.status, head.headers, reader.name)
+        facts = read_answer_facts(head.status, head.headers, reader.record.instance)
         if facts.not_run:
             if facts.replaced:
                 raise UpstreamLeavingError(f"{reader.name} takes no prompts at its address")
@@ -154,7 +154,12 @@
 
     async def _call_free(self, reader: Instance, handle: KvHandle) -> None:
         request = OutgoingRequest(
-            b"DELETE", handle_path(handle), name_engine(reader.name), Framing.NONE, 0, None
+            b"DELETE",
+            handle_path(handle),
+            name_engine(reader.record.instance),
+            Framing.NONE,
+            0,
+            None,
         )
         with contextlib.suppress(TimeoutError):
             try:
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -6,10 +6,13 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.checks import check_number, check_text
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 
 # Kept under one packet of the usual links, so that a datagram is never split.
 LARGEST_DATAGRAM = 1400
+# Seconds for which a host may distrust removals: far over what an outage's end takes.
+LONGEST_DISTRUST_SECONDS = 3600.0
 
 
 @dataclass(frozen=True)
@@ -68,6 +71,7 @@
             item.slots,
             item.leaving,
             item.role.value,
+            item.born,
         )
         for item in changes.records
     ]
@@ -79,21 +83,32 @@
 def unpack_changes(data: bytes) -> ListingChanges:
     """Return the changes of a datagram; raise FrameError."""
     try:
-        since, revision, distrust, records, removed = msgpack.unpackb(data)
-        return ListingChanges(
-            int(since),
-            int(revision),
-            float(distrust),
-            tuple(_read_record(item) for item in records),
-            tuple(str(name) for name in removed),
-        )
+        match msgpack.unpackb(data):
+            case [int(since), int(revision), float(distrust), list(records), list(removed)]:
+                return ListingChanges(
+                    since,
+                    revision,
+                    _check_seconds(distrust),
+                    tuple(_read_record(item) for item in records),
+                    tuple(check_text(name) for name in removed),
+                )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise FrameError(f"a listing datagram cannot be read: {error!r}") from None
+    raise FrameError("a datagram is no listing")
+
+
+def _check_seconds(value: float) -> float:
+    return check_number(value, 0, LONGEST_DISTRUST_SECONDS)
 
 
 def _read_record(values: Any) -> UpstreamRecord:
-    instance, service, (host, port), zone, slots, leaving, role = values
-    address = (str(host), int(port))
-    return UpstreamRecord(
-        str(instance), str(service), address, str(zone), int(slots), bool(leaving), Role(role)
-    )
+    match values:
+        case [
+            str(instance), str(service), [str(host), int(port)], str(zone), int(slots),
+            bool(leaving), str(role), int(born),
+        ]:  # fmt: skip
+            address = (host, port)
+            return UpstreamRecord(
+                check_text(instance), service, address, zone, slots, leaving, Role(role), born
+            )
+    raise ValueError(f"{values!r:.80} is no record")
--- a/src/swifttrestle/internal/state/declared.py
+++ b/src/swifttrestle/internal/state/declared.py
@@ -91,7 +91,11 @@
 
 @dataclass(frozen=True)
 class UpstreamRecord:
-    """What an upstream says of itself in the discovery list; `instance` names one start of it."""
+    """What an upstream says of itself in the discovery list.
+
+    An upstream may start again under the `instance` that it had; `born` then tells its starts
+    apart. It is the Unix time of the start in milliseconds, 0 where the upstream tells none.
+    """
 
     instance: str
     service: str
@@ -100,3 +104,14 @@
     slots: int
     leaving: bool
     role: Role = Role.NONE
+    born: int = 0
+
+    @property
+    def start(self) -> str:
+        """The name of one start: what is believed, open or ordered there goes by it.
+
+        No two starts share a name, also where an instance that tells no start has an `@` in it.
+        """
+        if not self.born and "@" not in self.instance:
+            return self.instance
+        return f"{self.instance}@{self.born or ''}"
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -1,7 +1,7 @@
 """The upstreams that discovery lists, with what this host and its peers have open there."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
@@ -51,12 +51,14 @@
     ordered_role: Role | None = None
     role_changing_until: float = float("-inf")
     gone: bool = False
+    # Whether a later start has taken its place: nothing that it kept is left.
+    replaced: bool = False
     cache: PromptCache = field(default_factory=PromptCache)
 
     @property
     def name(self) -> str:
-        """The instance's id."""
-        return self.record.instance
+        """The name of this start; what hosts tell each other goes by it."""
+        return self.record.start
 
     @property
     def role(self) -> Role:
@@ -95,6 +97,10 @@
         self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
 
 
+def _ignore(_: Instance) -> None:
+    """Do nothing: nobody wants to know."""
+
+
 @dataclass
 class _PeerWork:
     at: float
@@ -106,7 +112,14 @@
 
     def __init__(self) -> None:
         """Start with none."""
+        # The starts in use, by their names.
         self.instances: dict[str, Instance] = {}
+        # The name of the start in use of each instance that the list names.
+        self._starts: dict[str, str] = {}
+        # Called with a start that a later one has replaced.
+        self.on_replaced: Callable[[Instance], None] = _ignore
+        # The services that the configuration in force names, None while there is none.
+        self.declared: frozenset[str] | None = None
         # The loop's time at which the discovery list was last confirmed.
         self.confirmed_at = float("-inf")
         # What services declare of their engines, by service.
@@ -116,6 +129,8 @@
 
     def list_service(self, service: str) -> list[Instance]:
         """Return the instances of a service that are not leaving."""
+        if not self._is_declared(service):
+            return []
         return [item for item in self._services[service].values() if not item.record.leaving]
 
     def list_leaving(self, service: str) -> set[str]:
@@ -127,7 +142,8 @@
         return [
             service
             for service, items in self._services.items()
-            if any(item.record.role is not Role.NONE for item in items.values())
+            if self._is_declared(service)
+            and any(item.record.role is not Role.NONE for item in items.values())
         ]
 
     def is_engine(self, instance: str) -> bool:
@@ -135,24 +151,59 @@
         known = self.instances.get(instance)
         return known is not None and known.record.role is not Role.NONE
 
+    def _is_declared(self, service: str) -> bool:
+        """Return whether a service's instances may be used; the others are kept aside."""
+        return self.declared is None or service in self.declared
+
+    def list_names(self) -> set[str]:
+        """Return the instances in use as the discovery list names them."""
+        return set(self._starts)
+
+    def knows(self, instance: str) -> bool:
+        """Return whether an instance that the list names is in use."""
+        return instance in self._starts
+
+    def find_start(self, instance: str) -> Instance | None:
+        """Return the start in use of an instance that the list names."""
+        name = self._starts.get(instance)
+        return None if name is None else self.instances[name]
+
+    def is_old_word(self, record: UpstreamRecord) -> bool:
+        """Return whether a record is of an earlier start than the one in use."""
+        known = self.find_start(record.instance)
+        return known is not None and record.born < known.record.born
+
     def put(self, record: UpstreamRecord) -> bool:
-        """Take a record over; return whether anything but its heartbeat changed."""
-        known = self.instances.get(record.instance)
-        if known is not None and known.record == record:
+        """Take a record over; return whether anything but its heartbeat changed.
+
+        A later start ends all that was believed of the one before, open work included. A record
+        of an earlier start than the one in use is an old word and changes nothing.
+        """
+        known = self.find_start(record.instance)
+        if known is not None and (known.record == record or self.is_old_word(record)):
             return False
+        if known is not None and known.name != record.start:
+            self._replace(known)
+            known = None
         if known is None:
             known = Instance(record, read_rate=self._guess_rate(record.service))
-            self.instances[record.instance] = known
+            self.instances[record.start] = known
+            self._starts[record.instance] = record.start
         elif known.record.service != record.service:
-            self._services[known.record.service].pop(record.instance, None)
+            self._services[known.record.service].pop(known.name, None)
         if known.record.role is not record.role:
             # The record has caught up with an order, or the engine was started anew.
             known.role_changing_until = float("-inf")
             known.ordered_role = None
         known.record = record
-        self._services[record.service][record.instance] = known
+        self._services[record.service][known.name] = known
         return True
 
+    def _replace(self, former: Instance) -> None:
+        former.replaced = True
+        self._drop(former)
+        self.on_replaced(former)
+
     def note_ordered_role(self, instance: str, role: Role, ready_at: float) -> None:
         """Take an engine as changing to a role until `ready_at`, and as in it after that."""
         known = self.instances.get(instance)
@@ -162,14 +213,19 @@
         known.role_changing_until = ready_at
 
     def remove(self, instance: str) -> bool:
-        """Drop an instance; return whether it was known."""
-        known = self.instances.pop(instance, None)
+        """Drop an instance that the list names; return whether it was known."""
+        known = self.find_start(instance)
         if known is None:
             return False
-        known.gone = True
-        self._services[known.record.service].pop(instance, None)
+        self._drop(known)
         return True
 
+    def _drop(self, start: Instance) -> None:
+        start.gone = True
+        self.instances.pop(start.name, None)
+        self._starts.pop(start.record.instance, None)
+        self._services[start.record.service].pop(start.name, None)
+
     def note_peer(self, peer: str, work: dict[str, OpenWork], now: float) -> None:
         """Take over what a peer has open."""
         before = self._peers.get(peer)
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -52,6 +52,7 @@
         """Start empty; break connections whose data stays unacknowledged for so long."""
         self._unacknowledged_ms = unacknowledged_ms
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
+        self._lent: dict[str, set[UpstreamConnection]] = defaultdict(set)
         self._drop_at = float("-inf")
         self.opened = 0
 
@@ -59,6 +60,7 @@
     async def borrow(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection; it is kept only where `give_back` says so before the end."""
         connection = self._take_idle(instance) or await self._connect(address)
+        self._lent[instance].add(connection)
         try:
             yield connection
         except BaseException:
@@ -67,6 +69,7 @@
                 self._drop_idle()
             raise
         finally:
+            self._take_back(instance, connection)
             if connection.usable and connection.idle_until:
                 self._idle[instance].append(connection)
             else:
@@ -87,6 +90,18 @@
         for connection in self._idle.pop(instance, ()):
             connection.close()
 
+    def break_off(self, instance: str) -> None:
+        """Break all connections to an instance that has ended: no answer comes there any more."""
+        self.forget(instance)
+        for connection in list(self._lent.get(instance, ())):
+            connection.close()
+
+    def _take_back(self, instance: str, connection: UpstreamConnection) -> None:
+        lent = self._lent[instance]
+        lent.discard(connection)
+        if not lent:
+            del self._lent[instance]
+
     def _drop_idle(self) -> None:
         """Close all idle connections: they may have fallen silent with one that was in use."""
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/platform/engine.py
+++ b/src/swifttrestle/platform/engine.py
@@ -6,12 +6,15 @@
 import orjson
 
 from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.checks import check_whole
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
 REPORT_PATH = b"/v1/report"
 ORDER_PATH = b"/v1/order"
 KEPT_PARTS_PATH = b"/v1/kv-list"
+# The latest start that an engine may tell: what a signed number of 64 bits holds.
+LARGEST_BORN = 2**63 - 1
 _HANDLE_PATH = "/v1/kv-handle/"
 
 
@@ -27,7 +30,8 @@
 class EngineReport:
     """An engine's state some hundred milliseconds ago.
 
-    `orders_taken` is called `seq` on the wire and counts orders since the engine's start.
+    `orders_taken` is called `seq` on the wire and counts orders since the engine's start, which
+    was at `born`, in Unix milliseconds, 0 where the engine does not tell it.
     """
 
     role: Role
@@ -35,6 +39,7 @@
     orders_taken: int
     queued: int
     running: int
+    born: int = 0
 
 
 @dataclass(frozen=True)
@@ -52,7 +57,7 @@
     raw = _load(body)
     try:
         return KvHandle(str(raw["kvHandle"]), int(raw.get("tokens", 0)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise UpstreamBrokenError(f"an engine's handle cannot be read: {error!r}") from None
 
 
@@ -66,26 +71,48 @@
             orders_taken=int(raw.get("seq", 0)),
             queued=int(raw.get("queued", 0)),
             running=int(raw.get("running", 0)),
+            born=_read_born(raw),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise UpstreamBrokenError(f"an engine's report cannot be read: {error!r}") from None
 
 
-def read_kept_parts(body: bytes) -> tuple[PromptPart, ...]:
+@dataclass(frozen=True)
+class KeptParts:
+    """The parts that an engine keeps since its start at `born`, 0 where it does not tell that."""
+
+    parts: tuple[PromptPart, ...]
+    born: int = 0
+
+
+def read_kept_parts(body: bytes) -> KeptParts:
     """Return the parts that an engine keeps, under names as in bookings; raise UpstreamBrokenError.
 
     Each entry of `held` is an empty text, the part's id, its tokens and the model.
     """
     raw = _load(body)
     try:
-        return tuple(
+        parts = tuple(
             PromptPart(f"{model}/{part}", max(0, int(tokens)))
             for _, part, tokens, model in raw["held"]
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return KeptParts(parts, _read_born(raw))
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise UpstreamBrokenError(f"an engine's list cannot be read: {error!r}") from None
 
 
+def is_other_start(told: int, known: int) -> bool:
+    """Return whether an engine's word is of another start than the known one.
+
+    Both are in Unix milliseconds, 0 where nothing was told: then they may be the same.
+    """
+    return bool(told and known) and told != known
+
+
+def _read_born(raw: dict[str, Any]) -> int:
+    return check_whole(raw.get("born", 0), 0, LARGEST_BORN)
+
+
 def write_order(order: RoleOrder) -> bytes:
     """Return the body of an order."""
     return orjson.dumps(
@@ -114,8 +141,11 @@
     return (_HANDLE_PATH + handle.name).encode()
 
 
-def _load(body: bytes) -> Any:
+def _load(body: bytes) -> dict[str, Any]:
     try:
-        return orjson.loads(body)
+        raw = orjson.loads(body)
     except orjson.JSONDecodeError as error:
         raise UpstreamBrokenError(f"an engine's answer is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise UpstreamBrokenError("an engine's answer is no map")
+    return raw
--- /dev/null
+++ b/src/swifttrestle/platform/objects.py
@@ -0,0 +1,174 @@
+"""Decoding of the store's answers, object by object: one that cannot be read hides no other."""
+
+import json
+import math
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
+from swifttrestle.internal.checks import check_text, check_whole
+
+# The largest revision that the store may name: what a signed number of 64 bits holds.
+LARGEST_REVISION = 2**63 - 1
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """One object; `revision` is that of its last change."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: Any
+
+
+@dataclass(frozen=True)
+class UnreadObject:
+    """An object that cannot be read; `name` is empty where that cannot be read either."""
+
+    kind: str
+    name: str
+    error: BadEntryError
+    content: Any
+
+
+@dataclass(frozen=True)
+class Change:
+    """One change that a watch saw."""
+
+    item: StoredObject | UnreadObject
+    removed: bool
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """The objects of a kind, and the store's revision from which a watch goes on.
+
+    `unread` are those that could not be read. Where the list is not `complete`, objects behind
+    a page without any readable name are missing from it.
+    """
+
+    items: tuple[StoredObject, ...]
+    revision: int
+    unread: tuple[UnreadObject, ...] = ()
+    complete: bool = True
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What a watch returned, and the revision from which the next one goes on."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Page:
+    """One page of a list; `last` is the name after which the next one begins."""
+
+    items: tuple[StoredObject, ...]
+    unread: tuple[UnreadObject, ...]
+    revision: int
+    more: bool
+    last: str
+
+
+def decode_answer(path: str, content: bytes) -> Any:
+    """Return the JSON of an answer; raise BadPlatformAnswerError.
+
+    Bytes that are no UTF-8 stay in the texts that hold them, as lone surrogates, and numbers that
+    JSON does not have become such texts, so that only the objects which hold these cannot be
+    read, and not all that came with them.
+    """
+    try:
+        return orjson.loads(content) if content else None
+    except orjson.JSONDecodeError:
+        pass
+    try:
+        text = content.decode("utf-8", "surrogateescape")
+        return json.loads(text, strict=False, parse_constant=_mark, parse_float=_read_float)
+    except (ValueError, RecursionError) as error:
+        raise BadPlatformAnswerError(f"{path}: the answer is not JSON: {error!r}") from None
+
+
+def _mark(text: str) -> str:
+    """Return a text that no writer of JSON takes."""
+    return "\udcff" + text
+
+
+def _read_float(text: str) -> float | str:
+    value = float(text)
+    return value if math.isfinite(value) else _mark(text)
+
+
+def read_object(kind: str, raw: Any) -> StoredObject:
+    """Return one object; raise BadEntryError."""
+    what = f"object of kind {kind}"
+    if not isinstance(raw, dict) or not isinstance(raw.get("metadata"), dict):
+        raise BadEntryError(what, "metadata", raw, "it is missing or no map")
+    metadata = raw["metadata"]
+    try:
+        name = check_text(metadata.get("name"))
+    except ValueError as error:
+        raise BadEntryError(what, "metadata.name", metadata.get("name"), str(error)) from None
+    revision = metadata.get("revision")
+    try:
+        check_whole(revision, 0, LARGEST_REVISION)
+    except ValueError as error:
+        raise BadEntryError(what, "metadata.revision", revision, str(error)) from None
+    try:
+        # Whatever JSON does not allow is a lone surrogate by now, and refused by its writer.
+        orjson.dumps(raw)
+    except TypeError as error:
+        raise BadEntryError(what, "spec", raw.get("spec"), str(error)) from None
+    return StoredObject(kind, name, revision, raw.get("spec"))
+
+
+def read_page(kind: str, raw: Any) -> Page:
+    """Return one page of a list; raise BadPlatformAnswerError where it is none."""
+    try:
+        raw_items = list(raw["items"])
+        revision = check_whole(raw["timestamp"], 0, LARGEST_REVISION)
+        more = bool(raw.get("hasMore")) and bool(raw_items)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadPlatformAnswerError(f"a list cannot be read: {error!r}") from None
+    read = [_try_object(kind, item) for item in raw_items]
+    items = tuple(item for item in read if isinstance(item, StoredObject))
+    unread = tuple(item for item in read if isinstance(item, UnreadObject))
+    last = next((item.name for item in reversed(read) if item.name), "")
+    return Page(items, unread, revision, more, last)
+
+
+def read_changes(kind: str, raw: Any) -> Changes:
+    """Return what a watch answered; raise BadPlatformAnswerError where it is no answer to one."""
+    try:
+        events = list(raw["events"])
+        revision = check_whole(raw["timestamp"], 0, LARGEST_REVISION)
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadPlatformAnswerError(f"a watch cannot be read: {error!r}") from None
+    return Changes(tuple(_read_change(kind, event) for event in events), revision)
+
+
+def _read_change(kind: str, event: Any) -> Change:
+    if not isinstance(event, dict):
+        error = BadEntryError(f"event of kind {kind}", "object", event, "the event is no map")
+        return Change(UnreadObject(kind, "", error, event), False)
+    # A removal counts by its name alone: what the object held does not matter any more.
+    return Change(_try_object(kind, event.get("object")), event.get("removed") is True)
+
+
+def _try_object(kind: str, raw: Any) -> StoredObject | UnreadObject:
+    try:
+        return read_object(kind, raw)
+    except BadEntryError as error:
+        return UnreadObject(kind, _find_name(raw), error, raw)
+
+
+def _find_name(raw: Any) -> str:
+    """Return the name of an object that cannot be read, "" where that cannot be read either."""
+    try:
+        return check_text(raw["metadata"]["name"])
+    except (KeyError, TypeError, ValueError):
+        return ""
--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -3,8 +3,14 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from swifttrestle.errors import BadPlatformAnswerError
-from swifttrestle.internal.checks import split_address
+from swifttrestle.errors import BadEntryError
+from swifttrestle.internal.checks import (
+    check_choice,
+    check_number,
+    check_text,
+    check_whole,
+    split_ip_address,
+)
 from swifttrestle.internal.state.declared import (
     Configuration,
     EngineTraits,
@@ -20,46 +26,88 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 UPSTREAM_KIND = "servers"
+# The largest count or time in milliseconds that a record may hold: what a signed number of 64
+# bits holds.
+LARGEST_COUNT = 2**63 - 1
+# Slots that a record may name: a hundred times what the largest engines have.
+MOST_SLOTS = 100_000
+_LEAVING = "draining"
+_STATES = ("ready", _LEAVING)
+_PHASES = (Role.PREFILL.value, Role.DECODE.value)
 
 T = TypeVar("T")
 
 
 def read_upstream(instance: str, spec: Any) -> UpstreamRecord:
-    """Return one discovery record; raise BadPlatformAnswerError.
+    """Return one discovery record; raise BadEntryError.
 
-    Its field `seq` counts heartbeats; it is not the engine's count of orders of the same name.
+    Fields that nothing here uses are checked too: a wrong one tells that another writer wrote
+    the record. Its field `seq` counts heartbeats; it is not the engine's count of orders of the
+    same name.
     """
-    return _decode(f"record of {instance}", lambda: _read_upstream(instance, spec))
+    fields = _Fields(f"record of {instance}", spec)
+    fields.check("seq", lambda value: check_whole(value, 0, LARGEST_COUNT))
+    fields.check("version", check_text)
+    fields.check("coldRemainingMs", lambda value: check_number(value, 0, LARGEST_COUNT))
+    fields.check("models", _check_list)
+    return UpstreamRecord(
+        instance=instance,
+        service=fields.read("service", check_text),
+        address=fields.read("address", split_ip_address),
+        zone=fields.read("zone", check_text),
+        slots=fields.read("slots", lambda value: check_whole(value, 1, MOST_SLOTS)),
+        leaving=fields.read("state", lambda value: check_choice(value, _STATES)) == _LEAVING,
+        role=Role(fields.check("phase", lambda value: check_choice(value, _PHASES)) or "none"),
+        born=fields.check("born", lambda value: check_whole(value, 1, LARGEST_COUNT)) or 0,
+    )
 
 
-def read_configuration(spec: Any) -> Configuration:
-    """Return one configuration version; raise BadPlatformAnswerError."""
-    return _decode("configuration", lambda: _read_configuration(spec))
+class _Fields:
+    """The fields of one entry, each checked as it is read."""
 
+    def __init__(self, what: str, spec: Any) -> None:
+        """Read from `spec`; raise BadEntryError where it is no map."""
+        if not isinstance(spec, dict):
+            raise BadEntryError(what, "spec", spec, "it is no map")
+        self._what = what
+        self._spec = spec
 
-def _decode(what: str, read: Callable[[], T]) -> T:
-    try:
-        return read()
-    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
-        raise BadPlatformAnswerError(f"{what} cannot be read: {error!r}") from None
+    def read(self, name: str, check: Callable[[Any], T]) -> T:
+        """Return a field that must be there; raise BadEntryError."""
+        if self._spec.get(name) is None:
+            raise BadEntryError(self._what, name, None, "it is missing")
+        return self._check(name, check)
 
+    def check(self, name: str, check: Callable[[Any], T]) -> T | None:
+        """Return a field that may be left out, None without it; raise BadEntryError."""
+        return self._check(name, check) if self._spec.get(name) is not None else None
 
-def _read_upstream(instance: str, spec: Any) -> UpstreamRecord:
-    return UpstreamRecord(
-        instance=instance,
-        service=str(spec["service"]),
-        address=split_address(spec["address"]),
-        zone=str(spec.get("zone", "")),
-        slots=int(spec.get("slots", 1)),
-        leaving=spec.get("state") == "draining",
-        role=Role(spec.get("phase") or "none"),
-    )
+    def _check(self, name: str, check: Callable[[Any], T]) -> T:
+        value = self._spec[name]
+        try:
+            return check(value)
+        except ValueError as error:
+            raise BadEntryError(self._what, name, value, str(error)) from None
+
+
+def _check_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r:.80} is not a list; give a list")
+    return value
+
+
+def read_configuration(spec: Any) -> Configuration:
+    """Return one configuration version; raise BadEntryError."""
+    try:
+        return _read_configuration(spec)
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
+        raise BadEntryError("configuration", "spec", spec, repr(error)) from None
 
 
 def _read_configuration(spec: Any) -> Configuration:
     services = [_read_service(item) for item in spec.get("services", [])]
     return Configuration(
-        version=int(spec["version"]),
+        version=check_whole(spec["version"], 1, LARGEST_COUNT),
         routes=tuple(_read_route(item) for item in spec.get("routes", [])),
         services={service.name: service for service in services},
         limits=_read_limits(spec.get("limits") or {}),
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -4,14 +4,12 @@
 raises PlatformUnavailableError, and whoever wrote reads back before it acts on the write.
 """
 
-from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 
 from swifttrestle.errors import (
-    BadPlatformAnswerError,
     ConflictError,
     HistoryGoneError,
     NotFoundError,
@@ -22,6 +20,16 @@
 from swifttrestle.internal.transport.messages import Body, Framing
 from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
 from swifttrestle.internal.transport.upstream import Address, OutgoingRequest
+from swifttrestle.platform.objects import (
+    Changes,
+    Snapshot,
+    StoredObject,
+    UnreadObject,
+    decode_answer,
+    read_changes,
+    read_object,
+    read_page,
+)
 
 POOL_NAME = "store"
 # Seconds in which a write must be answered: far over the usual milliseconds, under the shortest
@@ -46,40 +54,6 @@
 LARGEST_ANSWER = 16 * 1024 * 1024
 
 
-@dataclass(frozen=True)
-class StoredObject:
-    """One object; `revision` is that of its last change."""
-
-    kind: str
-    name: str
-    revision: int
-    spec: Any
-
-
-@dataclass(frozen=True)
-class Change:
-    """One change that a watch saw."""
-
-    item: StoredObject
-    removed: bool
-
-
-@dataclass(frozen=True)
-class Snapshot:
-    """All objects of a kind, and the store's revision from which a watch goes on."""
-
-    items: tuple[StoredObject, ...]
-    revision: int
-
-
-@dataclass(frozen=True)
-class Changes:
-    """What a watch returned, and the revision from which the next one goes on."""
-
-    changes: tuple[Change, ...]
-    revision: int
-
-
 class ObjectStore:
     """Calls to the store over kept connections."""
 
@@ -92,56 +66,47 @@
     async def list(self, kind: str) -> Snapshot:
         """Return all objects of a kind, read page by page."""
         items: list[StoredObject] = []
+        unread: list[UnreadObject] = []
         revision = 0
-        async for page in self._pages(kind):
-            items += [_read_object(kind, raw) for raw in page["items"]]
+        after = ""
+        while True:
+            query = f"?after={quote(after)}" if after else ""
+            raw = await self._call(b"GET", f"/v1/objects/{kind}{query}", None, READ_SECONDS)
+            page = read_page(kind, raw)
+            items += page.items
+            unread += page.unread
             # The oldest page's revision is safe to watch from: nothing after it is missed.
-            revision = revision or int(page["timestamp"])
-        return Snapshot(tuple(items), revision)
+            revision = revision or page.revision
+            complete = not page.more
+            if complete or page.last in ("", after):
+                return Snapshot(tuple(items), revision, tuple(unread), complete)
+            after = page.last
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
         """Wait for changes after a revision; raise HistoryGoneError where they are forgotten."""
         path = f"/v1/objects/{kind}?watch={revision}&waitMs={int(seconds * 1000)}"
         raw = await self._call(b"GET", path, None, seconds + WATCH_MARGIN_SECONDS)
-        try:
-            changes = [
-                Change(_read_object(kind, event["object"]), bool(event["removed"]))
-                for event in raw["events"]
-            ]
-            return Changes(tuple(changes), int(raw["timestamp"]))
-        except (KeyError, TypeError, ValueError) as error:
-            raise BadPlatformAnswerError(f"a watch cannot be read: {error!r}") from None
+        return read_changes(kind, raw)
 
     async def get(self, kind: str, name: str) -> StoredObject:
         """Return one object; raise NotFoundError."""
-        path = f"/v1/objects/{kind}/{name}"
-        return _read_object(kind, await self._call(b"GET", path, None, READ_SECONDS))
+        path = f"/v1/objects/{kind}/{quote(name)}"
+        return read_object(kind, await self._call(b"GET", path, None, READ_SECONDS))
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Make an object; raise ConflictError where it is there."""
         body = {"metadata": {"name": name}, "spec": spec}
-        return _read_object(kind, await self._call(b"POST", f"/v1/objects/{kind}", body))
+        return read_object(kind, await self._call(b"POST", f"/v1/objects/{kind}", body))
 
-    async def replace(self, kind: str, name: str, spec: Any, revision: int) -> StoredObject:
-        """Replace an object at a revision; raise ConflictError where it is at another."""
-        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
-        raw = await self._call(b"PUT", f"/v1/objects/{kind}/{name}", body)
-        return _read_object(kind, raw)
+    async def replace(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredObject:
+        """Replace an object at a revision; raise ConflictError where it is at another.
 
-    async def _pages(self, kind: str) -> AsyncIterator[Any]:
-        path = f"/v1/objects/{kind}"
-        while True:
-            page = await self._call(b"GET", path, None, READ_SECONDS)
-            try:
-                more = bool(page.get("hasMore")) and bool(page["items"])
-                last = page["items"][-1]["metadata"]["name"] if more else ""
-                int(page["timestamp"])
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
-                raise BadPlatformAnswerError(f"a list cannot be read: {error!r}") from None
-            yield page
-            if not more:
-                return
-            path = f"/v1/objects/{kind}?after={last}"
+        Without a revision whatever stands there is replaced.
+        """
+        metadata = {"name": name} if revision is None else {"name": name, "revision": revision}
+        body = {"metadata": metadata, "spec": spec}
+        raw = await self._call(b"PUT", f"/v1/objects/{kind}/{quote(name)}", body)
+        return read_object(kind, raw)
 
     async def _call(
         self, method: bytes, path: str, body: Any, seconds: float = CALL_SECONDS
@@ -156,10 +121,7 @@
         except (UpstreamBrokenError, TimeoutError) as error:
             raise PlatformUnavailableError(f"{method.decode()} {path}: {error!r}") from None
         _check_status(head.status, path)
-        try:
-            return orjson.loads(content) if content else None
-        except orjson.JSONDecodeError as error:
-            raise BadPlatformAnswerError(f"{path}: the answer is not JSON: {error}") from None
+        return decode_answer(path, content)
 
     def _build(self, method: bytes, path: str, body: Any) -> OutgoingRequest:
         host = f"{self._address[0]}:{self._address[1]}".encode()
@@ -184,16 +146,3 @@
     if status == 429:
         raise RateLimitedError(path)
     raise PlatformUnavailableError(f"{path}: status {status}")
-
-
-def _read_object(kind: str, raw: Any) -> StoredObject:
-    try:
-        metadata = raw["metadata"]
-        return StoredObject(
-            kind,
-            str(metadata["name"]),
-            int(metadata["revision"]),
-            raw.get("spec"),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise BadPlatformAnswerError(f"an object cannot be read: {error!r}") from None
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -136,6 +136,20 @@
         for connection in list(self._sets[upstream.instance].open):
             connection.abort()
 
+    def restart_upstream(self, upstream: StandInUpstream, born: int, cut: bool = True) -> None:
+        """Start an upstream again under its instance; with `cut` its connections are reset.
+
+        Without, they stay silent, as those to a host that lost power do.
+        """
+        for connection in list(self._sets[upstream.instance].open):
+            assert isinstance(connection, _ServerConnection)
+            if cut:
+                connection.abort()
+            else:
+                connection.fall_silent()
+        upstream.restart(born)
+        self.list_upstream(upstream)
+
     def cut_store_connections(self) -> None:
         """Reset all connections to the store."""
         for connection in list(self._sets["store"].open):
--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -18,6 +18,22 @@
 PAGE_ITEMS = 50
 
 
+# The key under which an object holds the bytes that take its place.
+RAW = "raw"
+
+
+def write_answer(answer: Any) -> bytes:
+    """Return an answer's JSON, with the bytes of raw entries in their places."""
+    if isinstance(answer, dict):
+        if isinstance(answer.get(RAW), bytes):
+            return bytes(answer[RAW])
+        pairs = (orjson.dumps(key) + b":" + write_answer(item) for key, item in answer.items())
+        return b"{" + b",".join(pairs) + b"}"
+    if isinstance(answer, list):
+        return b"[" + b",".join(write_answer(item) for item in answer) + b"]"
+    return orjson.dumps(answer)
+
+
 @dataclass
 class StoreFaults:
     """How the store fails now.
@@ -65,6 +81,16 @@
         """Write an object whatever its revision."""
         self._write(kind, name, spec)
 
+    def put_raw(self, kind: str, name: str, content: bytes) -> None:
+        """Put the bytes of an entry in the place of an object, as a faulty writer does.
+
+        They take the place of the whole object in lists and events; `name` is where it stands.
+        """
+        self.revision += 1
+        item = {"metadata": {"name": name}, "spec": None, RAW: content}
+        self.objects[kind, name] = item
+        self._note(_Event(self.revision, kind, item, False))
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self.objects.pop((kind, name), None)
@@ -94,7 +120,7 @@
             self.faults.lose_answers -= 1
             reply.abort()
             return
-        content = orjson.dumps(answer)
+        content = write_answer(answer)
         await reply.start(status, (), Framing.LENGTH, len(content))
         for piece in cut_pieces(content, self.faults.pieces):
             await reply.send(piece)
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -40,6 +40,8 @@
         self.service = service
         self.zone = zone
         self.slots = slots
+        # When it started, in Unix milliseconds; 0 for one that does not tell it.
+        self.born = 0
         self.script = Script()
         self.seconds = 0.005
         self.runs: dict[str, int] = defaultdict(int)
@@ -55,6 +57,7 @@
     def record(self, address: str, state: str = "ready") -> dict[str, Any]:
         """Return the discovery record."""
         return {
+            **self.tell_born(),
             "service": self.service,
             "address": address,
             "zone": self.zone,
@@ -63,6 +66,15 @@
             "seq": 1,
         }
 
+    def tell_born(self) -> dict[str, int]:
+        """Return the field that tells its start, or none."""
+        return {"born": self.born} if self.born else {}
+
+    def restart(self, born: int) -> None:
+        """Start again under the same instance at a time, knowing nothing of before."""
+        self.born = born
+        self.script.steps.clear()
+
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Check the instance, then fail as told or run the request."""
         headers = read_headers(request)
@@ -127,6 +139,13 @@
         self.answer_orders = True
         self._numbers = itertools.count(1)
 
+    def restart(self, born: int) -> None:
+        """Start again: no memory, no handles, and orders are counted anew."""
+        super().restart(born)
+        self.handles.clear()
+        self.kept.clear()
+        self.orders.clear()
+
     def record(self, address: str, state: str = "ready") -> dict[str, Any]:
         """Return the discovery record, with the role."""
         return {**super().record(address, state), "phase": self.role}
@@ -140,7 +159,7 @@
             await self._order(request, reply)
         elif path == "/v1/kv-list":
             held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
-            answer = {"epoch": 1, "nextPageToken": 0, "held": held}
+            answer = {"epoch": 1, "nextPageToken": 0, "held": held, **self.tell_born()}
             await reply.send_whole(200, (), orjson.dumps(answer))
         elif path.startswith("/v1/kv-handle/"):
             name = path.rpartition("/")[2]
@@ -201,7 +220,7 @@
 
     async def _report(self, reply: Reply) -> None:
         report = {"phase": self.role, "busy": False, "seq": len(self.orders), "queued": 0,
-                  "running": 0}  # fmt: skip
+                  "running": 0, **self.tell_born()}  # fmt: skip
         await reply.send_whole(200, (), orjson.dumps(report))
 
     async def _order(self, request: IncomingRequest, reply: Reply) -> None:
--- a/tests/common/fakes.py
+++ b/tests/common/fakes.py
@@ -2,6 +2,7 @@
 
 from swifttrestle.errors import ConflictError, NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.clock import Clock
+from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.protocol.platform import Listing, ObjectApi, StoredObject
 
 
@@ -88,3 +89,8 @@
 
     def note_own_write(self, item):
         self.get(item.kind, item.name)
+
+
+def skip_silently():
+    """Return a count of skipped entries that nobody reads."""
+    return SkippedEntries(lambda kind, field: None)
--- /dev/null
+++ b/tests/cover/test_entries.py
@@ -0,0 +1,295 @@
+"""Entries of other writers: each names no instance to use, and the others hold.
+
+A stand-in of a careless writer left one entry without metadata among the upstreams. Each host's
+list and watch then failed whole ("a watch cannot be read: KeyError('metadata')"), so that no host
+learned of any change while it stood there: discovery read the list again and failed again. Of 24
+wrong records 15 were used as instances, among them one of state "banana".
+"""
+
+import asyncio
+import random
+
+import orjson
+import pytest
+
+from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
+from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
+from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.platform import objects
+from swifttrestle.platform.records import read_upstream
+from tests.common.virtual_time import run_in_virtual_time
+from tests.cover.test_removals import Alone, Store
+
+GOOD = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "phase": "decode",
+    "models": [],
+    "seq": 7,
+}
+GONE = "(left out)"
+
+
+def change(**fields):
+    changed = {**GOOD, **fields}
+    return {name: value for name, value in changed.items() if value is not GONE}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *[("state", value) for value in ("banana", 3, None, GONE, "", ["ready"], True)],
+        *[("service", value) for value in (7, ["s"], "", None, GONE, {"a": 1}, "s\ud800")],
+        *[("zone", value) for value in ({"a": 1}, 4, "", GONE)],
+        *[("slots", value) for value in (-3, 0, True, 1e300, 4.5, "4", GONE, 10**9)],
+        *[
+            ("address", value)
+            for value in ("10.0.0.1:0", "engine.example:80", "10.0.0.1", ":80", 80, GONE)
+        ],
+        *[("address", value) for value in ("0.0.0.0:80", "224.0.0.1:80", "10.0.0.1:99999")],
+        *[("phase", value) for value in ("reading", 1, ["decode"])],
+        *[("born", value) for value in ("1", -1, 0, 1.5, True, [], 2**70)],
+        *[("seq", value) for value in ("7", -1, True)],
+        *[("version", value) for value in (1, "")],
+        *[("coldRemainingMs", value) for value in ("0", -1)],
+        ("models", {"m": 1}),
+    ],
+    ids=repr,
+)
+def test_a_wrong_field_of_a_record_is_refused_by_its_name(field, value):
+    with pytest.raises(BadEntryError) as caught:
+        read_upstream("i", change(**{field: value}))
+    assert caught.value.field == field
+    assert caught.value.reason
+
+
+@pytest.mark.parametrize("spec", [None, 7, "text", [], [GOOD], True])
+def test_a_record_that_is_no_map_is_refused(spec):
+    with pytest.raises(BadEntryError, match="no map"):
+        read_upstream("i", spec)
+
+
+@pytest.mark.parametrize(
+    ("fields", "role", "leaving", "born"),
+    [
+        ({}, Role.DECODE, False, 0),
+        ({"phase": GONE, "models": GONE}, Role.NONE, False, 0),
+        ({"phase": None, "state": "draining"}, Role.NONE, True, 0),
+        ({"born": 1764720000000, "something": "new"}, Role.DECODE, False, 1764720000000),
+        ({"seq": GONE, "version": GONE, "coldRemainingMs": 2.5}, Role.DECODE, False, 0),
+    ],
+)
+def test_a_good_record_is_read_whatever_else_it_holds(fields, role, leaving, born):
+    record = read_upstream("i", change(**fields))
+    assert (record.role, record.leaving, record.born) == (role, leaving, born)
+    assert record.address == ("10.0.0.1", 80)
+
+
+def make_item(name="i", revision=3, spec=GOOD):
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+BAD_ITEMS = [
+    {},
+    {"spec": GOOD},
+    {"metadata": None, "spec": GOOD},
+    {"metadata": {"name": "i"}, "spec": GOOD},
+    {"metadata": {"revision": 3}, "spec": GOOD},
+    make_item(name=7),
+    make_item(name=""),
+    make_item(revision="new"),
+    make_item(revision=-1),
+    make_item(revision=True),
+    [],
+    None,
+    "item",
+    b'{"metadata":{"name":"i","revision":3},"spec":{"service":"\xff\xfe"}}',
+    b'{"metadata":{"name":"\xc3\x28","revision":3},"spec":{}}',
+    b'{"metadata":{"name":"i","revision":3},"spec":{"slots":NaN}}',
+    b'{"metadata":{"name":"i","revision":3},"spec":"\\ud800"}',
+]
+
+
+def write(items):
+    return b"[" + b",".join(i if isinstance(i, bytes) else orjson.dumps(i) for i in items) + b"]"
+
+
+@pytest.mark.parametrize("place", [0, 1, 2], ids=["first", "between", "last"])
+@pytest.mark.parametrize("item", BAD_ITEMS, ids=lambda item: repr(item)[:60])
+def test_a_bad_item_hides_no_other_one(item, place):
+    items = [make_item("a"), make_item("z")]
+    items.insert(place, item)
+    answer = b'{"items":%s,"hasMore":false,"timestamp":9}' % write(items)
+    page = objects.read_page("servers", objects.decode_answer("/", answer))
+    assert [found.name for found in page.items] == ["a", "z"]
+    assert len(page.unread) == 1
+    events = [b'{"removed":false,"object":%s}' % write([found])[1:-1] for found in items]
+    watched = b'{"events":%s,"timestamp":9}' % write(events)
+    changes = objects.read_changes("servers", objects.decode_answer("/", watched)).changes
+    good = [found.item.name for found in changes if isinstance(found.item, objects.StoredObject)]
+    assert good == ["a", "z"]
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [None, [], {}, {"items": []}, {"items": 3, "timestamp": 1}, {"items": [], "timestamp": "x"}],
+)
+def test_an_answer_that_is_no_list_is_no_answer(raw):
+    with pytest.raises(BadPlatformAnswerError):
+        objects.read_page("servers", raw)
+
+
+class PagedStore(Store):
+    """Lists in pages of two, in which a test puts bad items."""
+
+    def __init__(self, pages):
+        super().__init__()
+        self.pages = pages
+
+    async def _answer(self, method, path):
+        after = path.partition("after=")[2]
+        number = int(after[1:]) + 1 if after else 0
+        more = number + 1 < len(self.pages)
+        return {"items": self.pages[number], "hasMore": more, "timestamp": 5}
+
+
+@pytest.mark.parametrize(
+    "pages",
+    [
+        [[{}, make_item("p0")], [make_item("p1")]],
+        [[make_item("p0"), {}], [make_item("p1")]],
+        [[make_item("p0"), {"metadata": {"name": "p0", "revision": "x"}}], [make_item("p1")]],
+    ],
+)
+def test_paging_goes_on_behind_a_bad_item(pages):
+    snapshot = asyncio.run(PagedStore(pages).list("servers"))
+    assert [item.name for item in snapshot.items] == ["p0", "p1"]
+    assert len(snapshot.unread) == 1
+    assert snapshot.complete
+
+
+def test_a_page_without_any_name_ends_a_list_that_is_not_complete():
+    pages = [[make_item("p0")], [{}, None], [make_item("p2")]]
+    snapshot = asyncio.run(PagedStore(pages).list("servers"))
+    assert [item.name for item in snapshot.items] == ["p0"]
+    assert not snapshot.complete
+
+
+class Host:
+    """One host's discovery, and what it skipped."""
+
+    def __init__(self):
+        self.store = Store()
+        self.fleet = Fleet()
+        self.skipped = []
+        self.told = []
+        relay = Alone()
+        relay.send = self.told.append
+        relay.tells = lambda: True
+        self.discovery = Discovery(
+            self.store,
+            self.fleet,
+            random.Random(1),
+            relay,
+            changed=lambda: None,
+            find_up_since=lambda: float("inf"),
+            skipped=SkippedEntries(lambda kind, field: self.skipped.append(field)),
+        )
+
+    def put(self, name, **fields):
+        self.store.stand_in.put("servers", name, change(**fields))
+
+    async def run(self):
+        task = asyncio.ensure_future(self.discovery.run())
+        # Past the time in which entries that lapsed before the start may come back.
+        await asyncio.sleep(5)
+        return task
+
+    def uses(self):
+        return sorted(item.record.instance for item in self.fleet.list_service("s"))
+
+
+def test_an_entry_that_turns_wrong_names_no_instance_until_its_next_good_record():
+    async def story():
+        host = Host()
+        for name in ("a", "b"):
+            host.put(name)
+        task = await host.run()
+        assert host.uses() == ["a", "b"]
+        host.put("a", state="banana")
+        await asyncio.sleep(2)
+        assert host.uses() == ["b"]
+        assert host.told[-1].removed == ("a",)
+        host.put("a")
+        await asyncio.sleep(2)
+        assert host.uses() == ["a", "b"]
+        assert host.skipped == ["state"]
+        task.cancel()
+
+    run_in_virtual_time(story())
+
+
+def test_a_wrong_entry_is_told_of_once_for_each_content():
+    async def story():
+        host = Host()
+        host.put("a", slots=-3)
+        host.put("b")
+        task = await host.run()
+        host.store.stand_in.forget_history()
+        host.put("b", slots=8)
+        await asyncio.sleep(3)
+        assert host.skipped == ["slots"]
+        host.put("a", slots=-4)
+        await asyncio.sleep(3)
+        assert host.skipped == ["slots", "slots"]
+        assert host.uses() == ["b"]
+        task.cancel()
+
+    run_in_virtual_time(story())
+
+
+def test_a_change_that_others_must_hear_of_is_told_although_a_second_one_follows_in_its_watch():
+    # A record said that its instance leaves, and then only that it was less cold; both came in one
+    # watch. The second change took the first out of what the host told the hosts that follow it.
+    async def story():
+        host = Host()
+        host.put("a")
+        task = await host.run()
+        host.put("a", state="draining")
+        host.put("a", state="draining", coldRemainingMs=40)
+        await asyncio.sleep(2)
+        assert [record.leaving for message in host.told for record in message.records][-1]
+        task.cancel()
+
+    run_in_virtual_time(story())
+
+
+def test_a_service_that_is_not_declared_is_kept_aside_until_it_is():
+    fleet = Fleet()
+    fleet.put(read_upstream("i", GOOD))
+    fleet.declared = frozenset(("t",))
+    assert fleet.list_service("s") == []
+    assert fleet.list_engine_services() == []
+    fleet.declared = frozenset(("s", "t"))
+    assert [item.name for item in fleet.list_service("s")] == ["i"]
+    assert fleet.list_engine_services() == ["s"]
+
+
+def test_a_field_that_an_upstream_has_told_may_not_be_missing_later():
+    fleet = Fleet()
+    skipped = []
+    entries = UpstreamEntries(fleet, SkippedEntries(lambda kind, field: skipped.append(field)))
+    told = objects.StoredObject("servers", "i", 1, change(born=5))
+    untold = objects.StoredObject("servers", "i", 2, GOOD)
+    assert entries.read(told).born == 5
+    assert entries.read(untold) is None
+    assert skipped == ["born"]
+    entries.forget("i")
+    assert entries.read(untold).born == 0
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -21,7 +21,8 @@
 from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
 from swifttrestle.internal.state.routes import RouteTable
-from swifttrestle.platform.store import StoredObject
+from swifttrestle.platform.objects import StoredObject
+from tests.common.fakes import skip_silently
 
 
 def make_instance(name, role=Role.DECODE, zone="a", slots=10, **state):
@@ -333,7 +334,7 @@
 
 
 def keep(store, host):
-    keeper = RoleLeaseKeeper(store, "roles", host, 1, DURATION)
+    keeper = RoleLeaseKeeper(store, "roles", host, 1, DURATION, skip_silently())
     keeper._wait = DURATION
     return keeper
 
--- a/tests/cover/test_kept_parts.py
+++ b/tests/cover/test_kept_parts.py
@@ -18,7 +18,7 @@
 
 
 def test_an_engines_list_is_decoded_under_the_names_of_bookings():
-    assert read_kept_parts(LIST) == (PromptPart("m/aa", 4000), PromptPart("m/bb", 30))
+    assert read_kept_parts(LIST).parts == (PromptPart("m/aa", 4000), PromptPart("m/bb", 30))
 
 
 @pytest.mark.parametrize(
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -13,9 +13,16 @@
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.platform.store import CALL_SECONDS, ObjectStore
 from swifttrestle_standins.hosted.store import StandInStore
+from tests.common.fakes import skip_silently
 from tests.common.virtual_time import run_in_virtual_time
 
-RECORD = {"service": "alerts", "address": "10.0.0.9:80", "zone": "a", "slots": 6}
+RECORD = {
+    "service": "alerts",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "slots": 6,
+    "state": "ready",
+}
 # Seconds in which an instance that leaves is to get no more work, and for which the store, and
 # a host's path to it, must have been in order before that counts.
 LEAVING_SECONDS = 2.0
@@ -97,6 +104,7 @@
             self.relay,
             changed=lambda: None,
             find_up_since=lambda: float("inf"),
+            skipped=skip_silently(),
         )
         self.task = asyncio.ensure_future(self.discovery.run())
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Seeded faults from outside the gateways: signals, proxies, the store, upstreams, changes."""
 
 import asyncio
+import itertools
 import signal
 
 from tests.hosted.sites import script
@@ -9,6 +10,17 @@
 
 # Seconds that a planned stop may take beyond its grace, on a machine that is busy as well.
 STOP_SLACK_SECONDS = 10
+# The Unix millisecond of the first start that an upstream tells; each next one is a millisecond
+# later.
+FIRST_START = 1764720000000
+# Entries of other writers, and fields that they put into an upstream's own.
+STRAYS = (
+    b"{}",
+    b"null",
+    b'{"metadata":{"name":"s0","revision":"x"},"spec":{}}',
+    b'{"metadata":{"name":"x","revision":1},"spec":{"service":"\xff\xfe"}}',
+)
+WRONG_FIELDS = (("state", "banana"), ("slots", -3), ("address", "host.example:80"), ("service", 7))
 STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -20,6 +32,7 @@
         self._rng = rng
         self._tasks = set()
         self._busy = set()
+        self._starts = itertools.count(FIRST_START)
         self.log = []
         self.findings = []
 
@@ -27,7 +40,7 @@
         kinds = [self.stop, self.reload, self.change]
         if not planned:
             kinds += [self.kill, self.pause, self.hold, self.reset, self.outage, self.drain]
-            kinds += [self.spoil]
+            kinds += [self.spoil, self.restart, self.stray, self.overwrite]
         end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._rng.choice(kinds)
@@ -116,6 +129,25 @@
         await asyncio.sleep(self._some_time(2.5))
         self._site.list_upstream(upstream)
 
+    async def restart(self):
+        upstream = self._rng.choice(list(self._site.upstreams.values()))
+        self._site.restart_upstream(upstream, next(self._starts), cut=self._rng.random() < 0.5)
+
+    async def stray(self):
+        name = f"stray{self._rng.randrange(100)}"
+        self._site.store.put_raw("servers", name, self._rng.choice(STRAYS))
+        await asyncio.sleep(self._some_time(2.0))
+        self._site.store.remove("servers", name)
+
+    async def overwrite(self):
+        """Have another writer put something else in the place of an upstream's entry."""
+        upstream = self._rng.choice(list(self._site.upstreams.values()))
+        record = upstream.record(self._site.addresses[upstream.instance])
+        field, value = self._rng.choice(WRONG_FIELDS)
+        self._site.store.put("servers", upstream.instance, {**record, field: value})
+        await asyncio.sleep(self._some_time(1.5))
+        self._site.list_upstream(upstream)
+
     async def spoil(self):
         script(self._site, self._rng.choice("se"), *self._rng.choices(STEPS, k=4))
 
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -71,6 +71,7 @@
     """Return the hosts and kinds of requests that do not come back."""
     for upstream in site.upstreams.values():
         upstream.script.steps.clear()
+        site.list_upstream(upstream)
     findings = []
     for host in site.hosts.values():
         for kind in ("verdict", "chat", "goal", "card"):
