A stand-in that starts again holds nothing that its former start held

Ruled out: the gateway; a next start is a fresh instance and may be chosen.

A restart gives the stand-in a new hold; what its former start held stays held. The test is as it was.

--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -71,8 +71,13 @@
         return {"born": self.born} if self.born else {}
 
     def restart(self, born: int) -> None:
-        """Start again under the same instance at a time, knowing nothing of before."""
+        """Start again under the same instance at a time, knowing nothing of before.
+
+        What the former start held stays held for ever; the next start holds nothing.
+        """
         self.born = born
+        self.hold = asyncio.Event()
+        self.hold.set()
         self.script.steps.clear()
 
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
