Tell crashes of upstreams, with the names of the requests that were open there

Cause: a host's lines showed that a request broke off, not whether its upstream had ended, nor whether two attempts under two ids were the same request; three hypotheses could not be told apart. Change: a request has a name (caller, method, host, path, body); where one breaks off, its upstream's address is tried once, and the lines name what was open at a crash. Nothing is decided by it yet.

--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -160,6 +160,14 @@
         self.refused = refused
 
 
+class UpstreamSilentError(UpstreamBrokenError):
+    """The upstream did not answer in time, on a connection that still stood."""
+
+    def __init__(self, message: str) -> None:
+        """Count as sent: the request may be running there still."""
+        super().__init__(message, sent=True)
+
+
 class FailedByUpstreamError(UpstreamBrokenError):
     """A repeatable request ran and failed at its upstream; another one may do better."""
 
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -9,6 +9,7 @@
     UpstreamBrokenError,
     UpstreamBusyError,
     UpstreamLeavingError,
+    UpstreamSilentError,
 )
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
@@ -67,7 +68,7 @@
         async with asyncio.timeout(min(plan.patience, max(0.0, ctx.left))):
             head, body = await connection.exchange(build_request(ctx, plan.forwarding))
     except TimeoutError:
-        raise UpstreamBrokenError("no answer in time", sent=True) from None
+        raise UpstreamSilentError("no answer in time") from None
     facts = read_answer_facts(head.status, head.headers, plan.instance.record.instance)
     # An engine that turns a request away may do so before it has read the id.
     if facts.request_id != ctx.facts.request_id and not (facts.not_run and not facts.request_id):
@@ -92,7 +93,8 @@
     before = ctx.may_have_run
     ctx.may_have_run = True
     try:
-        await deliver(ctx, pool, plan, relay)
+        with ctx.open_at(plan.instance):
+            await deliver(ctx, pool, plan, relay)
     except (UpstreamBusyError, UpstreamLeavingError):
         ctx.may_have_run = before
         raise
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -1,12 +1,14 @@
 """What is known of one request while it is served."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
 from swifttrestle.internal.state.declared import Repeat, Route, ServiceDeclaration
+from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply
 from swifttrestle.internal.transport.messages import Header
 from swifttrestle.platform.wire import RequestFacts
@@ -37,6 +39,8 @@
     arrivals: int = 0
     excluded: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
+    # Where the request was open when its time was over.
+    open_to_the_end: Instance | None = None
     # Called at the first byte of an answer that streams.
     on_first_byte: Callable[[], None] | None = None
 
@@ -55,6 +59,15 @@
         """Seconds since the request was read."""
         return asyncio.get_running_loop().time() - self.request.received
 
+    @contextlib.contextmanager
+    def open_at(self, instance: Instance) -> Iterator[None]:
+        """Keep where the request is open if it is called off there."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            self.open_to_the_end = instance
+            raise
+
     def note_first_byte(self) -> None:
         """Keep the request's age at the first byte of its answer."""
         if self.first_byte is not None:
--- /dev/null
+++ b/src/swifttrestle/internal/forward/crashes.py
@@ -0,0 +1,126 @@
+"""Which requests were open at an upstream that crashed, as far as this host saw.
+
+A request that breaks off tells little: a connection was lost, a link was cut, an answer was
+spoiled. It counts against the request only once the upstream itself is known to have ended, which
+its address or its next start tells.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.request_names import RequestName, name_request
+from swifttrestle.internal.transport.caller import IncomingRequest
+from swifttrestle.internal.transport.pool import ConnectionPool
+
+# Seconds for which a request that broke off may still turn out to have been open at a crash. An
+# upstream that falls silent is told by the list alone: three heartbeats of 1.2 s and a second to
+# hear of it.
+UNSETTLED_SECONDS = 6.0
+# Seconds between the loss of a connection and the look at its upstream's address: a process that
+# ends closes its connections and its port one after the other.
+LOOK_DELAY_SECONDS = 0.005
+# Requests kept for one upstream: more than one host has open there.
+MOST_UNSETTLED = 256
+
+OnCrash = Callable[[Instance, Sequence[RequestName]], None]
+
+
+@dataclass(frozen=True)
+class _Unsettled:
+    """A request that got no answer from an upstream; `silent` where no connection was lost."""
+
+    name: RequestName
+    at: float
+    silent: bool
+
+
+class CrashWatch:
+    """Looks at upstreams at which requests broke off, and tells which requests a crash met."""
+
+    def __init__(self, pool: ConnectionPool, on_crash: OnCrash) -> None:
+        """Look through `pool`; call `on_crash` for each crash with the requests open there."""
+        self._pool = pool
+        self._on_crash = on_crash
+        self._unsettled: dict[str, list[_Unsettled]] = defaultdict(list)
+        self._looks: dict[str, asyncio.Task[None]] = {}
+
+    def note_broken(self, instance: Instance, request: IncomingRequest) -> None:
+        """Take over that a request's connection was lost, and look at the upstream."""
+        if self._keep(instance, request, silent=False):
+            self._look(instance, withdrawn=False)
+
+    def note_silent(self, instance: Instance, request: IncomingRequest) -> None:
+        """Take over that a request got no answer in its time, on a connection that still stood."""
+        self._keep(instance, request, silent=True)
+
+    def note_withdrawn(self, instance: Instance) -> None:
+        """Take over that the list does not name an upstream any more."""
+        if instance.name in self._unsettled:
+            self._look(instance, withdrawn=True)
+
+    def note_replaced(self, instance: Instance) -> None:
+        """Take over that a later start has taken an upstream's place."""
+        if not instance.record.leaving:
+            self._settle(instance, "its next start", silent_too=True)
+
+    def _keep(self, instance: Instance, request: IncomingRequest, *, silent: bool) -> bool:
+        name = name_request(request.head, request.caller, request.body)
+        if name is None or instance.record.leaving:
+            # An upstream that leaves ends by plan, and may cut what is still open.
+            return False
+        now = _now()
+        kept = [item for item in self._unsettled[instance.name] if _is_fresh(item, now)]
+        kept.append(_Unsettled(name, now, silent))
+        self._unsettled[instance.name] = kept[-MOST_UNSETTLED:]
+        return True
+
+    def _look(self, instance: Instance, *, withdrawn: bool) -> None:
+        """Try the upstream's address, once at a time for all that broke off there."""
+        if instance.name in self._looks:
+            return
+        task = asyncio.ensure_future(self._try_address(instance, withdrawn))
+        self._looks[instance.name] = task
+        task.add_done_callback(lambda _: self._looks.pop(instance.name, None))
+
+    async def _try_address(self, instance: Instance, withdrawn: bool) -> None:
+        await asyncio.sleep(LOOK_DELAY_SECONDS)
+        try:
+            await self._pool.probe(instance.name, instance.record.address)
+        except UpstreamUnreachedError as error:
+            # A silent address alone may be a cut link; with the list's word it is a crash.
+            if (error.refused or withdrawn) and not instance.record.leaving:
+                self._settle(instance, "its address", silent_too=withdrawn)
+
+    def _settle(self, instance: Instance, source: str, *, silent_too: bool) -> None:
+        """Tell of a crash and of the requests that were open there."""
+        now = _now()
+        kept = self._unsettled.pop(instance.name, [])
+        for name in [name for name, items in self._unsettled.items() if not _any_fresh(items, now)]:
+            del self._unsettled[name]
+        open_then = [item for item in kept if _is_fresh(item, now)]
+        names = list({item.name: None for item in open_then if silent_too or not item.silent})
+        if names:
+            log_decision(
+                "upstream crashed",
+                instance=instance.name,
+                source=source,
+                open=[str(name) for name in names],
+            )
+            self._on_crash(instance, names)
+
+
+def _any_fresh(items: Sequence[_Unsettled], now: float) -> bool:
+    return any(_is_fresh(item, now) for item in items)
+
+
+def _is_fresh(item: _Unsettled, now: float) -> bool:
+    return now - item.at < UNSETTLED_SECONDS
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -14,10 +14,16 @@
 from swifttrestle.internal.forward.plain import PlainForwarder
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.declared import Limits, Route
+from swifttrestle.internal.state.request_names import name_request
 from swifttrestle.internal.state.routes import RouteTable, pick_service
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
 from swifttrestle.internal.transport.messages import Header, RequestHead
-from swifttrestle.platform.wire import REQUEST_ID, name_request, read_facts, strip_request_headers
+from swifttrestle.platform.wire import (
+    REQUEST_ID,
+    read_facts,
+    strip_request_headers,
+    write_request_id,
+)
 
 # Seconds after which a caller may come back to a host that knows no configuration yet.
 UNCONFIGURED_RETRY_SECONDS = 0.5
@@ -118,6 +124,8 @@
                 await forwarder.serve(ctx)
         except TimeoutError:
             ctx.note("deadline")
+            if ctx.open_to_the_end is not None:
+                self._parts.crashes.note_silent(ctx.open_to_the_end, ctx.request)
             if ctx.may_have_run:
                 raise RefusedError(Code.ANSWER_LATE, "the time is over") from None
             raise ctx.refuse(Code.DEADLINE_PASSED, "the time is over", 0.1) from None
@@ -131,7 +139,7 @@
         headers: list[Header] = [(b"Content-Type", b"application/json")]
         request_id = request.head.find(REQUEST_ID)
         if request_id:
-            headers.append(name_request(request_id))
+            headers.append(write_request_id(request_id))
         if error.retry_after is not None and error.ran is Ran.NOT_RUN:
             headers.append((b"Retry-After", f"{error.retry_after:.3f}".encode()))
         content = orjson.dumps(
@@ -161,8 +169,19 @@
             tokens=[ctx.facts.prompt_tokens, ctx.facts.output_tokens] if ctx else None,
             ms=round((now - request.received) * 1000, 1),
             steps=_list_steps(ctx),
+            **_name_broken(ctx, code),
         )
 
 
+def _name_broken(ctx: Context | None, code: Code) -> dict[str, str]:
+    """Return the field that names a request that broke at an upstream, whatever its id was."""
+    if ctx is None or not (
+        ctx.runs or ctx.lost_reads or (ctx.may_have_run and code is not Code.OK)
+    ):
+        return {}
+    name = name_request(ctx.request.head, ctx.request.caller, ctx.request.body)
+    return {"name": str(name)} if name else {}
+
+
 def _list_steps(ctx: Context | None) -> Sequence[str]:
     return ctx.steps if ctx else ()
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -3,15 +3,18 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
     UpstreamBusyError,
     UpstreamError,
     UpstreamLeavingError,
+    UpstreamSilentError,
     UpstreamUnreachedError,
 )
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.crashes import CrashWatch
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import (
@@ -24,6 +27,7 @@
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
+from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Seconds for which an instance that refused gets no more work where others can take it.
@@ -82,7 +86,9 @@
         # Prompts that peers have not been told of yet.
         self.sent_prompts: deque[SentPrompt] = deque(maxlen=MOST_UNTOLD_PROMPTS)
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
+        self.crashes = CrashWatch(self.pool, self._note_crash)
         fleet.on_replaced = self._end_start
+        fleet.on_removed = self.crashes.note_withdrawn
 
     def list_usable(self, service: str, now: float) -> list[Instance]:
         """Return a service's instances that are neither leaving nor left out as broken."""
@@ -120,7 +126,17 @@
         """
         log_decision("instance started anew", former=former.name)
         loop = asyncio.get_running_loop()
-        loop.call_later(LAST_BYTES_SECONDS, self.pool.break_off, former.name)
+        loop.call_later(LAST_BYTES_SECONDS, self._break_off, former)
+
+    def _break_off(self, former: Instance) -> None:
+        self.pool.break_off(former.name)
+        # The requests that this breaks off notice it in the loop's next turns.
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAST_BYTES_SECONDS, self.crashes.note_replaced, former)
+
+    def _note_crash(self, instance: Instance, names: Sequence[RequestName]) -> None:
+        """Count a crash for those who watch this host."""
+        self.metrics.count("upstream_crashes_total", service=instance.record.service)
 
     def note_failed_use(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
         """Remember an engine's failure; return it as an outcome of its use."""
@@ -142,8 +158,14 @@
 
         Where the caller broke its own request off, the instance is not to blame.
         """
-        if not ctx.request.body.broken:
-            self.note_failure(instance, now, str(error), weigh_failure(error))
+        if ctx.request.body.broken:
+            return
+        match error:
+            case UpstreamSilentError():
+                self.crashes.note_silent(instance, ctx.request)
+            case UpstreamError(sent=True):
+                self.crashes.note_broken(instance, ctx.request)
+        self.note_failure(instance, now, str(error), weigh_failure(error))
 
     def note_failure(self, instance: Instance, now: float, reason: str, weight: int = 1) -> None:
         """Count a failure of an instance; it may be left out from now on."""
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 
 from swifttrestle.codes import Code
-from swifttrestle.errors import UpstreamBrokenError, UpstreamBusyError, UpstreamLeavingError
+from swifttrestle.errors import (
+    UpstreamBrokenError,
+    UpstreamBusyError,
+    UpstreamLeavingError,
+    UpstreamSilentError,
+)
 from swifttrestle.internal.forward.attempt import build_request
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
@@ -82,7 +87,8 @@
         expected = booking.wait + booking.fetch_seconds + booking.tokens / reader.pace
         limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
         try:
-            handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
+            with ctx.open_at(reader):
+                handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
             use.outcome = Outcome.DONE
             self._parts.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
@@ -142,7 +148,7 @@
                     SMALL_ANSWER_BYTES,
                 )
         except TimeoutError:
-            raise UpstreamBrokenError("the prompt was not read in time") from None
+            raise UpstreamSilentError("the prompt was not read in time") from None
         facts = read_answer_facts(head.status, head.headers, reader.record.instance)
         if facts.not_run:
             if facts.replaced:
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -116,8 +116,9 @@
         self.instances: dict[str, Instance] = {}
         # The name of the start in use of each instance that the list names.
         self._starts: dict[str, str] = {}
-        # Called with a start that a later one has replaced.
+        # Called with a start that a later one has replaced, and with one that the list has lost.
         self.on_replaced: Callable[[Instance], None] = _ignore
+        self.on_removed: Callable[[Instance], None] = _ignore
         # The services that the configuration in force names, None while there is none.
         self.declared: frozenset[str] | None = None
         # The loop's time at which the discovery list was last confirmed.
@@ -218,6 +219,7 @@
         if known is None:
             return False
         self._drop(known)
+        self.on_removed(known)
         return True
 
     def _drop(self, start: Instance) -> None:
--- /dev/null
+++ b/src/swifttrestle/internal/state/request_names.py
@@ -0,0 +1,47 @@
+"""What makes two requests the same one, whatever ids their attempts carry."""
+
+import hashlib
+from dataclasses import dataclass
+
+from swifttrestle.internal.transport.messages import Body, RequestHead
+
+# Bytes of each half of a name: two of 2^32 requests share a half by chance once.
+HALF_BYTES = 8
+
+
+@dataclass(frozen=True)
+class RequestName:
+    """The name of a request: of its head (caller, method, host, path), and of its body.
+
+    The halves stand apart, since the first is known before the body has arrived: most requests
+    are told from a known one without a wait for their body, and without reading it.
+    """
+
+    head: bytes
+    body: bytes
+
+    def __str__(self) -> str:
+        """Return the name as logs and pages show it."""
+        return f"{self.head.hex()}-{self.body.hex()}"
+
+
+def name_head(head: RequestHead, caller: str) -> bytes:
+    """Return the half of a name that a request's head and its caller's address make.
+
+    The request's other headers are not part of it: they differ from one attempt to the next.
+    """
+    digest = hashlib.blake2b(digest_size=HALF_BYTES)
+    for part in (caller.encode(), head.method, head.find(b"host").lower(), head.target):
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def name_request(head: RequestHead, caller: str, body: Body) -> RequestName | None:
+    """Return a request's name; None while its body is not whole."""
+    if not body.complete:
+        return None
+    digest = hashlib.blake2b(digest_size=HALF_BYTES)
+    for chunk in body.list_kept():
+        digest.update(chunk)
+    return RequestName(name_head(head, caller), digest.digest())
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from http import HTTPStatus
 
-from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.errors import UpstreamBrokenError, UpstreamSilentError
 
 Header = tuple[bytes, bytes]
 
@@ -92,6 +92,10 @@
         """Whether the sender should be held up."""
         return not self.keep and sum(map(len, self._chunks)) > HIGH_WATER_BYTES
 
+    def list_kept(self) -> tuple[bytes, ...]:
+        """Return what has arrived and is kept, in order."""
+        return tuple(self._chunks)
+
     def feed(self, data: bytes) -> None:
         """Take over bytes that arrived."""
         self.size += len(data)
@@ -144,7 +148,7 @@
                 await self._more.wait()
         except TimeoutError:
             message = f"no byte for {seconds:g} s after {self.size} of a body"
-            raise UpstreamBrokenError(message, sent=True) from None
+            raise UpstreamSilentError(message) from None
 
     async def read_whole(self, limit: int, byte_seconds: float | None = None) -> bytes:
         """Return the whole body; raise UpstreamBrokenError where it is over the limit.
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -96,6 +96,16 @@
         for connection in list(self._lent.get(instance, ())):
             connection.close()
 
+    async def probe(self, instance: str, address: Address) -> None:
+        """Open a connection to an instance, and keep it for the next request.
+
+        Raises UpstreamUnreachedError, whose `refused` says that nobody listens there.
+        """
+        connection = await self._connect(address)
+        now = asyncio.get_running_loop().time()
+        connection.idle_until = now + DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
+        self._idle[instance].append(connection)
+
     def _take_back(self, instance: str, connection: UpstreamConnection) -> None:
         lent = self._lent[instance]
         lent.discard(connection)
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -179,7 +179,7 @@
     )
 
 
-def name_request(request_id: bytes) -> Header:
+def write_request_id(request_id: bytes) -> Header:
     """Return the header that tells a caller which request an answer belongs to."""
     return (b"X-Request-Id", request_id)
 
