Keep a request that crashes its upstreams from the others

Cause: what a request did to an upstream was known to one attempt at one host and forgotten with it; its next attempt, under another id and at another host, was new. Ruled out: that the second engine of one attempt alone makes it (each burst has new attempts), and that the request was a bystander (it was open at 11 of 11 ended engines, no other at more than two). Change: a crash counts against the requests that were open there (named by caller, method, host, path and body) once the upstream's address or next start confirms it. From the second crash on a request is refused with a true time to come back, at all hosts: hosts tell each other at once, tell again by lot, ask after a start, a sleep or a reunion, and one of them keeps it in the store. Its own answer acquits a request everywhere.

--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -35,6 +35,7 @@
     REPEATED_ID = 1016
     CLAIM_UNAVAILABLE = 1017
     UPSTREAM_REFUSED = 1018
+    QUARANTINED = 1019
     ANSWER_LOST = 2001
     ANSWER_LATE = 2002
     STREAM_BROKEN = 3001
@@ -94,6 +95,11 @@
     Code.UPSTREAM_REFUSED: CodeEntry(
         503, _NOT_RUN, "Each upstream that was asked refused before running."
     ),
+    Code.QUARANTINED: CodeEntry(
+        503,
+        _NOT_RUN,
+        "Upstreams crashed under the same request; Retry-After says when it is tried.",
+    ),
     Code.ANSWER_LOST: CodeEntry(
         502, _MAY, "The connection was lost after a byte may have been sent."
     ),
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -20,6 +20,8 @@
 from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.kept_parts import KeptPartsLoader
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.quarantine_relay import QuarantineRelay
+from swifttrestle.internal.coordination.quarantine_store import QuarantineStore
 from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.coordination.roles import RoleDuty
 from swifttrestle.internal.forward.booking import LocalBooker
@@ -33,7 +35,7 @@
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state_dump import describe_fleet
+from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
@@ -136,6 +138,22 @@
             settings.is_near,
         )
         self._gossip.hearers.list_schedulers = self._booker.list_schedulers
+        self._quarantine = QuarantineStore(
+            self._store,
+            self._parts.guard,
+            settings.host,
+            self._gossip.list_members,
+            rng,
+            self._skipped,
+        )
+        self._crashes = QuarantineRelay(
+            socket,
+            settings.host,
+            self._parts.guard,
+            self._gossip.list_members,
+            rng,
+            self._quarantine.note_change,
+        )
         self._handler = GatewayHandler(self._parts, self._booker, lambda: self._configuration.table)
         lease = RoleLeaseKeeper(
             # Another machine of the same name is another holder.
@@ -178,6 +196,8 @@
         self._start(self._roles.run())
         self._start(self._booker.run())
         self._start(self._kept_parts.run())
+        self._start(self._quarantine.run())
+        self._start(self._crashes.run())
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
@@ -297,7 +317,11 @@
         self._metrics.count("entries_skipped_total", kind=kind, field=field)
 
     def _note_peers(self) -> None:
-        self._budgets.hosts = len(self._gossip.live_hosts())
+        live = self._gossip.live_hosts()
+        if len(live) > self._budgets.hosts:
+            # Hosts that lost each other may each have missed what the others know.
+            self._crashes.ask_soon()
+        self._budgets.hosts = len(live)
         self._serve_queues()
 
     def _find_configuration(self) -> Configuration | None:
@@ -347,6 +371,7 @@
             "ready": self.is_ready(),
             "live": self._gossip.live_hosts(),
             "instances": describe_fleet(self._fleet),
+            "quarantine": describe_quarantine(self._parts.guard.quarantine, _now()),
         }
         return Page(200, b"application/json", orjson.dumps(state))
 
@@ -359,6 +384,11 @@
                 "Instances that the list lacks and that are in use",
                 lambda: len(self._discovery.removals),
             ),
+            (
+                "quarantined_requests",
+                "Requests that are kept from upstreams, or were until a while ago",
+                lambda: len(self._parts.guard.quarantine.list_quarantined()),
+            ),
             ("store_calls", "Calls to the object store", lambda: self._store.calls),
             ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
             ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
@@ -367,6 +397,10 @@
             self._metrics.add_gauge(name, doc, read)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def main() -> None:
     """Run a gateway; a wrong setting ends it with its name, value and mend."""
     try:
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -0,0 +1,194 @@
+"""What hosts tell each other of requests under which upstreams crashed.
+
+The crashes of one request may each be seen by another host, and all that the whole fleet may still
+send of it after the third crash are three attempts. So a crash is told at once: in a small fleet to
+all, in a large one to the two hosts that keep a request's case, found by a hash, which tell all
+once it is quarantined. Hosts that missed that word hear it within some seconds by what each host
+tells another one, drawn by lot, twice a second; a host that has started, slept or met new peers
+asks instead.
+"""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+
+from swifttrestle.internal.forward.crash_guard import CrashGuard
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.keepers import KeeperRing
+from swifttrestle.internal.policy.quarantine import is_quarantined
+from swifttrestle.internal.policy.scheduling import is_large
+from swifttrestle.internal.protocol.quarantine import (
+    CASES_PER_PART,
+    Acquittal,
+    CrashNews,
+    pack_news,
+    split_cases,
+    unpack_news,
+)
+from swifttrestle.internal.state.crash_cases import Case
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.state.request_names import RequestName
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
+
+# Seconds between two times at which a host tells another one of what is quarantined, or asks.
+# A host that missed all else has heard it after 3 s with 99.7 % of all draws.
+PUSH_SECONDS = 0.5
+# Cases told at a time: 2 kB a second at most, while that many requests are quarantined.
+PUSHED_CASES = CASES_PER_PART
+# Cases told to a host that asks, the rest follows twice a second.
+ANSWERED_CASES = 8 * CASES_PER_PART
+# How often a host asks after it has started, slept or met new peers: an answer may be lost.
+ASKS = 3
+# Seconds beyond a pause after which this process has slept, and may have missed words.
+SLEPT_SECONDS = 0.5
+# Seconds between two times at which what is long past is forgotten.
+EXPIRE_SECONDS = 30.0
+
+
+class QuarantineRelay:
+    """Tells peers of crashes and answers, and takes their words over."""
+
+    def __init__(
+        self,
+        socket: PeerSocket,
+        host: str,
+        guard: CrashGuard,
+        list_members: Callable[[], Sequence[Member]],
+        rng: random.Random,
+        changed: Callable[[], None],
+    ) -> None:
+        """Speak through `socket`; call `changed` where a request is quarantined or acquitted."""
+        self._socket = socket
+        self._host = host
+        self._guard = guard
+        self._list_members = list_members
+        self._rng = rng
+        self._changed = changed
+        self._asks = ASKS
+        self._ring = KeeperRing(())
+        self._ring_members: tuple[Member, ...] = ()
+        guard.tell_cases = self._tell_cases
+        guard.tell_acquittal = self._tell_acquittal
+        socket.receive(DatagramKind.CRASHES, self._receive)
+
+    def ask_soon(self) -> None:
+        """Ask peers for what they keep from upstreams, in the next turns."""
+        self._asks = ASKS
+
+    async def run(self) -> None:
+        """Tell and ask for as long as the process lives."""
+        expire_at = _now() + EXPIRE_SECONDS
+        while True:
+            before = _now()
+            await asyncio.sleep(PUSH_SECONDS)
+            now = _now()
+            if now - before > PUSH_SECONDS + SLEPT_SECONDS:
+                log_decision("slept", seconds=round(now - before - PUSH_SECONDS, 2))
+                self.ask_soon()
+            if now >= expire_at:
+                self._guard.quarantine.expire(now)
+                expire_at = now + EXPIRE_SECONDS
+            self._push()
+
+    def _push(self) -> None:
+        others = self._list_others()
+        if not others:
+            return
+        cases = self._guard.quarantine.list_quarantined()
+        if not cases and not self._asks:
+            return
+        chosen = self._rng.sample(cases, min(PUSHED_CASES, len(cases)))
+        news = CrashNews(tuple(chosen), asks=self._asks > 0)
+        self._asks = max(0, self._asks - 1)
+        self._send(news, [self._rng.choice(others)])
+
+    # Telling.
+
+    def _tell_cases(self, cases: Sequence[Case]) -> None:
+        """Tell those who need to know of crashes that this host saw."""
+        if any(is_quarantined(case) for case in cases):
+            self._changed()
+        if not self._is_large():
+            self._tell(cases, self._list_others())
+            return
+        by_keeper: dict[Member, list[Case]] = defaultdict(list)
+        for case in cases:
+            for keeper in self._find_keepers(case.name):
+                by_keeper[keeper].append(case)
+        for keeper, kept in by_keeper.items():
+            if keeper.host == self._host:
+                self._announce(kept)
+            else:
+                self._tell(kept, [keeper])
+
+    def _announce(self, cases: Iterable[Case]) -> None:
+        """Tell all hosts of a large fleet what is quarantined, as the keeper of its case."""
+        self._tell([case for case in cases if is_quarantined(case)], self._list_others())
+
+    def _tell_acquittal(self, name: RequestName, at: float, everywhere: bool) -> None:
+        """Tell that a request got its own answer: to all hosts if they may keep it back."""
+        others = self._list_others()
+        if self._is_large() and not everywhere:
+            others = [item for item in self._find_keepers(name) if item.host != self._host]
+        if everywhere:
+            self._changed()
+        self._send(CrashNews(acquittals=(Acquittal(name, at),)), others)
+
+    def _tell(self, cases: Iterable[Case], hearers: Sequence[Member]) -> None:
+        for news in split_cases(cases):
+            self._send(news, hearers)
+
+    def _send(self, news: CrashNews, hearers: Iterable[Member]) -> None:
+        data = pack_news(news, _now())
+        for hearer in hearers:
+            self._socket.send(hearer.ip, DatagramKind.CRASHES, data)
+
+    def _list_others(self) -> list[Member]:
+        return [item for item in self._list_members() if item.host != self._host]
+
+    def _is_large(self) -> bool:
+        return is_large(len(self._list_members()))
+
+    def _find_keepers(self, name: RequestName) -> list[Member]:
+        members = tuple(self._list_members())
+        if members != self._ring_members:
+            self._ring_members = members
+            self._ring = KeeperRing(members)
+        return self._ring.find(name)
+
+    def _keeps(self, name: RequestName) -> bool:
+        """Return whether this host keeps a request's case for a large fleet."""
+        return self._is_large() and self._host in (item.host for item in self._find_keepers(name))
+
+    # Hearing.
+
+    def _receive(self, data: bytes, ip: str) -> None:
+        """Take a peer's news over; raise FrameError."""
+        news = unpack_news(data, _now())
+        for item in news.acquittals:
+            self._take_acquittal(item, ip)
+        told = self._guard.take_cases(news.cases, ip)
+        self._announce([case for case in told if self._keeps(case.name)])
+        if any(is_quarantined(case) for case in told):
+            self._changed()
+        if news.asks:
+            self._answer(ip)
+
+    def _take_acquittal(self, item: Acquittal, ip: str) -> None:
+        case = self._guard.quarantine.find(item.name)
+        if not self._guard.take_acquittal(item.name, item.at, ip):
+            return
+        if case is not None and is_quarantined(case):
+            self._changed()
+            if self._keeps(item.name):
+                self._send(CrashNews(acquittals=(item,)), self._list_others())
+
+    def _answer(self, ip: str) -> None:
+        cases = self._guard.quarantine.list_quarantined()[:ANSWERED_CASES]
+        for news in split_cases(cases):
+            self._socket.send(ip, DatagramKind.CRASHES, pack_news(news, _now()))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/quarantine_store.py
@@ -0,0 +1,176 @@
+"""Keeps what is quarantined in the platform's store: a loss of power takes all hosts' memory.
+
+One object holds all of it. Hosts read it once, at their start; one host, found by a hash, writes it
+where something was added or acquitted, so that neither costs a call while nothing happens.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from swifttrestle.errors import (
+    BadEntryError,
+    ConflictError,
+    NotFoundError,
+    PlatformUnavailableError,
+)
+from swifttrestle.internal.checks import check_text, check_whole
+from swifttrestle.internal.coordination.entries import SkippedEntries
+from swifttrestle.internal.forward.crash_guard import CrashGuard
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.placement import rank
+from swifttrestle.internal.policy.quarantine import FORGET_SECONDS
+from swifttrestle.internal.protocol.quarantine import pack_name, read_name
+from swifttrestle.internal.state.crash_cases import Case, Crash
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.state.request_names import RequestName
+from swifttrestle.platform.objects import StoredObject
+from swifttrestle.platform.store import ObjectStore
+
+QUARANTINE_KIND = "swifttrestle-quarantine"
+QUARANTINE_NAME = "requests"
+# Requests that the object holds, the latest crashes first: some 100 kB, a tenth of what one object
+# may have.
+MOST_STORED = 512
+# Least seconds between two tries, and the most that chance adds to them: a store that comes back
+# must not meet all hosts at once.
+RETRY_SECONDS = 1.0
+# Seconds for which what comes in is gathered before a write: the requests of one crash.
+GATHER_SECONDS = 0.05
+# The latest time that an entry may name: what a signed number of 64 bits holds.
+LATEST_MS = 2**63 - 1
+
+
+class QuarantineStore:
+    """Reads the object at a start, and writes it where this host is the one that does."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        guard: CrashGuard,
+        host: str,
+        list_members: Callable[[], Sequence[Member]],
+        rng: random.Random,
+        skipped: SkippedEntries,
+    ) -> None:
+        """Keep what `guard` has in `store`."""
+        self._store = store
+        self._guard = guard
+        self._host = host
+        self._list_members = list_members
+        self._rng = rng
+        self._skipped = skipped
+        self._changed = asyncio.Event()
+        # What the object held when this host last read or wrote it.
+        self._stored: dict[RequestName, int] = {}
+
+    def note_change(self) -> None:
+        """Take over that something was quarantined or acquitted."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Read once, then write for as long as the process lives."""
+        await self._until_done(self._load)
+        while True:
+            await self._changed.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            self._changed.clear()
+            await self._until_done(self._save)
+
+    async def _until_done(self, act: Callable[[], Any]) -> None:
+        while True:
+            try:
+                await act()
+                return
+            except (PlatformUnavailableError, ConflictError) as error:
+                log_decision("quarantine not kept", reason=str(error))
+                await asyncio.sleep(RETRY_SECONDS * (1 + self._rng.random()))
+
+    async def _load(self) -> None:
+        known = await self._read()
+        if known is not None:
+            self._take(known)
+        if any(case.name not in self._stored for case in self._list_quarantined()):
+            self._changed.set()
+
+    async def _save(self) -> None:
+        """Write what is quarantined here, together with what stands there."""
+        if not self._writes() or self._count(self._list_quarantined()) == self._stored:
+            return
+        known = await self._read()
+        acquitted = set(self._stored) - {case.name for case in self._list_quarantined()}
+        if known is not None:
+            self._take(known, leave_out=acquitted)
+        cases = self._list_quarantined()
+        spec = {"requests": [_write_case(case, _now()) for case in cases]}
+        if known is None:
+            await self._store.create(QUARANTINE_KIND, QUARANTINE_NAME, spec)
+        else:
+            await self._store.replace(QUARANTINE_KIND, QUARANTINE_NAME, spec, known.revision)
+        self._stored = self._count(cases)
+        log_decision("quarantine kept", requests=len(cases))
+
+    async def _read(self) -> StoredObject | None:
+        try:
+            return await self._store.get(QUARANTINE_KIND, QUARANTINE_NAME)
+        except NotFoundError:
+            return None
+
+    def _take(self, known: StoredObject, leave_out: set[RequestName] | None = None) -> None:
+        """Take over what the object holds; an entry that cannot be read hides no other."""
+        requests = known.spec.get("requests") if isinstance(known.spec, dict) else None
+        cases = []
+        for raw in requests if isinstance(requests, list) else [known.spec]:
+            try:
+                cases.append(_read_case(raw, _now()))
+            except BadEntryError as error:
+                self._skipped.skip(QUARANTINE_KIND, known.name, error, raw)
+        self._guard.take_cases(
+            [case for case in cases if case.name not in (leave_out or ())], "the store"
+        )
+        self._stored = self._count(cases)
+
+    def _writes(self) -> bool:
+        """Return whether this host writes the object: every host finds the same one by a hash."""
+        hosts = [item.host for item in self._list_members()]
+        return self._host == max(hosts, key=lambda host: rank(QUARANTINE_KIND, host))
+
+    def _list_quarantined(self) -> list[Case]:
+        cases = self._guard.quarantine.list_quarantined()
+        return sorted(cases, key=lambda case: case.last_at, reverse=True)[:MOST_STORED]
+
+    def _count(self, cases: Sequence[Case]) -> dict[RequestName, int]:
+        return {case.name: len(case.crashes) for case in cases}
+
+
+def _write_case(case: Case, now: float) -> dict[str, Any]:
+    """Return the stored form; times go by the time of day, in Unix milliseconds."""
+    crashes = [
+        {"start": crash.start, "at": int((time.time() - now + crash.at) * 1000)}
+        for crash in case.crashes
+    ]
+    return {"name": pack_name(case.name).hex(), "crashes": crashes}
+
+
+def _read_case(raw: Any, now: float) -> Case:
+    """Return the case of a stored form; raise BadEntryError."""
+    match raw:
+        case {"name": str(name), "crashes": [_, *_] as crashes}:
+            try:
+                read = tuple(_read_crash(crash, now) for crash in crashes)
+                return Case(read_name(bytes.fromhex(name)), read)
+            except (ValueError, TypeError, KeyError) as error:
+                raise BadEntryError("a quarantine", "requests", raw, repr(error)) from None
+    raise BadEntryError("a quarantine", "requests", raw, "a field is missing or of another type")
+
+
+def _read_crash(raw: Any, now: float) -> Crash:
+    age = time.time() - check_whole(raw["at"], 0, LATEST_MS) / 1000
+    # A clock of the platform's hosts may be ahead of this one's.
+    return Crash(check_text(raw["start"]), now - min(max(age, 0.0), FORGET_SECONDS))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -93,8 +93,7 @@
     before = ctx.may_have_run
     ctx.may_have_run = True
     try:
-        with ctx.open_at(plan.instance):
-            await deliver(ctx, pool, plan, relay)
+        await deliver(ctx, pool, plan, relay)
     except (UpstreamBusyError, UpstreamLeavingError):
         ctx.may_have_run = before
         raise
--- /dev/null
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -0,0 +1,143 @@
+"""Keeps requests that crash upstreams from the others, and finds out which ones do."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
+
+from swifttrestle.codes import Code
+from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.crashes import CrashWatch
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
+from swifttrestle.internal.state.crash_cases import Case, Crash
+from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.request_names import RequestName, name_head, name_request
+from swifttrestle.internal.transport.pool import ConnectionPool
+
+# Seconds after which to ask again while another copy of the request is tried: about as long as a
+# run that crashes its upstream takes until all hosts know of it.
+TRIED_RETRY_SECONDS = 1.0
+
+Teller = Callable[[Sequence[Case]], None]
+AcquittalTeller = Callable[[RequestName, float, bool], None]
+
+
+class CrashGuard:
+    """One host's look at all attempts before they are sent and after they have ended."""
+
+    def __init__(self, pool: ConnectionPool, quarantine: Quarantine, metrics: Metrics) -> None:
+        """Look at upstreams through `pool`; keep what is known in `quarantine`."""
+        self.watch = CrashWatch(pool, self._note_crash)
+        self.quarantine = quarantine
+        self._metrics = metrics
+        # Quarantined requests that are tried here now.
+        self._tried: set[RequestName] = set()
+        # Called with what this host found out: peers need it before the next attempt.
+        self.tell_cases: Teller = _ignore
+        self.tell_acquittal: AcquittalTeller = _ignore
+
+    async def check(self, ctx: Context) -> RequestName | None:
+        """Return a request's name if something is held against it.
+
+        Raises RefusedError for one that is kept from upstreams. Few requests wait here: those
+        whose caller, host and path are those of a request that was open at a crash, until their
+        body is whole and tells whether they are the same.
+        """
+        name = await self._find_known(ctx)
+        if name is None:
+            return None
+        case = self.quarantine.find(name)
+        seconds = self.quarantine.find_wait(name, _now())
+        if not seconds and case and is_quarantined(case) and name in self._tried:
+            seconds = TRIED_RETRY_SECONDS
+        if seconds:
+            self._metrics.count("quarantine_refusals_total", service=ctx.service.name)
+            ctx.note(f"quarantined {name}")
+            raise ctx.refuse(Code.QUARANTINED, "upstreams crashed under this request", seconds)
+        return name if case else None
+
+    @contextlib.asynccontextmanager
+    async def attempt(
+        self, ctx: Context, instance: Instance, *, acquits: bool = True
+    ) -> AsyncIterator[None]:
+        """Look at one attempt at an upstream; raise RefusedError where it must not be made.
+
+        Where it `acquits`, its end without an error means that the request got its own answer.
+        """
+        if await self._find_known(ctx) is not None:
+            # Its attempt before this one may just have ended an upstream.
+            await self.watch.finish_looks()
+        name = await self.check(ctx)
+        if name is not None:
+            self._tried.add(name)
+        try:
+            with ctx.open_at(instance):
+                yield
+        finally:
+            if name is not None:
+                self._tried.discard(name)
+        if acquits:
+            await self._acquit(ctx)
+
+    def take_cases(self, cases: Sequence[Case], source: str) -> list[Case]:
+        """Take over what is known elsewhere; return the cases of which something was news."""
+        return [case for case in cases if self._note(case.name, case.crashes, source)]
+
+    def take_acquittal(self, name: RequestName, at: float, source: str) -> bool:
+        """Take over that a request got its own answer; return whether that was news."""
+        if not self.quarantine.acquit(name, at):
+            return False
+        log_decision("request acquitted", name=str(name), source=source)
+        return True
+
+    async def _find_known(self, ctx: Context) -> RequestName | None:
+        """Return the request's name if something may be held against it."""
+        if not len(self.quarantine):
+            return None
+        request = ctx.request
+        if not self.quarantine.knows_head(name_head(request.head, request.caller)):
+            return None
+        # A body that never gets whole ends with its caller's connection or the request's time.
+        await request.body.wait_for_end()
+        return name_request(request.head, request.caller, request.body)
+
+    async def _acquit(self, ctx: Context) -> None:
+        # Whatever was heard of it while it ran counts as well.
+        name = await self._find_known(ctx) if ctx.request.body.complete else None
+        case = None if name is None else self.quarantine.find(name)
+        if name is None or case is None:
+            return
+        now = _now()
+        if self.take_acquittal(name, now, "its answer"):
+            self.tell_acquittal(name, now, is_quarantined(case))
+
+    def _note_crash(self, instance: Instance, names: Sequence[RequestName]) -> None:
+        crash = Crash(instance.name, _now())
+        self._metrics.count("upstream_crashes_total", service=instance.record.service)
+        news = [name for name in names if self._note(name, (crash,), "own")]
+        cases = (self.quarantine.find(name) for name in news)
+        self.tell_cases([case for case in cases if case is not None])
+
+    def _note(self, name: RequestName, crashes: Sequence[Crash], source: str) -> bool:
+        now = _now()
+        if not self.quarantine.note(name, crashes, now):
+            return False
+        case = self.quarantine.find(name)
+        if case is not None and is_quarantined(case):
+            log_decision(
+                "request quarantined",
+                name=str(name),
+                source=source,
+                crashes=[crash.start for crash in case.crashes],
+                seconds=round(self.quarantine.find_wait(name, now), 1),
+            )
+        return True
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing: nobody wants to know."""
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/crashes.py
+++ b/src/swifttrestle/internal/forward/crashes.py
@@ -58,6 +58,11 @@
         """Take over that a request got no answer in its time, on a connection that still stood."""
         self._keep(instance, request, silent=True)
 
+    async def finish_looks(self) -> None:
+        """Wait until the looks that are under way have told what they can."""
+        if self._looks:
+            await asyncio.wait(list(self._looks.values()))
+
     def note_withdrawn(self, instance: Instance) -> None:
         """Take over that the list does not name an upstream any more."""
         if instance.name in self._unsettled:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -241,7 +241,9 @@
             fetch_from=fetch_from,
         )
         began = asyncio.get_running_loop().time()
-        await make_attempt(ctx, self._parts.pool, AttemptPlan(decoder, added, patience), relay)
+        plan = AttemptPlan(decoder, added, patience)
+        async with self._parts.guard.attempt(ctx, decoder):
+            await make_attempt(ctx, self._parts.pool, plan, relay)
         now = asyncio.get_running_loop().time()
         self._parts.demand.note_hold(ctx.route.name, now - began)
         self._parts.ejector.note_success(decoder.name, now)
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -121,6 +121,7 @@
         forwarder = self._engines if ctx.service.engine else self._plain
         try:
             async with asyncio.timeout(max(0.0, ctx.left - ANSWER_MARGIN_SECONDS)):
+                await self._parts.guard.check(ctx)
                 await forwarder.serve(ctx)
         except TimeoutError:
             ctx.note("deadline")
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
@@ -14,7 +13,7 @@
     UpstreamUnreachedError,
 )
 from swifttrestle.internal.forward.context import Context
-from swifttrestle.internal.forward.crashes import CrashWatch
+from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import (
@@ -22,12 +21,12 @@
     SILENT_CONNECTION_WEIGHT,
     Ejector,
 )
+from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
 from swifttrestle.internal.state.bookings import Outcome
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
-from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Seconds for which an instance that refused gets no more work where others can take it.
@@ -86,7 +85,8 @@
         # Prompts that peers have not been told of yet.
         self.sent_prompts: deque[SentPrompt] = deque(maxlen=MOST_UNTOLD_PROMPTS)
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
-        self.crashes = CrashWatch(self.pool, self._note_crash)
+        self.guard = CrashGuard(self.pool, Quarantine(rng.random()), metrics)
+        self.crashes = self.guard.watch
         fleet.on_replaced = self._end_start
         fleet.on_removed = self.crashes.note_withdrawn
 
@@ -134,10 +134,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(LAST_BYTES_SECONDS, self.crashes.note_replaced, former)
 
-    def _note_crash(self, instance: Instance, names: Sequence[RequestName]) -> None:
-        """Count a crash for those who watch this host."""
-        self.metrics.count("upstream_crashes_total", service=instance.record.service)
-
     def note_failed_use(self, ctx: Context, engine: Instance, error: UpstreamError) -> Outcome:
         """Remember an engine's failure; return it as an outcome of its use."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -0,0 +1,180 @@
+"""How long a request is kept from upstreams that crashed under it.
+
+The load that this answers: one request crashes each upstream that begins to run it, and comes again
+and again under new ids at any host. Each crash costs an upstream for seconds and all that was open
+there. Others that ran beside it crash with it and come again as well, once or twice.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from swifttrestle.internal.state.crash_cases import Case, Crash
+from swifttrestle.internal.state.request_names import RequestName
+
+# Crashes under which a request was open, without an answer since, from which on it is kept from
+# upstreams. Most of what is open at a crash is innocent; little of that is open at the next one.
+CRASHES_TO_QUARANTINE = 2
+# Crashes after which hardly any innocent request is among those kept back.
+CRASHES_TO_BE_SURE = 3
+# Seconds of the first quarantine: an innocent request waits no longer than a caller's few attempts
+# and a pause; the next crash costs one upstream in so many seconds at most.
+FIRST_SECONDS = 10.0
+# Seconds once it is sure: one crash in ten minutes is what upstreams suffer anyway.
+LONG_SECONDS = 600.0
+# Hosts let a request go again at different moments, over this share of its quarantine: the first
+# one finds out for all, within some tens of milliseconds, whether it still crashes upstreams.
+SPREAD = 0.5
+# Seconds after the last crash at which it is forgotten: more than the longest quarantine, so that
+# the next crash after one is again one too many.
+FORGET_SECONDS = 1200.0
+
+# Seconds between two words of one crash: hosts notice it at different moments. A later crash of the
+# same start is one of its next start, which the list has not told yet.
+SAME_CRASH_SECONDS = 2.0
+# Requests that are remembered, some 500 bytes each: a host's part of the crashes of a hundred full
+# engines. Beyond that those under which the fewest upstreams crashed go first.
+MOST_CASES = 4096
+# The share that goes at once, so that the search for them is seldom.
+DROPPED_SHARE = 0.125
+# Crashes kept of one request: the latest, one more than what makes it sure.
+MOST_CRASHES = 4
+# Answers that are remembered, against older words of crashes that still come in.
+MOST_ACQUITTALS = 4096
+
+
+def find_quarantine_seconds(crashes: int) -> float:
+    """Return for how long after the last of so many crashes no host lets a request go."""
+    if crashes < CRASHES_TO_QUARANTINE:
+        return 0.0
+    return LONG_SECONDS if crashes >= CRASHES_TO_BE_SURE else FIRST_SECONDS
+
+
+def is_quarantined(case: Case) -> bool:
+    """Return whether a request's crashes are enough to keep it from upstreams for some time."""
+    return len(case.crashes) >= CRASHES_TO_QUARANTINE
+
+
+@dataclass
+class _Known:
+    """The crashes of one request, the latest first."""
+
+    crashes: list[Crash] = field(default_factory=list)
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Rank: what is dropped first comes first."""
+        return len(self.crashes), self.crashes[0].at if self.crashes else 0.0
+
+    def has(self, crash: Crash) -> bool:
+        """Return whether a crash is one of those."""
+        return any(
+            item.start == crash.start and abs(item.at - crash.at) < SAME_CRASH_SECONDS
+            for item in self.crashes
+        )
+
+
+class Quarantine:
+    """Cases by name; times are the loop's seconds."""
+
+    def __init__(self, late_share: float) -> None:
+        """Let requests go late by this share of `SPREAD`, from 0 to 1: another one at each host."""
+        self._late = 1 + SPREAD * late_share
+        self._known: dict[RequestName, _Known] = {}
+        self._heads: Counter[bytes] = Counter()
+        self._quarantined: set[RequestName] = set()
+        self._acquitted: dict[RequestName, float] = {}
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self._known)
+
+    def knows_head(self, head: bytes) -> bool:
+        """Return whether any remembered request has this half of its name."""
+        return head in self._heads
+
+    def note(self, name: RequestName, crashes: Iterable[Crash], now: float) -> bool:
+        """Take over crashes under a request; return whether one of them is news."""
+        known = self._known.get(name) or _Known()
+        acquitted_at = self._acquitted.get(name, float("-inf"))
+        before = list(known.crashes)
+        for crash in crashes:
+            old = crash.at <= acquitted_at or now - crash.at >= FORGET_SECONDS
+            if not old and not known.has(crash):
+                known.crashes.append(crash)
+        known.crashes.sort(key=lambda crash: crash.at, reverse=True)
+        # What is older than those kept must not be news each time that a peer tells it.
+        del known.crashes[MOST_CRASHES:]
+        if known.crashes == before:
+            return False
+        self._keep(name, known)
+        return True
+
+    def acquit(self, name: RequestName, at: float) -> bool:
+        """Take over that a request got its own answer; return whether crashes are forgotten.
+
+        What crashes each upstream that runs it never gets one.
+        """
+        self._acquitted.pop(name, None)
+        self._acquitted[name] = at
+        if len(self._acquitted) > MOST_ACQUITTALS:
+            del self._acquitted[next(iter(self._acquitted))]
+        known = self._known.get(name)
+        if known is None:
+            return False
+        left = [crash for crash in known.crashes if crash.at > at]
+        changed = len(left) < len(known.crashes)
+        known.crashes = left
+        if len(left) < CRASHES_TO_QUARANTINE:
+            self._quarantined.discard(name)
+        if not left:
+            self._close(name)
+        return changed
+
+    def find_wait(self, name: RequestName, now: float) -> float:
+        """Return the seconds until this host lets a request go to an upstream, 0 for at once."""
+        case = self.find(name)
+        if case is None:
+            return 0.0
+        seconds = find_quarantine_seconds(len(case.crashes)) * self._late
+        return max(0.0, case.last_at + seconds - now)
+
+    def find(self, name: RequestName) -> Case | None:
+        """Return what is known against a request."""
+        known = self._known.get(name)
+        return None if known is None else _make_case(name, known)
+
+    def list_quarantined(self) -> list[Case]:
+        """Return the requests that are kept from upstreams, or were until a while ago."""
+        return [_make_case(name, self._known[name]) for name in self._quarantined]
+
+    def expire(self, now: float) -> None:
+        """Forget what is long past."""
+        for name, known in list(self._known.items()):
+            if now - known.order[1] >= FORGET_SECONDS:
+                self._close(name)
+
+    def _keep(self, name: RequestName, known: _Known) -> None:
+        if name not in self._known:
+            if len(self._known) >= MOST_CASES:
+                self._drop_some()
+            self._heads[name.head] += 1
+            self._known[name] = known
+        if len(known.crashes) >= CRASHES_TO_QUARANTINE:
+            self._quarantined.add(name)
+
+    def _close(self, name: RequestName) -> None:
+        del self._known[name]
+        self._quarantined.discard(name)
+        self._heads[name.head] -= 1
+        if not self._heads[name.head]:
+            del self._heads[name.head]
+
+    def _drop_some(self) -> None:
+        ranked = sorted(self._known, key=lambda name: self._known[name].order)
+        for name in ranked[: max(1, int(MOST_CASES * DROPPED_SHARE))]:
+            self._close(name)
+
+
+def _make_case(name: RequestName, known: _Known) -> Case:
+    return Case(name, tuple(known.crashes))
--- a/src/swifttrestle/internal/state_dump.py
+++ b/src/swifttrestle/internal/state_dump.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.state.fleet import Fleet, Instance
 
 
@@ -10,6 +11,17 @@
     return {name: _describe(fleet, item) for name, item in fleet.instances.items()}
 
 
+def describe_quarantine(quarantine: Quarantine, now: float) -> dict[str, dict[str, Any]]:
+    """Return the quarantined requests by name: the crashes, and the seconds until a next try."""
+    return {
+        str(case.name): {
+            "crashes": [crash.start for crash in case.crashes],
+            "seconds": round(quarantine.find_wait(case.name, now), 1),
+        }
+        for case in quarantine.list_quarantined()
+    }
+
+
 def _describe(fleet: Fleet, item: Instance) -> dict[str, Any]:
     record = item.record
     return {
--- a/src/swifttrestle/internal/transport/datagrams.py
+++ b/src/swifttrestle/internal/transport/datagrams.py
@@ -17,6 +17,7 @@
     BOOKING = 2
     LISTING = 3
     ROSTER = 4
+    CRASHES = 5
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -114,6 +114,12 @@
             self._ended = True
             self._more.set()
 
+    async def wait_for_end(self) -> None:
+        """Wait until the body is whole, or until it is known that its rest will not come."""
+        while not self._ended:
+            self._more.clear()
+            await self._more.wait()
+
     async def chunks(self, byte_seconds: float | None = None) -> AsyncIterator[bytes]:
         """Yield the body from its start (its rest, without `keep`); raise what broke it.
 
