--- /dev/null
+++ b/tests/hosted/test_innocents.py
@@ -0,0 +1,168 @@
+"""Requests that ran beside a deadly one, and upstreams that break without having crashed."""
+
+import asyncio
+import functools
+
+import pytest
+
+from swifttrestle.internal.state.crash_cases import Case, Crash
+from swifttrestle.internal.state.request_names import name_request
+from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
+from swifttrestle_standins.hosted.site import wait_until
+from swifttrestle_standins.hosted.upstreams import DEADLY
+from tests.common.http import RawCaller, ask, write_request
+from tests.hosted.sites import SHORT, address_of, count_runs, on_site, script
+from tests.hosted.test_deadly_requests import (
+    AWAY_SECONDS,
+    ENGINES,
+    HOSTS,
+    LATER_START_MS,
+    send_again_and_again,
+)
+from tests.hosted.test_starts import tell_starts
+
+STREAM = {"X_Token_Usage": SHORT, "X_Model": "m"}
+
+
+def find_guard(site, name="g0"):
+    return site.gateways[name].gateway._parts.guard
+
+
+def count_quarantined(site):
+    return [len(find_guard(site, name).quarantine.list_quarantined()) for name in site.gateways]
+
+
+async def find_busy(site, request_id):
+    """Return the upstream that runs a request, as soon as one does."""
+    return await wait_until(
+        lambda: next((u for u in site.upstreams.values() if u.runs.get(request_id)), None), "run"
+    )
+
+
+def is_leaving(site, upstream):
+    """Return whether a host knows that an upstream leaves."""
+    return site.gateways["g0"].gateway._fleet.find_start(upstream.instance).leaving
+
+
+@pytest.mark.parametrize(("path", "headers"), [("/card/a", {}), ("/verdict/a", STREAM)])
+@on_site(gateways=3, engines=ENGINES, plain=8)
+async def test_a_popular_request_beside_a_deadly_one_goes_on_being_served(site, path, headers):
+    # The same call comes all the time, so that it is open at each upstream that crashes. What
+    # crashes each upstream never gets an answer; this one does, and each answer acquits it.
+    await tell_starts(site)
+    site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
+    for upstream in site.upstreams.values():
+        upstream.seconds = 0.02
+    ended = asyncio.Event()
+
+    async def call_all_the_time(caller):
+        number = 0
+        while not ended.is_set():
+            host = address_of(site, HOSTS[number % len(HOSTS)])
+            await ask(host, path, f"p{caller}-{number}", body=b"popular", **headers)
+            number += 1
+
+    callers = [asyncio.ensure_future(call_all_the_time(number)) for number in range(12)]
+    await send_again_and_again(site, path, DEADLY, headers, attempts=6)
+    ended.set()
+    await asyncio.gather(*callers)
+    await wait_until(lambda: not site.count_away(), "all upstreams back")
+    for name in HOSTS:
+        answer = await ask(address_of(site, name), path, f"last-{name}", body=b"popular", **headers)
+        assert (answer.status, answer.whole) == (200, True)
+        assert len(find_guard(site, name).quarantine.list_quarantined()) == 1
+
+
+@pytest.mark.parametrize("step", ["reset", "reset-after", "unsigned", "crossed"])
+@on_site(gateways=1, plain=3)
+async def test_upstreams_that_break_requests_and_live_count_against_no_request(site, step):
+    await tell_starts(site)
+    script(site, "s", *[step] * 8)
+    for number in range(4):
+        await ask(address_of(site), "/card/a", f"r{number}", body=b"same")
+    guard = find_guard(site)
+    await guard.watch.finish_looks()
+    assert len(guard.quarantine) == 0
+    answer = await ask(address_of(site), "/card/a", "last", body=b"same")
+    assert (answer.status, answer.whole) == (200, True)
+
+
+@on_site(gateways=1, plain=4)
+async def test_an_upstream_that_leaves_and_cuts_what_is_open_counts_against_no_request(site):
+    await tell_starts(site)
+    for number in range(2):
+        for upstream in site.upstreams.values():
+            upstream.hold.clear()
+        asked = asyncio.ensure_future(
+            ask(address_of(site), "/goal/a", f"l{number}", body=b"same", X_Deadline_Ms="9000")
+        )
+        busy = await find_busy(site, f"l{number}")
+        site.list_upstream(busy, "draining")
+        await wait_until(functools.partial(is_leaving, site, busy), "word of leaving")
+        await site.stop_upstream(busy)
+        assert (await asked).status in (0, 502)
+        site.unlist_upstream(busy)
+    guard = find_guard(site)
+    await guard.watch.finish_looks()
+    assert len(guard.quarantine) == 0
+
+
+@on_site(gateways=1, plain=4)
+async def test_a_request_that_its_caller_called_off_has_nothing_held_against_it(site):
+    await tell_starts(site)
+    for upstream in site.upstreams.values():
+        upstream.hold.clear()
+    caller = await RawCaller.connect(address_of(site))
+    caller.send(write_request("/card/a", "c1", body=b"same"))
+    busy = await find_busy(site, "c1")
+    caller.reset()
+    await wait_until(lambda: "c1" in busy.cancelled, "end of the work")
+    await site.stop_upstream(busy)
+    site.unlist_upstream(busy)
+    fleet = site.gateways["g0"].gateway._fleet
+    await wait_until(lambda: not fleet.knows(busy.instance), "gone")
+    assert len(find_guard(site).quarantine) == 0
+
+
+@on_site(gateways=3)
+async def test_a_request_that_is_answered_after_all_is_let_go_at_all_hosts(site):
+    # It was quarantined by bad luck while it ran at one host, where it gets its own answer.
+    await tell_starts(site)
+    for upstream in site.upstreams.values():
+        upstream.hold.clear()
+    asked = asyncio.ensure_future(ask(address_of(site, "g2"), "/card/a", "slow", body=b"same"))
+    await wait_until(lambda: count_runs(site, "slow"), "run")
+    head = RequestHead(b"POST", b"/card/a", ((b"Host", b"site.example"),), Framing.LENGTH, 4)
+    name = name_request(head, "127.0.0.1", Body.from_bytes(b"same"))
+    now = asyncio.get_running_loop().time()
+    case = Case(name, (Crash("i-1", now - 2), Crash("i-2", now - 1)))
+    for host in HOSTS:
+        find_guard(site, host).take_cases([case], "test")
+    refused = await ask(address_of(site), "/card/a", "early", body=b"same")
+    assert (refused.status, refused.retry_after > 1) == (503, True)
+    for upstream in site.upstreams.values():
+        upstream.hold.set()
+    assert (await asked).status == 200
+    await wait_until(lambda: not any(count_quarantined(site)), "acquittal")
+    for host in HOSTS:
+        assert (await ask(address_of(site, host), "/card/a", host, body=b"same")).status == 200
+
+
+@on_site(gateways=2)
+async def test_a_body_in_pieces_is_known_once_it_is_whole(site):
+    # Its caller and path are those of a quarantined request; its body tells that it is another.
+    await tell_starts(site)
+    head = RequestHead(b"POST", b"/card/a", ((b"Host", b"site.example"),), Framing.LENGTH, 4)
+    name = name_request(head, "127.0.0.1", Body.from_bytes(b"same"))
+    now = asyncio.get_running_loop().time()
+    case = Case(name, (Crash("i-1", now - 2), Crash("i-2", now - 1)))
+    find_guard(site, "g0").take_cases([case], "test")
+    for last, status in ((b"e", 503), (b"x", 200)):
+        caller = await RawCaller.connect(address_of(site))
+        request = write_request("/card/a", f"p{status}", body=b"sam" + last)
+        caller.send(request[:-1])
+        await asyncio.sleep(0.02)
+        assert count_runs(site, f"p{status}") == 0
+        caller.send(request[-1:])
+        assert (await caller.read_answer()).status == status
+        caller.close()
