--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -31,11 +31,15 @@
 from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
-# Seconds between two times at which a host tells another one of what is quarantined, or asks.
-# A host that missed all else has heard it after 3 s with 99.7 % of all draws.
+# Seconds between two times at which a host tells others, drawn by lot, of what is quarantined.
+# Where all but one know, that one is missed for three seconds in 6 of a million times.
 PUSH_SECONDS = 0.5
-# Cases told at a time: 2 kB a second at most, while that many requests are quarantined.
-PUSHED_CASES = CASES_PER_PART
+PUSHED_HOSTS = 2
+# Cases told at a time: 2.6 kB a second at most, and nothing while no request is quarantined.
+PUSHED_CASES = 4
+# How often a crash that a host saw is told again, with as many seconds between: two crashes of one
+# request make it quarantined only where one host has heard of both.
+TOLD_AGAIN = 2
 # Cases told to a host that asks, the rest follows twice a second.
 ANSWERED_CASES = 8 * CASES_PER_PART
 # How often a host asks after it has started, slept or met new peers: an answer may be lost.
@@ -66,6 +70,8 @@
         self._rng = rng
         self._changed = changed
         self._asks = ASKS
+        # What is to be told again, and how often.
+        self._again: list[tuple[int, Sequence[Case]]] = []
         self._ring = KeeperRing(())
         self._ring_members: tuple[Member, ...] = ()
         guard.tell_cases = self._tell_cases
@@ -89,8 +95,16 @@
             if now >= expire_at:
                 self._guard.quarantine.expire(now)
                 expire_at = now + EXPIRE_SECONDS
+            self._tell_again()
             self._push()
 
+    def _tell_again(self) -> None:
+        again, self._again = self._again, []
+        for times, cases in again:
+            self._tell_keepers(cases)
+            if times > 1:
+                self._again.append((times - 1, cases))
+
     def _push(self) -> None:
         others = self._list_others()
         if not others:
@@ -101,7 +115,7 @@
         chosen = self._rng.sample(cases, min(PUSHED_CASES, len(cases)))
         news = CrashNews(tuple(chosen), asks=self._asks > 0)
         self._asks = max(0, self._asks - 1)
-        self._send(news, [self._rng.choice(others)])
+        self._send(news, self._rng.sample(others, min(PUSHED_HOSTS, len(others))))
 
     # Telling.
 
@@ -109,6 +123,10 @@
         """Tell those who need to know of crashes that this host saw."""
         if any(is_quarantined(case) for case in cases):
             self._changed()
+        self._again.append((TOLD_AGAIN, cases))
+        self._tell_keepers(cases)
+
+    def _tell_keepers(self, cases: Sequence[Case]) -> None:
         if not self._is_large():
             self._tell(cases, self._list_others())
             return
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -78,11 +78,24 @@
             if name is not None:
                 self._tried.discard(name)
         if acquits:
-            await self._acquit(ctx)
+            await self._note_answered(ctx)
+
+    def acquit(self, name: RequestName) -> None:
+        """Take over that a request got its own answer here, and tell others of it."""
+        case = self.quarantine.find(name)
+        now = _now()
+        if case is not None and self.take_acquittal(name, now, "its answer"):
+            self.tell_acquittal(name, now, is_quarantined(case))
+
+    def take_crash(self, names: Sequence[RequestName], crash: Crash) -> None:
+        """Take over a crash that this host saw, and tell others of it."""
+        news = [name for name in names if self._note(name, (crash,), "own")]
+        self.tell_cases(self._find_all(news))
 
     def take_cases(self, cases: Sequence[Case], source: str) -> list[Case]:
-        """Take over what is known elsewhere; return the cases of which something was news."""
-        return [case for case in cases if self._note(case.name, case.crashes, source)]
+        """Take over what is known elsewhere; return what is known now where that was news."""
+        news = [case.name for case in cases if self._note(case.name, case.crashes, source)]
+        return self._find_all(news)
 
     def take_acquittal(self, name: RequestName, at: float, source: str) -> bool:
         """Take over that a request got its own answer; return whether that was news."""
@@ -91,6 +104,10 @@
         log_decision("request acquitted", name=str(name), source=source)
         return True
 
+    def _find_all(self, names: Sequence[RequestName]) -> list[Case]:
+        cases = (self.quarantine.find(name) for name in names)
+        return [case for case in cases if case is not None]
+
     async def _find_known(self, ctx: Context) -> RequestName | None:
         """Return the request's name if something may be held against it."""
         if not len(self.quarantine):
@@ -102,22 +119,15 @@
         await request.body.wait_for_end()
         return name_request(request.head, request.caller, request.body)
 
-    async def _acquit(self, ctx: Context) -> None:
+    async def _note_answered(self, ctx: Context) -> None:
         # Whatever was heard of it while it ran counts as well.
         name = await self._find_known(ctx) if ctx.request.body.complete else None
-        case = None if name is None else self.quarantine.find(name)
-        if name is None or case is None:
-            return
-        now = _now()
-        if self.take_acquittal(name, now, "its answer"):
-            self.tell_acquittal(name, now, is_quarantined(case))
+        if name is not None:
+            self.acquit(name)
 
     def _note_crash(self, instance: Instance, names: Sequence[RequestName]) -> None:
-        crash = Crash(instance.name, _now())
         self._metrics.count("upstream_crashes_total", service=instance.record.service)
-        news = [name for name in names if self._note(name, (crash,), "own")]
-        cases = (self.quarantine.find(name) for name in news)
-        self.tell_cases([case for case in cases if case is not None])
+        self.take_crash(names, Crash(instance.name, _now()))
 
     def _note(self, name: RequestName, crashes: Sequence[Crash], source: str) -> bool:
         now = _now()
--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -32,6 +32,9 @@
 # Seconds between two words of one crash: hosts notice it at different moments. A later crash of the
 # same start is one of its next start, which the list has not told yet.
 SAME_CRASH_SECONDS = 2.0
+# Seconds by which a crash that others tell may seem later than it was: their words take so long.
+# An answer acquits of those as well; what crashes each upstream never gets one.
+TOLD_LATE_SECONDS = 0.2
 # Requests that are remembered, some 500 bytes each: a host's part of the crashes of a hundred full
 # engines. Beyond that those under which the fewest upstreams crashed go first.
 MOST_CASES = 4096
@@ -99,7 +102,7 @@
         acquitted_at = self._acquitted.get(name, float("-inf"))
         before = list(known.crashes)
         for crash in crashes:
-            old = crash.at <= acquitted_at or now - crash.at >= FORGET_SECONDS
+            old = crash.at <= acquitted_at + TOLD_LATE_SECONDS or now - crash.at >= FORGET_SECONDS
             if not old and not known.has(crash):
                 known.crashes.append(crash)
         known.crashes.sort(key=lambda crash: crash.at, reverse=True)
@@ -122,7 +125,7 @@
         known = self._known.get(name)
         if known is None:
             return False
-        left = [crash for crash in known.crashes if crash.at > at]
+        left = [crash for crash in known.crashes if crash.at > at + TOLD_LATE_SECONDS]
         changed = len(left) < len(known.crashes)
         known.crashes = left
         if len(left) < CRASHES_TO_QUARANTINE:
