Quarantine kept in the store: stray entries, a change of writer, acquittals; other ways to crash

Change: the writer reads before it decides. Tests also for upstreams that come back under another id or fall silent, and for a host that learns of a silent end by the list before the request's own time is over (it did not look at the address again then).

--- a/src/swifttrestle/internal/coordination/quarantine_store.py
+++ b/src/swifttrestle/internal/coordination/quarantine_store.py
@@ -63,8 +63,6 @@
         self._rng = rng
         self._skipped = skipped
         self._changed = asyncio.Event()
-        # What the object held when this host last read or wrote it.
-        self._stored: dict[RequestName, int] = {}
 
     def note_change(self) -> None:
         """Take over that something was quarantined or acquitted."""
@@ -92,24 +90,22 @@
         known = await self._read()
         if known is not None:
             self._take(known)
-        if any(case.name not in self._stored for case in self._list_quarantined()):
-            self._changed.set()
 
     async def _save(self) -> None:
         """Write what is quarantined here, together with what stands there."""
-        if not self._writes() or self._count(self._list_quarantined()) == self._stored:
+        if not self._writes():
             return
         known = await self._read()
-        acquitted = set(self._stored) - {case.name for case in self._list_quarantined()}
-        if known is not None:
-            self._take(known, leave_out=acquitted)
+        # What was acquitted here does not come back by this: its answer is later than its crashes.
+        stored = {} if known is None else self._take(known)
         cases = self._list_quarantined()
+        if _count_crashes(cases) == stored:
+            return
         spec = {"requests": [_write_case(case, _now()) for case in cases]}
         if known is None:
             await self._store.create(QUARANTINE_KIND, QUARANTINE_NAME, spec)
         else:
             await self._store.replace(QUARANTINE_KIND, QUARANTINE_NAME, spec, known.revision)
-        self._stored = self._count(cases)
         log_decision("quarantine kept", requests=len(cases))
 
     async def _read(self) -> StoredObject | None:
@@ -118,8 +114,11 @@
         except NotFoundError:
             return None
 
-    def _take(self, known: StoredObject, leave_out: set[RequestName] | None = None) -> None:
-        """Take over what the object holds; an entry that cannot be read hides no other."""
+    def _take(self, known: StoredObject) -> dict[RequestName, int]:
+        """Take over what the object holds; return the crashes that it names by request.
+
+        An entry that cannot be read hides no other.
+        """
         requests = known.spec.get("requests") if isinstance(known.spec, dict) else None
         cases = []
         for raw in requests if isinstance(requests, list) else [known.spec]:
@@ -127,10 +126,8 @@
                 cases.append(_read_case(raw, _now()))
             except BadEntryError as error:
                 self._skipped.skip(QUARANTINE_KIND, known.name, error, raw)
-        self._guard.take_cases(
-            [case for case in cases if case.name not in (leave_out or ())], "the store"
-        )
-        self._stored = self._count(cases)
+        self._guard.take_cases(cases, "the store")
+        return _count_crashes(cases)
 
     def _writes(self) -> bool:
         """Return whether this host writes the object: every host finds the same one by a hash."""
@@ -141,8 +138,9 @@
         cases = self._guard.quarantine.list_quarantined()
         return sorted(cases, key=lambda case: case.last_at, reverse=True)[:MOST_STORED]
 
-    def _count(self, cases: Sequence[Case]) -> dict[RequestName, int]:
-        return {case.name: len(case.crashes) for case in cases}
+
+def _count_crashes(cases: Sequence[Case]) -> dict[RequestName, int]:
+    return {case.name: len(case.crashes) for case in cases}
 
 
 def _write_case(case: Case, now: float) -> dict[str, Any]:
--- a/src/swifttrestle/internal/forward/crashes.py
+++ b/src/swifttrestle/internal/forward/crashes.py
@@ -52,11 +52,12 @@
     def note_broken(self, instance: Instance, request: IncomingRequest) -> None:
         """Take over that a request's connection was lost, and look at the upstream."""
         if self._keep(instance, request, silent=False):
-            self._look(instance, withdrawn=False)
+            self._look(instance, withdrawn=instance.gone)
 
     def note_silent(self, instance: Instance, request: IncomingRequest) -> None:
         """Take over that a request got no answer in its time, on a connection that still stood."""
-        self._keep(instance, request, silent=True)
+        if self._keep(instance, request, silent=True) and instance.gone:
+            self._look(instance, withdrawn=True)
 
     async def finish_looks(self) -> None:
         """Wait until the looks that are under way have told what they can."""
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import functools
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from swifttrestle.gateway import Gateway
@@ -20,6 +22,8 @@
 
 STEP_SECONDS = 0.01
 WAIT_SECONDS = 20.0
+# Connections that fill the shortest queue of a listener: it takes one more than it names.
+QUEUE_FILLERS = 2
 
 
 async def wait_until(check: Callable[[], Any], what: str = "condition") -> Any:
@@ -33,6 +37,14 @@
         raise TimeoutError(f"{what} did not come within {WAIT_SECONDS:g} s") from None
 
 
+class Crashing(Enum):
+    """How upstreams crash: what their callers and the list see of it."""
+
+    RESET = "connections are reset; it comes back under its id"
+    OTHER_ID = "connections are reset; it comes back under another id at its address"
+    SILENT = "connections fall silent; its record lapses; it comes back under its id"
+
+
 class _ServerConnection(CallerConnection):
     """A stand-in's end of a connection."""
 
@@ -155,31 +167,65 @@
         upstream.restart(born)
         self.list_upstream(upstream)
 
-    def allow_crashes(self, away_seconds: float, later_start: int) -> None:
+    def allow_crashes(
+        self, away_seconds: float, later_start: int, way: Crashing = Crashing.RESET
+    ) -> None:
         """Have deadly requests crash upstreams; each starts again `later_start` ms later."""
         for upstream in self.upstreams.values():
-            upstream.crash = functools.partial(self._crash, upstream, away_seconds, later_start)
+            upstream.crash = functools.partial(
+                self._crash, upstream, away_seconds, later_start, way
+            )
 
     def count_away(self) -> int:
         """Return how many upstreams are away after a crash."""
         return len(self._away)
 
-    def _crash(self, upstream: StandInUpstream, away_seconds: float, later_start: int) -> None:
+    def _crash(
+        self, upstream: StandInUpstream, away_seconds: float, later_start: int, way: Crashing
+    ) -> None:
         if upstream.instance in self._away:
             return
         self.crashes.append(upstream.instance)
-        task = asyncio.ensure_future(self._stay_away(upstream, away_seconds, later_start))
+        task = asyncio.ensure_future(self._stay_away(upstream, away_seconds, later_start, way))
         self._away[upstream.instance] = task
         task.add_done_callback(lambda _: self._away.pop(upstream.instance, None))
 
-    async def _stay_away(self, upstream: StandInUpstream, seconds: float, later_start: int) -> None:
-        await self.stop_upstream(upstream)
+    async def _stay_away(
+        self, upstream: StandInUpstream, seconds: float, later_start: int, way: Crashing
+    ) -> None:
+        former = upstream.instance
+        silent: list[socket.socket] = []
+        if way is Crashing.SILENT:
+            silent = self._fall_silent(upstream)
+        else:
+            await self.stop_upstream(upstream)
+        if way is not Crashing.RESET:
+            # What it kept in the list lapses.
+            self.unlist_upstream(upstream)
         await asyncio.sleep(seconds)
+        address = self.addresses[former]
+        await self.stop_upstream(upstream)
+        for item in silent:
+            item.close()
         upstream.restart(upstream.born + later_start)
-        host, port = split_address(self.addresses[upstream.instance])
-        await self._serve(upstream.instance, upstream, host, port)
+        if way is Crashing.OTHER_ID:
+            upstream.instance = f"{former.partition('-')[0]}-{upstream.born}"
+            self.upstreams[upstream.instance] = self.upstreams.pop(former)
+            self.addresses[upstream.instance] = address
+        await self._serve(upstream.instance, upstream, *split_address(address))
         self.list_upstream(upstream)
 
+    def _fall_silent(self, upstream: StandInUpstream) -> list[socket.socket]:
+        """Have an upstream say nothing any more, neither on old connections nor on new ones.
+
+        Closing what is returned ends the silence of its address.
+        """
+        for connection in list(self._sets[upstream.instance].open):
+            assert isinstance(connection, _ServerConnection)
+            connection.fall_silent()
+        self._servers = [item for item in self._servers if not self._is_of(item, upstream)]
+        return silence_address(*split_address(self.addresses[upstream.instance]))
+
     def cut_store_connections(self) -> None:
         """Reset all connections to the store."""
         for connection in list(self._sets["store"].open):
@@ -246,6 +292,21 @@
         }  # fmt: skip
 
 
+def silence_address(host: str, port: int) -> list[socket.socket]:
+    """Have new connections to an address neither come up nor be refused: its queue is full."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(0)
+    waiting = []
+    for _ in range(QUEUE_FILLERS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex((host, port))
+        waiting.append(filler)
+    return [listener, *waiting]
+
+
 def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
     """Return one declared route under the path /name/ of site.example."""
     return {
--- a/tests/hosted/test_deadly_requests.py
+++ b/tests/hosted/test_deadly_requests.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from swifttrestle_standins.hosted.site import wait_until
+from swifttrestle_standins.hosted.site import Crashing, wait_until
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, address_of, on_site
@@ -78,6 +78,18 @@
     assert answers[-1].retry_after > 1
 
 
+@pytest.mark.parametrize("way", [Crashing.OTHER_ID, Crashing.SILENT], ids=["other id", "silent"])
+@on_site(gateways=3, plain=8)
+async def test_upstreams_that_crash_in_other_ways_count_as_well(site, way):
+    # One that falls silent is known to have ended by the list and by its address together, and by
+    # then the request's own time is over, so that the next attempt may come in between.
+    await tell_starts(site)
+    site.allow_crashes(1.0, LATER_START_MS, way)
+    answers = await send_again_and_again(site, "/card/a", DEADLY, {}, attempts=8)
+    assert len(site.crashes) <= MOST_CRASHES + (way is Crashing.SILENT)
+    assert answers[-1].status == 503
+
+
 @pytest.mark.parametrize(("path", "body", "headers"), KINDS[:3], ids=NAMES[:3])
 @on_site(gateways=3, engines=ENGINES, plain=8)
 async def test_hosts_that_all_start_anew_still_know_what_crashed_upstreams(
