Wait until hosts have met before their store calls are counted

Hosts that have not met each take themselves for the writer; the count of seven calls is meant for a fleet.

--- a/tests/hosted/test_kept_quarantine.py
+++ b/tests/hosted/test_kept_quarantine.py
@@ -84,6 +84,8 @@
 @on_site(gateways=3)
 async def test_one_host_writes_and_an_acquittal_is_written_as_well(site):
     await wait_until(lambda: len(list_calls(site)) == 3, "all hosts' reading at their start")
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(len(item.live_hosts()) == 3 for item in gateways), "all hosts")
     now = asyncio.get_running_loop().time()
     for number in range(2):
         find_guard(site, f"g{number}").take_crash([NAME], Crash(f"i-{number}", now))
