Pick no port twice for the hosts of the tests

Found: one of 1,157 tests failed in one run of the whole suite (a stray entry of the kept quarantine, status 0 instead of 200); 0 of 480 runs of its body alone did. Cause, shown by a run: a host whose port for callers is that of all hosts' exchange says that it is ready, and the exchange closes its callers' connections, with the same answer (status 0, not whole, nothing else logged). Ports were picked at random before any was bound, so that two of a host's were the same once in some hundred runs. That it was this in the failed run is not proved: its ports were not kept.

--- a/src/swifttrestle_standins/loopback.py
+++ b/src/swifttrestle_standins/loopback.py
@@ -2,6 +2,12 @@
 
 import os
 import socket
+from collections import deque
+
+# Ports picked before that are not picked again: a few of them belong to one host, and are bound
+# later. One host's port for callers was that of all hosts' exchange, once in some hundred runs of
+# the tests: its callers' connections were closed without an answer.
+_picked: deque[int] = deque(maxlen=4096)
 
 
 def pick_ip(number: int) -> str:
@@ -15,7 +21,7 @@
 
 
 def pick_port(ip: str) -> int:
-    """Return a port that is free at an address for TCP and UDP now."""
+    """Return a port that is free at an address for TCP and UDP now, another one each time."""
     while True:
         with (
             socket.socket() as stream,
@@ -23,8 +29,11 @@
         ):
             stream.bind((ip, 0))
             port: int = stream.getsockname()[1]
+            if port in _picked:
+                continue
             try:
                 datagram.bind((ip, port))
             except OSError:
                 continue
+            _picked.append(port)
             return port
