Count suspended seconds in all waits and ages

Cause: the loop's time and the monotonic clock were the kernel's steady clock, which stands still while a machine is suspended. A host that was suspended between an order's record and its sending sent it however late, by its own clock in time; peers, the list, the lease and deadlines seemed as young as before. Change: one clock for the loop, the policies and the own interface's threads, which counts suspended seconds, so that a suspended process takes the path of one stopped by a signal, with that path's tests. Ruled out: an exception at each place.

--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -20,6 +20,7 @@
     NotFoundError,
     SwifttrestleError,
 )
+from swifttrestle.internal.clock import read_seconds
 from swifttrestle.internal.coordination.actors import STATUS
 from swifttrestle.internal.coordination.writes import plain_spec, read_or_none, write_once
 from swifttrestle.internal.described import write_default
@@ -260,9 +261,9 @@
                 )
 
     def _wait_in_force(self, documents: list[Document], seconds: float) -> None:
-        give_up = time.monotonic() + seconds
+        give_up = read_seconds() + seconds
         wanted = {d.key: parse_resource(d.kind, d.name, d.spec).unwrap().spec() for d in documents}
-        while time.monotonic() < give_up:
+        while read_seconds() < give_up:
             if self._is_in_force(wanted):
                 _say("accepted and in force at every entry")
                 return
--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -2,14 +2,13 @@
 
 import random
 import threading
-import time
 import zlib
 from concurrent.futures import ThreadPoolExecutor
 
 import fire
 
 from swifttrestle.internal.checks import split_address
-from swifttrestle.internal.clock import MonotonicClock
+from swifttrestle.internal.clock import MonotonicClock, read_seconds
 from swifttrestle.internal.entry.attempts import Attempts
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import RelayParts
@@ -114,9 +113,9 @@
     def _stop(self) -> None:
         """Refuse new requests, then wait for the open ones; none is cut."""
         self.handler.stopping = True
-        give_up = time.monotonic() + self._settings.stop_seconds
+        give_up = read_seconds() + self._settings.stop_seconds
         with self.handler.idle:
-            while self.handler.open_requests and time.monotonic() < give_up:
+            while self.handler.open_requests and read_seconds() < give_up:
                 self.handler.idle.wait(0.2)
         self.reports.stop()
         self.server.stop()
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -29,6 +29,7 @@
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
 from swifttrestle.internal.forward.shared_booking import SharedBooker
 from swifttrestle.internal.lines import WRITER, log_decision
+from swifttrestle.internal.loop import run_in_loop
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.pages import Page, PageHandler
 from swifttrestle.internal.settings_file import watch_settings_file
@@ -410,7 +411,7 @@
         sys.exit(EXIT_BAD_SETTING)
     gc.set_threshold(GC_THRESHOLD)
     WRITER.start(settings.host)
-    asyncio.run(_run(settings))
+    run_in_loop(_run(settings))
     WRITER.flush()
 
 
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +10,7 @@
     HistoryGoneError,
     PlatformUnavailableError,
 )
+from swifttrestle.internal.clock import read_seconds
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.backoff import draw_pause
@@ -63,7 +63,7 @@
 
     def take(self, raw: Any, source: str) -> bool:
         """Put a version in force if it is newer; return whether it was."""
-        began = time.monotonic()
+        began = read_seconds()
         try:
             configuration = read_configuration(raw)
         except BadEntryError as error:
@@ -79,7 +79,7 @@
             before=before,
             source=source,
             routes=len(configuration.routes),
-            index_ms=round((time.monotonic() - began) * 1000, 1),
+            index_ms=round((read_seconds() - began) * 1000, 1),
         )
         self.raw = raw
         self._changed()
--- a/src/swifttrestle/internal/entry/attempts.py
+++ b/src/swifttrestle/internal/entry/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from swifttrestle.errors import UpstreamBrokenError, UpstreamError, UpstreamLeavingError
+from swifttrestle.internal.clock import read_seconds
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.routing import Candidate, Router, Work
 from swifttrestle.internal.protocol.calls import (
@@ -97,7 +98,7 @@
         Raises UpstreamError, after which the request is not counted on the engine any more.
         """
         name = target.candidate.name
-        began = time.monotonic()
+        began = read_seconds()
         try:
             address = self._table.address(name)
             pinned = replace(call, version=call.version or self._table.version(name))
@@ -113,9 +114,9 @@
             self._table.end(name)
             raise
         before = target.candidate.waiting_tokens + target.uncached
-        self._table.note_first_token(name, before, time.monotonic() - began)
+        self._table.note_first_token(name, before, read_seconds() - began)
         self._table.prefixes.note_stored(target.candidate.via or name, selection.blocks)
-        return Attempt(name, address, pinned, stream, selection, work, time.monotonic())
+        return Attempt(name, address, pinned, stream, selection, work, read_seconds())
 
     def _prefill(self, engine: str, call: EngineCall) -> dict[str, str]:
         """Have another engine prefill; it is counted on that engine meanwhile."""
@@ -145,7 +146,7 @@
         if failed:
             self._table.note_failure(attempt.upstream)
         else:
-            seconds = time.monotonic() - attempt.began
+            seconds = read_seconds() - attempt.began
             self._table.note_decode(attempt.upstream, tokens, seconds)
         if last_on_closed:
             self.ended.set()
--- a/src/swifttrestle/internal/entry/relay.py
+++ b/src/swifttrestle/internal/entry/relay.py
@@ -17,6 +17,7 @@
     UpstreamBrokenError,
     UpstreamError,
 )
+from swifttrestle.internal.clock import read_seconds
 from swifttrestle.internal.entry.answers import CallerAnswer
 from swifttrestle.internal.entry.attempts import Attempt, Attempts
 from swifttrestle.internal.metrics import Metrics
@@ -122,9 +123,9 @@
         if not self._repeatable:
             self._fail(Code.STREAM_BROKEN if self._checker.offset else Code.ANSWER_LOST, error)
             return
-        give_up = time.monotonic() + RESUME_SECONDS
+        give_up = read_seconds() + RESUME_SECONDS
         failed = list(self._failed)
-        while time.monotonic() < give_up:
+        while read_seconds() < give_up:
             try:
                 self._attempt = self._parts.attempts.resume(
                     self._attempt, self._checker.offset, failed
--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -2,13 +2,13 @@
 
 import hashlib
 import threading
-import time
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from typing import TypeVar
 
 from swifttrestle.codes import TABLE, Code
 from swifttrestle.errors import CallerGoneError, RefusedError, UpstreamBusyError, UpstreamError
+from swifttrestle.internal.clock import read_seconds
 from swifttrestle.internal.entry.answers import (
     CallerAnswer,
     make_error_body,
@@ -159,7 +159,7 @@
     # Completions.
 
     def _complete(self, exchange: Exchange, chat: bool) -> bool:
-        started = time.monotonic()
+        started = read_seconds()
         workspace = self._find_workspace(exchange)
         asked = read_completion(exchange.read_body(), chat)
         service = self._find_service(asked.service, "model", workspace)
@@ -208,7 +208,7 @@
 
         def try_open(target: Target, number: int) -> Attempt:
             numbered = EngineCall(**{**vars(call), "attempt": number})
-            left = terms.left(time.monotonic())
+            left = terms.left(read_seconds())
             return self._attempts.open(target, numbered, selection, work, left)
 
         return self._try(selection, work, terms, try_open)
@@ -222,7 +222,7 @@
     ) -> T:
         """Make attempts within the deadline, the budget and what may be repeated."""
         policy = self._config.current.policy
-        self._budget.note_request(time.monotonic())
+        self._budget.note_request(read_seconds())
         failed: list[str] = []
         lost: UpstreamError | None = None
         number = 0
@@ -238,7 +238,7 @@
                 failed.append(target.candidate.name)
                 lost = error if error.sent else lost
                 last = number >= policy.attempts or (lost and not terms.repeatable)
-                if last or not self._budget.take(time.monotonic()):
+                if last or not self._budget.take(read_seconds()):
                     raise _temper(_make_final(error), lost) from None
                 self._metrics.count("retries_total", reason=error.code.name)
 
@@ -270,7 +270,7 @@
     ) -> Callable[[RefusedError | CallerGoneError | None], None]:
         def done(error: RefusedError | CallerGoneError | None) -> None:
             outcome = "whole" if error is None else error.code.name
-            in_time = "yes" if terms.left(time.monotonic()) >= 0 else "no"
+            in_time = "yes" if terms.left(read_seconds()) >= 0 else "no"
             self._metrics.count(
                 "ended_total", service=service.name, outcome=outcome, in_time=in_time
             )
@@ -282,7 +282,7 @@
     # Plain services.
 
     def _call_service(self, exchange: Exchange, name: str, path: str) -> None:
-        started = time.monotonic()
+        started = read_seconds()
         workspace = self._find_workspace(exchange)
         service = self._find_service(name, "plain", workspace)
         body = exchange.read_body()
@@ -292,7 +292,7 @@
         work = Work(1, 1, terms.priority)
 
         def try_call(target: Target, number: int) -> PlainAnswer:
-            left = max(0.05, terms.left(time.monotonic()))
+            left = max(0.05, terms.left(read_seconds()))
             headers = {"X-Request-Id": terms.caller_id or request_id}
             headers["X-Attempt"] = str(number)
             upstream = target.candidate.name
--- /dev/null
+++ b/tests/cover/test_suspension.py
@@ -0,0 +1,87 @@
+"""A machine that is suspended for seconds: the steady clock of its kernel does not count them.
+
+A host that had recorded an order was suspended before it sent it, and by its own clock hardly any
+time had passed; another host had taken its lease and ordered otherwise meanwhile. All waits and
+ages go by one clock that counts suspended seconds, so that a suspended host finds its beliefs as
+old as they are, as one does that was stopped by a signal.
+"""
+
+import ast
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from swifttrestle.internal import clock
+from swifttrestle.internal.clock import MonotonicClock, read_seconds
+from swifttrestle.internal.coordination.role_lease import SEND_SECONDS, RoleLeaseKeeper
+from swifttrestle.internal.loop import run_in_loop
+from swifttrestle.platform.objects import StoredObject
+from tests.common.fakes import skip_silently
+
+SOURCES = Path(clock.__file__).parents[1]
+SUSPENDED_SECONDS = 7.0
+
+
+@pytest.fixture
+def suspension(monkeypatch):
+    """Return a function that has the machine suspended for some seconds."""
+    suspended = [0.0]
+
+    def read(which):
+        assert which == time.CLOCK_BOOTTIME
+        return time.monotonic() + suspended[0]
+
+    def suspend(seconds):
+        suspended[0] += seconds
+
+    monkeypatch.setattr(clock, "read_kernel_clock", read)
+    return suspend
+
+
+def test_the_clock_counts_suspended_seconds():
+    assert read_seconds() == pytest.approx(time.clock_gettime(time.CLOCK_BOOTTIME), abs=5)
+    assert MonotonicClock().now() == pytest.approx(read_seconds(), abs=5)
+
+
+def test_a_timer_is_due_after_a_suspension_that_was_longer(suspension):
+    async def work():
+        loop = asyncio.get_running_loop()
+        due = []
+        loop.call_later(SUSPENDED_SECONDS, due.append, 1)
+        suspension(SUSPENDED_SECONDS)
+        await asyncio.sleep(0.01)
+        return due
+
+    assert run_in_loop(work()) == [1]
+
+
+def test_an_order_that_was_recorded_before_a_suspension_is_too_old_after_it(suspension):
+    class SuspendedInTheWrite:
+        async def get(self, kind, name):
+            return StoredObject(kind, name, 1, {"holder": "h1", "incarnation": 1, "token": 1,
+                                                "orders": []})  # fmt: skip
+
+        async def replace(self, kind, name, spec, revision):
+            suspension(SUSPENDED_SECONDS)
+            return StoredObject(kind, name, revision + 1, spec)
+
+    async def work():
+        keeper = RoleLeaseKeeper(SuspendedInTheWrite(), "roles", "h1", 1, 1.0, skip_silently())
+        assert await keeper.campaign()
+        _, until = await keeper.record("e1", "decode")
+        return asyncio.get_running_loop().time() - until
+
+    late = run_in_loop(work())
+    assert late == pytest.approx(SUSPENDED_SECONDS - SEND_SECONDS, abs=1)
+
+
+def test_nothing_asks_the_clock_that_stands_still():
+    asked = [
+        f"{path.relative_to(SOURCES)}:{node.lineno}"
+        for path in SOURCES.rglob("*.py")
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute) and node.attr in ("monotonic", "perf_counter")
+    ]
+    assert asked == []
