--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -3,7 +3,8 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -84,6 +85,8 @@
     _sets: dict[str, ConnectionSet] = field(default_factory=dict)
     # The instances that crashed, in order, and those that are away after it.
     crashes: list[str] = field(default_factory=list)
+    # The loop's times of the crashes by the body of the request that brought them about.
+    crash_times: dict[bytes, list[float]] = field(default_factory=lambda: defaultdict(list))
     _away: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _peer_port: int = 0
     _version: int = 0
@@ -172,23 +175,27 @@
     ) -> None:
         """Have deadly requests crash upstreams; each starts again `later_start` ms later."""
         for upstream in self.upstreams.values():
-            upstream.crash = functools.partial(
-                self._crash, upstream, away_seconds, later_start, way
-            )
+            stay_away = functools.partial(self._stay_away, upstream, away_seconds, later_start, way)
+            upstream.crash = functools.partial(self._crash, upstream, stay_away)
 
     def count_away(self) -> int:
         """Return how many upstreams are away after a crash."""
         return len(self._away)
 
     def _crash(
-        self, upstream: StandInUpstream, away_seconds: float, later_start: int, way: Crashing
+        self,
+        upstream: StandInUpstream,
+        stay_away: Callable[[], Coroutine[Any, Any, None]],
+        content: bytes,
     ) -> None:
         if upstream.instance in self._away:
             return
-        self.crashes.append(upstream.instance)
-        task = asyncio.ensure_future(self._stay_away(upstream, away_seconds, later_start, way))
-        self._away[upstream.instance] = task
-        task.add_done_callback(lambda _: self._away.pop(upstream.instance, None))
+        name = upstream.instance
+        self.crashes.append(name)
+        self.crash_times[content].append(asyncio.get_running_loop().time())
+        task = asyncio.ensure_future(stay_away())
+        self._away[name] = task
+        task.add_done_callback(lambda _: self._away.pop(name, None))
 
     async def _stay_away(
         self, upstream: StandInUpstream, seconds: float, later_start: int, way: Crashing
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -54,8 +54,9 @@
         self.arrivals: list[tuple[str, dict[str, str]]] = []
         self.hold = asyncio.Event()
         self.hold.set()
-        # Called in the place of a run that crashes the upstream; without it nothing is deadly.
-        self.crash: Callable[[], None] | None = None
+        # Called with the body of a request in the place of a run that crashes the upstream; without
+        # it nothing is deadly.
+        self.crash: Callable[[bytes], None] | None = None
 
     def limits(self) -> Limits:
         """Return limits that no call here meets."""
@@ -105,7 +106,7 @@
             return
         if self.crash is not None and content.startswith(self.find_deadly(headers)):
             await asyncio.sleep(self.seconds)
-            self.crash()
+            self.crash(content)
             return
         try:
             await self.run(name, headers, step, request, reply)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,10 +1,13 @@
 """Seeded faults from outside the gateways: signals, proxies, the store, upstreams, changes."""
 
 import asyncio
+import contextlib
 import itertools
 import signal
 
-from tests.hosted.sites import script
+from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
+from tests.common.http import ask
+from tests.hosted.sites import LONG, SHORT, script
 from tests.soak.processes import GRACE_SECONDS
 from tests.soak.proxy import Way
 
@@ -21,6 +24,15 @@
     b'{"metadata":{"name":"x","revision":1},"spec":{"service":"\xff\xfe"}}',
 )
 WRONG_FIELDS = (("state", "banana"), ("slots", -3), ("address", "host.example:80"), ("service", 7))
+# Requests that crash their upstreams: where they go, how their bodies begin, how long they are.
+DEADLY_KINDS = (
+    ("/card/a", DEADLY, {}),
+    ("/goal/a", DEADLY, {}),
+    ("/verdict/a", DEADLY, {"X_Token_Usage": SHORT}),
+    ("/verdict/a", DEADLY_PROMPT, {"X_Token_Usage": LONG}),
+)
+# Seconds after which their caller gives an attempt up.
+DEADLY_PATIENCE = 3.0
 STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -33,6 +45,8 @@
         self._tasks = set()
         self._busy = set()
         self._starts = itertools.count(FIRST_START)
+        self._deadly = itertools.count(1)
+        self._end = 0.0
         self.log = []
         self.findings = []
 
@@ -40,8 +54,8 @@
         kinds = [self.stop, self.reload, self.change]
         if not planned:
             kinds += [self.kill, self.pause, self.hold, self.reset, self.outage, self.drain]
-            kinds += [self.spoil, self.restart, self.stray, self.overwrite]
-        end = asyncio.get_running_loop().time() + seconds
+            kinds += [self.spoil, self.restart, self.stray, self.overwrite, self.deadly]
+        self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._rng.choice(kinds)
             self.log.append(kind.__name__)
@@ -148,6 +162,20 @@
         await asyncio.sleep(self._some_time(1.5))
         self._site.list_upstream(upstream)
 
+    async def deadly(self):
+        """Have a caller send a request that crashes its upstreams, until the faults are over."""
+        path, body, headers = self._rng.choice(DEADLY_KINDS)
+        number = next(self._deadly)
+        body += b" %d" % number
+        attempts = itertools.count(1)
+        while asyncio.get_running_loop().time() < self._end:
+            host = self._rng.choice(list(self._site.hosts.values()))
+            name = f"deadly-{number}-{next(attempts)}"
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(DEADLY_PATIENCE):
+                    await ask(host.callers, path, name, body=body, **headers)
+            await asyncio.sleep(self._some_time(0.5))
+
     async def spoil(self):
         script(self._site, self._rng.choice("se"), *self._rng.choices(STEPS, k=4))
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -18,6 +18,9 @@
 PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "gateway.py"
 GRACE_SECONDS = 4
 METRICS_PORT = 9464
+# How long an upstream is away after a crash, and by how much its next start is later.
+AWAY_SECONDS = 0.5
+LATER_START_MS = 60_000
 
 
 class GatewayProcess:
@@ -75,6 +78,14 @@
         self.proxies[name] = proxy
         return await proxy.open()
 
+    async def _stay_away(self, upstream, seconds, later_start, way):
+        proxy = self.proxies[upstream.instance]
+        proxy.shut()
+        await asyncio.sleep(seconds)
+        upstream.restart(upstream.born + later_start)
+        await proxy.open(split(self.addresses[upstream.instance])[1])
+        self.list_upstream(upstream)
+
     async def build(self, hosts):
         await self.start()
         declare_routes(self)
@@ -82,6 +93,7 @@
             await self.add_upstream(StandInEngine(f"e{number}", "model", "hall-a", role))
         for number in range(3):
             await self.add_upstream(StandInUpstream(f"s{number}", "alerts", "hall-a"))
+        self.allow_crashes(AWAY_SECONDS, LATER_START_MS)
         self.declare()
         for number in range(hosts):
             # A large fleet has schedulers and representatives in each zone.
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,9 @@
 
 from tests.soak.callers import ONCE, expected_body
 
+# Crashes of one request after which it may reach few upstreams more, the seconds in which all hosts
+# must know of them, and how few.
+CRASHES, KNOWN_SECONDS, MORE = 3, 3.0, 3
 # Statuses that promise that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -63,3 +66,11 @@
     for life, shown in versions.items():
         if shown != sorted(shown):
             yield f"{life}: versions went back: {shown}"
+
+
+def check_crashes(crash_times):
+    """`crash_times` holds, for each deadly request, when it crashed an upstream."""
+    for body, times in crash_times.items():
+        late = [at for at in times[CRASHES:] if at > times[CRASHES - 1] + KNOWN_SECONDS]
+        if len(late) > MORE:
+            yield f"{body!r}: {len(times)} crashes, {len(late)} of them late"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -34,8 +34,8 @@
         self._writers = set()
         self._tasks = set()
 
-    async def open(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+    async def open(self, port=0):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
@@ -48,9 +48,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def close(self):
+    def shut(self):
+        """Refuse new connections and reset those that are open, as a process that ends does."""
         self._server.close()
         self.reset()
+
+    def close(self):
+        self.shut()
         for task in self._tasks:
             task.cancel()
 
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -50,6 +50,7 @@
         findings += promises.check_runs(crowd.seen, runs)
         findings += promises.check_orders(site)
         findings += promises.check_versions(versions)
+        findings += promises.check_crashes(site.crash_times)
         if planned:
             findings += promises.check_planned(crowd.seen, runs)
         served = sum(1 for item in crowd.seen if item.answer and item.answer.status == 200)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -73,3 +73,16 @@
 def test_a_version_that_goes_back_within_one_life_is_found():
     shown = {"g0 life 1": [3, 6], "g0 life 2": [3, 3], "g1 life 1": [6, 3]}
     assert len(list(promises.check_versions(shown))) == 1
+
+
+@pytest.mark.parametrize(
+    ("times", "found"),
+    [
+        ([0.0, 1.0, 2.0], 0),
+        ([0.0, 1.0, 2.0, 2.1, 2.2, 2.3, 2.4, 4.9], 0),
+        ([0.0, 1.0, 2.0, 5.1, 5.2, 5.3], 0),
+        ([0.0, 1.0, 2.0, 5.1, 5.2, 5.3, 5.4], 1),
+    ],
+)
+def test_a_request_that_goes_on_crashing_upstreams_is_found(times, found):
+    assert len(list(promises.check_crashes({b"deadly 1": times}))) == found
