--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,13 +2,14 @@
 
 import sys
 
-from bench import configuration, division, guards, mix, relay, report, slopes
+from bench import configuration, division, guards, mix, quarantine, relay, report, slopes
 
 BENCHES = {
     "configuration": configuration.main,
     "division": division.main,
     "guards": guards.main,
     "mix": mix.main,
+    "quarantine": quarantine.main,
     "relay": relay.main,
     "slopes": slopes.main,
 }
