--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -14,10 +14,10 @@
 
 # Crashes under which a request was open, without an answer since, from which on it is kept from
 # upstreams. Most of what is open at a crash is innocent; little of that is open at the next one.
-# Of the streams beside such a request 9.9, 1.8 and 1.8 in 100 are not served with 2, 4 and 8 engines
-# (`python -m bench quarantine`, 20 seeds of a minute); at three crashes 10.4, 3.3 and 1.6, without
-# a quarantine 90, 87 and 77. At one, 5.0, 2.6 and 2.1, each ordinary crash would turn away all that
-# was open there.
+# Of the streams beside such a request 9.9, 1.8 and 1.8 in 100 are not served with 2, 4 and 8
+# engines (`python -m bench quarantine`, 20 seeds of a minute); at three crashes 10.4, 3.3 and 1.6,
+# without a quarantine 90, 87 and 77. At one, 5.0, 2.6 and 2.1, but then each ordinary crash would
+# turn away all that was open there.
 CRASHES_TO_QUARANTINE = 2
 # Crashes after which hardly any innocent request is among those kept back.
 CRASHES_TO_BE_SURE = 3
