Keep requests that crash upstreams from the others at entries as well

Change: an entry looks at the address of an upstream that broke off, counts a crash against the request by the same policy, refuses it and ends its resuming. Left: entries do not tell each other and forget with their process.

--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -10,6 +10,7 @@
 from swifttrestle.internal.checks import split_address
 from swifttrestle.internal.clock import MonotonicClock, read_seconds
 from swifttrestle.internal.entry.attempts import Attempts
+from swifttrestle.internal.entry.crash_guard import EntryCrashGuard
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import RelayParts
 from swifttrestle.internal.entry.reports import ReportReader
@@ -44,6 +45,7 @@
             LeastPredicted(),
             random.Random(seed),
             self.process.metrics,
+            EntryCrashGuard(self.process.clock, self.process.metrics, random.random()),
             connect_seconds=settings.connect_seconds,
             name=settings.name,
         )
@@ -82,6 +84,7 @@
     def _add_views(self) -> None:
         process = self.process
         process.add_dump("upstreams", self.table.dump)
+        process.add_dump("quarantine", self._attempts.guard.list_names)
         process.add_dump("open_requests", lambda: self.handler.open_requests)
         process.metrics.add_gauge(
             "open_requests", "Requests taken and not ended", lambda: self.handler.open_requests
--- a/src/swifttrestle/internal/entry/attempts.py
+++ b/src/swifttrestle/internal/entry/attempts.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import UpstreamBrokenError, UpstreamError, UpstreamLeavingError
 from swifttrestle.internal.clock import read_seconds
+from swifttrestle.internal.entry.crash_guard import EntryCrashGuard
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.routing import Candidate, Router, Work
 from swifttrestle.internal.protocol.calls import (
@@ -52,11 +53,13 @@
         router: Router,
         rng: random.Random,
         metrics: Metrics,
+        guard: EntryCrashGuard,
         *,
         connect_seconds: float,
         name: str,
     ) -> None:
         """Choose with a router; engine-side ids start with this process's name and start."""
+        self.guard = guard
         self._table = table
         self._router = router
         self._rng = rng
@@ -109,6 +112,7 @@
         except UpstreamError as error:
             self._table.end(name)
             self.note_failure(name, error)
+            self.guard.note_failure(call.request_id, name, address, error)
             raise
         except BaseException:
             self._table.end(name)
@@ -127,6 +131,7 @@
             handle = start_prefill(address, call, self._connect_seconds, FIRST_TOKEN_SECONDS)
         except UpstreamError as error:
             self.note_failure(engine, error)
+            self.guard.note_failure(call.request_id, engine, address, error)
             raise
         finally:
             self._table.end(engine)
--- a/src/swifttrestle/internal/entry/relay.py
+++ b/src/swifttrestle/internal/entry/relay.py
@@ -119,7 +119,9 @@
 
     def _resume(self, error: UpstreamError) -> None:
         """Go on with another engine, or tell the caller that the answer stays in part."""
-        self._failed.append(self._attempt.upstream)
+        attempt, guard = self._attempt, self._parts.attempts.guard
+        self._failed.append(attempt.upstream)
+        guard.note_failure(attempt.call.request_id, attempt.upstream, attempt.address, error)
         if not self._repeatable:
             self._fail(Code.STREAM_BROKEN if self._checker.offset else Code.ANSWER_LOST, error)
             return
@@ -127,9 +129,13 @@
         failed = list(self._failed)
         while read_seconds() < give_up:
             try:
+                # Without this look one request took one engine after another for 20 s.
+                guard.check(attempt.call.request_id)
                 self._attempt = self._parts.attempts.resume(
                     self._attempt, self._checker.offset, failed
                 )
+            except RefusedError:
+                break
             except UpstreamError as problem:
                 error = problem
                 # After a while an engine that failed before may have come back.
--- a/src/swifttrestle/internal/entry/serving.py
+++ b/src/swifttrestle/internal/entry/serving.py
@@ -2,8 +2,8 @@
 
 import hashlib
 import threading
-from collections.abc import Callable
-from contextlib import AbstractContextManager, nullcontext
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 from typing import TypeVar
 
 from swifttrestle.codes import TABLE, Code
@@ -15,6 +15,7 @@
     make_error_headers,
 )
 from swifttrestle.internal.entry.attempts import Attempt, Attempts, Target
+from swifttrestle.internal.entry.crash_guard import name_call
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import Relay, RelayParts
 from swifttrestle.internal.entry.requests import Completion, Terms, read_completion, read_terms
@@ -26,6 +27,7 @@
 from swifttrestle.internal.protocol.calls import EngineCall, PlainAnswer, call_plain
 from swifttrestle.internal.protocol.prefixes import count_tokens, split_blocks
 from swifttrestle.internal.state.config import ConfigStore
+from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.state.upstreams import Selection, UpstreamTable, excluding
 from swifttrestle.internal.transport.http import Exchange, Handler
 from swifttrestle.resources import ResourceSet, Service
@@ -57,6 +59,7 @@
         self._queue = line
         self._parts = parts
         self._attempts: Attempts = parts.attempts
+        self._guard = parts.attempts.guard
         self._claims = claims
         self._metrics = metrics
         self._threads = threads
@@ -161,18 +164,22 @@
     def _complete(self, exchange: Exchange, chat: bool) -> bool:
         started = read_seconds()
         workspace = self._find_workspace(exchange)
-        asked = read_completion(exchange.read_body(), chat)
+        body = exchange.read_body()
+        asked = read_completion(body, chat)
         service = self._find_service(asked.service, "model", workspace)
         terms = read_terms(exchange, service, workspace, started)
         work, selection = self._describe(asked, service, terms)
         call = self._make_call(asked, service, terms, work)
-        with self._claim(service, terms), _Hold(self, terms.priority):
+        name = name_call(workspace, exchange.path, body)
+        watched = self._watch(call.request_id, name)
+        with watched, self._claim(service, terms), _Hold(self, terms.priority):
             attempt = self._open_first(call, selection, work, terms)
         self._metrics.count("accepted_total", service=service.name)
         answer = CallerAnswer(exchange.hand_over(), call.request_id, terms.caller_id, asked.stream)
         Relay(
-            self._parts, answer, attempt, terms.repeatable, self._make_done(service, terms)
-        ).start()
+            self._parts, answer, attempt, terms.repeatable,
+            self._make_done(service, terms, call.request_id),
+        ).start()  # fmt: skip
         return True
 
     def _describe(
@@ -211,10 +218,11 @@
             left = terms.left(read_seconds())
             return self._attempts.open(target, numbered, selection, work, left)
 
-        return self._try(selection, work, terms, try_open)
+        return self._try(call.request_id, selection, work, terms, try_open)
 
     def _try(
         self,
+        request_id: str,
         selection: Selection,
         work: Work,
         terms: Terms,
@@ -229,6 +237,7 @@
         while True:
             number += 1
             try:
+                self._guard.check(request_id)
                 target = self._admit(selection, work, terms, failed)
             except RefusedError as refusal:
                 raise _temper(refusal, lost) from None
@@ -266,9 +275,10 @@
         return taken[0]
 
     def _make_done(
-        self, service: Service, terms: Terms
+        self, service: Service, terms: Terms, request_id: str
     ) -> Callable[[RefusedError | CallerGoneError | None], None]:
         def done(error: RefusedError | CallerGoneError | None) -> None:
+            self._guard.end(request_id, answered=error is None)
             outcome = "whole" if error is None else error.code.name
             in_time = "yes" if terms.left(read_seconds()) >= 0 else "no"
             self._metrics.count(
@@ -296,26 +306,40 @@
             headers = {"X-Request-Id": terms.caller_id or request_id}
             headers["X-Attempt"] = str(number)
             upstream = target.candidate.name
+            address = self._table.address(upstream)
             try:
                 answer = call_plain(
-                    self._table.address(upstream), path, body, headers,
+                    address, path, body, headers,
                     connect_seconds=min(left, self._connect_seconds), seconds=left,
                 )  # fmt: skip
             except UpstreamError as error:
                 self._attempts.note_failure(upstream, error)
+                self._guard.note_failure(request_id, upstream, address, error)
                 raise
             finally:
                 self._table.end(upstream)
                 self._queue.notify()
             return answer
 
-        with self._claim(service, terms), _Hold(self, terms.priority):
-            answer = self._try(selection, work, terms, try_call)
+        watched = self._watch(request_id, name_call(workspace, exchange.path, body))
+        with watched, self._claim(service, terms), _Hold(self, terms.priority):
+            answer = self._try(request_id, selection, work, terms, try_call)
+        self._guard.end(request_id, answered=True)
         self._metrics.count("accepted_total", service=name)
         self._metrics.count("ended_total", service=name, outcome="whole", in_time="yes")
         ids = (("X-Request-Id", terms.caller_id or request_id),)
         exchange.reply(answer.status, answer.body, answer.content_type, ids)
 
+    @contextmanager
+    def _watch(self, request_id: str, name: RequestName) -> Iterator[None]:
+        """Have the guard know the request; where it fails, its id is forgotten."""
+        self._guard.begin(request_id, name)
+        try:
+            yield
+        except BaseException:
+            self._guard.end(request_id, answered=False)
+            raise
+
     def _claim(self, service: Service, terms: Terms) -> AbstractContextManager[None]:
         if terms.repeatable or not terms.caller_id:
             return nullcontext()
--- a/src/swifttrestle/internal/state/request_names.py
+++ b/src/swifttrestle/internal/state/request_names.py
@@ -1,6 +1,7 @@
 """What makes two requests the same one, whatever ids their attempts carry."""
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from swifttrestle.internal.transport.messages import Body, RequestHead
@@ -30,11 +31,7 @@
 
     The request's other headers are not part of it: they differ from one attempt to the next.
     """
-    digest = hashlib.blake2b(digest_size=HALF_BYTES)
-    for part in (caller.encode(), head.method, head.find(b"host").lower(), head.target):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    return digest.digest()
+    return digest_parts((caller.encode(), head.method, head.find(b"host").lower(), head.target))
 
 
 def name_request(head: RequestHead, caller: str, body: Body) -> RequestName | None:
@@ -45,3 +42,12 @@
     for chunk in body.list_kept():
         digest.update(chunk)
     return RequestName(name_head(head, caller), digest.digest())
+
+
+def digest_parts(parts: Iterable[bytes]) -> bytes:
+    """Return a half of a name; the parts' lengths count, so that no two lists of them are alike."""
+    digest = hashlib.blake2b(digest_size=HALF_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    return digest.digest()
--- a/src/swifttrestle_standins/engine.py
+++ b/src/swifttrestle_standins/engine.py
@@ -37,8 +37,13 @@
         event_lag: float,
         event_loss: float,
         seed: int,
+        deadly_tokens: int,
     ) -> None:
-        """Start with nothing loaded; lags in seconds, loss as a share of cache events."""
+        """Start with nothing loaded; lags in seconds, loss as a share of cache events.
+
+        A stream of just `deadly_tokens`, if any, ends the process as it begins.
+        """
+        self._deadly_tokens = deadly_tokens
         self.speed = speed
         self.orders = orders
         self.batch = batch
@@ -130,6 +135,8 @@
         if refusal:
             self._refuse(exchange, refusal)
             return
+        if self._deadly_tokens and end == self._deadly_tokens:
+            os._exit(1)
         if self.batch.faults.late_seconds:
             time.sleep(self.batch.faults.late_seconds)
         stream = self._make_stream(body, offset, end)
@@ -296,6 +303,7 @@
     event_loss: float = 0.05,
     state_file: str = "",
     seed: int = 1,
+    deadly_tokens: int = 0,
 ) -> None:
     """Run a fake engine; times in seconds, rates in tokens a second."""
     speed = Speed(prefill_rate, step, per_stream, slots, queue, cache_blocks)
@@ -309,6 +317,7 @@
         event_lag=event_lag,
         event_loss=event_loss,
         seed=seed,
+        deadly_tokens=deadly_tokens,
     )
     for work in (batch.run, engine.observe_for_ever):
         threading.Thread(target=work, daemon=True).start()
--- a/tests/common/scenario.py
+++ b/tests/common/scenario.py
@@ -238,6 +238,11 @@
         calls = self.loads[load].calls
         return all(max(sent.get(d, 0) for d in call.digests) >= tokens for call in calls)
 
+    def is_running(self, count):
+        """So many engines run."""
+        running = [name for name in self._named("engine") if self.fleet.members[name].running]
+        return len(running) == int(count)
+
     def is_ended(self, load):
         return not any(thread.is_alive() for thread in self.loads[load].threads)
 
