Blame no request that broke off while its upstream lived; stories tell of quarantines

Cause, by reading: what broke off at an upstream that was seen to live stayed unsettled for six seconds and would have been blamed for a crash in that time; kept requests of upstreams that never crash were not dropped; a look that began before the list's word did not count that word. Each with its mend; a request's story shows the crashes and the quarantine that its name was in.

--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -121,6 +121,8 @@
 
     def _tell_cases(self, cases: Sequence[Case]) -> None:
         """Tell those who need to know of crashes that this host saw."""
+        if not cases:
+            return
         if any(is_quarantined(case) for case in cases):
             self._changed()
         self._again.append((TOLD_AGAIN, cases))
--- a/src/swifttrestle/internal/explanation.py
+++ b/src/swifttrestle/internal/explanation.py
@@ -13,6 +13,8 @@
 # Seconds before a request's arrival in which a change of belief may explain what became of it:
 # the longest time that an upstream is left out, and some more.
 LOOK_BACK_SECONDS = 10.0
+# Seconds after a request's end in which it may still turn out that its upstream had crashed.
+LOOK_ON_SECONDS = 1.0
 # Events of a host that concern all of its requests.
 HOST_EVENTS = frozenset(
     (
@@ -20,6 +22,8 @@
         "configuration skipped", "scheduler silent", "list watcher silent", "settings not taken",
     )
 )  # fmt: skip
+# Events about what a request did to upstreams, on any host.
+CRASH_EVENTS = frozenset(("upstream crashed", "request quarantined", "request acquitted"))
 _WORD = re.compile(r"[\w.-]+")
 
 
@@ -36,6 +40,11 @@
         """Return the upstream instances that the line is about."""
         return {str(self.fields[key]) for key in ("instance", "engine") if key in self.fields}
 
+    def request_names(self) -> set[str]:
+        """Return the names of requests, whatever their ids, that the line is about."""
+        names = self.fields.get("open", [self.fields.get("name")])
+        return {str(name) for name in names} if isinstance(names, list) else set()
+
 
 def read_log_lines(folder: Path) -> Iterator[LogLine]:
     """Return the lines of all files below a folder; what is no line of a gateway is left out."""
@@ -79,7 +88,7 @@
 def _explain_one(request: LogLine, known: Sequence[LogLine]) -> list[str]:
     arrived = request.time - float(request.fields.get("ms", 0)) / 1000
     steps = [str(step) for step in request.fields.get("steps") or ()]
-    named = {word for step in steps for word in _WORD.findall(step)}
+    named = {word for step in steps for word in _WORD.findall(step)} | request.request_names()
     told = [(request.time - arrived, f"{request.host}: {_describe_end(request)}")]
     told += [_read_step(request.host, step) for step in steps]
     for line in known:
@@ -90,6 +99,10 @@
 
 
 def _concerns(line: LogLine, request: LogLine, named: set[str], arrived: float) -> bool:
+    if line.event in CRASH_EVENTS:
+        # A quarantine lasts for minutes, so that what led to it may be long before.
+        told = line.time <= request.time + LOOK_ON_SECONDS
+        return told and bool(line.request_names() & named)
     if line.event == "request" or line.time > request.time:
         return False
     if line.event == "configuration in force":
@@ -97,8 +110,11 @@
         return line.host == request.host and version == request.fields.get("config")
     if line.time < arrived - LOOK_BACK_SECONDS:
         return False
-    if line.names() & named:
-        return True
+    return bool(line.names() & named) or _is_of_host(line, request)
+
+
+def _is_of_host(line: LogLine, request: LogLine) -> bool:
+    """Return whether a line is about the request's host, and so about all requests there."""
     return line.host == request.host and line.event in HOST_EVENTS
 
 
--- a/src/swifttrestle/internal/forward/crashes.py
+++ b/src/swifttrestle/internal/forward/crashes.py
@@ -26,6 +26,10 @@
 LOOK_DELAY_SECONDS = 0.005
 # Requests kept for one upstream: more than one host has open there.
 MOST_UNSETTLED = 256
+# Upstreams for which requests are kept before those that are long past are looked for.
+MOST_UPSTREAMS = 64
+# Requests that a line names.
+MOST_SHOWN = 20
 
 OnCrash = Callable[[Instance, Sequence[RequestName]], None]
 
@@ -51,13 +55,13 @@
 
     def note_broken(self, instance: Instance, request: IncomingRequest) -> None:
         """Take over that a request's connection was lost, and look at the upstream."""
-        if self._keep(instance, request, silent=False):
-            self._look(instance, withdrawn=instance.gone)
+        if self._keep(instance, request, silent=False) and not instance.replaced:
+            self._look(instance)
 
     def note_silent(self, instance: Instance, request: IncomingRequest) -> None:
         """Take over that a request got no answer in its time, on a connection that still stood."""
         if self._keep(instance, request, silent=True) and instance.gone:
-            self._look(instance, withdrawn=True)
+            self._look(instance)
 
     async def finish_looks(self) -> None:
         """Wait until the looks that are under way have told what they can."""
@@ -67,7 +71,7 @@
     def note_withdrawn(self, instance: Instance) -> None:
         """Take over that the list does not name an upstream any more."""
         if instance.name in self._unsettled:
-            self._look(instance, withdrawn=True)
+            self._look(instance)
 
     def note_replaced(self, instance: Instance) -> None:
         """Take over that a later start has taken an upstream's place."""
@@ -80,48 +84,64 @@
             # An upstream that leaves ends by plan, and may cut what is still open.
             return False
         now = _now()
+        if len(self._unsettled) >= MOST_UPSTREAMS:
+            self._drop_old(now)
         kept = [item for item in self._unsettled[instance.name] if _is_fresh(item, now)]
         kept.append(_Unsettled(name, now, silent))
         self._unsettled[instance.name] = kept[-MOST_UNSETTLED:]
         return True
 
-    def _look(self, instance: Instance, *, withdrawn: bool) -> None:
+    def _drop_old(self, now: float) -> None:
+        for name, items in list(self._unsettled.items()):
+            if not any(_is_fresh(item, now) for item in items):
+                del self._unsettled[name]
+
+    def _look(self, instance: Instance) -> None:
         """Try the upstream's address, once at a time for all that broke off there."""
         if instance.name in self._looks:
             return
-        task = asyncio.ensure_future(self._try_address(instance, withdrawn))
+        task = asyncio.ensure_future(self._try_address(instance))
         self._looks[instance.name] = task
         task.add_done_callback(lambda _: self._looks.pop(instance.name, None))
 
-    async def _try_address(self, instance: Instance, withdrawn: bool) -> None:
+    async def _try_address(self, instance: Instance) -> None:
         await asyncio.sleep(LOOK_DELAY_SECONDS)
+        began = _now()
         try:
             await self._pool.probe(instance.name, instance.record.address)
         except UpstreamUnreachedError as error:
             # A silent address alone may be a cut link; with the list's word it is a crash.
-            if (error.refused or withdrawn) and not instance.record.leaving:
-                self._settle(instance, "its address", silent_too=withdrawn)
+            if (error.refused or instance.gone) and not instance.record.leaving:
+                self._settle(instance, "its address", silent_too=instance.gone)
+            return
+        self._note_alive(instance, began)
+
+    def _note_alive(self, instance: Instance, at: float) -> None:
+        """Forget what broke off before an upstream was seen to live: it was no crash."""
+        kept = self._unsettled.pop(instance.name, [])
+        left = [item for item in kept if item.silent or item.at > at]
+        if left:
+            self._unsettled[instance.name] = left
+        if instance.gone:
+            # Whoever listens there now, no request goes there under this name.
+            self._pool.forget(instance.name)
 
     def _settle(self, instance: Instance, source: str, *, silent_too: bool) -> None:
         """Tell of a crash and of the requests that were open there."""
         now = _now()
         kept = self._unsettled.pop(instance.name, [])
-        for name in [name for name, items in self._unsettled.items() if not _any_fresh(items, now)]:
-            del self._unsettled[name]
         open_then = [item for item in kept if _is_fresh(item, now)]
         names = list({item.name: None for item in open_then if silent_too or not item.silent})
-        if names:
-            log_decision(
-                "upstream crashed",
-                instance=instance.name,
-                source=source,
-                open=[str(name) for name in names],
-            )
-            self._on_crash(instance, names)
-
-
-def _any_fresh(items: Sequence[_Unsettled], now: float) -> bool:
-    return any(_is_fresh(item, now) for item in items)
+        if not names:
+            return
+        log_decision(
+            "upstream crashed",
+            instance=instance.name,
+            source=source,
+            count=len(names),
+            open=[str(name) for name in names[:MOST_SHOWN]],
+        )
+        self._on_crash(instance, names)
 
 
 def _is_fresh(item: _Unsettled, now: float) -> bool:
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -176,9 +176,10 @@
 
 def _name_broken(ctx: Context | None, code: Code) -> dict[str, str]:
     """Return the field that names a request that broke at an upstream, whatever its id was."""
-    if ctx is None or not (
-        ctx.runs or ctx.lost_reads or (ctx.may_have_run and code is not Code.OK)
-    ):
+    if ctx is None:
+        return {}
+    lost = ctx.may_have_run and code is not Code.OK
+    if not (lost or ctx.runs or ctx.lost_reads or code is Code.QUARANTINED):
         return {}
     name = name_request(ctx.request.head, ctx.request.caller, ctx.request.body)
     return {"name": str(name)} if name else {}
--- a/tests/cover/test_explanation.py
+++ b/tests/cover/test_explanation.py
@@ -41,6 +41,25 @@
     assert len(story) == 5 + told
 
 
+NAMED = LogLine(100.2, "h1", "request", {**REQUEST.fields, "name": "aa-bb"})
+
+
+@pytest.mark.parametrize(
+    ("line", "told"),
+    [
+        (LogLine(100.3, "h2", "upstream crashed", {"open": ["cc-dd", "aa-bb"]}), True),
+        (LogLine(100.3, "h2", "upstream crashed", {"open": ["cc-dd"]}), False),
+        (LogLine(20.0, "h2", "request quarantined", {"name": "aa-bb", "crashes": ["d7"]}), True),
+        (LogLine(20.0, "h2", "request acquitted", {"name": "aa-bb"}), True),
+        (LogLine(20.0, "h2", "request quarantined", {"name": "cc-dd"}), False),
+        (LogLine(102.0, "h2", "request quarantined", {"name": "aa-bb"}), False),
+    ],
+)  # fmt: skip
+def test_what_is_known_of_a_request_by_its_name_is_told_however_long_before(line, told):
+    story = explain_request([NAMED, line], "r1")
+    assert len(story) == 5 + told
+
+
 def test_the_story_goes_in_order_of_time_from_the_arrival():
     early = LogLine(99.0, "h3", "instance left out", {"instance": "d1"})
     story = explain_request([REQUEST, early], "r1")
--- a/tests/hosted/test_innocents.py
+++ b/tests/hosted/test_innocents.py
@@ -87,6 +87,21 @@
     assert (answer.status, answer.whole) == (200, True)
 
 
+@on_site(gateways=1, plain=1)
+async def test_what_broke_off_at_a_living_upstream_is_not_blamed_for_its_later_crash(site):
+    await tell_starts(site)
+    script(site, "s", "reset-after")
+    await ask(address_of(site), "/goal/a", "early", body=b"early")
+    await find_guard(site).watch.finish_looks()
+    site.upstreams["s0"].hold.clear()
+    asked = asyncio.ensure_future(ask(address_of(site), "/goal/a", "late", body=b"late"))
+    await find_busy(site, "late")
+    await site.stop_upstream(site.upstreams["s0"])
+    await asked
+    await wait_until(lambda: len(find_guard(site).quarantine), "the crash")
+    assert len(find_guard(site).quarantine) == 1
+
+
 @on_site(gateways=1, plain=4)
 async def test_an_upstream_that_leaves_and_cuts_what_is_open_counts_against_no_request(site):
     await tell_starts(site)
