--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs
 
 import orjson
 
@@ -36,6 +37,7 @@
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.state.request_names import read_shown_name
 from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
@@ -56,6 +58,8 @@
 # The port that deploy/system.toml names to the platform.
 METRICS_PORT = 9464
 READY_PATH = b"/v1/ready"
+# An operator posts here, with the query name=NAME, to have all hosts let a request go again.
+LIFT_PATH = b"/debug/quarantine/lift"
 # Connections that may wait to be accepted.
 BACKLOG = 1024
 # Seconds after a planned stop begins before idle connections are closed: the balancer asks
@@ -203,7 +207,10 @@
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
         await self._listen(settings.readiness, ready, self._pages)
-        pages = PageHandler({b"/metrics": self._make_metrics, b"/debug/state": self._make_state})
+        pages = PageHandler(
+            {b"/metrics": self._make_metrics, b"/debug/state": self._make_state},
+            {LIFT_PATH: self._lift_quarantine},
+        )
         await self._listen((settings.ip, self._metrics_port), pages, self._pages)
         log_decision("started", ip=settings.ip, zone=settings.zone)
         try:
@@ -376,6 +383,16 @@
         }
         return Page(200, b"application/json", orjson.dumps(state))
 
+    def _lift_quarantine(self, query: bytes) -> Page:
+        try:
+            name = read_shown_name(parse_qs(query.decode("latin-1")).get("name", [""])[0])
+        except ValueError as error:
+            return Page(400, content=f"name: {error}\n".encode())
+        if self._parts.guard.quarantine.find(name) is None:
+            return Page(404, content=f"name: {name} is not known; see /debug/state\n".encode())
+        self._parts.guard.acquit(name, "an operator")
+        return Page(200, content=f"{name} is let go\n".encode())
+
     def _add_gauges(self) -> None:
         gauges: list[tuple[str, str, Callable[[], float]]] = [
             ("config_version", "Configuration in force", lambda: self._configuration.version),
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -80,11 +80,11 @@
         if acquits:
             await self._note_answered(ctx)
 
-    def acquit(self, name: RequestName) -> None:
+    def acquit(self, name: RequestName, source: str = "its answer") -> None:
         """Take over that a request got its own answer here, and tell others of it."""
         case = self.quarantine.find(name)
         now = _now()
-        if case is not None and self.take_acquittal(name, now, "its answer"):
+        if case is not None and self.take_acquittal(name, now, source):
             self.tell_acquittal(name, now, is_quarantined(case))
 
     def take_crash(self, names: Sequence[RequestName], crash: Crash) -> None:
--- a/src/swifttrestle/internal/state/request_names.py
+++ b/src/swifttrestle/internal/state/request_names.py
@@ -26,6 +26,15 @@
         return f"{self.head.hex()}-{self.body.hex()}"
 
 
+def read_shown_name(text: str) -> RequestName:
+    """Return the name that logs and pages show so; raise ValueError."""
+    head, _, body = text.partition("-")
+    name = RequestName(bytes.fromhex(head), bytes.fromhex(body))
+    if not len(name.head) == len(name.body) == HALF_BYTES:
+        raise ValueError(f"{text!r} is no name; give two times {2 * HALF_BYTES} digits, by a dash")
+    return name
+
+
 def name_head(head: RequestHead, caller: str) -> bytes:
     """Return the half of a name that a request's head and its caller's address make.
 
--- a/tests/hosted/test_innocents.py
+++ b/tests/hosted/test_innocents.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swifttrestle.internal.state.crash_cases import Case, Crash
-from swifttrestle.internal.state.request_names import name_request
+from swifttrestle.internal.state.request_names import RequestName, name_request
 from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import DEADLY
@@ -181,3 +181,37 @@
         caller.send(request[-1:])
         assert (await caller.read_answer()).status == status
         caller.close()
+
+
+async def lift(site, query, method="POST"):
+    address = site.gateways["g0"].metrics_address
+    return await ask(address, f"/debug/quarantine/lift{query}", "lift", method=method)
+
+
+@on_site(gateways=3)
+async def test_an_operator_lifts_a_quarantine_at_all_hosts(site):
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(len(item.live_hosts()) == 3 for item in gateways), "all hosts")
+    now = asyncio.get_running_loop().time()
+    name = RequestName(bytes(8), bytes(range(8)))
+    for number in range(2):
+        find_guard(site, "g1").take_crash([name], Crash(f"i-{number}", now))
+    await wait_until(lambda: all(count_quarantined(site)), "known")
+    assert (await lift(site, f"?name={name}")).status == 200
+    await wait_until(lambda: not any(count_quarantined(site)), "lifted")
+
+
+@pytest.mark.parametrize(
+    ("query", "method", "status"),
+    [
+        ("", "POST", 400),
+        ("?name=", "POST", 400),
+        ("?name=zz-zz", "POST", 400),
+        ("?name=00-00", "POST", 400),
+        (f"?name={'00' * 8}-{'00' * 8}", "POST", 404),
+        (f"?name={'00' * 8}-{'00' * 8}", "GET", 405),
+    ],
+)
+@on_site()
+async def test_a_lift_of_what_is_not_there_says_so(site, query, method, status):
+    assert (await lift(site, query, method)).status == status
