--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from swifttrestle.internal.coordination import discovery, exchange, gossip, removals
+from swifttrestle.internal.coordination import (
+    discovery,
+    exchange,
+    gossip,
+    quarantine_relay,
+    removals,
+)
+from swifttrestle.internal.forward import crashes
 from swifttrestle.internal.policy.backoff import find_longest
 from swifttrestle.internal.state import peers
 from swifttrestle.internal.transport import pool
@@ -27,6 +34,9 @@
 # Share of a thin link that callers' requests use beside it.
 REQUESTS_SHARE = 0.3
 
+# Seconds after the third crash of a request from which on it may reach few upstreams more.
+KEPT_BACK = 3.0
+
 FIRST_PAUSE = find_longest(discovery.FIRST_PAUSE)
 LONGEST_PAUSE = find_longest(discovery.LONGEST_PAUSE)
 LIST = pool.CONNECT_SECONDS + SLOW_STORE
@@ -34,6 +44,9 @@
 # A host notices that the store answers again: its last vain call, its pause, its next call.
 NOTICE = store.READ_SECONDS + LONGEST_PAUSE + LIST
 HELD = removals.RETURN_SECONDS + removals.LOOK_SECONDS
+# A host that lost a connection finds the upstream's address closed.
+CRASH_SEEN = crashes.LOOK_DELAY_SECONDS + DATAGRAM
+PUSH = quarantine_relay.PUSH_SECONDS
 SILENT_WATCH = discovery.WATCH_SECONDS + store.WATCH_MARGIN_SECONDS
 
 
@@ -106,6 +119,18 @@
         SLOW_STORE + read_over_thin_link(VERSION_BYTES),
         IN_FORCE["large"],
     ),
+    "kept back: nothing": (CRASH_SEEN + DATAGRAM, KEPT_BACK),
+    "kept back, by keepers: nothing": (CRASH_SEEN + 2 * DATAGRAM, KEPT_BACK),
+    "kept back: all words of a crash but the last are lost": (
+        CRASH_SEEN + quarantine_relay.TOLD_AGAIN * PUSH + 2 * DATAGRAM,
+        KEPT_BACK,
+    ),
+    "kept back: a host was cut off": (
+        # It is heard again, and asks with its next word.
+        HEARTBEAT + DATAGRAM + PUSH + 2 * DATAGRAM,
+        KEPT_BACK,
+    ),
+    "kept back: a host slept, or has started": (PUSH + 2 * DATAGRAM, KEPT_BACK),
 }
 
 
@@ -120,7 +145,11 @@
 def test_the_table_of_the_invariants_shows_these_sums():
     page = (Path(__file__).parents[2] / "docs" / "INVARIANTS.md").read_text()
     rows = dict(
-        re.findall(r"^\| ((?:leaving|in force)[^|]*?) \|.*\| ([0-9.]+ of [0-9.]+) \|$", page, re.M)
+        re.findall(
+            r"^\| ((?:leaving|in force|kept back)[^|]*?) \|.*\| ([0-9.]+ of [0-9.]+) \|$",
+            page,
+            re.M,
+        )
     )
     assert rows == {
         chain: f"{seconds:.2f} of {bound:.1f}" for chain, (seconds, bound) in SUMS.items()
