--- a/tests/hosted/test_deadly_requests.py
+++ b/tests/hosted/test_deadly_requests.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import Crashing, wait_until
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
@@ -78,6 +79,21 @@
     assert answers[-1].retry_after > 1
 
 
+@pytest.mark.parametrize(("path", "body", "headers"), KINDS, ids=NAMES)
+@on_site(gateways=6, engines=ENGINES, plain=8)
+async def test_keepers_tell_all_hosts_of_a_large_fleet(site, path, body, headers, monkeypatch):
+    monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 2)
+    await tell_starts(site)
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(len(item.live_hosts()) == 6 for item in gateways), "all hosts")
+    site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
+    answers = await send_again_and_again(site, path, body, headers)
+    assert len(site.crashes) <= MOST_CRASHES
+    assert answers[-1].status == 503
+    guards = [item._parts.guard for item in gateways]
+    await wait_until(lambda: all(len(item.quarantine) for item in guards), "known at all hosts")
+
+
 @pytest.mark.parametrize("way", [Crashing.OTHER_ID, Crashing.SILENT], ids=["other id", "silent"])
 @on_site(gateways=3, plain=8)
 async def test_upstreams_that_crash_in_other_ways_count_as_well(site, way):
