Only the copy that is tried next makes a quarantine a long one

Cause, by the logs: three crashes counted as certain however close they were, though copies under way and hosts that do not know yet prove nothing new. Change: the long quarantine follows a crash after the end of the first one, that is of the copy that was tried.

--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -14,17 +14,18 @@
 
 # Crashes under which a request was open, without an answer since, from which on it is kept from
 # upstreams. Most of what is open at a crash is innocent; little of that is open at the next one.
-# Of the streams beside such a request 10.8, 1.9 and 1.8 in 100 are not served with 2, 4 and 8
-# engines (`python -m bench quarantine`, 20 seeds of a minute); at three crashes 10.4, 3.3 and 1.6,
-# without a quarantine 90, 87 and 77. At one, 6.3, 2.8 and 2.3, but then each ordinary crash would
+# Of the streams beside such a request 10.8, 2.0 and 1.8 in 100 are not served with 2, 4 and 8
+# engines (`python -m bench quarantine`, 20 seeds of a minute); at three crashes 10.7, 3.1 and 1.6,
+# without a quarantine 90, 87 and 77. At one, 4.6, 2.5 and 2.0, but then each ordinary crash would
 # turn away all that was open there.
 CRASHES_TO_QUARANTINE = 2
-# Crashes after which hardly any innocent request is among those kept back.
-CRASHES_TO_BE_SURE = 3
 # Seconds of the first quarantine: upstreams are back by then. An innocent popular call, of which no
 # copy ran elsewhere between two crashes, waits no longer; with 3 or 10 s the model serves as many.
 FIRST_SECONDS = 5.0
-# Seconds once it is sure: one crash in ten minutes is what upstreams suffer anyway.
+# Seconds after a crash of the copy that was tried next: one crash in ten minutes is what upstreams
+# suffer anyway. Crashes before that, of copies that were under way or went out from a host that had
+# just started, do not count for it: a popular call was refused for minutes where all engines
+# crashed twice within half a second.
 LONG_SECONDS = 600.0
 # Hosts let a request go again at different moments, over this share of its quarantine: the first
 # one finds out for all, within some tens of milliseconds, whether it still crashes upstreams.
@@ -47,11 +48,24 @@
 MOST_ACQUITTALS = 4096
 
 
-def find_quarantine_seconds(crashes: int) -> float:
-    """Return for how long after the last of so many crashes no host lets a request go."""
-    if crashes < CRASHES_TO_QUARANTINE:
-        return 0.0
-    return LONG_SECONDS if crashes >= CRASHES_TO_BE_SURE else FIRST_SECONDS
+@dataclass(frozen=True)
+class Term:
+    """One quarantine of a request: since when, in the loop's time, and for how many seconds."""
+
+    since: float
+    seconds: float
+
+
+def find_term(crashes: Iterable[Crash]) -> Term | None:
+    """Return the latest quarantine that a request's crashes come to, over or not."""
+    term: Term | None = None
+    in_order = sorted(crashes, key=lambda crash: crash.at)
+    for crash in in_order[CRASHES_TO_QUARANTINE - 1 :]:
+        if term is None:
+            term = Term(crash.at, FIRST_SECONDS)
+        elif crash.at >= term.since + term.seconds:
+            term = Term(crash.at, LONG_SECONDS)
+    return term
 
 
 def is_quarantined(case: Case) -> bool:
@@ -143,11 +157,11 @@
 
     def find_wait(self, name: RequestName, now: float) -> float:
         """Return the seconds until this host lets a request go to an upstream, 0 for at once."""
-        case = self.find(name)
-        if case is None:
+        known = self._known.get(name)
+        term = None if known is None else find_term(known.crashes)
+        if term is None:
             return 0.0
-        seconds = find_quarantine_seconds(len(case.crashes)) * self._late
-        return max(0.0, case.last_at + seconds - now)
+        return max(0.0, term.since + term.seconds * self._late - now)
 
     def find(self, name: RequestName) -> Case | None:
         """Return what is known against a request."""
