Bound the quarantine in use, and compare it with the one that was not chosen

In its place the one in use has its bounds as before (4.0, 3 in 100) and must beat the other one in both.

--- a/tests/quality/test_decisions.py
+++ b/tests/quality/test_decisions.py
@@ -40,16 +40,15 @@
     assert changes[1] <= changes[0] / 2
 
 
-@pytest.mark.parametrize(
-    ("threshold", "most_crashes", "most_lost"), [(2, 4.0, 0.03), (3, 4.0, 0.05)]
-)
-def test_a_deadly_request_costs_few_engines_and_few_streams_beside_it(
-    threshold, most_crashes, most_lost
-):
-    kept, never = (quarantine.run_all(4, number) for number in (threshold, 10**6))
-    assert kept.crashes / len(quarantine.SEEDS) <= most_crashes
-    assert 1 - kept.served / kept.streams <= most_lost
+def test_a_deadly_request_costs_few_engines_and_few_streams_beside_it():
+    kept, later, never = (quarantine.run_all(4, number) for number in (2, 3, 10**6))
+    runs = len(quarantine.SEEDS)
+    assert kept.crashes / runs <= 4.0
+    assert 1 - kept.served / kept.streams <= 0.03
+    # One crash more before it is kept back costs engines and streams.
+    assert later.crashes > kept.crashes
+    assert later.served / later.streams < kept.served / kept.streams
     assert never.crashes > 10 * kept.crashes
     assert 1 - never.served / never.streams > 0.5
     # Few of those that ran beside it are taken for it.
-    assert kept.kept_back / len(quarantine.SEEDS) <= 2
+    assert kept.kept_back / runs <= 2
