--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -36,6 +36,7 @@
     CLAIM_UNAVAILABLE = 1017
     UPSTREAM_REFUSED = 1018
     QUARANTINED = 1019
+    KEY_UNCONFIRMED = 1020
     ANSWER_LOST = 2001
     ANSWER_LATE = 2002
     STREAM_BROKEN = 3001
@@ -100,6 +101,11 @@
         _NOT_RUN,
         "Upstreams crashed under the same request; Retry-After says when it is tried.",
     ),
+    Code.KEY_UNCONFIRMED: CodeEntry(
+        503,
+        _NOT_RUN,
+        "This host has not heard of late which keys hold; another host, or this one, soon will.",
+    ),
     Code.ANSWER_LOST: CodeEntry(
         502, _MAY, "The connection was lost after a byte may have been sent."
     ),
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -15,6 +15,7 @@
 import orjson
 
 from swifttrestle.errors import InvalidSettingError
+from swifttrestle.internal.coordination.beliefs import BeliefKeeper
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.entries import SkippedEntries
@@ -38,6 +39,7 @@
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.request_names import read_shown_name
+from swifttrestle.internal.state.true_time import TrueTime
 from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
@@ -159,7 +161,24 @@
             rng,
             self._quarantine.note_change,
         )
-        self._handler = GatewayHandler(self._parts, self._booker, lambda: self._configuration.table)
+        self._true_time = TrueTime()
+        self._beliefs = BeliefKeeper(
+            self._configuration,
+            socket,
+            me,
+            self._gossip.list_members,
+            self._gossip.fetch_later,
+            self._true_time,
+            bounds.revocation,
+            rng,
+        )
+        self._handler = GatewayHandler(
+            self._parts,
+            self._booker,
+            lambda: self._configuration.table,
+            lambda: self._configuration.belief.confirmed_at,
+            bounds.revocation,
+        )
         lease = RoleLeaseKeeper(
             # Another machine of the same name is another holder.
             self._store,
@@ -203,6 +222,7 @@
         self._start(self._kept_parts.run())
         self._start(self._quarantine.run())
         self._start(self._crashes.run())
+        self._start(self._beliefs.run())
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
@@ -364,6 +384,8 @@
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
         known = self._configuration.table is not None and self._discovery.known
+        # One that may not take keys would turn all of its callers away.
+        known = known and self._beliefs.is_young()
         return known and not self._stopping.is_set()
 
     def _make_ready(self) -> Page:
--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -15,6 +15,8 @@
 _NAME = re.compile(r"[a-z0-9]([a-z0-9.-]*[a-z0-9])?")
 _HEX64 = re.compile(r"[0-9a-f]{64}")
 MAX_PORT = 65535
+# The largest count, number or time that another's word may hold: a signed number of 64 bits.
+LARGEST_SIGNED = 2**63 - 1
 
 T = TypeVar("T")
 
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.copies import ConfigurationCopy
+from swifttrestle.internal.state.belief import ConfigurationBelief
 from swifttrestle.internal.state.routes import RouteTable
 from swifttrestle.platform.objects import StoredObject, UnreadObject
 from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
@@ -53,8 +54,11 @@
         self._failures = 0
         # The call to the store that is under way.
         self._call: asyncio.Future[None] | None = None
+        # The revision and version of the entry that was last read to prove the version in force.
+        self._confirmed: tuple[int, int] = (0, 0)
         self.table: RouteTable | None = None
         self.raw: Any = None
+        self.belief = ConfigurationBelief(lambda: self.version)
 
     @property
     def version(self) -> int:
@@ -125,14 +129,41 @@
             self._call.cancel()
             self._call = None
 
+    async def confirm(self) -> None:
+        """Prove by one read of the store which version is the newest.
+
+        A watch proves nothing: one that was taken while the store forgets its history hears
+        nothing of what is changed meanwhile. Raises PlatformUnavailableError or NotFoundError
+        where there is no proof, and BadEntryError where the entry is none.
+        """
+        asked_at = asyncio.get_running_loop().time()
+        self._note_proof(await self._store.get(CONFIG_KIND, CONFIG_NAME), asked_at)
+
+    def _note_proof(self, item: StoredObject, asked_at: float) -> None:
+        """Take over that an entry was the newest one at a time; one that is not taken is none."""
+        if item.revision != self._confirmed[0]:
+            self._take_item(item)
+            self._confirmed = (item.revision, read_configuration(item.spec).version)
+        self.belief.note(self._confirmed[1], asked_at)
+
     async def _read(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         snapshot = await self._store.list(CONFIG_KIND)
         for item in snapshot.items:
             self._take_item(item)
+            if item.name == CONFIG_NAME:
+                self._note_listed(item, asked_at)
         for unread in snapshot.unread:
             self._take_item(unread)
         self._revision = snapshot.revision
 
+    def _note_listed(self, item: StoredObject, asked_at: float) -> None:
+        try:
+            self._note_proof(item, asked_at)
+        except BadEntryError:
+            # It was skipped and counted as it was taken; it proves nothing.
+            return
+
     async def _watch(self) -> None:
         seen = await self._store.watch(CONFIG_KIND, self._revision, self._choose_wait())
         for change in seen.changes:
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -336,6 +336,10 @@
         if version > self._configuration.version:
             self._exchange.fetch_later(host, ip, version)
 
+    def fetch_later(self, host: str, ip: str, version: int) -> None:
+        """Fetch a version that a peer has, unless the store's watch brings it first."""
+        self._exchange.fetch_later(host, ip, version)
+
     def _expire(self, now: float) -> None:
         self._fleet.expire_peers(now)
         self._demand.expire(now)
--- a/src/swifttrestle/internal/coordination/quarantine_store.py
+++ b/src/swifttrestle/internal/coordination/quarantine_store.py
@@ -16,7 +16,7 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from swifttrestle.internal.checks import check_text, check_whole
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_text, check_whole
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.lines import log_decision
@@ -39,8 +39,6 @@
 RETRY_SECONDS = 1.0
 # Seconds for which what comes in is gathered before a write: the requests of one crash.
 GATHER_SECONDS = 0.05
-# The latest time that an entry may name: what a signed number of 64 bits holds.
-LATEST_MS = 2**63 - 1
 
 
 class QuarantineStore:
@@ -165,7 +163,7 @@
 
 
 def _read_crash(raw: Any, now: float) -> Crash:
-    age = time.time() - check_whole(raw["at"], 0, LATEST_MS) / 1000
+    age = time.time() - check_whole(raw["at"], 0, LARGEST_SIGNED) / 1000
     # A clock of the platform's hosts may be ahead of this one's.
     return Crash(check_text(raw["start"]), now - min(max(age, 0.0), FORGET_SECONDS))
 
--- a/src/swifttrestle/internal/coordination/role_lease.py
+++ b/src/swifttrestle/internal/coordination/role_lease.py
@@ -16,6 +16,7 @@
     NotFoundError,
     PlatformUnavailableError,
 )
+from swifttrestle.internal.checks import LARGEST_SIGNED
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.declared import Role
@@ -30,8 +31,6 @@
 CALL_SECONDS = 1.0
 # Seconds for an order that has left to arrive, and for the clocks' small differences.
 ARRIVAL_SECONDS = 1.0
-# The highest token that a lease may have: what a signed number of 64 bits holds.
-LARGEST_TOKEN = 2**63 - 1
 # Orders kept on the lease, newest last: more than may be open at once.
 KEPT_ORDERS = 16
 
@@ -72,7 +71,7 @@
             "incarnation": int(incarnation),
             "token": int(token),
             "orders": list(orders),
-        } if 0 < token <= LARGEST_TOKEN:
+        } if 0 < token <= LARGEST_SIGNED:
             return RoleLease(holder, incarnation, token, tuple(map(_read_order, orders)))
     raise BadEntryError("a lease", "spec", spec, "a field is missing or of another type")
 
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -7,7 +7,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
-from swifttrestle.internal.state.declared import Repeat, Route, ServiceDeclaration
+from swifttrestle.internal.state.declared import Repeat, Route, ServiceDeclaration, Workspace
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply
 from swifttrestle.internal.transport.messages import Header
@@ -32,6 +32,8 @@
     deadline: float
     config_version: int
     urgent: bool = True
+    # Whose key the request carries; None where it carries none.
+    workspace: Workspace | None = None
     may_have_run: bool = False
     runs: int = 0
     lost_reads: int = 0
@@ -44,6 +46,13 @@
     # Called at the first byte of an answer that streams.
     on_first_byte: Callable[[], None] | None = None
 
+    @property
+    def priority(self) -> int:
+        """The workspace's priority, or the route's where the workspace has none of its own."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -93,7 +93,7 @@
             zone=self._parts.zone,
             tokens=ctx.facts.prompt_tokens,
             affinity=find_affinity(ctx),
-            priority=ctx.route.priority,
+            priority=ctx.priority,
             urgent=ctx.urgent,
             left=ctx.left,
             longest_wait=max(0.0, min(longest, ctx.left)),
@@ -235,7 +235,7 @@
         added = Forwarding(
             decoder.record.instance,
             ctx.left,
-            ctx.route.priority,
+            ctx.priority,
             kv_source=source,
             last_event=relay.last_event,
             fetch_from=fetch_from,
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -13,13 +13,20 @@
 from swifttrestle.internal.forward.parts import Parts
 from swifttrestle.internal.forward.plain import PlainForwarder
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.state.declared import Limits, Route
+from swifttrestle.internal.policy.revocation import (
+    CONFIRM_RETRY_SECONDS,
+    Verdict,
+    judge_key,
+)
+from swifttrestle.internal.state.declared import Limits, Route, Workspace
 from swifttrestle.internal.state.request_names import name_request
 from swifttrestle.internal.state.routes import RouteTable, pick_service
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
 from swifttrestle.internal.transport.messages import Header, RequestHead
 from swifttrestle.platform.wire import (
     REQUEST_ID,
+    find_keys,
+    name_workspace,
     read_facts,
     strip_request_headers,
     write_request_id,
@@ -40,11 +47,22 @@
     """Routes requests by the configuration in force."""
 
     def __init__(
-        self, parts: Parts, booker: Booker, find_table: Callable[[], RouteTable | None]
+        self,
+        parts: Parts,
+        booker: Booker,
+        find_table: Callable[[], RouteTable | None],
+        find_confirmed_at: Callable[[], float] = lambda: float("-inf"),
+        revocation_bound: float = float("inf"),
     ) -> None:
-        """Book engines by `booker`; read the route table in force by `find_table`."""
+        """Book engines by `booker`; read the route table in force by `find_table`.
+
+        `find_confirmed_at` tells when that table was last proved to be of the newest version, and
+        `revocation_bound` for how many seconds after its removal a key may be served.
+        """
         self._parts = parts
         self._find_table = find_table
+        self._find_confirmed_at = find_confirmed_at
+        self._revocation_bound = revocation_bound
         self._plain = PlainForwarder(parts)
         self._engines = EngineForwarder(parts, booker)
         # The loop's time at which this process ends, once a planned stop has come so far.
@@ -87,6 +105,7 @@
             )
         route = self._find_route(table, request.head)
         self._check_time_to_end(route, request.received)
+        workspace = self._find_workspace(table, route, request)
         facts = read_facts(request.head.headers)
         service = table.configuration.services.get(pick_service(route, self._parts.rng))
         if service is None:
@@ -96,14 +115,55 @@
             request,
             reply,
             facts,
-            strip_request_headers(request.head.headers),
+            self._write_headers(table, request.head, workspace),
             route,
             service,
             request.received + seconds,
             table.configuration.version,
-            urgent=table.is_urgent(route, service.name),
+            urgent=table.is_urgent(route, service.name, workspace),
+            workspace=workspace,
         )
 
+    def _find_workspace(
+        self, table: RouteTable, route: Route, request: IncomingRequest
+    ) -> Workspace | None:
+        """Return whose key a request carries; None where it needs none and has none.
+
+        Raises RefusedError for a key that is not in force, or that nobody has confirmed of late.
+        The age counts to the request's receipt: it was sent before that, and however long it
+        waits here, a later removal of its key does not concern it.
+        """
+        if table.keys is None:
+            return None
+        keys = find_keys(request.head.headers)
+        if route.public and not keys:
+            return None
+        # Two keys would leave open whose request it is.
+        workspace = table.keys.find(keys[0]) if len(keys) == 1 else None
+        age = request.received - self._find_confirmed_at()
+        self._parts.metrics.observe("gateway_key_belief_seconds", max(0.0, age))
+        verdict = judge_key(workspace is not None, age, self._revocation_bound)
+        if verdict is Verdict.ALLOWED:
+            return workspace
+        self._parts.metrics.count("gateway_keys_refused_total", reason=verdict.value)
+        if verdict is Verdict.UNKNOWN:
+            raise RefusedError(Code.UNKNOWN_KEY, "the key belongs to no workspace")
+        raise RefusedError(
+            Code.KEY_UNCONFIRMED,
+            "this host has not heard of late which keys hold",
+            CONFIRM_RETRY_SECONDS,
+        )
+
+    @staticmethod
+    def _write_headers(
+        table: RouteTable, head: RequestHead, workspace: Workspace | None
+    ) -> list[Header]:
+        """Return the headers that go on: without a key, and with the workspace's name."""
+        stripped = strip_request_headers(head.headers)
+        if table.keys is None:
+            return stripped
+        return name_workspace(stripped, workspace.name if workspace else None)
+
     def _check_time_to_end(self, route: Route, now: float) -> None:
         """Refuse what may outlast this process: another host can answer it whole."""
         if self.ends_at is not None and now + route.timeout > self.ends_at:
@@ -163,6 +223,7 @@
             "request",
             id=request.head.find(REQUEST_ID).decode("latin-1"),
             route=route,
+            workspace=ctx.workspace.name if ctx and ctx.workspace else "",
             config=ctx.config_version if ctx else 0,
             list_age=round(min(now - self._parts.fleet.confirmed_at, LONGEST_AGE), 1),
             code=code.name,
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -134,7 +134,7 @@
         added = Forwarding(
             reader.record.instance,
             ctx.left,
-            ctx.route.priority,
+            ctx.priority,
             prefill_only=True,
             fetch_from=find_source_address(booking),
         )
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/beliefs.py
@@ -0,0 +1,73 @@
+"""Datagrams by which hosts ask each other how fresh their configuration is, and what time it is.
+
+The answer repeats the asker's own time of the question. So the asker can date the proof by its own
+clock, however long question and answer waited on their way.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_number, check_whole
+
+
+@dataclass(frozen=True)
+class BeliefQuestion:
+    """`asked_at` is the asker's steady time, `wall` its time of day in Unix seconds."""
+
+    asked_at: float
+    wall: float
+
+
+@dataclass(frozen=True)
+class BeliefAnswer:
+    """Nothing newer than `version` was acknowledged `age` seconds before this was sent.
+
+    `asked_at` is the question's. `wall` is the Unix time as the sender takes it to be.
+    """
+
+    asked_at: float
+    version: int
+    age: float
+    wall: float
+
+
+# The longest time in seconds that a datagram may name: more than a host runs, or a date needs.
+LONGEST_SECONDS = 1e12
+
+
+def pack_question(question: BeliefQuestion) -> bytes:
+    """Return the datagram of a question."""
+    data: bytes = msgpack.packb([question.asked_at, question.wall])
+    return data
+
+
+def pack_answer(answer: BeliefAnswer) -> bytes:
+    """Return the datagram of an answer."""
+    data: bytes = msgpack.packb([answer.asked_at, answer.version, answer.age, answer.wall])
+    return data
+
+
+def unpack_belief(data: bytes) -> BeliefQuestion | BeliefAnswer:
+    """Return the question or answer of a datagram; raise FrameError."""
+    try:
+        values: Any = msgpack.unpackb(data)
+        match values:
+            case [asked_at, wall]:
+                return BeliefQuestion(_read_seconds(asked_at), _read_seconds(wall))
+            case [asked_at, version, age, wall]:
+                return BeliefAnswer(
+                    _read_seconds(asked_at),
+                    check_whole(version, 1, LARGEST_SIGNED),
+                    _read_seconds(age),
+                    _read_seconds(wall),
+                )
+    except (ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"a datagram on the configuration cannot be read: {error!r}") from None
+    raise FrameError("a datagram on the configuration is neither question nor answer")
+
+
+def _read_seconds(value: Any) -> float:
+    return check_number(value, 0, LONGEST_SECONDS)
--- a/src/swifttrestle/internal/state/declared.py
+++ b/src/swifttrestle/internal/state/declared.py
@@ -31,13 +31,42 @@
     role_change_seconds: float
 
 
+@dataclass(frozen=True)
+class Scaling:
+    """In which bounds the upstreams of a service may be ordered, and what they cost.
+
+    `least` and `most` hold for each availability zone, for both kinds of upstreams together.
+    `prices` are those of one second of a lasting upstream, by zone; one that may be reclaimed
+    costs `reclaimable_price` of it, 1 where the platform offers none.
+    """
+
+    least: int
+    most: int
+    boot_seconds: float
+    prices: dict[str, float]
+    reclaimable_price: float = 1.0
+
+
 @dataclass(frozen=True)
 class ServiceDeclaration:
-    """One service; `engine` is None for a plain service."""
+    """One service; `engine` is None for a plain service, `scaling` for a fixed number."""
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    scaling: Scaling | None = None
+
+
+@dataclass(frozen=True)
+class Workspace:
+    """Who may call, with a priority of its own; None where its routes' priorities hold.
+
+    Of its keys only digests are kept, so that no log, dump or error can show a key.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
@@ -64,6 +93,7 @@
     priority: int
     max_attempts: int
     targets: tuple[Target, ...]
+    public: bool = False
 
 
 @dataclass(frozen=True)
@@ -81,12 +111,16 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """One whole version of the operators' configuration."""
+    """One whole version of the operators' configuration.
+
+    `workspaces` is None where callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: dict[str, ServiceDeclaration] = field(default_factory=dict)
     limits: Limits = Limits()
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 @dataclass(frozen=True)
@@ -105,6 +139,9 @@
     leaving: bool
     role: Role = Role.NONE
     born: int = 0
+    reclaimable: bool = False
+    # Seconds to its end as it told them when it began to leave, None where it did not.
+    leaves_in: float | None = None
 
     @property
     def start(self) -> str:
--- a/src/swifttrestle/internal/state/routes.py
+++ b/src/swifttrestle/internal/state/routes.py
@@ -3,7 +3,8 @@
 import random
 from collections import defaultdict
 
-from swifttrestle.internal.state.declared import Configuration, Route
+from swifttrestle.internal.state.declared import Configuration, Route, Workspace
+from swifttrestle.internal.state.workspaces import WorkspaceKeys
 
 
 class RouteTable:
@@ -16,6 +17,10 @@
     def __init__(self, configuration: Configuration) -> None:
         """Index the routes of a configuration."""
         self.configuration = configuration
+        # None where callers need no key.
+        self.keys: WorkspaceKeys | None = None
+        if configuration.workspaces is not None:
+            self.keys = WorkspaceKeys(configuration.workspaces)
         self._hosts: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in configuration.routes:
             self._hosts[route.host][route.prefix] = route
@@ -26,8 +31,15 @@
                 known = self._priorities.get(target.service, route.priority)
                 self._priorities[target.service] = min(known, route.priority)
 
-    def is_urgent(self, route: Route, service: str) -> bool:
-        """Return whether no route to the service has a higher priority than this one."""
+    def is_urgent(self, route: Route, service: str, workspace: Workspace | None = None) -> bool:
+        """Return whether nobody's requests to the service have a higher priority than these.
+
+        A workspace's own priority takes the place of the route's, and is compared with those of
+        the other workspaces.
+        """
+        if workspace is not None and workspace.priority is not None and self.keys is not None:
+            highest = self.keys.highest_priority
+            return highest is None or workspace.priority <= highest
         return route.priority <= self._priorities.get(service, route.priority)
 
     def find(self, host: str, path: str) -> Route | None:
--- a/src/swifttrestle/internal/transport/datagrams.py
+++ b/src/swifttrestle/internal/transport/datagrams.py
@@ -18,6 +18,8 @@
     LISTING = 3
     ROSTER = 4
     CRASHES = 5
+    BELIEF = 6
+    USAGE = 7
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- a/src/swifttrestle/platform/engine.py
+++ b/src/swifttrestle/platform/engine.py
@@ -6,15 +6,13 @@
 import orjson
 
 from swifttrestle.errors import UpstreamBrokenError
-from swifttrestle.internal.checks import check_whole
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_whole
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
 REPORT_PATH = b"/v1/report"
 ORDER_PATH = b"/v1/order"
 KEPT_PARTS_PATH = b"/v1/kv-list"
-# The latest start that an engine may tell: what a signed number of 64 bits holds.
-LARGEST_BORN = 2**63 - 1
 _HANDLE_PATH = "/v1/kv-handle/"
 
 
@@ -110,7 +108,7 @@
 
 
 def _read_born(raw: dict[str, Any]) -> int:
-    return check_whole(raw.get("born", 0), 0, LARGEST_BORN)
+    return check_whole(raw.get("born", 0), 0, LARGEST_SIGNED)
 
 
 def write_order(order: RoleOrder) -> bytes:
--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -8,10 +8,7 @@
 import orjson
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
-from swifttrestle.internal.checks import check_text, check_whole
-
-# The largest revision that the store may name: what a signed number of 64 bits holds.
-LARGEST_REVISION = 2**63 - 1
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_text, check_whole
 
 
 @dataclass(frozen=True)
@@ -115,7 +112,7 @@
         raise BadEntryError(what, "metadata.name", metadata.get("name"), str(error)) from None
     revision = metadata.get("revision")
     try:
-        check_whole(revision, 0, LARGEST_REVISION)
+        check_whole(revision, 0, LARGEST_SIGNED)
     except ValueError as error:
         raise BadEntryError(what, "metadata.revision", revision, str(error)) from None
     try:
@@ -130,7 +127,7 @@
     """Return one page of a list; raise BadPlatformAnswerError where it is none."""
     try:
         raw_items = list(raw["items"])
-        revision = check_whole(raw["timestamp"], 0, LARGEST_REVISION)
+        revision = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
         more = bool(raw.get("hasMore")) and bool(raw_items)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadPlatformAnswerError(f"a list cannot be read: {error!r}") from None
@@ -145,7 +142,7 @@
     """Return what a watch answered; raise BadPlatformAnswerError where it is no answer to one."""
     try:
         events = list(raw["events"])
-        revision = check_whole(raw["timestamp"], 0, LARGEST_REVISION)
+        revision = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
     except (KeyError, TypeError, ValueError) as error:
         raise BadPlatformAnswerError(f"a watch cannot be read: {error!r}") from None
     return Changes(tuple(_read_change(kind, event) for event in events), revision)
--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -5,6 +5,8 @@
 
 from swifttrestle.errors import BadEntryError
 from swifttrestle.internal.checks import (
+    LARGEST_SIGNED,
+    check_bool,
     check_choice,
     check_number,
     check_text,
@@ -18,20 +20,26 @@
     Repeat,
     Role,
     Route,
+    Scaling,
     ServiceDeclaration,
     Target,
     UpstreamRecord,
+    Workspace,
 )
+from swifttrestle.internal.state.workspaces import digest_key
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 UPSTREAM_KIND = "servers"
-# The largest count or time in milliseconds that a record may hold: what a signed number of 64
-# bits holds.
-LARGEST_COUNT = 2**63 - 1
 # Slots that a record may name: a hundred times what the largest engines have.
 MOST_SLOTS = 100_000
+# The least urgent priority that a workspace may have; engines know no other either.
+LEAST_PRIORITY = 9
+# Bytes that a key may have: what fits the headers of a request.
+LONGEST_KEY = 16 * 1024
 _LEAVING = "draining"
+# What errors show in place of a value that holds keys.
+_HIDDEN = "(not shown: it may hold keys)"
 _STATES = ("ready", _LEAVING)
 _PHASES = (Role.PREFILL.value, Role.DECODE.value)
 
@@ -46,9 +54,9 @@
     same name.
     """
     fields = _Fields(f"record of {instance}", spec)
-    fields.check("seq", lambda value: check_whole(value, 0, LARGEST_COUNT))
+    fields.check("seq", lambda value: check_whole(value, 0, LARGEST_SIGNED))
     fields.check("version", check_text)
-    fields.check("coldRemainingMs", lambda value: check_number(value, 0, LARGEST_COUNT))
+    fields.check("coldRemainingMs", lambda value: check_number(value, 0, LARGEST_SIGNED))
     fields.check("models", _check_list)
     return UpstreamRecord(
         instance=instance,
@@ -58,10 +66,18 @@
         slots=fields.read("slots", lambda value: check_whole(value, 1, MOST_SLOTS)),
         leaving=fields.read("state", lambda value: check_choice(value, _STATES)) == _LEAVING,
         role=Role(fields.check("phase", lambda value: check_choice(value, _PHASES)) or "none"),
-        born=fields.check("born", lambda value: check_whole(value, 1, LARGEST_COUNT)) or 0,
+        born=fields.check("born", lambda value: check_whole(value, 1, LARGEST_SIGNED)) or 0,
+        reclaimable=fields.check("spot", check_bool) or False,
+        leaves_in=_to_seconds(
+            fields.check("leaves_ms", lambda value: check_number(value, 0, LARGEST_SIGNED))
+        ),
     )
 
 
+def _to_seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
+
+
 class _Fields:
     """The fields of one entry, each checked as it is read."""
 
@@ -101,19 +117,71 @@
     try:
         return _read_configuration(spec)
     except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
-        raise BadEntryError("configuration", "spec", spec, repr(error)) from None
+        raise BadEntryError("configuration", "spec", _HIDDEN, repr(error)) from None
 
 
 def _read_configuration(spec: Any) -> Configuration:
     services = [_read_service(item) for item in spec.get("services", [])]
     return Configuration(
-        version=check_whole(spec["version"], 1, LARGEST_COUNT),
+        version=check_whole(spec["version"], 1, LARGEST_SIGNED),
         routes=tuple(_read_route(item) for item in spec.get("routes", [])),
         services={service.name: service for service in services},
         limits=_read_limits(spec.get("limits") or {}),
+        workspaces=_read_workspaces(spec.get("tenants")),
     )
 
 
+def _read_workspaces(raw: Any) -> tuple[Workspace, ...] | None:
+    """Return who may call, None where nobody needs a key; no error shows a key."""
+    if raw is None:
+        return None
+    if not isinstance(raw, list):
+        raise BadEntryError("configuration", "tenants", _HIDDEN, "it is no list")
+    workspaces = tuple(_read_workspace(item) for item in raw)
+    owners: set[bytes] = set()
+    for item in workspaces:
+        if owners & item.key_digests:
+            raise BadEntryError(
+                f"workspace {item.name}", "apiKeys", _HIDDEN, "another workspace has one of them"
+            )
+        owners |= item.key_digests
+    return workspaces
+
+
+def _read_workspace(raw: Any) -> Workspace:
+    if not isinstance(raw, dict):
+        raise BadEntryError("configuration", "tenants", _HIDDEN, "a workspace is no map")
+    fields = _Fields("workspace", raw)
+    name = fields.read("name", check_text)
+    keys = raw.get("apiKeys")
+    if not isinstance(keys, list) or not all(_is_key(key) for key in keys):
+        reason = f"it is no list of texts of 1 to {LONGEST_KEY} characters"
+        raise BadEntryError(f"workspace {name}", "apiKeys", _HIDDEN, reason)
+    priority = fields.check("priority", lambda value: check_whole(value, 0, LEAST_PRIORITY))
+    return Workspace(name, frozenset(digest_key(key.encode()) for key in keys), priority)
+
+
+def _is_key(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= LONGEST_KEY
+
+
+def _read_scaling(raw: Any) -> Scaling:
+    fields = _Fields("scaling", raw)
+    prices = raw.get("zonePrices") or {}
+    return Scaling(
+        least=fields.check("min", lambda value: check_whole(value, 0, LARGEST_SIGNED)) or 0,
+        most=fields.read("max", lambda value: check_whole(value, 0, LARGEST_SIGNED)),
+        boot_seconds=fields.check("bootS", lambda value: check_number(value, 0, 1e6)) or 0.0,
+        prices={str(zone): float(price) for zone, price in prices.items()},
+        reclaimable_price=_read_reclaimable_price(fields),
+    )
+
+
+def _read_reclaimable_price(fields: "_Fields") -> float:
+    price = fields.check("spotPrice", lambda value: check_number(value, 0, 1e6))
+    return 1.0 if price is None else price
+
+
 def _read_route(item: Any) -> Route:
     streaming = item["type"] == "streaming"
     resumable = bool(item.get("resumable", False))
@@ -131,6 +199,7 @@
         priority=int(item.get("priority", 0)),
         max_attempts=max(1, int(item.get("maxAttempts", 1))),
         targets=_read_targets(item),
+        public=bool(item.get("public", False)),
     )
 
 
@@ -149,6 +218,7 @@
         name=str(item["name"]),
         max_connections=int(item.get("maxConns") or 100),
         engine=_read_traits(engine) if engine else None,
+        scaling=_read_scaling(item["scaling"]) if item.get("scaling") else None,
     )
 
 
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -9,7 +9,7 @@
 import orjson
 
 from swifttrestle.errors import InvalidSettingError
-from swifttrestle.internal.checks import check_number, check_whole, split_address
+from swifttrestle.internal.checks import check_bool, check_number, check_whole, split_address
 
 PATH_VARIABLE = "SWIFTTRESTLE_BOOT"
 LARGEST_PORT = 65535
@@ -20,13 +20,29 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """The promised bounds that this program acts on; all in seconds but the retry figures."""
+    """The promised bounds that this program acts on; all in seconds but the retry figures.
+
+    `revocation` is for how long after its removal a key may be served, infinite where nothing but
+    the version in force counts. `usage_window` is the length of the windows in which requests
+    are counted for their workspaces, 0 where they are not.
+    """
 
     stop: float
     lease: float
     retry_share: float
     retry_window: float
     retry_extra: float
+    revocation: float = float("inf")
+    usage_window: float = 0.0
+
+
+@dataclass(frozen=True)
+class DutySettings:
+    """Where the platform takes the calls that are one host's duty, and which it wants."""
+
+    address: Address
+    usage: bool
+    scaling: bool
 
 
 @dataclass(frozen=True)
@@ -47,6 +63,7 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    duties: DutySettings | None = None
     link_mbps: float = 0.0
     regions: dict[str, str] = field(default_factory=dict)
 
@@ -94,10 +111,26 @@
             retry_share=bounds.number("budgetRatio", 0, 100),
             retry_window=bounds.number("budgetWindowS", 0.1, LONGEST_MS / 1000),
             retry_extra=bounds.number("budgetExtra", 0, 1e9),
+            revocation=_read_revocation(bounds),
+            usage_window=bounds.optional_number("reportWindowS"),
         ),
+        duties=_read_duties(table.optional_table("cloudApi")),
     )
 
 
+def _read_revocation(bounds: "_Table") -> float:
+    if not bounds.optional_bool("strictRevoke"):
+        return float("inf")
+    return bounds.number("revokeMs", 0, LONGEST_MS) / 1000
+
+
+def _read_duties(table: "_Table") -> DutySettings | None:
+    if not table.has("address"):
+        return None
+    names = table.optional_list("duties")
+    return DutySettings(table.address("address"), "metering" in names, "autoscale" in names)
+
+
 class _Table:
     """One JSON object with checked access; errors name the field, its value and the mend."""
 
@@ -118,6 +151,20 @@
             return 0.0
         return self.number(name, 0, float("inf"))
 
+    def optional_bool(self, name: str) -> bool:
+        if self._raw.get(name) is None:
+            return False
+        return bool(self._check(name, check_bool))
+
+    def optional_list(self, name: str) -> list[Any]:
+        value = self._raw.get(name) or []
+        if not isinstance(value, list):
+            raise InvalidSettingError(f"{self._path}{name} is {value!r}; give a list")
+        return value
+
+    def has(self, name: str) -> bool:
+        return self._raw.get(name) is not None
+
     def text(self, name: str) -> str:
         value = self._find(name)
         if not isinstance(value, str) or not value:
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -23,6 +23,8 @@
 KV_SOURCE = b"x-kv-source"
 FETCH_FROM = b"kv-fetch"
 PRIORITY = b"x-request-priority"
+KEY = b"x-key"
+WORKSPACE = b"x-tenant"
 
 # What only the system may set; a caller's own values are dropped.
 _SYSTEM_HEADERS = frozenset(
@@ -113,6 +115,22 @@
     ]
 
 
+def find_keys(headers: Sequence[Header]) -> list[bytes]:
+    """Return the values of all key headers of a request."""
+    return [value for name, value in headers if name.lower() == KEY]
+
+
+def name_workspace(stripped: Sequence[Header], workspace: str | None) -> list[Header]:
+    """Return a request's headers with its workspace's name in place of the caller's key.
+
+    What the caller itself wrote for a workspace is dropped, also where no workspace is named.
+    """
+    headers = [item for item in stripped if item[0].lower() not in (KEY, WORKSPACE)]
+    if workspace is not None:
+        headers.append((b"X-Tenant", workspace.encode()))
+    return headers
+
+
 def build_forward_headers(stripped: Sequence[Header], added: Forwarding) -> list[Header]:
     """Return the headers of one forwarded request, without its framing."""
     headers = list(stripped)
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -81,6 +81,10 @@
     addresses: dict[str, str] = field(default_factory=dict)
     services: list[dict[str, Any]] = field(default_factory=list)
     routes: list[dict[str, Any]] = field(default_factory=list)
+    # Who may call, with which keys; None where nobody needs one.
+    workspaces: list[dict[str, Any]] | None = None
+    # Bounds that the settings of the next gateways name besides the usual ones.
+    bounds: dict[str, Any] = field(default_factory=dict)
     _servers: list[asyncio.Server] = field(default_factory=list)
     _sets: dict[str, ConnectionSet] = field(default_factory=dict)
     # The instances that crashed, in order, and those that are away after it.
@@ -129,6 +133,8 @@
                 **limits,
             },
         }
+        if self.workspaces is not None:
+            spec["tenants"] = list(self.workspaces)
         self.store.put("config", "main", spec)
         return self._version
 
@@ -294,6 +300,7 @@
             "bounds": {
                 "drainMs": 2000, "graceS": 4, "configApplyMs": 2000, "leaseMs": 1000,
                 "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 50,
+                **self.bounds,
             },
             "platform": {"address": self.store_address},
         }  # fmt: skip
--- /dev/null
+++ b/tests/cover/test_revocation.py
@@ -0,0 +1,302 @@
+"""Keys that were taken away: what a belief in them may rest on, and for how long."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from swifttrestle.errors import BadEntryError, FrameError
+from swifttrestle.internal.coordination import beliefs
+from swifttrestle.internal.policy import revocation
+from swifttrestle.internal.policy.revocation import Verdict, judge_key
+from swifttrestle.internal.protocol.beliefs import (
+    BeliefAnswer,
+    BeliefQuestion,
+    pack_answer,
+    pack_question,
+    unpack_belief,
+)
+from swifttrestle.internal.state.belief import ConfigurationBelief
+from swifttrestle.internal.state.declared import Workspace
+from swifttrestle.internal.state.peers import NEVER
+from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.internal.state.true_time import TrueTime
+from swifttrestle.internal.state.workspaces import WorkspaceKeys, digest_key
+from swifttrestle.platform.records import read_configuration
+from swifttrestle.platform.settings import read_host_settings
+from tests.cover.test_platform_adapter import GOOD, ROUTE
+
+BOUND = 5.0
+YOUNG, OLD = 1.0, 4.95
+
+
+@pytest.mark.parametrize(
+    ("known", "age", "bound", "wanted"),
+    [
+        (True, YOUNG, BOUND, Verdict.ALLOWED),
+        (True, BOUND - revocation.CLOCK_MARGIN, BOUND, Verdict.ALLOWED),
+        (True, OLD, BOUND, Verdict.UNCONFIRMED),
+        (True, float("inf"), BOUND, Verdict.UNCONFIRMED),
+        (True, float("inf"), float("inf"), Verdict.ALLOWED),
+        (False, YOUNG, BOUND, Verdict.UNKNOWN),
+        # It may be newer than the version here, and 401 would be final for its caller.
+        (False, revocation.UNKNOWN_KEY_SECONDS + 0.1, BOUND, Verdict.UNCONFIRMED),
+        (False, float("inf"), float("inf"), Verdict.UNCONFIRMED),
+    ],
+)
+def test_a_key_is_judged_by_what_is_known_and_by_how_old_that_is(known, age, bound, wanted):
+    assert judge_key(known, age, bound) is wanted
+
+
+@pytest.mark.parametrize(
+    ("here", "proofs", "later", "wanted"),
+    [
+        (0, [], 0, NEVER),
+        (3, [(3, 10.0)], 3, 10.0),
+        (3, [(3, 10.0), (3, 9.0)], 3, 10.0),
+        # What a later version took away, it took away after the proof of the earlier one.
+        (4, [(3, 10.0)], 4, 10.0),
+        # A proof of a version that is not here yet counts once it is.
+        (3, [(3, 10.0), (4, 12.0)], 3, 10.0),
+        (3, [(3, 10.0), (4, 12.0)], 4, 12.0),
+        (3, [(4, 12.0), (5, 13.0)], 4, NEVER),
+        (3, [(0, 12.0)], 3, NEVER),
+    ],
+)
+def test_a_proof_counts_for_its_version_and_for_later_ones(here, proofs, later, wanted):
+    version = [here]
+    belief = ConfigurationBelief(lambda: version[0])
+    for proof in proofs:
+        belief.note(*proof)
+    version[0] = later
+    assert belief.confirmed_at == wanted
+
+
+class Host:
+    """One host of the model, with a steady clock of its own."""
+
+    def __init__(self, clock_ahead):
+        self.clock_ahead = clock_ahead
+        self.version = 1
+        self.belief = ConfigurationBelief(lambda: self.version)
+
+    def clock(self, now):
+        return now + self.clock_ahead
+
+    def read(self, store, sent, answered):
+        """Read the store; the answer is made between its sending and its use."""
+        version = store.version_at(answered)
+        self.version = max(self.version, version)
+        self.belief.note(version, self.clock(sent))
+
+    def ask(self, peer, sent, answered):
+        """Ask a peer whose version has come here by the time of its answer."""
+        age = peer.clock(answered) - peer.belief.confirmed_at
+        if peer.belief.confirmed_at == NEVER:
+            return
+        self.belief.note(peer.version, self.clock(sent) - age)
+
+    def takes_key(self, now):
+        """Return whether a request with the key that version 2 takes away is served."""
+        age = self.clock(now) - self.belief.confirmed_at
+        return judge_key(self.version < 2, age, BOUND) is Verdict.ALLOWED
+
+
+class Store:
+    """A store whose operator takes the key away at a time."""
+
+    def __init__(self, removed_at):
+        self.removed_at = removed_at
+
+    def version_at(self, now):
+        return 2 if now >= self.removed_at else 1
+
+
+TIMES = st.floats(0, 30, allow_nan=False)
+DELAYS = st.floats(0, 20, allow_nan=False)
+HOSTS = st.integers(0, 2)
+STEPS = st.tuples(st.sampled_from(["read", "ask", "serve"]), TIMES, DELAYS, DELAYS, HOSTS, HOSTS)
+
+
+@given(
+    removed_at=TIMES,
+    ahead=st.lists(st.floats(-1000, 1000), min_size=3, max_size=3),
+    steps=st.lists(STEPS, max_size=25),
+)
+def test_no_key_is_served_beyond_its_bound_whatever_is_delayed_or_stands_still(
+    removed_at, ahead, steps
+):
+    """Any order of reads, questions, delays and hosts that stand still on the way of an answer.
+
+    A message is sent, answered some time later, and used some time after that: a host that is
+    frozen, suspended or cut off finds old answers in its sockets. The request is sent just before
+    it is received; where it waited too, its sender is further back still.
+    """
+    store = Store(removed_at)
+    hosts = [Host(item) for item in ahead]
+    events = []
+    for what, sent, way, back, one, other in steps:
+        events.append((sent + way + back, what, sent, sent + way, one, other))
+    for now, what, sent, answered, one, other in sorted(events):
+        host = hosts[one]
+        if what == "read":
+            host.read(store, sent, answered)
+        elif what == "ask" and one != other:
+            # The peer's state of now stands for that of its answer: at that time it knew less.
+            host.ask(hosts[other], sent, min(answered, now))
+        elif what == "serve" and host.takes_key(now):
+            assert now <= removed_at + BOUND
+
+
+def test_the_waits_of_a_calm_day_leave_the_bound_room_for_an_outage():
+    """The sum in docs/INVARIANTS.md: a proof's age at most, with one lost question."""
+    jitter = 1 + beliefs.JITTER_SHARE / 2
+    ask = BOUND * beliefs.ASK_SHARE * jitter
+    calm = BOUND * beliefs.READ_SHARE * jitter + ask
+    assert calm <= 1.9
+    # A host that lost one question asks everywhere with the next one.
+    assert BOUND * beliefs.WIDEN_SHARE <= calm + ask
+    # What is left of the bound for an outage of the store in which no request is refused.
+    assert BOUND - revocation.CLOCK_MARGIN - calm >= 3.0
+
+
+@pytest.mark.parametrize(
+    "message", [BeliefQuestion(12.5, 1.7e9), BeliefAnswer(12.5, 7, 0.25, 1.7e9)]
+)
+def test_questions_and_answers_are_read_as_they_were_written(message):
+    pack = pack_question if isinstance(message, BeliefQuestion) else pack_answer
+    assert unpack_belief(pack(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"\x90",
+        pack_question(BeliefQuestion(-1.0, 1.0)),
+        pack_question(BeliefQuestion(float("nan"), 1.0)),
+        pack_answer(BeliefAnswer(1.0, 0, 1.0, 1.0)),
+        pack_answer(BeliefAnswer(1.0, 2**63, 1.0, 1.0)),
+        pack_answer(BeliefAnswer(1.0, 1, float("inf"), 1.0)),
+    ],
+)
+def test_a_datagram_that_is_no_question_and_no_answer_is_refused(data):
+    with pytest.raises(FrameError):
+        unpack_belief(data)
+
+
+@given(st.binary(max_size=64))
+def test_any_bytes_are_a_message_or_are_refused(data):
+    try:
+        unpack_belief(data)
+    except FrameError:
+        return
+
+
+@pytest.mark.parametrize(
+    ("words", "own", "wanted"),
+    [
+        ([], 1000.0, 1000.0),
+        ([1000.1, 1000.2], 1000.0, 1000.1),
+        # Clocks of single hosts jump, this host's own among them.
+        ([1000.0, 1000.0], 1002.0, 1000.0),
+        ([1002.0, 1000.0], 1000.0, 1000.0),
+    ],
+)
+def test_the_time_of_day_is_what_most_hosts_take_it_to_be(words, own, wanted):
+    clock = [50.0]
+    true_time = TrueTime(lambda: clock[0], lambda: own + clock[0] - 50.0)
+    for number, wall in enumerate(words):
+        true_time.note(f"h{number}", wall)
+    clock[0] += 1.0
+    assert true_time.now() == pytest.approx(wanted + 1.0)
+
+
+# Workspaces as operators declare them.
+
+SECRET = "k-very-secret"
+
+
+def read_workspaces(*raw, **more):
+    return read_configuration({"version": 3, "tenants": list(raw), **more}).workspaces
+
+
+def test_workspaces_are_read_without_their_keys():
+    (read,) = read_workspaces({"name": "club", "apiKeys": [SECRET, "other"], "priority": 1})
+    assert (read.name, read.priority, len(read.key_digests)) == ("club", 1, 2)
+    assert SECRET not in repr(read)
+    assert read_configuration({"version": 3}).workspaces is None
+    assert read_workspaces() == ()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        None,
+        "club",
+        {"apiKeys": [SECRET]},
+        {"name": "", "apiKeys": [SECRET]},
+        {"name": "club", "apiKeys": SECRET},
+        {"name": "club"},
+        {"name": "club", "apiKeys": [SECRET, 7]},
+        {"name": "club", "apiKeys": [SECRET, ""]},
+        {"name": "club", "apiKeys": [SECRET], "priority": -1},
+        {"name": "club", "apiKeys": [SECRET], "priority": "high"},
+        {"name": "club", "apiKeys": [SECRET], "priority": True},
+    ],
+)
+def test_a_wrong_workspace_is_refused_without_showing_a_key(raw):
+    with pytest.raises(BadEntryError) as refusal:
+        read_workspaces(raw)
+    assert SECRET not in str(refusal.value)
+    assert SECRET not in repr(refusal.value.value)
+
+
+def test_two_workspaces_cannot_have_one_key():
+    with pytest.raises(BadEntryError) as refusal:
+        read_workspaces({"name": "a", "apiKeys": [SECRET]}, {"name": "b", "apiKeys": [SECRET]})
+    assert SECRET not in str(refusal.value)
+
+
+def test_a_wrong_entry_beside_workspaces_shows_no_key():
+    raw = {"name": "club", "apiKeys": [SECRET]}
+    with pytest.raises(BadEntryError) as refusal:
+        read_workspaces(raw, routes=[{"name": "r"}])
+    assert SECRET not in str(refusal.value)
+
+
+def test_a_key_finds_its_workspace_and_no_other_does():
+    keys = WorkspaceKeys([Workspace("club", frozenset({digest_key(b"one")}), 1)])
+    assert keys.find(b"one").name == "club"
+    for wrong in (b"", b"on", b"one ", b"x" * 10_000, b"\xff"):
+        assert keys.find(wrong) is None
+
+
+@pytest.mark.parametrize(
+    ("route_priority", "workspace", "wanted"),
+    [(0, 0, True), (0, 1, False), (2, 0, True), (0, None, True), (2, None, False)],
+)
+def test_a_workspaces_priority_stands_in_place_of_the_routes(route_priority, workspace, wanted):
+    routes = [
+        {**ROUTE, "type": "safe", "priority": route_priority},
+        {**ROUTE, "name": "q", "pathPrefix": "/q/", "type": "safe", "priority": 0},
+    ]
+    raw = [{"name": "first", "apiKeys": ["a"], "priority": 0}, {"name": "mine", "apiKeys": ["b"]}]
+    if workspace is not None:
+        raw[1]["priority"] = workspace
+    table = RouteTable(read_configuration({"version": 3, "routes": routes, "tenants": raw}))
+    mine = table.keys.find(b"b")
+    assert table.is_urgent(table.find("a.example", "/p/x"), "s", mine) is wanted
+
+
+@pytest.mark.parametrize(
+    ("bounds", "wanted"),
+    [
+        ({}, float("inf")),
+        ({"strictRevoke": False, "revokeMs": 5000}, float("inf")),
+        ({"strictRevoke": True, "revokeMs": 5000}, 5.0),
+    ],
+)
+def test_the_bound_of_a_removed_key_is_a_setting(bounds, wanted):
+    read = read_host_settings({**GOOD, "bounds": {**GOOD["bounds"], **bounds}})
+    assert read.bounds.revocation == wanted
--- /dev/null
+++ b/tests/hosted/test_workspaces.py
@@ -0,0 +1,210 @@
+"""Workspaces' keys through a gateway: who may call, by which name, and until when.
+
+A deployment declared workspaces with keys, and the gateway knew nothing of them: it passed each key
+on to the upstream, 24,375 times a day, without the workspace's name, and went on serving keys that
+the operator had taken away (3,286 times on a day with trouble).
+"""
+
+import asyncio
+
+import orjson
+
+from swifttrestle.codes import Code
+from swifttrestle.internal.lines import WRITER
+from swifttrestle_standins.hosted.site import make_route, wait_until
+from tests.common.http import RawCaller, ask, write_request
+from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs
+
+FIRST, SECOND, TAKEN = "key-of-club-1", "key-of-club-2", "key-that-goes"
+KINDS = (
+    ("/verdict/a", {"X_Token_Usage": LONG}),
+    ("/chat/a", {"X_Token_Usage": SHORT}),
+    ("/goal/a", {}),
+    ("/card/a", {"method": "GET"}),
+)
+
+
+def on_keyed_site(gateways=1, revoke_ms=5000):
+    """Run an async test on a site whose callers need keys."""
+
+    def decorate(test):
+        def run(monkeypatch):
+            async def whole():
+                site = await build_site(gateways=0)
+                try:
+                    site.bounds = {"strictRevoke": True, "revokeMs": revoke_ms}
+                    site.routes.append(make_route("open", "safe", "alerts", public=True))
+                    declare_keys(site, FIRST, SECOND, TAKEN)
+                    for number in range(gateways):
+                        await site.add_gateway(f"g{number}", number)
+                    await site.wait_ready()
+                    await test(site, monkeypatch)
+                finally:
+                    await site.stop()
+
+            asyncio.run(whole())
+
+        run.__name__ = test.__name__
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+def declare_keys(site, *keys):
+    """Declare the club with some of its keys, and another workspace."""
+    site.workspaces = [
+        {"name": "club", "apiKeys": list(keys), "priority": 1},
+        {"name": "liaison", "apiKeys": ["key-of-liaison"], "priority": 0},
+    ]
+    return site.declare()
+
+
+def list_arrivals(site):
+    return [item for upstream in site.upstreams.values() for item in upstream.arrivals]
+
+
+def read_code(answer):
+    return orjson.loads(answer.body)["code"]
+
+
+@on_keyed_site()
+async def test_upstreams_learn_the_workspace_and_never_the_key(site, _):
+    for number, (path, headers) in enumerate(KINDS):
+        answer = await ask(
+            address_of(site), path, f"r{number}", X_Key=FIRST, X_Tenant="liaison", **headers
+        )
+        assert answer.status == 200, path
+    arrivals = list_arrivals(site)
+    # The long prompt arrives twice: it is read by one engine and answered by another.
+    assert len(arrivals) == len(KINDS) + 1
+    for _, headers in arrivals:
+        assert headers["x-tenant"] == "club"
+        assert "x-key" not in headers
+        assert FIRST not in str(headers)
+
+
+@on_keyed_site()
+async def test_a_workspaces_priority_goes_to_engines_in_place_of_the_routes(site, _):
+    await ask(address_of(site), "/verdict/a", "v1", X_Token_Usage=LONG, X_Key=FIRST)
+    await ask(address_of(site), "/chat/a", "c1", X_Token_Usage=SHORT, X_Key="key-of-liaison")
+    told = {name: headers["x-request-priority"] for name, headers in list_arrivals(site)}
+    assert told == {"v1": "1", "c1": "0"}
+
+
+@on_keyed_site()
+async def test_a_request_without_a_key_that_is_in_force_runs_nowhere(site, _):
+    for number, keys in enumerate(([], [""], ["no-such-key"], ["x" * 7000], [FIRST, SECOND])):
+        caller = await RawCaller.connect(address_of(site))
+        data = write_request("/goal/a", f"n{number}")
+        lines = "".join(f"X-Key: {key}\r\n" for key in keys).encode()
+        caller.send(data.replace(b"\r\n\r\n", b"\r\n" + lines + b"\r\n", 1))
+        answer = await caller.read_answer()
+        caller.close()
+        assert (answer.status, read_code(answer)) == (401, Code.UNKNOWN_KEY), keys
+        assert "retry-after" not in answer.headers
+        assert count_runs(site, f"n{number}") == 0
+
+
+@on_keyed_site()
+async def test_a_public_route_needs_no_key_and_still_takes_no_wrong_one(site, _):
+    answer = await ask(address_of(site), "/open/a", "o1", method="GET", X_Tenant="club")
+    assert answer.status == 200
+    ((_, headers),) = list_arrivals(site)
+    assert "x-tenant" not in headers
+    assert (await ask(address_of(site), "/open/a", "o2", method="GET", X_Key=FIRST)).status == 200
+    assert dict(list_arrivals(site))["o2"]["x-tenant"] == "club"
+    wrong = await ask(address_of(site), "/open/a", "o3", method="GET", X_Key="no-such-key")
+    assert wrong.status == 401
+
+
+@on_keyed_site()
+async def test_a_key_that_is_taken_away_ends_on_kept_connections_too(site, _):
+    caller = await RawCaller.connect(address_of(site))
+    caller.send(write_request("/goal/a", "before", X_Key=TAKEN))
+    assert (await caller.read_answer()).status == 200
+    version = declare_keys(site, FIRST, SECOND)
+    gateway = site.gateways["g0"].gateway
+    await wait_until(lambda: gateway.config_version == version, "version in force")
+    caller.send(write_request("/goal/a", "after", X_Key=TAKEN))
+    assert (await caller.read_answer()).status == 401
+    caller.send(write_request("/goal/a", "other", X_Key=FIRST))
+    assert (await caller.read_answer()).status == 200
+    caller.close()
+    assert count_runs(site, "after") == 0
+
+
+@on_keyed_site(revoke_ms=1500)
+async def test_a_host_that_hears_nothing_refuses_keys_before_their_bound_and_says_come_back(
+    site, _
+):
+    address = address_of(site)
+    gateway = site.gateways["g0"].gateway
+    site.store.faults.down = True
+    site.store.wake()
+    await wait_until(lambda: not gateway.is_ready(), "not ready")
+    answer = await ask(address, "/goal/a", "g1", X_Key=FIRST)
+    assert (answer.status, read_code(answer)) == (503, Code.KEY_UNCONFIRMED)
+    assert 0 < answer.retry_after <= 1.0
+    # A key that is not known may be newer than what this host knows: it is no 401 now.
+    assert (await ask(address, "/goal/a", "g2", X_Key="no-such-key")).status == 503
+    # Nobody's key is needed here.
+    assert (await ask(address, "/open/a", "o1", method="GET")).status == 200
+    site.store.faults.down = False
+    await wait_until(gateway.is_ready, "ready again")
+    assert (await ask(address, "/goal/a", "g3", X_Key=FIRST)).status == 200
+    assert count_runs(site, "g1") == 0
+
+
+@on_keyed_site(gateways=4, revoke_ms=2500)
+async def test_hosts_that_the_store_turns_away_serve_keys_by_their_peers_word(site, _):
+    """The words of peers are young enough for as long as one host reads the store."""
+    gateways = [item.gateway for item in site.gateways.values()]
+    for gateway in gateways:
+        await wait_until(lambda g=gateway: len(g.live_hosts()) == len(gateways), "all hosts")
+    for gateway in gateways[1:]:
+        cut_from_store(gateway)
+    for _ in range(20):
+        await asyncio.sleep(0.2)
+        assert all(gateway.is_ready() for gateway in gateways)
+    answer = await ask(address_of(site, "g3"), "/goal/a", "g1", X_Key=FIRST)
+    assert answer.status == 200
+    # What the operator takes away reaches them as well.
+    declare_keys(site, FIRST, SECOND)
+    await asyncio.sleep(2.5)
+    for name in site.gateways:
+        assert (
+            await ask(address_of(site, name), "/goal/a", f"t-{name}", X_Key=TAKEN)
+        ).status == 401
+
+
+def cut_from_store(gateway):
+    """Have a gateway's calls to the store meet nobody."""
+    gateway._store._address = ("127.0.0.1", 1)
+    gateway._store._pool.forget("store")
+
+
+@on_keyed_site()
+async def test_no_key_stands_in_what_a_host_tells_of_itself(site, patch):
+    """Every line, metric and dump of a played scenario, for each of the keys."""
+    lines = []
+    with patch.context() as patched:
+        patched.setattr(WRITER, "put", lambda event, fields: lines.append(f"{event} {fields}"))
+        for number, (path, headers) in enumerate(KINDS):
+            for key in (FIRST, "no-such-key"):
+                await ask(address_of(site), path, f"r{number}-{key}"[:4], X_Key=key, **headers)
+        declare_keys(site, FIRST, SECOND)
+        # Entries that cannot be taken are told of, with what is wrong in them.
+        bad = dict(site.store.objects["config", "main"]["spec"])
+        for change in ({"tenants": [{"name": 7, "apiKeys": [FIRST]}]}, {"routes": [{}]}):
+            site.store.put("config", "main", {**bad, "version": bad["version"] + 1, **change})
+            await asyncio.sleep(0.3)
+        running = site.gateways["g0"]
+        caller = running.metrics_address
+        for path in ("/metrics", "/debug/state"):
+            lines.append((await ask(caller, path, "m1", method="GET")).body.decode())
+    told = "\n".join(lines)
+    assert "entry skipped" in told and "workspace" in told
+    assert 'gateway_keys_refused_total{reason="unknown"}' in told
+    for key in (FIRST, SECOND, TAKEN, "key-of-liaison", "no-such-key"):
+        assert key not in told
