Usage is reported and upstreams are ordered by the holder of the duties' lease

Hosts count each request when its first byte passes, by windows of the time that most hosts' clocks tell, and tell their counts to the holder of the lease and to those who would follow it. The holder writes a window down on the lease, then sends it, and sends it again exactly so until it is taken; what is still open is drafted there for the loss of all hosts. The same lease covers orders of upstreams: the need, what stood at first and then the highest of a minute, is held by reclaimable upstreams so that it stands without any one zone's, over one lasting upstream a zone. Each write changes the lease (its count of writes), since a challenger waits for one that stays unchanged.

Found by tests: drafts of dead hosts were not due; a plan counted lasting upstreams where none stand.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -18,14 +18,13 @@
 from swifttrestle.internal.coordination.beliefs import BeliefKeeper
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.duties import Duties
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.coordination.gossip import Gossip
 from swifttrestle.internal.coordination.kept_parts import KeptPartsLoader
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.coordination.quarantine_relay import QuarantineRelay
 from swifttrestle.internal.coordination.quarantine_store import QuarantineStore
-from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
-from swifttrestle.internal.coordination.roles import RoleDuty
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
@@ -172,32 +171,26 @@
             bounds.revocation,
             rng,
         )
+        self._duties = Duties(
+            settings,
+            incarnation,
+            self._store,
+            socket,
+            self._parts,
+            self._gossip,
+            self._discovery,
+            self._beliefs,
+            self._true_time,
+            self._find_configuration,
+            self._skipped,
+        )
         self._handler = GatewayHandler(
             self._parts,
             self._booker,
             lambda: self._configuration.table,
             lambda: self._configuration.belief.confirmed_at,
             bounds.revocation,
-        )
-        lease = RoleLeaseKeeper(
-            # Another machine of the same name is another holder.
-            self._store,
-            "roles",
-            f"{settings.host}@{settings.ip}",
-            incarnation,
-            bounds.lease,
-            self._skipped,
-        )
-        self._roles = RoleDuty(
-            lease,
-            self._fleet,
-            self._parts.demand,
-            self._parts.ejector,
-            self._parts.pool,
-            self._gossip,
-            self._find_configuration,
-            lambda: self._discovery.store_away,
-            lambda: self._discovery.store_returns,
+            self._duties.usage.note_run,
         )
         self._kept_parts = KeptPartsLoader(
             settings.zone, self._fleet, self._parts.pool, self._booker.books, rng
@@ -217,12 +210,13 @@
         self._start(self._discovery.run())
         self._start(self._gossip.run())
         self._start(self._gossip.register(self._store, self._skipped))
-        self._start(self._roles.run())
         self._start(self._booker.run())
         self._start(self._kept_parts.run())
         self._start(self._quarantine.run())
         self._start(self._crashes.run())
         self._start(self._beliefs.run())
+        for task in self._duties.list_tasks():
+            self._start(task)
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
         await self._listen(settings.callers, self._handler, self._callers)
         ready = PageHandler({READY_PATH: self._make_ready})
--- a/src/swifttrestle/internal/coordination/beliefs.py
+++ b/src/swifttrestle/internal/coordination/beliefs.py
@@ -91,14 +91,14 @@
 
     def is_young(self) -> bool:
         """Return whether callers' keys may be taken now; always where no caller needs one."""
-        return not self._has_keys() or is_young(self.age, self._bound)
+        return not self.has_keys() or is_young(self.age, self._bound)
 
     async def run(self) -> None:
         """Ask for as long as the process lives."""
         while True:
             pause = self._read_seconds if self._is_reader() else self._ask_seconds
             await asyncio.sleep(pause * (1 + JITTER_SHARE * (self._rng.random() - 0.5)))
-            if self._has_keys():
+            if self.has_keys():
                 await self._renew()
                 self._log_change()
 
@@ -176,7 +176,8 @@
         if answer.version > self._configuration.version:
             self._fetch_later(ip, ip, answer.version)
 
-    def _has_keys(self) -> bool:
+    def has_keys(self) -> bool:
+        """Return whether callers need keys."""
         table = self._configuration.table
         return table is not None and table.keys is not None
 
--- a/src/swifttrestle/internal/coordination/candidates.py
+++ b/src/swifttrestle/internal/coordination/candidates.py
@@ -42,11 +42,11 @@
 
     def is_candidate(self) -> bool:
         """Return whether this host is to plan roles: the holder while it lives, or the first."""
-        return not self.leaving and (self.holds_roles or self._list_order()[:1] == [self._me.host])
+        return not self.leaving and (self.holds_roles or self.list_order()[:1] == [self._me.host])
 
     def is_next_candidate(self) -> bool:
         """Return whether this host takes the planning over where the candidate is gone."""
-        return not self.leaving and self._me.host in self._list_order()[:2]
+        return not self.leaving and self._me.host in self.list_order()[:2]
 
     def find_holder(self, zone: str) -> str:
         """Return the host of a zone that holds the lease, by its own word, or ""."""
@@ -62,7 +62,8 @@
             "",
         )
 
-    def _list_order(self) -> list[str]:
+    def list_order(self) -> list[str]:
+        """Return the hosts in the order in which they are to hold the duties."""
         now = self._now()
         members = self._peers.list_members(now)
         able = {member.host for member in members}
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -0,0 +1,244 @@
+"""The duty of ordering upstreams: one gateway at a time, each order written down before it goes."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from swifttrestle.errors import LeaseLostError
+from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.capacity import (
+    NeedMemory,
+    ZonePlan,
+    ZoneUpstreams,
+    choose_policy,
+    count_lasting_through,
+    estimate_need,
+)
+from swifttrestle.internal.state.declared import Configuration, Scaling
+from swifttrestle.internal.state.demand import DemandMeter
+from swifttrestle.internal.state.duties import RecordedCapacity
+from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.platform.duties import Authority, CallOutcome, DutyCalls
+
+# Seconds between two looks.
+LOOK_SECONDS = 0.5
+# Seconds beyond the declared time of a start until which an order may still be on its way.
+SETTLE_SECONDS = 3.0
+# Seconds beyond it after which most of what was ordered is listed: a heartbeat.
+SHOWN_SECONDS = 1.2
+# Seconds for which the list must have brought no more upstreams before what stands is taken for the
+# operators' own estimate: two heartbeats and a half. A plan by the first nine of 29 that were
+# listed lowered them to one in each zone.
+LISTED_SECONDS = 3.0
+# Seconds before an order is made again for which none could be had, or that was not answered.
+AGAIN_SECONDS = 2.0
+# Seconds for which a zone in which none could be had counts as such.
+DRY_SECONDS = 5.0
+
+Subject = tuple[str, str, bool]
+
+
+@dataclass
+class SentOrder:
+    """The last order of a service, zone and kind; times are the loop's."""
+
+    count: int
+    sent_at: float
+    outcome: CallOutcome
+
+
+class CapacityDuty:
+    """Plans and orders while this host holds the lease of the duties."""
+
+    def __init__(
+        self,
+        lease: DutyLeaseKeeper,
+        calls: DutyCalls | None,
+        fleet: Fleet,
+        demand: DemandMeter,
+        find_configuration: Callable[[], Configuration | None],
+        holds_duties: Callable[[], bool],
+        is_store_away: Callable[[], bool],
+        metrics: Metrics,
+    ) -> None:
+        """Prepare; without `calls` nothing is ordered."""
+        self._lease = lease
+        self._calls = calls
+        self._fleet = fleet
+        self._demand = demand
+        self._find_configuration = find_configuration
+        self._holds_duties = holds_duties
+        self._is_store_away = is_store_away
+        self._metrics = metrics
+        self._needs: dict[str, NeedMemory] = {}
+        self._sent: dict[Subject, SentOrder] = {}
+        self._dry_until: dict[tuple[str, str], float] = {}
+        # The most upstreams that were listed of a service before its first plan, and since when.
+        self._listed: dict[str, tuple[int, float]] = {}
+        # When the upstreams that were ordered last will serve, by service.
+        self._settled_at: dict[str, float] = {}
+        # What was planned last, by service, for operators.
+        self.plans: dict[str, tuple[ZonePlan, ...]] = {}
+        self.needs: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Look for as long as the process lives."""
+        if self._calls is None:
+            return
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            configuration = self._find_configuration()
+            if configuration is None or self._lease.lease is None or not self._holds_duties():
+                # Another host's orders may have followed; what was sent from here is of no use.
+                self._sent.clear()
+                self._needs.clear()
+                self._listed.clear()
+                continue
+            if self._is_store_away():
+                continue
+            try:
+                await self._look(configuration, self._calls)
+            except LeaseLostError as error:
+                log_decision("orders of upstreams wait", reason=str(error))
+
+    async def _look(self, configuration: Configuration, calls: DutyCalls) -> None:
+        for service in configuration.services.values():
+            if service.scaling is not None:
+                await self._look_at(service.name, service.scaling, calls)
+
+    async def _look_at(self, service: str, scaling: Scaling, calls: DutyCalls) -> None:
+        instances = self._fleet.list_service(service)
+        zones = self._list_zones(service, instances)
+        if not zones:
+            return
+        now = _now()
+        memory = self._needs.get(service)
+        if memory is None:
+            first = self._find_first_need(service, zones, now)
+            if first is None:
+                return
+            memory = self._needs[service] = NeedMemory()
+            memory.note(first, now)
+        need = memory.note(estimate_need(instances, self._demand.total(service, now)), now)
+        plans = choose_policy(scaling).plan(scaling, zones, need)
+        self._note_plans(service, plans, need)
+        standing = {item.zone: item for item in zones}
+        for plan in plans:
+            here = standing[plan.zone]
+            await self._order(
+                service, plan.zone, True, plan.reclaimable, here.reclaimable, scaling, calls
+            )
+            await self._order(service, plan.zone, False, plan.lasting, here.lasting, scaling, calls)
+
+    def _find_first_need(self, service: str, zones: list[ZoneUpstreams], now: float) -> int | None:
+        """Return the need to begin with, until a minute of load has been seen.
+
+        That is a former holder's; where nothing was ordered yet, what stands is the operators' own
+        estimate, and None while more of it is still being listed. What stands later may just be
+        coming up or have been taken away.
+        """
+        lease = self._lease.lease
+        needs = [item.need for item in lease.capacity if item.service == service] if lease else []
+        if needs:
+            return max(needs)
+        standing = count_lasting_through(zones)
+        most, since = self._listed.get(service, (0, now))
+        if standing > most:
+            self._listed[service] = (standing, now)
+            return None
+        return most if now - since >= LISTED_SECONDS else None
+
+    def is_settling(self, service: str) -> bool:
+        """Return whether most of a service's upstreams are still to come or to go.
+
+        Roles that are planned before that are planned for others than those which serve.
+        """
+        if service in self._listed and service not in self._needs:
+            return True
+        return _now() < self._settled_at.get(service, float("-inf"))
+
+    def _list_zones(self, service: str, instances: list[Instance]) -> list[ZoneUpstreams]:
+        """Return the zones in which the service runs, or was ordered to."""
+        assert self._lease.lease is not None
+        now = _now()
+        ordered = {item.zone for item in self._lease.lease.capacity if item.service == service}
+        zones = sorted({item.record.zone for item in instances} | ordered)
+        found = []
+        for zone in zones:
+            kinds = [item.record.reclaimable for item in instances if item.record.zone == zone]
+            dry = self._dry_until.get((service, zone), 0.0) > now
+            found.append(ZoneUpstreams(zone, kinds.count(False), kinds.count(True), dry))
+        return found
+
+    def _note_plans(self, service: str, plans: tuple[ZonePlan, ...], need: int) -> None:
+        if self.plans.get(service) != plans:
+            log_decision(
+                "capacity planned",
+                service=service,
+                need=need,
+                zones={item.zone: [item.lasting, item.reclaimable] for item in plans},
+            )
+        self.plans[service] = plans
+        self.needs[service] = need
+
+    async def _order(
+        self,
+        service: str,
+        zone: str,
+        reclaimable: bool,
+        wanted: int,
+        standing: int,
+        scaling: Scaling,
+        calls: DutyCalls,
+    ) -> None:
+        """Order a number unless it stands, or an order of it is on its way."""
+        subject = (service, zone, reclaimable)
+        last = self._sent.get(subject)
+        if last is None and wanted == standing and not self._is_recorded(subject):
+            return
+        if last is not None and last.count == wanted and not self._is_due(last, standing, scaling):
+            return
+        record = RecordedCapacity(service, zone, reclaimable, wanted, self.needs[service])
+        until = await self._lease.write_down(lambda held: held.with_capacity(record))
+        lease, now = self._lease.lease, _now()
+        if lease is None or now > until:
+            log_decision("order of upstreams not sent", zone=zone, reason="its time was over")
+            return
+        authority = Authority(lease.holder, lease.token)
+        outcome = await calls.order_upstreams(authority, service, zone, wanted, reclaimable)
+        self._sent[subject] = SentOrder(wanted, now, outcome)
+        if wanted > standing:
+            self._settled_at[service] = now + scaling.boot_seconds + SHOWN_SECONDS
+        if outcome is CallOutcome.NONE_TO_BE_HAD:
+            self._dry_until[service, zone] = now + DRY_SECONDS
+        kind = "reclaimable" if reclaimable else "lasting"
+        self._metrics.count("capacity_orders_total", kind=kind, outcome=outcome.value)
+        log_decision(
+            "upstreams ordered",
+            service=service,
+            zone=zone,
+            kind=kind,
+            count=wanted,
+            standing=standing,
+            token=lease.token,
+            outcome=outcome.value,
+        )
+
+    def _is_recorded(self, subject: Subject) -> bool:
+        lease = self._lease.lease
+        recorded = lease.capacity if lease else ()
+        return any((i.service, i.zone, i.reclaimable) == subject for i in recorded)
+
+    @staticmethod
+    def _is_due(last: SentOrder, standing: int, scaling: Scaling) -> bool:
+        """Return whether an order is to be made again: it was not taken, or does not show."""
+        since = _now() - last.sent_at
+        if last.outcome is not CallOutcome.TAKEN:
+            return since >= AGAIN_SECONDS
+        return standing != last.count and since >= scaling.boot_seconds + SETTLE_SECONDS
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/coordination/role_lease.py
+++ b/src/swifttrestle/internal/coordination/duty_lease.py
@@ -1,13 +1,14 @@
-"""The lease under which one gateway at a time may order engines to change their roles.
+"""The lease under which one gateway at a time does what is one host's duty.
 
-Engines here may obey any order, so time alone has to keep holders apart: a challenger takes
-over only after it has itself seen the lease unchanged for its duration, and a holder sends
-an order only within a short time after the write that recorded it.
+It orders engines to change their roles, orders upstreams, and reports usage. Engines and platform
+may obey any order, so time alone has to keep holders apart: a challenger takes over only after it
+has itself seen the lease unchanged for its duration, and a holder sends only within a short time
+after the write that recorded what it sends.
 """
 
 import asyncio
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
+from dataclasses import replace
 
 from swifttrestle.errors import (
     BadEntryError,
@@ -16,10 +17,14 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from swifttrestle.internal.checks import LARGEST_SIGNED
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
-from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.duties import (
+    DutyLease,
+    RecordedOrder,
+    RecordedUsage,
+    read_duty_lease,
+)
 from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
 
@@ -34,57 +39,10 @@
 # Orders kept on the lease, newest last: more than may be open at once.
 KEPT_ORDERS = 16
 
+Change = Callable[[DutyLease], DutyLease]
 
-@dataclass(frozen=True)
-class RecordedOrder:
-    """An order as written down before it is sent."""
-
-    number: int
-    engine: str
-    role: str
-
-
-@dataclass(frozen=True)
-class RoleLease:
-    """The lease as stored; `token` rises with each holder, `orders` are the latest ones."""
-
-    holder: str
-    incarnation: int
-    token: int
-    orders: tuple[RecordedOrder, ...]
-
-    def spec(self) -> dict[str, Any]:
-        """Return the stored form."""
-        return {
-            "holder": self.holder,
-            "incarnation": self.incarnation,
-            "token": self.token,
-            "orders": [vars(order) for order in self.orders],
-        }
-
-
-def read_role_lease(spec: Any) -> RoleLease:
-    """Return the lease of a stored form; raise BadEntryError."""
-    match spec:
-        case {
-            "holder": str(holder),
-            "incarnation": int(incarnation),
-            "token": int(token),
-            "orders": list(orders),
-        } if 0 < token <= LARGEST_SIGNED:
-            return RoleLease(holder, incarnation, token, tuple(map(_read_order, orders)))
-    raise BadEntryError("a lease", "spec", spec, "a field is missing or of another type")
-
-
-def _read_order(raw: Any) -> RecordedOrder:
-    match raw:
-        case {"number": int(number), "engine": str(engine), "role": str(role)}:
-            if role in (Role.PREFILL.value, Role.DECODE.value):
-                return RecordedOrder(number, engine, role)
-    raise BadEntryError("a lease", "orders", raw, "it is no order")
 
-
-class RoleLeaseKeeper:
+class DutyLeaseKeeper:
     """Takes, keeps and uses one lease."""
 
     def __init__(
@@ -107,7 +65,9 @@
         self._seen_at = 0.0
         self._look_at = 0.0
         self._stored: StoredObject | None = None
-        self.lease: RoleLease | None = None
+        # Several duties write on the one lease, each at the revision that the last one left.
+        self._writing = asyncio.Lock()
+        self.lease: DutyLease | None = None
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -123,7 +83,7 @@
         except NotFoundError:
             return await self._create()
         try:
-            current = read_role_lease(known.spec)
+            current = read_duty_lease(known.spec)
         except BadEntryError as error:
             current = self._replace_unread(known, error)
         mine = current.holder == self._host
@@ -131,10 +91,12 @@
             # Nothing between now and then can make the lease free.
             self._look_at = self._seen_at + self._wait
             return False
-        taken = RoleLease(self._host, self._incarnation, current.token + 1, current.orders)
+        taken = replace(
+            current, holder=self._host, incarnation=self._incarnation, token=current.token + 1
+        )
         return await self._write(taken, known.revision)
 
-    def _replace_unread(self, known: StoredObject, error: BadEntryError) -> RoleLease:
+    def _replace_unread(self, known: StoredObject, error: BadEntryError) -> DutyLease:
         """Return a lease of nobody in place of one that cannot be read.
 
         It has to be waited out like any other, since a holder may have used its last word until
@@ -142,7 +104,7 @@
         no token is above the revision.
         """
         self._skipped.skip(LEASE_KIND, self._name, error, known.spec)
-        return RoleLease("", 0, known.revision, ())
+        return DutyLease("", 0, known.revision)
 
     async def observe(self) -> StoredObject:
         """Read the lease and remember when it was first seen so; raise NotFoundError."""
@@ -152,7 +114,7 @@
         return known
 
     async def _create(self) -> bool:
-        first = RoleLease(self._host, self._incarnation, 1, ())
+        first = DutyLease(self._host, self._incarnation, 1)
         try:
             stored = await self._store.create(LEASE_KIND, self._name, first.spec())
         except ConflictError:
@@ -163,22 +125,34 @@
         return True
 
     async def record(self, engine: str, role: str) -> tuple[RecordedOrder, float]:
-        """Write an order down; return it and the time until which it may be sent.
+        """Write a role order down; return it and the time until which it may be sent.
 
         Raises LeaseLostError where another holder has taken over.
         """
-        if self.lease is None or self._stored is None:
-            raise LeaseLostError("the lease is not held")
-        began = self._now()
-        last = self.lease.orders[-1].number if self.lease.orders else 0
-        order = RecordedOrder(last + 1, engine, role)
-        orders = (*self.lease.orders, order)[-KEPT_ORDERS:]
-        wanted = RoleLease(self._host, self._incarnation, self.lease.token, orders)
-        if not await self._write(wanted, self._stored.revision):
-            raise LeaseLostError("another holder has taken the lease over")
-        return order, began + SEND_SECONDS
-
-    async def _write(self, wanted: RoleLease, revision: int) -> bool:
+        until = await self.write_down(lambda lease: _add_order(lease, engine, role))
+        assert self.lease is not None
+        return self.lease.orders[-1], until
+
+    def note_usage(self, report: RecordedUsage) -> None:
+        """Keep that a report was taken; it is written down with the next change of the lease."""
+        if self.lease is not None:
+            self.lease = self.lease.with_usage(report)
+
+    async def write_down(self, change: Change) -> float:
+        """Change what stands on the lease; return until when what it records may be sent.
+
+        Raises LeaseLostError where another holder has taken over.
+        """
+        async with self._writing:
+            if self.lease is None or self._stored is None:
+                raise LeaseLostError("the lease is not held")
+            began = self._now()
+            wanted = replace(change(self.lease), writes=self.lease.writes + 1)
+            if not await self._write(wanted, self._stored.revision):
+                raise LeaseLostError("another holder has taken the lease over")
+            return began + SEND_SECONDS
+
+    async def _write(self, wanted: DutyLease, revision: int) -> bool:
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 stored = await self._store.replace(LEASE_KIND, self._name, wanted.spec(), revision)
@@ -189,7 +163,7 @@
         self._keep(wanted, stored)
         return True
 
-    async def _read_back(self, wanted: RoleLease) -> bool:
+    async def _read_back(self, wanted: DutyLease) -> bool:
         """Find out whether a write without an answer was done."""
         try:
             stored = await self._get()
@@ -207,7 +181,7 @@
         except TimeoutError:
             raise PlatformUnavailableError("the lease was not read in time") from None
 
-    def _keep(self, lease: RoleLease, stored: StoredObject) -> None:
+    def _keep(self, lease: DutyLease, stored: StoredObject) -> None:
         if self.lease is None:
             log_decision("lease taken", lease=self._name, token=lease.token)
         self.lease, self._stored = lease, stored
@@ -217,3 +191,9 @@
             log_decision("lease lost", lease=self._name, reason=reason)
         self.lease, self._stored = None, None
         return False
+
+
+def _add_order(lease: DutyLease, engine: str, role: str) -> DutyLease:
+    last = lease.orders[-1].number if lease.orders else 0
+    order = RecordedOrder(last + 1, engine, role)
+    return replace(lease, orders=(*lease.orders, order)[-KEPT_ORDERS:])
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -10,14 +10,14 @@
     PlatformUnavailableError,
     UpstreamBrokenError,
 )
+from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
 from swifttrestle.internal.coordination.gossip import Gossip
-from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.role_delay import RoleDelay
 from swifttrestle.internal.policy.split import RoleChange, plan_change
 from swifttrestle.internal.state.declared import Configuration, EngineTraits, Role
-from swifttrestle.internal.state.demand import DemandMeter
+from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.transport.messages import Body, Framing
 from swifttrestle.internal.transport.pool import ConnectionPool, call_once
@@ -62,7 +62,7 @@
 
     def __init__(
         self,
-        lease: RoleLeaseKeeper,
+        lease: DutyLeaseKeeper,
         fleet: Fleet,
         demand: DemandMeter,
         ejector: Ejector,
@@ -71,8 +71,13 @@
         find_configuration: Callable[[], Configuration | None],
         is_store_away: Callable[[], bool],
         count_store_returns: Callable[[], int],
+        is_settling: Callable[[str], bool] = lambda _: False,
     ) -> None:
-        """Prepare; the gossip tells which host is to plan."""
+        """Prepare; the gossip tells which host is to plan.
+
+        While a service `is_settling`, most of its engines are still to come or to go.
+        """
+        self._is_settling = is_settling
         self._is_store_away = is_store_away
         self._count_store_returns = count_store_returns
         self._lease = lease
@@ -145,7 +150,14 @@
             await self._lease.observe()
 
     async def _plan_service(self, service: str, traits: EngineTraits) -> None:
-        """Order what the plan wants: more at once where there are many engines."""
+        """Order what the plan wants: more at once where there are many engines.
+
+        Before any load is known, a service that settles is left alone: orders would go to engines
+        that leave, and for others than those which come.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._is_settling(service) and self._demand.total(service, now) == Demand():
+            return
         engines = len(self._fleet.list_service(service))
         for _ in range(max(1, int(engines * TICK_SHARE))):
             change = self._plan(service)
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -145,6 +145,7 @@
 
 async def _stream_answer(ctx: Context, head: AnswerHead, body: Body) -> None:
     headers = strip_answer_headers(head.headers)
+    ctx.note_first_byte()
     await ctx.reply.start(head.status, headers, head.framing, head.length)
     async for chunk in body.chunks():
         await ctx.reply.send(chunk)
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -45,6 +45,8 @@
     open_to_the_end: Instance | None = None
     # Called at the first byte of an answer that streams.
     on_first_byte: Callable[[], None] | None = None
+    # Called once with the workspace's name when the request has begun to run.
+    on_run: Callable[[str], None] | None = None
 
     @property
     def priority(self) -> int:
@@ -82,6 +84,8 @@
         if self.first_byte is not None:
             return
         self.first_byte = self.age
+        if self.on_run is not None and self.workspace is not None:
+            self.on_run(self.workspace.name)
         if self.on_first_byte is not None:
             self.on_first_byte()
 
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/usage.py
@@ -0,0 +1,42 @@
+"""Datagrams in which hosts tell what they have counted of a window."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_text, check_whole
+from swifttrestle.internal.state.usage import WindowCounts
+
+# Workspaces that one datagram tells of: with names of up to 20 characters it stays in one packet.
+WORKSPACES_PER_PART = 50
+# The latest window that a datagram may name: one second each until long after the year 10,000.
+LATEST_WINDOW = 2**48
+
+
+def split_counts(counts: WindowCounts) -> Iterator[bytes]:
+    """Return the datagrams of a window's counts."""
+    items = sorted(counts.counts.items())
+    for start in range(0, len(items), WORKSPACES_PER_PART):
+        part = dict(items[start : start + WORKSPACES_PER_PART])
+        yield msgpack.packb([counts.source, counts.window, part])
+
+
+def unpack_counts(data: bytes) -> WindowCounts:
+    """Return the counts of a datagram; raise FrameError."""
+    try:
+        values: Any = msgpack.unpackb(data)
+        match values:
+            case [str(source), window, dict(counts)]:
+                return WindowCounts(
+                    source,
+                    check_whole(window, 0, LATEST_WINDOW),
+                    {
+                        check_text(name): check_whole(count, 0, LARGEST_SIGNED)
+                        for name, count in counts.items()
+                    },
+                )
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise FrameError(f"a datagram of counts cannot be read: {error!r}") from None
+    raise FrameError("a datagram holds no counts")
--- /dev/null
+++ b/src/swifttrestle/internal/state/duties.py
@@ -0,0 +1,185 @@
+"""What the holder of the duties has written down: orders, capacity and usage, on one lease."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any, TypeVar
+
+from swifttrestle.errors import BadEntryError
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_whole
+from swifttrestle.internal.state.declared import Role
+
+# Windows of usage kept on the lease, newest last: four times as many as may be due at once.
+KEPT_REPORTS = 12
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class RecordedOrder:
+    """A role order as written down before it is sent."""
+
+    number: int
+    engine: str
+    role: str
+
+
+@dataclass(frozen=True)
+class RecordedCapacity:
+    """How many upstreams of a kind were ordered last for a service in a zone.
+
+    `need` is how many the whole service had to have then, by the holder that ordered.
+    """
+
+    service: str
+    zone: str
+    reclaimable: bool
+    count: int
+    need: int
+
+
+@dataclass(frozen=True)
+class RecordedUsage:
+    """One window's report as written down before it is sent; it never changes after that.
+
+    `taken` says that the platform has acknowledged it.
+    """
+
+    window: int
+    counts: Mapping[str, int]
+    taken: bool = False
+
+
+@dataclass(frozen=True)
+class UsageDraft:
+    """What was counted of a window that is still open, and by which starts of hosts."""
+
+    window: int
+    counts: Mapping[str, int]
+    sources: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class DutyLease:
+    """The lease as stored; `token` rises with each holder, `orders` are the latest ones."""
+
+    holder: str
+    incarnation: int
+    token: int
+    orders: tuple[RecordedOrder, ...] = ()
+    capacity: tuple[RecordedCapacity, ...] = ()
+    usage: tuple[RecordedUsage, ...] = ()
+    drafts: tuple[UsageDraft, ...] = ()
+    # Rises with each write, so that none leaves the lease as it was: a challenger waits for one
+    # that stays unchanged.
+    writes: int = 0
+
+    def spec(self) -> dict[str, Any]:
+        """Return the stored form; what is empty is left out, as older versions wrote none."""
+        parts = {
+            "capacity": [vars(item) for item in self.capacity],
+            "usage": [{**vars(item), "counts": dict(item.counts)} for item in self.usage],
+            "drafts": [
+                {**vars(item), "counts": dict(item.counts), "sources": list(item.sources)}
+                for item in self.drafts
+            ],
+        }
+        return {
+            "holder": self.holder,
+            "incarnation": self.incarnation,
+            "token": self.token,
+            "orders": [vars(order) for order in self.orders],
+            "writes": self.writes,
+            **{name: part for name, part in parts.items() if part},
+        }
+
+    def with_capacity(self, order: RecordedCapacity) -> "DutyLease":
+        """Return the lease with an order in place of the last one of its subject and kind."""
+        subject = (order.service, order.zone, order.reclaimable)
+        others = (i for i in self.capacity if (i.service, i.zone, i.reclaimable) != subject)
+        return replace(self, capacity=(*others, order))
+
+    def with_usage(self, report: RecordedUsage) -> "DutyLease":
+        """Return the lease with a window's report, which takes the place of its draft."""
+        others = [item for item in self.usage if item.window != report.window]
+        kept = sorted((*others, report), key=lambda item: item.window)[-KEPT_REPORTS:]
+        drafts = tuple(item for item in self.drafts if item.window > report.window)
+        return replace(self, usage=tuple(kept), drafts=drafts)
+
+
+def read_duty_lease(spec: Any) -> DutyLease:
+    """Return the lease of a stored form; raise BadEntryError."""
+    match spec:
+        case {
+            "holder": str(holder),
+            "incarnation": int(incarnation),
+            "token": int(token),
+            "orders": list(orders),
+        } if 0 < token <= LARGEST_SIGNED:
+            return DutyLease(
+                holder,
+                incarnation,
+                token,
+                tuple(map(_read_order, orders)),
+                _read_list(spec, "capacity", _read_capacity),
+                _read_list(spec, "usage", _read_usage),
+                _read_list(spec, "drafts", _read_draft),
+                _read_writes(spec),
+            )
+    raise BadEntryError("a lease", "spec", spec, "a field is missing or of another type")
+
+
+def _read_writes(spec: Mapping[str, Any]) -> int:
+    try:
+        return check_whole(spec.get("writes", 0), 0, LARGEST_SIGNED)
+    except ValueError as error:
+        raise BadEntryError("a lease", "writes", spec.get("writes"), str(error)) from None
+
+
+def _read_list(spec: Mapping[str, Any], name: str, read: Callable[[Any], T]) -> tuple[T, ...]:
+    raw = spec.get(name, [])
+    if not isinstance(raw, list):
+        raise BadEntryError("a lease", name, raw, "it is no list")
+    return tuple(read(item) for item in raw)
+
+
+def _read_order(raw: Any) -> RecordedOrder:
+    match raw:
+        case {"number": int(number), "engine": str(engine), "role": str(role)}:
+            if role in (Role.PREFILL.value, Role.DECODE.value):
+                return RecordedOrder(number, engine, role)
+    raise BadEntryError("a lease", "orders", raw, "it is no order")
+
+
+def _read_capacity(raw: Any) -> RecordedCapacity:
+    match raw:
+        case {
+            "service": str(service),
+            "zone": str(zone),
+            "reclaimable": bool(reclaimable),
+            "count": int(count),
+            "need": int(need),
+        } if 0 <= count <= LARGEST_SIGNED and 0 <= need <= LARGEST_SIGNED:
+            return RecordedCapacity(service, zone, reclaimable, count, need)
+    raise BadEntryError("a lease", "capacity", raw, "it is no order of upstreams")
+
+
+def _read_usage(raw: Any) -> RecordedUsage:
+    match raw:
+        case {"window": int(window), "counts": dict(counts), "taken": bool(taken)}:
+            return RecordedUsage(window, _read_counts(counts), taken)
+    raise BadEntryError("a lease", "usage", raw, "it is no report")
+
+
+def _read_draft(raw: Any) -> UsageDraft:
+    match raw:
+        case {"window": int(window), "counts": dict(counts), "sources": list(sources)}:
+            return UsageDraft(window, _read_counts(counts), tuple(map(str, sources)))
+    raise BadEntryError("a lease", "drafts", raw, "it is no draft of a report")
+
+
+def _read_counts(raw: Mapping[Any, Any]) -> dict[str, int]:
+    for name, count in raw.items():
+        whole = isinstance(count, int) and not isinstance(count, bool)
+        if not isinstance(name, str) or not whole or count < 0:
+            raise BadEntryError("a lease", "counts", count, "it is no count of a workspace")
+    return dict(raw)
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -17,6 +17,7 @@
     RequestHandler,
 )
 from swifttrestle.platform.settings import HostSettings, read_host_settings
+from swifttrestle_standins.hosted.duties import StandInDuties
 from swifttrestle_standins.hosted.store import StandInStore
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from swifttrestle_standins.loopback import pick_ip, pick_port
@@ -76,6 +77,9 @@
 
     store: StandInStore = field(default_factory=StandInStore)
     store_address: str = ""
+    # The platform's duty calls, where the site has them.
+    duties: StandInDuties | None = None
+    duties_address: str = ""
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     gateways: dict[str, RunningGateway] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -100,6 +104,12 @@
         self._peer_port = pick_port(pick_ip(0))
         self.store_address = await self._serve("store", self.store)
 
+    async def start_duties(self) -> StandInDuties:
+        """Have the next gateways report usage and order upstreams."""
+        self.duties = StandInDuties(self)
+        self.duties_address = await self._serve("duties", self.duties)
+        return self.duties
+
     async def add_upstream(self, upstream: StandInUpstream) -> StandInUpstream:
         """Start an upstream and list it."""
         self.addresses[upstream.instance] = await self._serve(upstream.instance, upstream)
@@ -114,6 +124,11 @@
         record = upstream.record(self.addresses[upstream.instance], state)
         self.store.put("servers", upstream.instance, record)
 
+    def leaves(self, upstream: StandInUpstream) -> bool:
+        """Return whether an upstream's record says that it leaves."""
+        known = self.store.objects.get(("servers", upstream.instance))
+        return known is not None and known["spec"]["state"] == "draining"
+
     def unlist_upstream(self, upstream: StandInUpstream) -> None:
         """Remove an upstream's discovery record."""
         self.store.remove("servers", upstream.instance)
@@ -253,6 +268,8 @@
 
     async def stop(self) -> None:
         """Stop everything."""
+        if self.duties is not None:
+            self.duties.stop()
         for task in list(self._away.values()):
             task.cancel()
         for running in self.gateways.values():
@@ -303,8 +320,15 @@
                 **self.bounds,
             },
             "platform": {"address": self.store_address},
+            **self._make_duty_settings(),
         }  # fmt: skip
 
+    def _make_duty_settings(self) -> dict[str, Any]:
+        if not self.duties_address:
+            return {}
+        duties = ["metering", "autoscale"]
+        return {"cloudApi": {"address": self.duties_address, "duties": duties}}
+
 
 def silence_address(host: str, port: int) -> list[socket.socket]:
     """Have new connections to an address neither come up nor be refused: its queue is full."""
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -147,6 +147,9 @@
         """Start in a role."""
         super().__init__(instance, service, zone, slots)
         self.role = role
+        # Whether the platform may take it away, and in how many ms it does once it leaves.
+        self.reclaimable = False
+        self.leaves_ms = 0
         self.events = 4
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
@@ -169,7 +172,12 @@
 
     def record(self, address: str, state: str = "ready") -> dict[str, Any]:
         """Return the discovery record, with the role."""
-        return {**super().record(address, state), "phase": self.role}
+        record = {**super().record(address, state), "phase": self.role}
+        if self.reclaimable:
+            record["spot"] = True
+        if self.leaves_ms:
+            record["leaves_ms"] = self.leaves_ms
+        return record
 
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Answer the calls of the system itself, or a request."""
--- /dev/null
+++ b/tests/cover/test_capacity.py
@@ -0,0 +1,220 @@
+"""How many upstreams of each kind: the loads and losses that each decision answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from swifttrestle.errors import BadEntryError
+from swifttrestle.internal.policy.capacity import (
+    LOWER_FACTOR,
+    REMEMBER_SECONDS,
+    LastingCapacity,
+    NeedMemory,
+    ReservedCapacity,
+    StandingCapacity,
+    ZoneUpstreams,
+    choose_policy,
+    count_lasting_through,
+    estimate_need,
+)
+from swifttrestle.internal.state.declared import Role, Scaling, UpstreamRecord
+from swifttrestle.internal.state.demand import Demand
+from swifttrestle.internal.state.fleet import UNKNOWN_READ_RATE, Instance
+from swifttrestle.platform.records import read_configuration, read_upstream
+
+ZONES = ("a", "b", "c")
+
+
+def make_scaling(price=0.15, least=1, most=19):
+    return Scaling(least, most, 4.0, {"a": 0.85, "b": 1.2, "c": 1.0}, price)
+
+
+def make_zones(lasting, reclaimable, dry=()):
+    return [
+        ZoneUpstreams(zone, one, other, zone in dry)
+        for zone, one, other in zip(ZONES, lasting, reclaimable, strict=True)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("price", "policy"),
+    [
+        (0.15, ReservedCapacity),
+        (0.6, ReservedCapacity),
+        # With the reserve for a zone they would cost as much as lasting ones.
+        (0.7, LastingCapacity),
+        (1.0, LastingCapacity),
+        (1.5, LastingCapacity),
+    ],
+)
+def test_prices_decide_which_kinds_are_ordered(price, policy):
+    assert isinstance(choose_policy(make_scaling(price)), policy)
+
+
+@pytest.mark.parametrize(
+    ("need", "lasting", "reclaimable", "dry", "wanted"),
+    [
+        # Nothing serves in place of the lasting ones yet: they stay, within the most of a zone.
+        (29, (10, 10, 9), (0, 0, 0), (), [(10, 9), (10, 9), (9, 10)]),
+        # Some serve: as many lasting ones go as are not needed when the fullest zone is lost.
+        (29, (10, 10, 9), (9, 9, 10), (), [(4, 13), (4, 13), (3, 13)]),
+        (29, (4, 4, 4), (13, 13, 13), (), [(1, 13), (1, 13), (1, 13)]),
+        # A zone was reclaimed: the rest holds the need, and no lasting one is ordered for it.
+        (29, (1, 1, 1), (13, 0, 13), ("b",), [(1, 13), (1, 13), (1, 13)]),
+        # None can be had anywhere for long: lasting ones take their place.
+        (9, (1, 1, 1), (0, 0, 0), ZONES, [(3, 3), (3, 3), (3, 3)]),
+        (0, (1, 1, 1), (5, 5, 5), (), [(1, 0), (1, 0), (1, 0)]),
+    ],
+)
+def test_reclaimable_upstreams_stand_with_a_reserve_for_a_zone(
+    need, lasting, reclaimable, dry, wanted
+):
+    plans = ReservedCapacity().plan(make_scaling(), make_zones(lasting, reclaimable, dry), need)
+    assert [(item.lasting, item.reclaimable) for item in plans] == wanted
+
+
+COUNTS = st.tuples(*[st.integers(0, 19)] * 3)
+
+
+@given(need=st.integers(0, 30), lasting=COUNTS, reclaimable=COUNTS, most=st.integers(1, 40))
+def test_no_plan_takes_a_lasting_upstream_that_the_need_still_hangs_on(
+    need, lasting, reclaimable, most
+):
+    zones = make_zones(lasting, reclaimable)
+    plans = ReservedCapacity().plan(make_scaling(most=most), zones, need)
+    left = sum(min(plan.lasting, here.lasting) for plan, here in zip(plans, zones, strict=True))
+    serving = left + sum(reclaimable) - max(reclaimable)
+    # What serves through the loss of a zone does not fall under the need by the plan's doing.
+    assert serving >= min(need, count_lasting_through(zones))
+
+
+@given(need=st.integers(0, 30))
+def test_a_settled_plan_holds_the_need_without_any_one_zone(need):
+    zones = make_zones((1, 1, 1), (19, 19, 19))
+    plans = ReservedCapacity().plan(make_scaling(most=100), zones, need)
+    assert count_lasting_through(plans) >= need
+
+
+@pytest.mark.parametrize(
+    ("need", "least", "wanted"), [(29, 1, [10, 9, 10]), (2, 1, [1, 1, 1]), (60, 1, [19, 19, 19])]
+)
+def test_lasting_upstreams_alone_are_spread_and_cheap_zones_take_what_is_over(need, least, wanted):
+    zones = make_zones((10, 10, 9), (0, 0, 0))
+    plans = LastingCapacity().plan(make_scaling(1.0, least), zones, need)
+    assert [item.lasting for item in plans] == wanted
+    assert all(item.reclaimable == 0 for item in plans)
+
+
+def test_all_as_it_stands_changes_nothing():
+    plans = StandingCapacity().plan(make_scaling(), make_zones((3, 2, 1), (0, 4, 0)), 99)
+    assert [(item.lasting, item.reclaimable) for item in plans] == [(3, 0), (2, 4), (1, 0)]
+
+
+def make_engines(rate, count=4, slots=16):
+    engines = []
+    for number in range(count):
+        record = UpstreamRecord(
+            f"e{number}", "s", ("10.0.0.1", number + 1), "a", slots, False, Role.PREFILL
+        )
+        engines.append(Instance(record, read_rate=rate))
+    return engines
+
+
+@pytest.mark.parametrize(
+    ("rate", "demand", "wanted"),
+    [
+        (300_000.0, Demand(0.0, 0.0), 0),
+        # 85 in 100 of a pace and of the slots can be planned on.
+        (300_000.0, Demand(2_550_000.0, 13.6), 10 + 2),
+        (300_000.0, Demand(2_550_000.0, 68.0), 10 + 5),
+        (300_000.0, Demand(1000.0, 1.0), 1 + 2),
+        # Nothing has been read yet: what stands is the better estimate.
+        (UNKNOWN_READ_RATE, Demand(2_550_000.0, 68.0), 0),
+    ],
+)
+def test_the_need_follows_from_offered_work_and_learned_paces(rate, demand, wanted):
+    assert estimate_need(make_engines(rate), demand) == wanted
+
+
+def test_an_engine_that_has_just_come_does_not_raise_the_need():
+    engines = make_engines(300_000.0) + make_engines(UNKNOWN_READ_RATE)
+    assert estimate_need(engines, Demand(2_550_000.0, 13.6)) == 12
+
+
+@pytest.mark.parametrize(
+    ("needs", "wanted"),
+    [
+        # The first need, what stood, counts for a minute; a higher one at once.
+        ([(0, 29), (1, 12)], 29),
+        ([(0, 29), (1, 33)], 33),
+        ([(0, 29), (REMEMBER_SECONDS + 1, 12)], 12),
+        # The highest swing of the last minute stands until the next one.
+        ([(0, 5), (10, 20), (30, 8), (10 + REMEMBER_SECONDS, 8)], 20),
+        # A little less is no reason to give up what is warm.
+        ([(0, 20), (REMEMBER_SECONDS + 1, 17)], 20),
+        ([(0, 20), (REMEMBER_SECONDS + 1, int(20 / LOWER_FACTOR) - 1)], 15),
+    ],
+)
+def test_the_highest_need_of_the_last_minute_is_planned_for(needs, wanted):
+    memory = NeedMemory()
+    for at, need in needs:
+        planned = memory.note(need, at)
+    assert planned == wanted
+
+
+# What operators and upstreams declare of it.
+
+SCALED = {"min": 1, "max": 19, "bootS": 4.0, "spotPrice": 0.15, "zonePrices": {"a": 0.85}}
+
+
+def read_scaling(raw):
+    services = [{"name": "s", "maxConns": 5, "scaling": raw}]
+    return read_configuration({"version": 1, "services": services}).services["s"].scaling
+
+
+def test_scaling_is_read_with_its_prices():
+    assert read_scaling(SCALED) == Scaling(1, 19, 4.0, {"a": 0.85}, 0.15)
+    # Where none may be reclaimed, they cost what lasting ones do.
+    assert read_scaling({"max": 3}) == Scaling(0, 3, 0.0, {}, 1.0)
+    assert read_scaling(None) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"max": None},
+        {"max": -1},
+        {"min": "one"},
+        {"bootS": -1},
+        {"spotPrice": "low"},
+        {"zonePrices": [1.0]},
+        {"zonePrices": {"a": "dear"}},
+    ],
+)
+def test_a_wrong_scaling_is_refused(change):
+    with pytest.raises(BadEntryError):
+        read_scaling({**SCALED, **change})
+
+
+RECORD = {
+    "service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "draining",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("more", "wanted"),
+    [
+        ({}, (False, None)),
+        ({"spot": True, "leaves_ms": 2500}, (True, 2.5)),
+        ({"spot": False, "leaves_ms": 0}, (False, 0.0)),
+    ],
+)
+def test_a_record_tells_whether_its_upstream_may_be_reclaimed_and_when_it_goes(more, wanted):
+    read = read_upstream("i", {**RECORD, **more})
+    assert (read.reclaimable, read.leaves_in) == wanted
+
+
+@pytest.mark.parametrize("more", [{"spot": 1}, {"leaves_ms": -1}, {"leaves_ms": "soon"}])
+def test_a_record_with_a_wrong_notice_is_refused(more):
+    with pytest.raises(BadEntryError):
+        read_upstream("i", {**RECORD, **more})
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -11,7 +11,7 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from swifttrestle.internal.coordination.role_lease import RoleLeaseKeeper
+from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
 from swifttrestle.internal.forward.parts import RetryBudgets
 from swifttrestle.internal.policy.placement import pick_decoder, pick_plain, pick_reader
 from swifttrestle.internal.policy.queueing import AdmissionQueue
@@ -334,7 +334,7 @@
 
 
 def keep(store, host):
-    keeper = RoleLeaseKeeper(store, "roles", host, 1, DURATION, skip_silently())
+    keeper = DutyLeaseKeeper(store, "roles", host, 1, DURATION, skip_silently())
     keeper._wait = DURATION
     return keeper
 
--- a/tests/cover/test_other_writers.py
+++ b/tests/cover/test_other_writers.py
@@ -15,7 +15,6 @@
     UpstreamBrokenError,
 )
 from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
-from swifttrestle.internal.coordination.role_lease import read_role_lease
 from swifttrestle.internal.protocol.bookings import Ask, Grant, pack_message, unpack_message
 from swifttrestle.internal.protocol.copies import unpack_copy
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
@@ -23,6 +22,7 @@
 from swifttrestle.internal.protocol.rosters import unpack_roster_message
 from swifttrestle.internal.state.bookings import BookingRequest
 from swifttrestle.internal.state.declared import Configuration, UpstreamRecord
+from swifttrestle.internal.state.duties import read_duty_lease
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.routes import RouteTable
 from swifttrestle.platform import objects
@@ -176,10 +176,10 @@
 )
 def test_a_lease_is_read_whole_or_refused(spec):
     try:
-        lease = read_role_lease(spec)
+        lease = read_duty_lease(spec)
     except BadEntryError:
         return
-    assert read_role_lease(lease.spec()) == lease
+    assert read_duty_lease(lease.spec()) == lease
 
 
 def pack(value):
--- a/tests/cover/test_revocation.py
+++ b/tests/cover/test_revocation.py
@@ -154,7 +154,7 @@
     calm = BOUND * beliefs.READ_SHARE * jitter + ask
     assert calm <= 1.9
     # A host that lost one question asks everywhere with the next one.
-    assert BOUND * beliefs.WIDEN_SHARE <= calm + ask
+    assert calm + ask >= BOUND * beliefs.WIDEN_SHARE
     # What is left of the bound for an outage of the store in which no request is refused.
     assert BOUND - revocation.CLOCK_MARGIN - calm >= 3.0
 
--- a/tests/cover/test_suspension.py
+++ b/tests/cover/test_suspension.py
@@ -15,7 +15,7 @@
 
 from swifttrestle.internal import clock
 from swifttrestle.internal.clock import MonotonicClock, read_seconds
-from swifttrestle.internal.coordination.role_lease import SEND_SECONDS, RoleLeaseKeeper
+from swifttrestle.internal.coordination.duty_lease import SEND_SECONDS, DutyLeaseKeeper
 from swifttrestle.internal.loop import run_in_loop
 from swifttrestle.platform.objects import StoredObject
 from tests.common.fakes import skip_silently
@@ -68,7 +68,7 @@
             return StoredObject(kind, name, revision + 1, spec)
 
     async def work():
-        keeper = RoleLeaseKeeper(SuspendedInTheWrite(), "roles", "h1", 1, 1.0, skip_silently())
+        keeper = DutyLeaseKeeper(SuspendedInTheWrite(), "roles", "h1", 1, 1.0, skip_silently())
         assert await keeper.campaign()
         _, until = await keeper.record("e1", "decode")
         return asyncio.get_running_loop().time() - until
--- a/tests/hosted/test_starts.py
+++ b/tests/hosted/test_starts.py
@@ -198,7 +198,7 @@
 )
 @on_site(engines=("decode", "decode", "decode"))
 async def test_a_lease_that_another_writer_spoiled_is_taken_again_with_a_higher_token(site, spec):
-    duty = site.gateways["g0"].gateway._roles
+    duty = site.gateways["g0"].gateway._duties.roles
     await wait_until(lambda: duty._lease.lease is not None, "lease")
     before = duty._lease.lease.token
     site.store.put("swifttrestle-leases", "roles", spec)
