Hosts of a large fleet with keys live by their peers' word on the configuration

The new test makes four versions in a fleet of five: over 12 watches before, at most 12 after (fails without the change).

--- a/src/swifttrestle/internal/coordination/beliefs.py
+++ b/src/swifttrestle/internal/coordination/beliefs.py
@@ -15,7 +15,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.revocation import is_young
-from swifttrestle.internal.policy.scheduling import list_representatives
+from swifttrestle.internal.policy.scheduling import is_large, list_representatives
 from swifttrestle.internal.protocol.beliefs import (
     BeliefAnswer,
     BeliefQuestion,
@@ -83,6 +83,7 @@
         self._answered_at = float("-inf")
         self._was_young = True
         socket.receive(DatagramKind.BELIEF, self._receive)
+        configuration.follows = self._follows
 
     @property
     def age(self) -> float:
@@ -107,6 +108,15 @@
         if not reads or not await self._read_store():
             self._ask(self._choose_hosts())
 
+    def _follows(self) -> bool:
+        """Return whether this host lives by its peers' word on the configuration.
+
+        The word is dated, so that a version is in force here as soon as a host that reads the
+        store could tell of it, and the store is asked again before the word is too old for that.
+        """
+        large = is_large(len(self._list_members()))
+        return large and self.has_keys() and not self._is_reader() and self.age < self._widen_age
+
     def _is_reader(self) -> bool:
         readers = list_representatives(self._list_members(), self._me.zone)
         return any(item.host == self._me.host for item in readers)
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -29,6 +29,8 @@
 # connection that has fallen silent, and all of a fleet's connections may do so at once.
 WATCH_SECONDS_PER_HOST = 1.0
 LEAST_WATCH_SECONDS = 2.0
+# Seconds between two looks at whether others still keep this host up to date.
+FOLLOW_LOOK_SECONDS = 0.1
 # Share of that below which no watch is, so that they do not all end together.
 LEAST_WATCH_SHARE = 0.3
 
@@ -59,6 +61,8 @@
         self.table: RouteTable | None = None
         self.raw: Any = None
         self.belief = ConfigurationBelief(lambda: self.version)
+        # Tells whether others keep this host up to date, by words that are proved to be young.
+        self.follows: Callable[[], bool] = lambda: False
 
     @property
     def version(self) -> int:
@@ -109,6 +113,7 @@
         """Read, then watch, for as long as the process lives."""
         while True:
             try:
+                await self._follow()
                 await self._ask_store()
             except HistoryGoneError:
                 log_decision("configuration history gone", revision=self._revision)
@@ -117,6 +122,17 @@
             except PlatformUnavailableError as error:
                 await self._wait_out(error)
 
+    async def _follow(self) -> None:
+        """Ask nothing while others keep this host up to date; read anew after that.
+
+        With each version all watches of a fleet end and begin again: 83 calls to the store each.
+        """
+        if not self.table or not self.follows():
+            return
+        while self.follows():
+            await asyncio.sleep(FOLLOW_LOOK_SECONDS)
+        self._revision = 0
+
     async def _ask_store(self) -> None:
         """Make one call, unless a peer's copy makes it needless while it is under way."""
         self._call = asyncio.ensure_future(self._watch() if self._revision else self._read())
--- a/tests/hosted/test_workspaces.py
+++ b/tests/hosted/test_workspaces.py
@@ -11,6 +11,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.internal.lines import WRITER
+from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import make_route, wait_until
 from tests.common.http import RawCaller, ask, write_request
 from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs
@@ -208,3 +209,25 @@
     assert 'gateway_keys_refused_total{reason="unknown"}' in told
     for key in (FIRST, SECOND, TAKEN, "key-of-liaison", "no-such-key"):
         assert key not in told
+
+
+@on_keyed_site(gateways=5)
+async def test_hosts_of_a_large_fleet_hear_of_versions_without_watching(site, monkeypatch):
+    """With each version all watches of a fleet ended and began again, a call of each host.
+
+    Untouched, 83 hosts made 2,300 calls to the store on a calm day of 58 seconds.
+    """
+    monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 2)
+    gateways = [item.gateway for item in site.gateways.values()]
+    for gateway in gateways:
+        await wait_until(lambda g=gateway: len(g.live_hosts()) == len(gateways), "all hosts")
+    # The watches that began before the hosts knew each other end within two seconds.
+    await asyncio.sleep(2.5)
+    site.store.calls.clear()
+    for number in range(4):
+        version = declare_keys(site, FIRST, *[f"key-{number}"])
+        for gateway in gateways:
+            await wait_until(lambda g=gateway, v=version: g.config_version == v, "in force")
+    watches = [call for call in site.store.calls if call.startswith("GET /v1/objects/config?watch")]
+    # Two hosts of the zone watch, each once for each version; five would make 20 calls.
+    assert len(watches) <= 4 * 2 + 4
