Operators see capacity and usage: in the state dump, by swifttrestle-ctl duties, in metrics

For each service and zone what stands, what is planned, the need and the price a second; for each window its state and the requests of each workspace; seconds and prices paid as counters.

--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -24,6 +24,7 @@
 from swifttrestle.internal.coordination.actors import STATUS
 from swifttrestle.internal.coordination.writes import plain_spec, read_or_none, write_once
 from swifttrestle.internal.described import write_default
+from swifttrestle.internal.duty_report import describe_duties
 from swifttrestle.internal.explanation import explain_request, read_log_lines
 from swifttrestle.internal.files import Document, read_documents
 from swifttrestle.internal.protocol.platform import RestObjectApi, StoredObject
@@ -218,6 +219,22 @@
         response = make_client(5.0).request("GET", f"http://{ops}/debug/state")
         _say(orjson.dumps(orjson.loads(response.data), option=orjson.OPT_INDENT_2).decode())
 
+    def duties(self, ops: str) -> None:
+        """Show capacity and usage as the gateway at an operators' address knows them.
+
+        For each service and zone: what stands, what is planned, the price a second. For each
+        window of usage: its state, and the requests of each workspace. The host that holds the
+        duties knows most; where another one is asked, its name is shown.
+
+        Example: swifttrestle-ctl duties 10.1.0.35:9464
+        """
+        response = make_client(5.0).request("GET", f"http://{ops}/debug/state")
+        state = orjson.loads(response.data)
+        if "duties" not in state:
+            raise InvalidSettingError(f"ops: {ops!r} is no gateway; give the address of one")
+        for line in describe_duties(state["duties"]):
+            _say(line)
+
     def hash(self, key: str) -> None:
         """Print the digest of a caller's key, for a Workspace resource.
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -395,6 +395,7 @@
             "ready": self.is_ready(),
             "live": self._gossip.live_hosts(),
             "instances": describe_fleet(self._fleet),
+            "duties": self._duties.describe(),
             "quarantine": describe_quarantine(self._parts.guard.quarantine, _now()),
         }
         return Page(200, b"application/json", orjson.dumps(state))
--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from swifttrestle.errors import LeaseLostError
 from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
@@ -124,6 +125,7 @@
         need = memory.note(estimate_need(instances, self._demand.total(service, now)), now)
         plans = choose_policy(scaling).plan(scaling, zones, need)
         self._note_plans(service, plans, need)
+        self._count_paid(service, scaling, zones)
         standing = {item.zone: item for item in zones}
         for plan in plans:
             here = standing[plan.zone]
@@ -172,6 +174,52 @@
             found.append(ZoneUpstreams(zone, kinds.count(False), kinds.count(True), dry))
         return found
 
+    def _count_paid(self, service: str, scaling: Scaling, zones: list[ZoneUpstreams]) -> None:
+        """Count what stands and what it costs, for the time since the last look."""
+        for item in zones:
+            price = scaling.prices.get(item.zone, 1.0)
+            for kind, count, share in (
+                ("lasting", item.lasting, 1.0),
+                ("reclaimable", item.reclaimable, scaling.reclaimable_price),
+            ):
+                labels = {"service": service, "zone": item.zone, "kind": kind}
+                self._metrics.count(
+                    "capacity_upstream_seconds_total", count * LOOK_SECONDS, **labels
+                )
+                paid = count * price * share * LOOK_SECONDS
+                self._metrics.count("capacity_paid_total", paid, **labels)
+
+    def describe(self) -> dict[str, Any]:
+        """Return for each service and zone what stands, what is planned and why, and its price.
+
+        Only the holder of the duties plans; at another host the plans are those of its last time.
+        """
+        configuration = self._find_configuration()
+        services = configuration.services if configuration else {}
+        return {
+            name: self._describe(name, services[name].scaling, plans)
+            for name, plans in self.plans.items()
+            if name in services
+        }
+
+    def _describe(
+        self, service: str, scaling: Scaling | None, plans: tuple[ZonePlan, ...]
+    ) -> dict[str, Any]:
+        instances = self._fleet.list_service(service)
+        zones = {}
+        for plan in plans:
+            kinds = [i.record.reclaimable for i in instances if i.record.zone == plan.zone]
+            lasting, reclaimable = kinds.count(False), kinds.count(True)
+            price = scaling.prices.get(plan.zone, 1.0) if scaling else 0.0
+            share = scaling.reclaimable_price if scaling else 0.0
+            zones[plan.zone] = {
+                "lasting": {"standing": lasting, "planned": plan.lasting},
+                "reclaimable": {"standing": reclaimable, "planned": plan.reclaimable},
+                "none_to_be_had": self._dry_until.get((service, plan.zone), 0.0) > _now(),
+                "price_per_second": round(price * (lasting + share * reclaimable), 3),
+            }
+        return {"need": self.needs.get(service, 0), "zones": zones}
+
     def _note_plans(self, service: str, plans: tuple[ZonePlan, ...], need: int) -> None:
         if self.plans.get(service) != plans:
             log_decision(
--- a/src/swifttrestle/internal/coordination/duties.py
+++ b/src/swifttrestle/internal/coordination/duties.py
@@ -91,6 +91,15 @@
         """Return what is to run for as long as the process lives."""
         return [self.roles.run(), self.usage.run(), self.capacity.run()]
 
+    def describe(self) -> dict[str, Any]:
+        """Return what operators ask of the duties: who holds them, capacity, and usage."""
+        return {
+            "held_here": self._holds(),
+            "candidates": self._gossip.candidates.list_order()[:COLLECTORS],
+            "capacity": self.capacity.describe(),
+            "usage": self.usage.describe(),
+        }
+
     def _holds(self) -> bool:
         return self._gossip.candidates.holds_roles
 
--- a/src/swifttrestle/internal/coordination/usage.py
+++ b/src/swifttrestle/internal/coordination/usage.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from typing import Any
 
 from swifttrestle.errors import LeaseLostError
 from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
@@ -81,6 +82,29 @@
                 except LeaseLostError as error:
                     log_decision("usage reports wait", reason=str(error))
 
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the windows that are written down, and those that are counted here, oldest first.
+
+        Only the holder of the duties hears of all hosts' counts.
+        """
+        lease = self._lease.lease
+        reported = lease.usage if lease else ()
+        written = {item.window for item in reported}
+        told = [
+            {
+                "window": item.window,
+                "state": "taken" if item.taken else "not acknowledged",
+                "counts": dict(item.counts),
+            }
+            for item in reported
+        ]
+        counted = [
+            {"window": window, "state": "counted", "counts": self.meter.sum(window)}
+            for window in self.meter.list_windows()
+            if window not in written
+        ]
+        return told + counted
+
     def _find_window(self, at: float) -> int:
         return find_window(at, self._seconds)
 
--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -8,8 +8,10 @@
 import asyncio
 import time
 
+import orjson
 import pytest
 
+from swifttrestle.internal.duty_report import describe_duties
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine
 from tests.common.http import ask
@@ -254,3 +256,23 @@
         for name, item in site.gateways.items()
         if name != former
     )
+
+
+@on_duty_site(engines=3)
+async def test_operators_see_what_stands_why_at_what_price_and_each_windows_usage(site):
+    await wait_until(lambda: count_kinds(site) == (3, 9), "settled")
+    await send(site, 2)
+    await wait_for_usage(site, {"club": 2})
+    await asyncio.sleep(1.0)
+    running = site.gateways[find_holder(site)]
+    answer = await ask(running.metrics_address, "/debug/state", "d1", method="GET")
+    lines = list(describe_duties(orjson.loads(answer.body)["duties"]))
+    assert lines[0] == "model: 9 needed without any one zone's reclaimable ones"
+    # One lasting one at 1.0 and three reclaimable ones at 0.15 of it.
+    planned = "1 lasting of 1 planned, 3 reclaimable of 3 planned, 1.45 a second"
+    assert f"  hall-a: {planned}" in lines
+    assert "  club: 2" in lines
+    assert any("taken, 2 requests" in line for line in lines)
+    page = (await ask(running.metrics_address, "/metrics", "m1", method="GET")).body.decode()
+    for name in ("capacity_paid_total", "capacity_orders_total", "usage_reports_total"):
+        assert f"swifttrestle_{name}" in page
