Peers tell all of a record; reclaimable upstreams are ordered beside those that are to go

Now the most of a zone is taken for what is to stay (the platform takes such orders; where one refuses, what stands counts), the first plan waits 2 s and not 3, and a fleet without load gets all its roles at once. Ruled out: lost orders (all taken) and 409 (only after the zone was reclaimed).

--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -30,9 +30,9 @@
 # Seconds beyond it after which most of what was ordered is listed: a heartbeat.
 SHOWN_SECONDS = 1.2
 # Seconds for which the list must have brought no more upstreams before what stands is taken for the
-# operators' own estimate: two heartbeats and a half. A plan by the first nine of 29 that were
+# operators' own estimate: a heartbeat and a half. A plan by the first nine of 29 that were
 # listed lowered them to one in each zone.
-LISTED_SECONDS = 3.0
+LISTED_SECONDS = 2.0
 # Seconds before an order is made again for which none could be had, or that was not answered.
 AGAIN_SECONDS = 2.0
 # Seconds for which a zone in which none could be had counts as such.
@@ -76,6 +76,8 @@
         self._needs: dict[str, NeedMemory] = {}
         self._sent: dict[Subject, SentOrder] = {}
         self._dry_until: dict[tuple[str, str], float] = {}
+        # Services whose orders the platform refuses for what stands of the other kind.
+        self._counts_standing: set[str] = set()
         # The most upstreams that were listed of a service before its first plan, and since when.
         self._listed: dict[str, tuple[int, float]] = {}
         # When the upstreams that were ordered last will serve, by service.
@@ -171,7 +173,8 @@
         for zone in zones:
             kinds = [item.record.reclaimable for item in instances if item.record.zone == zone]
             dry = self._dry_until.get((service, zone), 0.0) > now
-            found.append(ZoneUpstreams(zone, kinds.count(False), kinds.count(True), dry))
+            counts = service in self._counts_standing
+            found.append(ZoneUpstreams(zone, kinds.count(False), kinds.count(True), dry, counts))
         return found
 
     def _count_paid(self, service: str, scaling: Scaling, zones: list[ZoneUpstreams]) -> None:
@@ -259,6 +262,8 @@
         self._sent[subject] = SentOrder(wanted, now, outcome)
         if wanted > standing:
             self._settled_at[service] = now + scaling.boot_seconds + SHOWN_SECONDS
+        if outcome is CallOutcome.REFUSED and reclaimable:
+            self._counts_standing.add(service)
         if outcome is CallOutcome.NONE_TO_BE_HAD:
             self._dry_until[service, zone] = now + DRY_SECONDS
         kind = "reclaimable" if reclaimable else "lasting"
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -159,7 +159,9 @@
         if self._is_settling(service) and self._demand.total(service, now) == Demand():
             return
         engines = len(self._fleet.list_service(service))
-        for _ in range(max(1, int(engines * TICK_SHARE))):
+        # Without load no request misses the engines that are away.
+        idle = self._demand.total(service, now) == Demand()
+        for _ in range(engines if idle else max(1, int(engines * TICK_SHARE))):
             change = self._plan(service)
             now = asyncio.get_running_loop().time()
             allowed = self._delay.allows(service, change, traits.role_change_seconds, now)
--- a/src/swifttrestle/internal/policy/capacity.py
+++ b/src/swifttrestle/internal/policy/capacity.py
@@ -33,12 +33,17 @@
 
 @dataclass(frozen=True)
 class ZoneUpstreams:
-    """What serves in a zone now, neither leaving nor coming, and whether more can be had there."""
+    """What serves in a zone now, neither leaving nor coming, and whether more can be had there.
+
+    `counts_standing` says that the platform has refused an order over the most for what stands of
+    the other kind, and not for what is to stay of it.
+    """
 
     zone: str
     lasting: int
     reclaimable: int
     dry: bool = False
+    counts_standing: bool = False
 
 
 @dataclass(frozen=True)
@@ -140,7 +145,8 @@
         lasting = self._plan_lasting(zones, need, base)
         plans = []
         for item in zones:
-            count = min(reclaimable, max(0, scaling.most - lasting[item.zone]))
+            beside = max(base, lasting[item.zone]) if item.counts_standing else base
+            count = min(reclaimable, max(0, scaling.most - beside))
             least = max(lasting[item.zone], scaling.least - count)
             plans.append(ZonePlan(item.zone, least, count))
         return tuple(plans)
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.checks import check_number, check_text
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_number, check_text
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 
 # Kept under one packet of the usual links, so that a datagram is never split.
@@ -72,6 +72,8 @@
             item.leaving,
             item.role.value,
             item.born,
+            item.reclaimable,
+            item.leaves_in,
         )
         for item in changes.records
     ]
@@ -105,10 +107,18 @@
     match values:
         case [
             str(instance), str(service), [str(host), int(port)], str(zone), int(slots),
-            bool(leaving), str(role), int(born),
+            bool(leaving), str(role), int(born), bool(reclaimable), leaves_in,
         ]:  # fmt: skip
-            address = (host, port)
             return UpstreamRecord(
-                check_text(instance), service, address, zone, slots, leaving, Role(role), born
+                check_text(instance),
+                service,
+                (host, port),
+                zone,
+                slots,
+                leaving,
+                Role(role),
+                born,
+                reclaimable,
+                None if leaves_in is None else check_number(leaves_in, 0, LARGEST_SIGNED),
             )
     raise ValueError(f"{values!r:.80} is no record")
