--- a/src/swifttrestle/internal/coordination/beliefs.py
+++ b/src/swifttrestle/internal/coordination/beliefs.py
@@ -36,9 +36,9 @@
 LONGEST_BOUND = 5.0
 # Pauses differ by this share of them, so that hosts do not all ask at once.
 JITTER_SHARE = 0.2
-# Share of the bound from which on, as the age of a proof, hosts of all zones are asked, and versions
-# are heard of by this host's own watch: a question brought nothing newer. With a look and a read
-# after that a version is in force within three seconds of the five.
+# Share of the bound from which on, as the age of a proof, hosts of all zones are asked, since a
+# question brought nothing newer. New versions are then heard of by this host's own watch: with a
+# look and a read after that one is in force within three seconds of the five.
 WIDEN_SHARE = 0.42
 # Hosts asked by lot besides all representatives: a proof that one host gets goes through a fleet
 # of 83 within two questions.
