The soak takes keys away, reclaims zones, kills duty holders and loses their answers

Its promises: no key runs beyond its bound or is refused while in force, upstreams learn the right workspace and never a key, and no duty call breaks a rule. A service in a single zone keeps lasting upstreams alone: nothing would be left when its reclaimable ones go at once (found as the soak's site was given scaling).

--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -125,7 +125,7 @@
             memory = self._needs[service] = NeedMemory()
             memory.note(first, now)
         need = memory.note(estimate_need(instances, self._demand.total(service, now)), now)
-        plans = choose_policy(scaling).plan(scaling, zones, need)
+        plans = choose_policy(scaling, len(zones)).plan(scaling, zones, need)
         self._note_plans(service, plans, need)
         self._count_paid(service, scaling, zones)
         standing = {item.zone: item for item in zones}
--- a/src/swifttrestle/internal/policy/capacity.py
+++ b/src/swifttrestle/internal/policy/capacity.py
@@ -139,8 +139,8 @@
     ) -> tuple[ZonePlan, ...]:
         """Return the plan; lasting upstreams go only as reclaimable ones serve in their place."""
         base = LASTING_PER_ZONE
-        # Without its fullest zone, the rest has to hold the need. A single zone has no rest.
-        others = max(1, len(zones) - 1)
+        # Without its fullest zone, the rest has to hold the need.
+        others = len(zones) - 1
         reclaimable = math.ceil(max(0, need - base * len(zones)) / others)
         lasting = self._plan_lasting(zones, need, base)
         plans = []
@@ -170,9 +170,12 @@
         return lasting
 
 
-def choose_policy(scaling: Scaling) -> CapacityPolicy:
-    """Return the way that fits a service's prices."""
-    if scaling.reclaimable_price <= RECLAIMABLE_PRICE:
+def choose_policy(scaling: Scaling, zones: int) -> CapacityPolicy:
+    """Return the way that fits a service's prices and the number of its zones.
+
+    In a single zone all reclaimable upstreams go at once, and nothing is left in their place.
+    """
+    if zones > 1 and scaling.reclaimable_price <= RECLAIMABLE_PRICE:
         return ReservedCapacity()
     return LastingCapacity()
 
--- a/src/swifttrestle_standins/hosted/duties.py
+++ b/src/swifttrestle_standins/hosted/duties.py
@@ -47,6 +47,8 @@
         self.faults = DutyFaults()
         self.calls: list[DutyCall] = []
         self.reports: dict[int, dict[str, int]] = {}
+        # Engines that were ordered or taken away, with what they recorded.
+        self.ended: list[StandInEngine] = []
         # What a call broke, in words.
         self.broken: list[str] = []
         self._site = site
@@ -143,6 +145,7 @@
     def _end(self, upstream: StandInEngine) -> None:
         self._site.unlist_upstream(upstream)
         self._site.upstreams.pop(upstream.instance, None)
+        self.ended.append(upstream)
 
     def _later(self, seconds: float, act: Callable[[], Any]) -> None:
         async def wait() -> None:
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -43,18 +43,21 @@
 
 
 @pytest.mark.parametrize(
-    ("price", "policy"),
+    ("price", "zones", "policy"),
     [
-        (0.15, ReservedCapacity),
-        (0.6, ReservedCapacity),
+        (0.15, 3, ReservedCapacity),
+        (0.15, 2, ReservedCapacity),
+        (0.6, 3, ReservedCapacity),
         # With the reserve for a zone they would cost as much as lasting ones.
-        (0.7, LastingCapacity),
-        (1.0, LastingCapacity),
-        (1.5, LastingCapacity),
+        (0.7, 3, LastingCapacity),
+        (1.0, 3, LastingCapacity),
+        (1.5, 3, LastingCapacity),
+        # A single zone's would all go at once.
+        (0.15, 1, LastingCapacity),
     ],
 )
-def test_prices_decide_which_kinds_are_ordered(price, policy):
-    assert isinstance(choose_policy(make_scaling(price)), policy)
+def test_prices_and_zones_decide_which_kinds_are_ordered(price, zones, policy):
+    assert isinstance(choose_policy(make_scaling(price), zones), policy)
 
 
 @pytest.mark.parametrize(
@@ -267,4 +270,4 @@
     load = next(load for load in LOADS if load.reclaimable_price > 0.5)
     scaling = make_scaling(load.reclaimable_price)
     reserved = play(load, ReservedCapacity())
-    assert play(load, choose_policy(scaling)).price < 0.8 * reserved.price
+    assert play(load, choose_policy(scaling, 3)).price < 0.8 * reserved.price
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
 from tests.common.http import Answer, RawCaller, write_request
 from tests.hosted.sites import LONG, SHORT
+from tests.soak.processes import KEY, OTHER_KEY
 
 # Seconds after which a caller gives a request up; routes end theirs after two.
 PATIENCE_SECONDS = 4.0
@@ -26,6 +27,7 @@
     answer: Answer | None
     began: float
     ended: float
+    key: str = ""
 
 
 def expected_body(kind, name):
@@ -34,10 +36,13 @@
     return make_content(name)
 
 
-def write_kind(kind, name):
+def write_kind(kind, name, key):
     if kind in STREAMS:
-        return write_request(f"/{kind}/a", name, X_Token_Usage=STREAMS[kind], X_Deadline_Ms="2000")
-    return write_request(f"/{kind}/a", name, X_Deadline_Ms="1500")
+        usage = STREAMS[kind]
+        return write_request(
+            f"/{kind}/a", name, X_Token_Usage=usage, X_Deadline_Ms="2000", X_Key=key
+        )
+    return write_request(f"/{kind}/a", name, X_Deadline_Ms="1500", X_Key=key)
 
 
 class CallerSet:
@@ -69,19 +74,21 @@
                 await asyncio.sleep(0.05)
                 continue
             # Asked on one connection until it ends or is left for another host.
+            # Callers go on with their key, also where it is taken away.
+            key = self._rng.choice((KEY, OTHER_KEY, self._site.passing_key))
             with contextlib.suppress(OSError):
                 for _ in range(self._rng.randint(1, 30)):
-                    if not await self._ask(caller, host.name):
+                    if not await self._ask(caller, host.name, key):
                         break
             caller.close()
 
-    async def _ask(self, caller, host):
+    async def _ask(self, caller, host, key):
         """Ask once; return whether the connection can go on."""
         kind = self._rng.choice(("verdict", "chat", "goal", "goal", "card"))
         name = f"{kind}-{next(self._numbers)}"
         loop = asyncio.get_running_loop()
         began = loop.time()
-        caller.send(write_kind(kind, name))
+        caller.send(write_kind(kind, name, key))
         answer = None
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
@@ -89,6 +96,6 @@
         except TimeoutError:
             # Given up on: the answer stays unknown.
             pass
-        self.seen.append(Observation(name, kind, host, answer, began, loop.time()))
+        self.seen.append(Observation(name, kind, host, answer, began, loop.time(), key))
         await asyncio.sleep(self._rng.random() * 0.02)
         return answer is not None and answer.whole and answer.headers.get("connection") != "close"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, script
-from tests.soak.processes import GRACE_SECONDS
+from tests.soak.processes import GRACE_SECONDS, KEY
 from tests.soak.proxy import Way
 
 # Seconds that a planned stop may take beyond its grace, on a machine that is busy as well.
@@ -46,6 +46,7 @@
         self._busy = set()
         self._starts = itertools.count(FIRST_START)
         self._deadly = itertools.count(1)
+        self._keys = itertools.count(1)
         self._end = 0.0
         self.log = []
         self.findings = []
@@ -55,6 +56,7 @@
         if not planned:
             kinds += [self.kill, self.pause, self.hold, self.reset, self.outage, self.drain]
             kinds += [self.spoil, self.restart, self.stray, self.overwrite, self.deadly]
+            kinds += [self.revoke, self.reclaim, self.kill_holder, self.lose_duty_answers]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._rng.choice(kinds)
@@ -138,13 +140,13 @@
         self._site.store.faults.down = False
 
     async def drain(self):
-        upstream = self._rng.choice(list(self._site.upstreams.values()))
+        upstream = self._rng.choice(self._site.fixed)
         self._site.list_upstream(upstream, "draining")
         await asyncio.sleep(self._some_time(2.5))
         self._site.list_upstream(upstream)
 
     async def restart(self):
-        upstream = self._rng.choice(list(self._site.upstreams.values()))
+        upstream = self._rng.choice(self._site.fixed)
         self._site.restart_upstream(upstream, next(self._starts), cut=self._rng.random() < 0.5)
 
     async def stray(self):
@@ -155,7 +157,7 @@
 
     async def overwrite(self):
         """Have another writer put something else in the place of an upstream's entry."""
-        upstream = self._rng.choice(list(self._site.upstreams.values()))
+        upstream = self._rng.choice(self._site.fixed)
         record = upstream.record(self._site.addresses[upstream.instance])
         field, value = self._rng.choice(WRONG_FIELDS)
         self._site.store.put("servers", upstream.instance, {**record, field: value})
@@ -173,9 +175,35 @@
             name = f"deadly-{number}-{next(attempts)}"
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(DEADLY_PATIENCE):
-                    await ask(host.callers, path, name, body=body, **headers)
+                    await ask(host.callers, path, name, body=body, X_Key=KEY, **headers)
             await asyncio.sleep(self._some_time(0.5))
 
+    async def revoke(self):
+        self._site.replace_key(f"passing-{next(self._keys)}")
+
+    async def reclaim(self):
+        """Take all reclaimable engines of a zone away, and have none there for a while."""
+        zone = self._rng.choice(["hall-a", "hall-b"])
+        self._site.duties.reclaim(zone, self._some_time(0.8))
+        await asyncio.sleep(self._some_time(2.0))
+        self._site.duties.faults.dry_zones.discard(zone)
+
+    async def kill_holder(self):
+        """Kill the host that made the last duty call."""
+        calls = self._site.duties.calls
+        name = calls[-1].holder.partition("@")[0] if calls else ""
+        host = self._site.hosts.get(name)
+        if host is None or name in self._busy:
+            return
+        self._busy.add(name)
+        await host.kill()
+        await asyncio.sleep(self._some_time(0.6))
+        await host.start()
+        self._busy.discard(name)
+
+    async def lose_duty_answers(self):
+        self._site.duties.faults.lose_answers += 1
+
     async def spoil(self):
         script(self._site, self._rng.choice("se"), *self._rng.choices(STEPS, k=4))
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -21,6 +21,10 @@
 # How long an upstream is away after a crash, and by how much its next start is later.
 AWAY_SECONDS = 0.5
 LATER_START_MS = 60_000
+# For how long a key may be served after it was taken away, and the keys that stay.
+REVOKE_MS = 2000
+KEY, OTHER_KEY = "key-of-club", "key-of-liaison"
+SCALING = {"min": 1, "max": 4, "bootS": 0.2, "spotPrice": 0.15, "zonePrices": {}}
 
 
 class GatewayProcess:
@@ -68,6 +72,10 @@
 
     def __init__(self, folder):
         super().__init__()
+        # When each key that was taken away was acknowledged as such, in the loop's time.
+        self.removed_keys = {}
+        # The upstreams that were there at the start; others come and go by orders.
+        self.fixed = []
         self.folder = folder
         self.proxies = {}
         self.hosts = {}
@@ -88,11 +96,20 @@
 
     async def build(self, hosts):
         await self.start()
+        await self.start_duties()
+        self.bounds = {"strictRevoke": True, "revokeMs": REVOKE_MS, "reportWindowS": 1}
         declare_routes(self)
-        for number, role in enumerate(("prefill", "prefill", "decode", "decode")):
-            await self.add_upstream(StandInEngine(f"e{number}", "model", "hall-a", role))
+        self.services[0]["scaling"] = SCALING
+        self.workspaces = [
+            {"name": "club", "apiKeys": [KEY, "passing-0"], "priority": 1},
+            {"name": "liaison", "apiKeys": [OTHER_KEY], "priority": 0},
+        ]
+        for number, role in enumerate(("prefill", "decode", "prefill", "decode")):
+            zone = ZONES[number // 2]
+            await self.add_upstream(StandInEngine(f"e{number}", "model", zone, role))
         for number in range(3):
             await self.add_upstream(StandInUpstream(f"s{number}", "alerts", "hall-a"))
+        self.fixed = list(self.upstreams.values())
         self.allow_crashes(AWAY_SECONDS, LATER_START_MS)
         self.declare()
         for number in range(hosts):
@@ -102,6 +119,18 @@
             self.hosts[f"g{number}"] = GatewayProcess(f"g{number}", settings, self.folder)
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
+    @property
+    def passing_key(self):
+        """The key that is to be taken away next."""
+        return self.workspaces[0]["apiKeys"][1]
+
+    def replace_key(self, key):
+        """Take the passing key away, and give another one in its place."""
+        former = self.passing_key
+        self.workspaces[0] = {**self.workspaces[0], "apiKeys": [KEY, key]}
+        self.declare()
+        self.removed_keys[former] = asyncio.get_running_loop().time()
+
     def _settings_of(self, name, number, zone):
         ip = pick_ip(number)
         settings = self._make_settings(name, ip, zone)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 
 from tests.soak.callers import ONCE, expected_body
+from tests.soak.processes import OTHER_KEY
 
 # Crashes of one request after which it may reach few upstreams more, the seconds in which all hosts
 # must know of them, and how few.
@@ -11,9 +12,14 @@
 NOT_RUN = (408, 421, 429, 503)
 
 
+def list_all(site):
+    """Return all upstreams that there were, with what they recorded."""
+    return [*site.upstreams.values(), *site.duties.ended]
+
+
 def count_runs(site):
     runs = Counter()
-    for upstream in site.upstreams.values():
+    for upstream in list_all(site):
         runs.update(upstream.runs)
     return runs
 
@@ -47,10 +53,36 @@
             yield f"{item.name}: ran, and its connection to {item.host} ended without an answer"
 
 
+def check_keys(seen, runs, removed, bound):
+    """`removed` holds when each key was taken away; it may be served for `bound` seconds more."""
+    for item in seen:
+        at = removed.get(item.key)
+        if at is not None and item.began > at + bound and runs[item.name]:
+            late = item.began - at
+            yield f"{item.name}: ran with {item.key}, sent {late:.2f} s after that was taken away"
+        if at is None and item.answer is not None and item.answer.status == 401:
+            yield f"{item.name}: refused for {item.key}, which is in force"
+
+
+def check_workspaces(site, seen):
+    """Upstreams learn whose key a request carries, and never the key."""
+    owners = {item.name: "liaison" if item.key == OTHER_KEY else "club" for item in seen}
+    for upstream in list_all(site):
+        for name, headers in upstream.arrivals:
+            if "x-key" in headers:
+                yield f"{name}: its key was passed on"
+            if name in owners and headers.get("x-tenant") != owners[name]:
+                yield f"{name}: {headers.get('x-tenant')} in place of {owners[name]}"
+
+
+def check_duties(site):
+    yield from site.duties.broken
+
+
 def check_orders(site):
     holders = defaultdict(set)
-    for name, upstream in site.upstreams.items():
-        last = 0
+    for upstream in list_all(site):
+        name, last = upstream.instance, 0
         for order in getattr(upstream, "arrived_orders", ()):
             if order["fenceToken"] < last:
                 yield f"{name}: order with token {order['fenceToken']} after {last}"
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -11,7 +11,7 @@
 from tests.soak import promises
 from tests.soak.callers import STREAMS, CallerSet
 from tests.soak.faults import Faults, is_ready
-from tests.soak.processes import ProcessSite
+from tests.soak.processes import KEY, REVOKE_MS, ProcessSite
 
 # Seconds in which each host must serve each kind of request again after the last fault.
 RECOVERY_SECONDS = 30
@@ -51,6 +51,9 @@
         findings += promises.check_orders(site)
         findings += promises.check_versions(versions)
         findings += promises.check_crashes(site.crash_times)
+        findings += promises.check_keys(crowd.seen, runs, site.removed_keys, REVOKE_MS / 1000)
+        findings += promises.check_workspaces(site, crowd.seen)
+        findings += promises.check_duties(site)
         if planned:
             findings += promises.check_planned(crowd.seen, runs)
         served = sum(1 for item in crowd.seen if item.answer and item.answer.status == 200)
@@ -70,7 +73,7 @@
 
 async def check_recovery(site):
     """Return the hosts and kinds of requests that do not come back."""
-    for upstream in site.upstreams.values():
+    for upstream in site.fixed:
         upstream.script.steps.clear()
         site.list_upstream(upstream)
     findings = []
@@ -90,7 +93,9 @@
     while True:
         number += 1
         with contextlib.suppress(OSError):
-            answer = await ask(host.callers, f"/{kind}/a", f"end-{host.name}-{number}", **usage)
+            answer = await ask(
+                host.callers, f"/{kind}/a", f"end-{host.name}-{number}", X_Key=KEY, **usage
+            )
             if answer.status == 200 and answer.whole:
                 return
         await asyncio.sleep(0.1)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -66,7 +66,8 @@
 )
 def test_orders_that_go_back_or_share_a_token_are_found(orders, found):
     arrived = [{"holder": holder, "fenceToken": token} for holder, token in orders]
-    site = SimpleNamespace(upstreams={"e0": SimpleNamespace(arrived_orders=arrived)})
+    engine = SimpleNamespace(instance="e0", arrived_orders=arrived)
+    site = SimpleNamespace(upstreams={"e0": engine}, duties=SimpleNamespace(ended=[]))
     assert len(list(promises.check_orders(site))) == found
 
 
@@ -86,3 +87,39 @@
 )
 def test_a_request_that_goes_on_crashing_upstreams_is_found(times, found):
     assert len(list(promises.check_crashes({b"deadly 1": times}))) == found
+
+
+@pytest.mark.parametrize(
+    ("key", "sent_at", "ran", "status", "wanted"),
+    [
+        ("gone", 11.9, True, 200, 0),
+        ("gone", 12.1, True, 200, 1),
+        ("gone", 12.1, False, 401, 0),
+        ("stays", 12.1, True, 200, 0),
+        # A key that is in force is refused by no host, however little it knows.
+        ("stays", 12.1, False, 401, 1),
+        ("stays", 12.1, False, 503, 0),
+    ],
+)
+def test_keys_that_run_beyond_their_bound_or_are_refused_in_force_are_found(
+    key, sent_at, ran, status, wanted
+):
+    seen = [Observation("goal-1", "goal", "g0", Answer(status), sent_at, sent_at + 0.1, key)]
+    runs = Counter({"goal-1": int(ran)})
+    assert len(list(promises.check_keys(seen, runs, {"gone": 10.0}, 2.0))) == wanted
+
+
+@pytest.mark.parametrize(
+    ("headers", "wanted"),
+    [
+        ({"x-tenant": "club"}, 0),
+        ({"x-tenant": "liaison"}, 1),
+        ({}, 1),
+        ({"x-tenant": "club", "x-key": "k"}, 1),
+    ],
+)
+def test_a_key_that_is_passed_on_or_another_workspace_is_found(headers, wanted):
+    seen = [Observation("goal-1", "goal", "g0", None, 0.0, 0.1, "key-of-club")]
+    upstream = SimpleNamespace(arrivals=[("goal-1", headers)])
+    site = SimpleNamespace(upstreams={"s0": upstream}, duties=SimpleNamespace(ended=[]))
+    assert len(list(promises.check_workspaces(site, seen))) == wanted
