--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -30,8 +30,8 @@
 # Seconds beyond it after which most of what was ordered is listed: a heartbeat.
 SHOWN_SECONDS = 1.2
 # Seconds for which the list must have brought no more upstreams before what stands is taken for the
-# operators' own estimate: a heartbeat and a half. A plan by the first nine of 29 that were
-# listed lowered them to one in each zone.
+# operators' own estimate, and any of it is given up: a heartbeat and a half. A plan by the first
+# nine of 29 that were listed lowered them to one in each zone.
 LISTED_SECONDS = 2.0
 # Seconds before an order is made again for which none could be had, or that was not answered.
 AGAIN_SECONDS = 2.0
@@ -98,6 +98,7 @@
                 self._sent.clear()
                 self._needs.clear()
                 self._listed.clear()
+                self.plans.clear()
                 continue
             if self._is_store_away():
                 continue
@@ -117,14 +118,7 @@
         if not zones:
             return
         now = _now()
-        memory = self._needs.get(service)
-        if memory is None:
-            first = self._find_first_need(service, zones, now)
-            if first is None:
-                return
-            memory = self._needs[service] = NeedMemory()
-            memory.note(first, now)
-        need = memory.note(estimate_need(instances, self._demand.total(service, now)), now)
+        need = self._find_need(service, instances, zones, now)
         plans = choose_policy(scaling, len(zones)).plan(scaling, zones, need)
         self._note_plans(service, plans, need)
         self._count_paid(service, scaling, zones)
@@ -134,25 +128,44 @@
             await self._order(
                 service, plan.zone, True, plan.reclaimable, here.reclaimable, scaling, calls
             )
-            await self._order(service, plan.zone, False, plan.lasting, here.lasting, scaling, calls)
+            # While the list still grows, nothing that stands is given up.
+            if service in self._needs:
+                await self._order(
+                    service, plan.zone, False, plan.lasting, here.lasting, scaling, calls
+                )
+
+    def _find_need(
+        self, service: str, instances: list[Instance], zones: list[ZoneUpstreams], now: float
+    ) -> int:
+        """Return the need to plan for; it is remembered once all that stands has been listed."""
+        memory = self._needs.get(service)
+        if memory is None:
+            first, whole = self._find_first_need(service, zones, now)
+            if not whole:
+                return first
+            memory = self._needs[service] = NeedMemory()
+            memory.note(first, now)
+        return memory.note(estimate_need(instances, self._demand.total(service, now)), now)
 
-    def _find_first_need(self, service: str, zones: list[ZoneUpstreams], now: float) -> int | None:
-        """Return the need to begin with, until a minute of load has been seen.
+    def _find_first_need(
+        self, service: str, zones: list[ZoneUpstreams], now: float
+    ) -> tuple[int, bool]:
+        """Return the need to begin with, and whether it is the whole one.
 
         That is a former holder's; where nothing was ordered yet, what stands is the operators' own
-        estimate, and None while more of it is still being listed. What stands later may just be
+        estimate, which is whole once the list has stopped growing. What stands later may just be
         coming up or have been taken away.
         """
         lease = self._lease.lease
         needs = [item.need for item in lease.capacity if item.service == service] if lease else []
-        if needs:
-            return max(needs)
-        standing = count_lasting_through(zones)
+        if needs and service not in self._listed:
+            return max(needs), True
+        ordered = service in self.plans
+        standing = sum(item.lasting for item in zones) if ordered else count_lasting_through(zones)
         most, since = self._listed.get(service, (0, now))
         if standing > most:
-            self._listed[service] = (standing, now)
-            return None
-        return most if now - since >= LISTED_SECONDS else None
+            most, since = self._listed[service] = (standing, now)
+        return most, now - since >= LISTED_SECONDS
 
     def is_settling(self, service: str) -> bool:
         """Return whether most of a service's upstreams are still to come or to go.
@@ -260,6 +273,10 @@
         authority = Authority(lease.holder, lease.token)
         outcome = await calls.order_upstreams(authority, service, zone, wanted, reclaimable)
         self._sent[subject] = SentOrder(wanted, now, outcome)
+        beside = self._sent.get((service, zone, True))
+        if not reclaimable and wanted < standing and beside is not None:
+            # The platform may have started fewer reclaimable ones beside these: it can start them now.
+            beside.sent_at = float("-inf")
         if wanted > standing:
             self._settled_at[service] = now + scaling.boot_seconds + SHOWN_SECONDS
         if outcome is CallOutcome.REFUSED and reclaimable:
