--- a/tests/hosted/test_starts.py
+++ b/tests/hosted/test_starts.py
@@ -198,9 +198,9 @@
 )
 @on_site(engines=("decode", "decode", "decode"))
 async def test_a_lease_that_another_writer_spoiled_is_taken_again_with_a_higher_token(site, spec):
-    # With a lease that was noticed as lost while the answer to one of the holder's own writes was on
-    # its way (the orders of the start: two in a row without load), that answer gave it back, and the
-    # test waited in vain for the next write; 3 of 13 runs beside other work.
+    # With a lease that was noticed as lost while the answer to one of the holder's own writes was
+    # on its way (the orders of the start: two in a row without load), that answer gave it back, and
+    # the test waited in vain for the next write; 3 of 13 runs beside other work.
     duty = site.gateways["g0"].gateway._duties.roles
     await wait_until(lambda: duty._lease.lease is not None, "lease")
     engines = [item for item in site.upstreams.values() if hasattr(item, "role")]
