Roles are planned once four fifths of the reclaimable upstreams stand

Cause, by the log of a trial: the last of 39 was asked for again until 3 s before the load, roles waited for it until after the load had come, and 28 of 42 engines made tokens until 7.8 s.

--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -27,6 +27,9 @@
 LOOK_SECONDS = 0.5
 # Seconds beyond the declared time of a start until which an order may still be on its way.
 SETTLE_SECONDS = 3.0
+# Share of the planned reclaimable upstreams that stand from which on roles are planned: the last
+# ones are asked for again and again, and the load may come meanwhile.
+SETTLED_SHARE = 0.8
 # Seconds beyond it after which most of what was ordered is listed: a heartbeat.
 SHOWN_SECONDS = 1.2
 # Seconds for which the list must have brought no more upstreams before what stands is taken for the
@@ -174,7 +177,12 @@
         """
         if service in self._listed and service not in self._needs:
             return True
-        return _now() < self._settled_at.get(service, float("-inf"))
+        if _now() >= self._settled_at.get(service, float("-inf")):
+            return False
+        instances = self._fleet.list_service(service)
+        standing = sum(1 for item in instances if item.record.reclaimable)
+        planned = sum(plan.reclaimable for plan in self.plans.get(service, ()))
+        return standing < planned * SETTLED_SHARE
 
     def _list_zones(self, service: str, instances: list[Instance]) -> list[ZoneUpstreams]:
         """Return the zones in which the service runs, or was ordered to."""
