--- a/src/swifttrestle/internal/entry/crash_guard.py
+++ b/src/swifttrestle/internal/entry/crash_guard.py
@@ -6,6 +6,7 @@
 
 import socket
 import threading
+import time
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError, UpstreamBrokenError, UpstreamError
@@ -19,6 +20,11 @@
 
 # Seconds in which the look at an upstream's address must be answered.
 LOOK_SECONDS = 0.3
+# Looks at an address that still takes connections, and the seconds between two: a process that
+# ends closes its connections and its port one after the other, on a busy machine some milliseconds
+# apart. With a single look the scenario of a deadly request failed 8 times of 21 beside other work.
+LOOKS = 4
+LOOK_PAUSE_SECONDS = 0.02
 
 
 def name_call(workspace: str, path: str, body: bytes) -> RequestName:
@@ -86,7 +92,16 @@
 
 
 def is_refused(address: str) -> bool:
-    """Return whether nobody listens at an address, given as HOST:PORT."""
+    """Return whether nobody listens at an address, given as HOST:PORT, or soon nobody does."""
+    for look in range(LOOKS):
+        if look:
+            time.sleep(LOOK_PAUSE_SECONDS)
+        if _is_refused_now(address):
+            return True
+    return False
+
+
+def _is_refused_now(address: str) -> bool:
     try:
         socket.create_connection(split_address(address), LOOK_SECONDS).close()
     except ConnectionRefusedError:
--- a/tests/cover/test_entry_guard.py
+++ b/tests/cover/test_entry_guard.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError, UpstreamBrokenError, UpstreamBusyError
+from swifttrestle.internal.entry import crash_guard
 from swifttrestle.internal.entry.crash_guard import EntryCrashGuard, name_call
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import CRASHES_TO_QUARANTINE, FIRST_SECONDS
@@ -84,6 +85,24 @@
     guard.check("r1")
 
 
+def test_an_upstream_that_closes_its_port_a_moment_after_its_connections_has_crashed(
+    guard, monkeypatch
+):
+    """An entry looked once, and found the port of a dying engine open: it counted no crash.
+
+    The request went on to another engine, and ended three of four in place of two; 8 of 21 runs of
+    its scenario beside other work.
+    """
+    server = socket.create_server(("127.0.0.1", 0))
+    address = "{}:{}".format(*server.getsockname())
+    # The port is closed between the first look and the next one, whenever that is.
+    monkeypatch.setattr(crash_guard.time, "sleep", lambda _: server.close())
+    guard.begin("r1", NAME)
+    crash(guard, address)
+    with pytest.raises(RefusedError):
+        guard.check("r1")
+
+
 def test_its_own_answer_acquits_a_request(guard, closed):
     guard.begin("r1", NAME)
     crash(guard, closed, count=1)
