--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -7,12 +7,9 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
-from urllib.parse import parse_qs
-
-import orjson
 
 from swifttrestle.errors import InvalidSettingError
 from swifttrestle.internal.coordination.beliefs import BeliefKeeper
@@ -32,14 +29,13 @@
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.loop import run_in_loop
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.pages import Page, PageHandler
+from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
+from swifttrestle.internal.pages import PageHandler
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.request_names import read_shown_name
 from swifttrestle.internal.state.true_time import TrueTime
-from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
@@ -58,9 +54,6 @@
 EXIT_BAD_SETTING = 2
 # The port that deploy/system.toml names to the platform.
 METRICS_PORT = 9464
-READY_PATH = b"/v1/ready"
-# An operator posts here, with the query name=NAME, to have all hosts let a request go again.
-LIFT_PATH = b"/debug/quarantine/lift"
 # Connections that may wait to be accepted.
 BACKLOG = 1024
 # Seconds after a planned stop begins before idle connections are closed: the balancer asks
@@ -200,7 +193,16 @@
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
-        self._add_gauges()
+        self._operators = OperatorPages(
+            settings.host,
+            self.is_ready,
+            self._parts,
+            self._configuration,
+            self._gossip,
+            self._discovery,
+            self._duties,
+            self._store,
+        )
 
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
@@ -219,12 +221,9 @@
             self._start(task)
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
         await self._listen(settings.callers, self._handler, self._callers)
-        ready = PageHandler({READY_PATH: self._make_ready})
+        ready = PageHandler({READY_PATH: self._operators.make_ready})
         await self._listen(settings.readiness, ready, self._pages)
-        pages = PageHandler(
-            {b"/metrics": self._make_metrics, b"/debug/state": self._make_state},
-            {LIFT_PATH: self._lift_quarantine},
-        )
+        pages = self._operators.make_handler()
         await self._listen((settings.ip, self._metrics_port), pages, self._pages)
         log_decision("started", ip=settings.ip, zone=settings.zone)
         try:
@@ -382,59 +381,6 @@
         known = known and self._beliefs.is_young()
         return known and not self._stopping.is_set()
 
-    def _make_ready(self) -> Page:
-        return Page(200 if self.is_ready() else 503)
-
-    def _make_metrics(self) -> Page:
-        return Page(200, b"text/plain; version=0.0.4", self._metrics.render())
-
-    def _make_state(self) -> Page:
-        state = {
-            "host": self._settings.host,
-            "version": self._configuration.version,
-            "ready": self.is_ready(),
-            "live": self._gossip.live_hosts(),
-            "instances": describe_fleet(self._fleet),
-            "duties": self._duties.describe(),
-            "quarantine": describe_quarantine(self._parts.guard.quarantine, _now()),
-        }
-        return Page(200, b"application/json", orjson.dumps(state))
-
-    def _lift_quarantine(self, query: bytes) -> Page:
-        try:
-            name = read_shown_name(parse_qs(query.decode("latin-1")).get("name", [""])[0])
-        except ValueError as error:
-            return Page(400, content=f"name: {error}\n".encode())
-        if self._parts.guard.quarantine.find(name) is None:
-            return Page(404, content=f"name: {name} is not known; see /debug/state\n".encode())
-        self._parts.guard.acquit(name, "an operator")
-        return Page(200, content=f"{name} is let go\n".encode())
-
-    def _add_gauges(self) -> None:
-        gauges: list[tuple[str, str, Callable[[], float]]] = [
-            ("config_version", "Configuration in force", lambda: self._configuration.version),
-            ("live_hosts", "Hosts that live", lambda: len(self._gossip.live_hosts())),
-            (
-                "removals_held_back",
-                "Instances that the list lacks and that are in use",
-                lambda: len(self._discovery.removals),
-            ),
-            (
-                "quarantined_requests",
-                "Requests that are kept from upstreams, or were until a while ago",
-                lambda: len(self._parts.guard.quarantine.list_quarantined()),
-            ),
-            ("store_calls", "Calls to the object store", lambda: self._store.calls),
-            ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
-            ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
-        ]
-        for name, doc, read in gauges:
-            self._metrics.add_gauge(name, doc, read)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
 
 def main() -> None:
     """Run a gateway; a wrong setting ends it with its name, value and mend."""
--- /dev/null
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -0,0 +1,109 @@
+"""What a gateway shows the balancer and its operators: readiness, metrics, and its state."""
+
+import asyncio
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import orjson
+
+from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
+from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.duties import Duties
+from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.forward.parts import Parts
+from swifttrestle.internal.lines import WRITER
+from swifttrestle.internal.pages import Page, PageHandler
+from swifttrestle.internal.state.request_names import read_shown_name
+from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
+from swifttrestle.platform.store import ObjectStore
+
+READY_PATH = b"/v1/ready"
+# An operator posts here, with the query name=NAME, to have all hosts let a request go again.
+LIFT_PATH = b"/debug/quarantine/lift"
+
+
+class OperatorPages:
+    """The pages of one process."""
+
+    def __init__(
+        self,
+        host: str,
+        is_ready: Callable[[], bool],
+        parts: Parts,
+        configuration: ConfigurationKeeper,
+        gossip: Gossip,
+        discovery: Discovery,
+        duties: Duties,
+        store: ObjectStore,
+    ) -> None:
+        """Show what these parts know."""
+        self._host = host
+        self._is_ready = is_ready
+        self._parts = parts
+        self._configuration = configuration
+        self._gossip = gossip
+        self._discovery = discovery
+        self._duties = duties
+        self._store = store
+        self._add_gauges()
+
+    def make_handler(self) -> PageHandler:
+        """Return the handler of the operators' address."""
+        return PageHandler(
+            {b"/metrics": self._make_metrics, b"/debug/state": self._make_state},
+            {LIFT_PATH: self._lift_quarantine},
+        )
+
+    def make_ready(self) -> Page:
+        """Return what the balancer asks for."""
+        return Page(200 if self._is_ready() else 503)
+
+    def _make_metrics(self) -> Page:
+        return Page(200, b"text/plain; version=0.0.4", self._parts.metrics.render())
+
+    def _make_state(self) -> Page:
+        state = {
+            "host": self._host,
+            "version": self._configuration.version,
+            "ready": self._is_ready(),
+            "live": self._gossip.live_hosts(),
+            "instances": describe_fleet(self._parts.fleet),
+            "duties": self._duties.describe(),
+            "quarantine": describe_quarantine(self._parts.guard.quarantine, _now()),
+        }
+        return Page(200, b"application/json", orjson.dumps(state))
+
+    def _lift_quarantine(self, query: bytes) -> Page:
+        try:
+            name = read_shown_name(parse_qs(query.decode("latin-1")).get("name", [""])[0])
+        except ValueError as error:
+            return Page(400, content=f"name: {error}\n".encode())
+        if self._parts.guard.quarantine.find(name) is None:
+            return Page(404, content=f"name: {name} is not known; see /debug/state\n".encode())
+        self._parts.guard.acquit(name, "an operator")
+        return Page(200, content=f"{name} is let go\n".encode())
+
+    def _add_gauges(self) -> None:
+        gauges: list[tuple[str, str, Callable[[], float]]] = [
+            ("config_version", "Configuration in force", lambda: self._configuration.version),
+            ("live_hosts", "Hosts that live", lambda: len(self._gossip.live_hosts())),
+            (
+                "removals_held_back",
+                "Instances that the list lacks and that are in use",
+                lambda: len(self._discovery.removals),
+            ),
+            (
+                "quarantined_requests",
+                "Requests that are kept from upstreams, or were until a while ago",
+                lambda: len(self._parts.guard.quarantine.list_quarantined()),
+            ),
+            ("store_calls", "Calls to the object store", lambda: self._store.calls),
+            ("upstream_connections", "Connections opened", lambda: self._parts.pool.opened),
+            ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
+        ]
+        for name, doc, read in gauges:
+            self._parts.metrics.add_gauge(name, doc, read)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
