A half-listed need is no need for the next holder; a lease lost beside a look ends no process

Found on reading the change: an order made while the list still grows was recorded with the need of what was listed by then, and the next holder would have given up all that was listed later (the test fails without the change: it settles with six in place of nine). And a look over several services asserted a lease that another duty may have lost meanwhile, which would have ended the process; it is a LeaseLostError now, as for any other write.

--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -19,7 +19,7 @@
 )
 from swifttrestle.internal.state.declared import Configuration, Scaling
 from swifttrestle.internal.state.demand import DemandMeter
-from swifttrestle.internal.state.duties import RecordedCapacity
+from swifttrestle.internal.state.duties import DutyLease, RecordedCapacity
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.platform.duties import Authority, CallOutcome, DutyCalls
 
@@ -159,11 +159,10 @@
         estimate, which is whole once the list has stopped growing. What stands later may just be
         coming up or have been taken away.
         """
-        lease = self._lease.lease
-        needs = [item.need for item in lease.capacity if item.service == service] if lease else []
-        if needs and service not in self._listed:
-            return max(needs), True
-        ordered = service in self.plans
+        ordered = [item for item in self._find_lease().capacity if item.service == service]
+        need = max((item.need for item in ordered), default=0)
+        if need:
+            return need, True
         standing = sum(item.lasting for item in zones) if ordered else count_lasting_through(zones)
         most, since = self._listed.get(service, (0, now))
         if standing > most:
@@ -184,11 +183,16 @@
         planned = sum(plan.reclaimable for plan in self.plans.get(service, ()))
         return standing < planned * SETTLED_SHARE
 
+    def _find_lease(self) -> DutyLease:
+        """Return the lease; raise LeaseLostError where another duty has found it lost meanwhile."""
+        if self._lease.lease is None:
+            raise LeaseLostError("the lease is not held")
+        return self._lease.lease
+
     def _list_zones(self, service: str, instances: list[Instance]) -> list[ZoneUpstreams]:
         """Return the zones in which the service runs, or was ordered to."""
-        assert self._lease.lease is not None
         now = _now()
-        ordered = {item.zone for item in self._lease.lease.capacity if item.service == service}
+        ordered = {item.zone for item in self._find_lease().capacity if item.service == service}
         zones = sorted({item.record.zone for item in instances} | ordered)
         found = []
         for zone in zones:
@@ -272,7 +276,9 @@
             return
         if last is not None and last.count == wanted and not self._is_due(last, standing, scaling):
             return
-        record = RecordedCapacity(service, zone, reclaimable, wanted, self.needs[service])
+        # What is ordered while the list still grows is no need for the next holder to keep to.
+        need = self.needs[service] if service in self._needs else 0
+        record = RecordedCapacity(service, zone, reclaimable, wanted, need)
         until = await self._lease.write_down(lambda held: held.with_capacity(record))
         lease, now = self._lease.lease, _now()
         if lease is None or now > until:
--- a/src/swifttrestle/internal/state/duties.py
+++ b/src/swifttrestle/internal/state/duties.py
@@ -27,7 +27,8 @@
 class RecordedCapacity:
     """How many upstreams of a kind were ordered last for a service in a zone.
 
-    `need` is how many the whole service had to have then, by the holder that ordered.
+    `need` is how many the whole service had to have then, by the holder that ordered; 0 where that
+    was not known yet.
     """
 
     service: str
--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -225,6 +225,22 @@
     assert first.body["spot"] is True
 
 
+@on_duty_site(engines=2, gateways=3)
+async def test_a_holder_that_is_lost_while_the_list_grows_leaves_no_half_need(site):
+    """Orders that are made while the list still grows name what is listed by then.
+
+    Found on reading: the next holder would have taken that for the need, and given up all engines
+    that were listed later.
+    """
+    await wait_until(lambda: site.duties.calls, "the first order")
+    holder = site.duties.calls[0].holder.partition("@")[0]
+    site.gateways[holder].task.cancel()
+    for zone in ("hall-a", "hall-b", "hall-c"):
+        await site.add_upstream(StandInEngine(f"{zone}-2", "model", zone, "prefill"))
+    # Nine stood; the need of the first six would end with six reclaimable ones.
+    await wait_until(lambda: count_kinds(site) == (3, 9), "settled by all nine")
+
+
 @on_duty_site(engines=3)
 async def test_a_zone_that_is_reclaimed_is_ordered_again_until_it_can_be_had(site):
     await wait_until(lambda: count_kinds(site) == (3, 9), "settled")
