An entry of the configuration is read once where it was read three times

One function reads an entry, tells of a bad one and returns its version; what is taken, skipped and proved stays as it is.

--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -16,6 +16,7 @@
 from swifttrestle.internal.policy.backoff import draw_pause
 from swifttrestle.internal.protocol.copies import ConfigurationCopy
 from swifttrestle.internal.state.belief import ConfigurationBelief
+from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.routes import RouteTable
 from swifttrestle.platform.objects import StoredObject, UnreadObject
 from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
@@ -71,14 +72,30 @@
 
     def take(self, raw: Any, source: str) -> bool:
         """Put a version in force if it is newer; return whether it was."""
+        before = self.version
+        try:
+            self._read_version(raw, source)
+        except BadEntryError:
+            # It was skipped and counted; the version in force holds.
+            return False
+        return self.version > before
+
+    def _read_version(self, raw: Any, source: str) -> int:
+        """Put a version in force if it is newer; return its number.
+
+        Raises BadEntryError for one that cannot be read, after it was skipped.
+        """
         began = read_seconds()
         try:
             configuration = read_configuration(raw)
         except BadEntryError as error:
             self._skipped.skip(CONFIG_KIND, CONFIG_NAME, error, raw)
-            return False
-        if configuration.version <= self.version:
-            return False
+            raise
+        if configuration.version > self.version:
+            self._put(configuration, raw, source, began)
+        return configuration.version
+
+    def _put(self, configuration: Configuration, raw: Any, source: str, began: float) -> None:
         before = self.version
         self.table = RouteTable(configuration)
         log_decision(
@@ -91,7 +108,6 @@
         )
         self.raw = raw
         self._changed()
-        return True
 
     def copy(self) -> ConfigurationCopy | None:
         """Return the version in force for a peer, or None where none is known."""
@@ -158,15 +174,13 @@
     def _note_proof(self, item: StoredObject, asked_at: float) -> None:
         """Take over that an entry was the newest one at a time; one that is not taken is none."""
         if item.revision != self._confirmed[0]:
-            self._take_item(item)
-            self._confirmed = (item.revision, read_configuration(item.spec).version)
+            self._confirmed = (item.revision, self._read_version(item.spec, "store"))
         self.belief.note(self._confirmed[1], asked_at)
 
     async def _read(self) -> None:
         asked_at = asyncio.get_running_loop().time()
         snapshot = await self._store.list(CONFIG_KIND)
         for item in snapshot.items:
-            self._take_item(item)
             if item.name == CONFIG_NAME:
                 self._note_listed(item, asked_at)
         for unread in snapshot.unread:
