Hosts that prove versions are found by the class that finds representatives

BeliefKeeper wrote again what Representatives has: this zone's, and those of the other zones. The same hosts are asked, drawn from the same sets.

--- a/src/swifttrestle/internal/coordination/beliefs.py
+++ b/src/swifttrestle/internal/coordination/beliefs.py
@@ -13,9 +13,10 @@
 
 from swifttrestle.errors import BadEntryError, NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
+from swifttrestle.internal.coordination.representatives import Representatives
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.revocation import is_young
-from swifttrestle.internal.policy.scheduling import is_large, list_representatives
+from swifttrestle.internal.policy.scheduling import is_large
 from swifttrestle.internal.protocol.beliefs import (
     BeliefAnswer,
     BeliefQuestion,
@@ -71,6 +72,7 @@
         self._socket = socket
         self._me = me
         self._list_members = list_members
+        self._representatives = Representatives(me, list_members)
         self._fetch_later = fetch_later
         self._true_time = true_time
         self._bound = bound
@@ -122,8 +124,7 @@
         return large and self.has_keys() and not self._is_reader() and self.age < self._widen_age
 
     def _is_reader(self) -> bool:
-        readers = list_representatives(self._list_members(), self._me.zone)
-        return any(item.host == self._me.host for item in readers)
+        return self._me.host in self._representatives.list_own()
 
     def _reads_besides(self) -> bool:
         """Return whether to read the store for want of a word, or in the place of readers."""
@@ -145,15 +146,14 @@
             return False
 
     def _choose_hosts(self) -> list[Member]:
-        members = self._list_members()
-        others = [item for item in members if item.host != self._me.host]
-        near = [item for item in list_representatives(members, self._me.zone) if item in others]
+        others = [item for item in self._list_members() if item.host != self._me.host]
+        readers = self._representatives.list_own()
         if self.age < self._widen_age:
+            near = [item for item in others if item.host in readers]
             return [self._rng.choice(near)] if near else []
-        zones = {item.zone for item in members}
-        readers = {item for zone in zones for item in list_representatives(members, zone)}
+        readers |= self._representatives.list_others()
         drawn = self._rng.sample(others, min(DRAWN_HOSTS, len(others)))
-        return [item for item in others if item in readers or item in drawn]
+        return [item for item in others if item.host in readers or item in drawn]
 
     def _ask(self, hosts: Sequence[Member]) -> None:
         now = _now()
