--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -216,8 +216,7 @@
 
         Example: swifttrestle-ctl dump 127.0.0.1:9090
         """
-        response = make_client(5.0).request("GET", f"http://{ops}/debug/state")
-        _say(orjson.dumps(orjson.loads(response.data), option=orjson.OPT_INDENT_2).decode())
+        _say(orjson.dumps(_read_state(ops), option=orjson.OPT_INDENT_2).decode())
 
     def duties(self, ops: str) -> None:
         """Show capacity and usage as the gateway at an operators' address knows them.
@@ -228,8 +227,7 @@
 
         Example: swifttrestle-ctl duties 10.1.0.35:9464
         """
-        response = make_client(5.0).request("GET", f"http://{ops}/debug/state")
-        state = orjson.loads(response.data)
+        state = _read_state(ops)
         if "duties" not in state:
             raise InvalidSettingError(f"ops: {ops!r} is no gateway; give the address of one")
         for line in describe_duties(state["duties"]):
@@ -311,6 +309,12 @@
         raise InvalidResourceError(f"{kind!r} is no kind; give one of {', '.join(KINDS)}")
 
 
+def _read_state(ops: str) -> Any:
+    """Return the whole state of one process, given its operators' address."""
+    response = make_client(5.0).request("GET", f"http://{ops}/debug/state")
+    return orjson.loads(response.data)
+
+
 def _say(line: str) -> None:
     sys.stdout.write(line + "\n")
     sys.stdout.flush()
