Prices and kinds of upstreams are counted by one function each

The price of a kind in a zone stood three times (metrics, state dump, model), the count of kinds and the name of a kind twice.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -170,7 +170,8 @@
 
 def _price(zones: dict[str, Zone], scaling: Scaling) -> float:
     return sum(
-        scaling.prices[name] * (zone.lasting + scaling.reclaimable_price * zone.reclaimable)
+        zone.lasting * scaling.find_price(name, reclaimable=False)
+        + zone.reclaimable * scaling.find_price(name, reclaimable=True)
         for name, zone in zones.items()
     )
 
--- a/src/swifttrestle/internal/coordination/capacity.py
+++ b/src/swifttrestle/internal/coordination/capacity.py
@@ -196,25 +196,19 @@
         zones = sorted({item.record.zone for item in instances} | ordered)
         found = []
         for zone in zones:
-            kinds = [item.record.reclaimable for item in instances if item.record.zone == zone]
             dry = self._dry_until.get((service, zone), 0.0) > now
             counts = service in self._counts_standing
-            found.append(ZoneUpstreams(zone, kinds.count(False), kinds.count(True), dry, counts))
+            found.append(ZoneUpstreams(zone, *_count_kinds(instances, zone), dry, counts))
         return found
 
     def _count_paid(self, service: str, scaling: Scaling, zones: list[ZoneUpstreams]) -> None:
         """Count what stands and what it costs, for the time since the last look."""
         for item in zones:
-            price = scaling.prices.get(item.zone, 1.0)
-            for kind, count, share in (
-                ("lasting", item.lasting, 1.0),
-                ("reclaimable", item.reclaimable, scaling.reclaimable_price),
-            ):
-                labels = {"service": service, "zone": item.zone, "kind": kind}
-                self._metrics.count(
-                    "capacity_upstream_seconds_total", count * LOOK_SECONDS, **labels
-                )
-                paid = count * price * share * LOOK_SECONDS
+            for reclaimable, count in ((False, item.lasting), (True, item.reclaimable)):
+                labels = {"service": service, "zone": item.zone, "kind": _name_kind(reclaimable)}
+                seconds = count * LOOK_SECONDS
+                paid = seconds * scaling.find_price(item.zone, reclaimable)
+                self._metrics.count("capacity_upstream_seconds_total", seconds, **labels)
                 self._metrics.count("capacity_paid_total", paid, **labels)
 
     def describe(self) -> dict[str, Any]:
@@ -236,15 +230,16 @@
         instances = self._fleet.list_service(service)
         zones = {}
         for plan in plans:
-            kinds = [i.record.reclaimable for i in instances if i.record.zone == plan.zone]
-            lasting, reclaimable = kinds.count(False), kinds.count(True)
-            price = scaling.prices.get(plan.zone, 1.0) if scaling else 0.0
-            share = scaling.reclaimable_price if scaling else 0.0
+            lasting, reclaimable = _count_kinds(instances, plan.zone)
+            price = 0.0
+            if scaling is not None:
+                price += lasting * scaling.find_price(plan.zone, reclaimable=False)
+                price += reclaimable * scaling.find_price(plan.zone, reclaimable=True)
             zones[plan.zone] = {
                 "lasting": {"standing": lasting, "planned": plan.lasting},
                 "reclaimable": {"standing": reclaimable, "planned": plan.reclaimable},
                 "none_to_be_had": self._dry_until.get((service, plan.zone), 0.0) > _now(),
-                "price_per_second": round(price * (lasting + share * reclaimable), 3),
+                "price_per_second": round(price, 3),
             }
         return {"need": self.needs.get(service, 0), "zones": zones}
 
@@ -297,7 +292,7 @@
             self._counts_standing.add(service)
         if outcome is CallOutcome.NONE_TO_BE_HAD:
             self._dry_until[service, zone] = now + DRY_SECONDS
-        kind = "reclaimable" if reclaimable else "lasting"
+        kind = _name_kind(reclaimable)
         self._metrics.count("capacity_orders_total", kind=kind, outcome=outcome.value)
         log_decision(
             "upstreams ordered",
@@ -324,5 +319,15 @@
         return standing != last.count and since >= scaling.boot_seconds + SETTLE_SECONDS
 
 
+def _count_kinds(instances: list[Instance], zone: str) -> tuple[int, int]:
+    """Return how many lasting and how many reclaimable upstreams serve in a zone."""
+    kinds = [item.record.reclaimable for item in instances if item.record.zone == zone]
+    return kinds.count(False), kinds.count(True)
+
+
+def _name_kind(reclaimable: bool) -> str:
+    return "reclaimable" if reclaimable else "lasting"
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/state/declared.py
+++ b/src/swifttrestle/internal/state/declared.py
@@ -46,6 +46,10 @@
     prices: dict[str, float]
     reclaimable_price: float = 1.0
 
+    def find_price(self, zone: str, reclaimable: bool) -> float:
+        """Return the price of one second of an upstream of a kind in a zone."""
+        return self.prices.get(zone, 1.0) * (self.reclaimable_price if reclaimable else 1.0)
+
 
 @dataclass(frozen=True)
 class ServiceDeclaration:
