Sites of keys and of duties run by the one decorator that hosted tests have

Two decorators wrote on_site's loop and clean-up again, one of them handing monkeypatch to tests that do not use it; on_built takes the builder and a check for after the test. SCALING and count_kinds stood in the demo and in the tests; they stand with the stand-in of the duties now. The same tests run and keep their assertions; the check that no duty call broke a rule runs after each test as before.

--- a/src/swifttrestle_standins/hosted/demo.py
+++ b/src/swifttrestle_standins/hosted/demo.py
@@ -12,6 +12,7 @@
 from swifttrestle.internal.transport.messages import Body, Framing
 from swifttrestle.internal.transport.pool import ConnectionPool, call_once
 from swifttrestle.internal.transport.upstream import OutgoingRequest
+from swifttrestle_standins.hosted.duties import SCALING, count_kinds
 from swifttrestle_standins.hosted.site import Site, make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import (
     StandInEngine,
@@ -22,13 +23,6 @@
 
 ANSWER_LIMIT = 1 << 20
 HALLS = ("hall-a", "hall-b", "hall-c")
-SCALING = {
-    "min": 1,
-    "max": 6,
-    "bootS": 0.2,
-    "spotPrice": 0.15,
-    "zonePrices": {"hall-a": 1.0, "hall-b": 0.9, "hall-c": 1.2},
-}
 REQUESTS = (
     ("/verdict/match", "9000,50", "a long prompt, read by one engine and answered by another"),
     ("/chat/fan", "50,500", "a short prompt, straight to a decoding engine"),
@@ -134,13 +128,6 @@
     say(f"usage reported, {len(duties.broken)} rules broken by duty calls")
 
 
-def count_kinds(site: Site) -> tuple[int, int]:
-    """Return the lasting and the reclaimable engines that serve or come up."""
-    engines = [item for item in site.upstreams.values() if isinstance(item, StandInEngine)]
-    kinds = [item.reclaimable for item in engines if not site.leaves(item)]
-    return kinds.count(False), kinds.count(True)
-
-
 async def run_duties() -> int:
     """Run the part on keys and duties; return the number of wrong answers."""
     site = await start_duty_site()
--- a/src/swifttrestle_standins/hosted/duties.py
+++ b/src/swifttrestle_standins/hosted/duties.py
@@ -17,6 +17,14 @@
     from swifttrestle_standins.hosted.site import Site
 
 BODY_LIMIT = 4 * 1024 * 1024
+# What a service in three zones may declare of its ordering.
+SCALING = {
+    "min": 1,
+    "max": 6,
+    "bootS": 0.2,
+    "spotPrice": 0.15,
+    "zonePrices": {"hall-a": 1.0, "hall-b": 0.9, "hall-c": 1.2},
+}
 
 
 @dataclass
@@ -162,3 +170,10 @@
         """Start and end nothing any more."""
         for task in list(self._tasks):
             task.cancel()
+
+
+def count_kinds(site: "Site") -> tuple[int, int]:
+    """Return the lasting and the reclaimable engines that serve or come up."""
+    engines = [item for item in site.upstreams.values() if isinstance(item, StandInEngine)]
+    kinds = [item.reclaimable for item in engines if not site.leaves(item)]
+    return kinds.count(False), kinds.count(True)
--- a/tests/hosted/sites.py
+++ b/tests/hosted/sites.py
@@ -40,14 +40,20 @@
 
 def on_site(**build):
     """Run an async test with a site of its own, and stop the site after it."""
+    return on_built(lambda: build_site(**build))
+
+
+def on_built(build, check=lambda _: None):
+    """Run an async test with a site that `build` makes; `check` the site once it has passed."""
 
     def decorate(test):
         @functools.wraps(test)
         def run(*args, **kwargs):
             async def whole():
-                site = await build_site(**build)
+                site = await build()
                 try:
                     await test(site, *args, **kwargs)
+                    check(site)
                 finally:
                     await site.stop()
 
--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -12,19 +12,13 @@
 import pytest
 
 from swifttrestle.internal.duty_report import describe_duties
+from swifttrestle_standins.hosted.duties import SCALING, count_kinds
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine
 from tests.common.http import ask
-from tests.hosted.sites import address_of, build_site
+from tests.hosted.sites import address_of, build_site, on_built
 
 WINDOW = 1
-SCALING = {
-    "min": 1,
-    "max": 6,
-    "bootS": 0.2,
-    "spotPrice": 0.15,
-    "zonePrices": {"hall-a": 1.0, "hall-b": 0.9, "hall-c": 1.2},
-}
 
 
 async def build_duty_site(gateways=2, engines=0):
@@ -51,24 +45,11 @@
 
 def on_duty_site(**build):
     """Run an async test on a site with duties, and check that no call broke a rule."""
+    return on_built(lambda: build_duty_site(**build), check_calls)
 
-    def decorate(test):
-        def run():
-            async def whole():
-                site = await build_duty_site(**build)
-                try:
-                    await test(site)
-                    assert site.duties.broken == []
-                finally:
-                    await site.stop()
 
-            asyncio.run(whole())
-
-        run.__name__ = test.__name__
-        run.__doc__ = test.__doc__
-        return run
-
-    return decorate
+def check_calls(site):
+    assert site.duties.broken == []
 
 
 async def send(site, count, gateway="g0", key="key-1"):
@@ -186,13 +167,6 @@
     await wait_for_usage(site, {"club": 4})
 
 
-def count_kinds(site):
-    engines = [item for item in site.upstreams.values() if hasattr(item, "reclaimable")]
-    serving = [item for item in engines if not site.leaves(item)]
-    lasting = sum(1 for item in serving if not item.reclaimable)
-    return lasting, len(serving) - lasting
-
-
 @on_duty_site(engines=3)
 async def test_lasting_engines_go_as_reclaimable_ones_serve_in_their_place(site):
     least = [9]
--- a/tests/hosted/test_workspaces.py
+++ b/tests/hosted/test_workspaces.py
@@ -14,7 +14,7 @@
 from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import make_route, wait_until
 from tests.common.http import RawCaller, ask, write_request
-from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs
+from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs, on_built
 
 FIRST, SECOND, TAKEN = "key-of-club-1", "key-of-club-2", "key-that-goes"
 KINDS = (
@@ -28,28 +28,17 @@
 def on_keyed_site(gateways=1, revoke_ms=5000):
     """Run an async test on a site whose callers need keys."""
 
-    def decorate(test):
-        def run(monkeypatch):
-            async def whole():
-                site = await build_site(gateways=0)
-                try:
-                    site.bounds = {"strictRevoke": True, "revokeMs": revoke_ms}
-                    site.routes.append(make_route("open", "safe", "alerts", public=True))
-                    declare_keys(site, FIRST, SECOND, TAKEN)
-                    for number in range(gateways):
-                        await site.add_gateway(f"g{number}", number)
-                    await site.wait_ready()
-                    await test(site, monkeypatch)
-                finally:
-                    await site.stop()
+    async def build():
+        site = await build_site(gateways=0)
+        site.bounds = {"strictRevoke": True, "revokeMs": revoke_ms}
+        site.routes.append(make_route("open", "safe", "alerts", public=True))
+        declare_keys(site, FIRST, SECOND, TAKEN)
+        for number in range(gateways):
+            await site.add_gateway(f"g{number}", number)
+        await site.wait_ready()
+        return site
 
-            asyncio.run(whole())
-
-        run.__name__ = test.__name__
-        run.__doc__ = test.__doc__
-        return run
-
-    return decorate
+    return on_built(build)
 
 
 def declare_keys(site, *keys):
@@ -70,7 +59,7 @@
 
 
 @on_keyed_site()
-async def test_upstreams_learn_the_workspace_and_never_the_key(site, _):
+async def test_upstreams_learn_the_workspace_and_never_the_key(site):
     for number, (path, headers) in enumerate(KINDS):
         answer = await ask(
             address_of(site), path, f"r{number}", X_Key=FIRST, X_Tenant="liaison", **headers
@@ -86,7 +75,7 @@
 
 
 @on_keyed_site()
-async def test_a_workspaces_priority_goes_to_engines_in_place_of_the_routes(site, _):
+async def test_a_workspaces_priority_goes_to_engines_in_place_of_the_routes(site):
     await ask(address_of(site), "/verdict/a", "v1", X_Token_Usage=LONG, X_Key=FIRST)
     await ask(address_of(site), "/chat/a", "c1", X_Token_Usage=SHORT, X_Key="key-of-liaison")
     told = {name: headers["x-request-priority"] for name, headers in list_arrivals(site)}
@@ -94,7 +83,7 @@
 
 
 @on_keyed_site()
-async def test_a_request_without_a_key_that_is_in_force_runs_nowhere(site, _):
+async def test_a_request_without_a_key_that_is_in_force_runs_nowhere(site):
     for number, keys in enumerate(([], [""], ["no-such-key"], ["x" * 7000], [FIRST, SECOND])):
         caller = await RawCaller.connect(address_of(site))
         data = write_request("/goal/a", f"n{number}")
@@ -108,7 +97,7 @@
 
 
 @on_keyed_site()
-async def test_a_public_route_needs_no_key_and_still_takes_no_wrong_one(site, _):
+async def test_a_public_route_needs_no_key_and_still_takes_no_wrong_one(site):
     answer = await ask(address_of(site), "/open/a", "o1", method="GET", X_Tenant="club")
     assert answer.status == 200
     ((_, headers),) = list_arrivals(site)
@@ -120,7 +109,7 @@
 
 
 @on_keyed_site()
-async def test_a_key_that_is_taken_away_ends_on_kept_connections_too(site, _):
+async def test_a_key_that_is_taken_away_ends_on_kept_connections_too(site):
     caller = await RawCaller.connect(address_of(site))
     caller.send(write_request("/goal/a", "before", X_Key=TAKEN))
     assert (await caller.read_answer()).status == 200
@@ -136,9 +125,7 @@
 
 
 @on_keyed_site(revoke_ms=1500)
-async def test_a_host_that_hears_nothing_refuses_keys_before_their_bound_and_says_come_back(
-    site, _
-):
+async def test_a_host_that_hears_nothing_refuses_keys_before_their_bound_and_says_come_back(site):
     address = address_of(site)
     gateway = site.gateways["g0"].gateway
     site.store.faults.down = True
@@ -158,7 +145,7 @@
 
 
 @on_keyed_site(gateways=4, revoke_ms=2500)
-async def test_hosts_that_the_store_turns_away_serve_keys_by_their_peers_word(site, _):
+async def test_hosts_that_the_store_turns_away_serve_keys_by_their_peers_word(site):
     """The words of peers are young enough for as long as one host reads the store."""
     gateways = [item.gateway for item in site.gateways.values()]
     for gateway in gateways:
@@ -186,10 +173,10 @@
 
 
 @on_keyed_site()
-async def test_no_key_stands_in_what_a_host_tells_of_itself(site, patch):
+async def test_no_key_stands_in_what_a_host_tells_of_itself(site, monkeypatch):
     """Every line, metric and dump of a played scenario, for each of the keys."""
     lines = []
-    with patch.context() as patched:
+    with monkeypatch.context() as patched:
         patched.setattr(WRITER, "put", lambda event, fields: lines.append(f"{event} {fields}"))
         for number, (path, headers) in enumerate(KINDS):
             for key in (FIRST, "no-such-key"):
