Hosts read what upstreams say of themselves, and show it in lines and metrics

The record of the limit that was passed by could not tell whether hosts had heard it: no line shows what an answer says of its upstream. Each answer's head now goes through one place, before anybody gets the answer; lines tell of limits, rest and leaving, counters how many requests went to upstreams in which condition. Nothing acts on it yet.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -242,7 +242,7 @@
         )
         began = asyncio.get_running_loop().time()
         plan = AttemptPlan(decoder, added, patience)
-        async with self._parts.guard.attempt(ctx, decoder):
+        async with self._parts.attempt(ctx, decoder):
             await make_attempt(ctx, self._parts.pool, plan, relay)
         now = asyncio.get_running_loop().time()
         self._parts.demand.note_hold(ctx.route.name, now - began)
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -1,8 +1,10 @@
 """What the forwarders share: the fleet, the connections, the budget and the ejector."""
 
 import asyncio
+import contextlib
 import random
 from collections import deque
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
@@ -12,6 +14,7 @@
     UpstreamSilentError,
     UpstreamUnreachedError,
 )
+from swifttrestle.internal.forward.conditions import Conditions
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.lines import log_decision
@@ -87,9 +90,24 @@
         self.ejector = Ejector(EJECTION_CAP, RETURN_SECONDS)
         self.guard = CrashGuard(self.pool, Quarantine(rng.random()), metrics)
         self.crashes = self.guard.watch
+        self.conditions = Conditions(fleet, metrics)
+        self.pool.on_answer = self.conditions.hear
         fleet.on_replaced = self._end_start
         fleet.on_removed = self.crashes.note_withdrawn
 
+    @contextlib.asynccontextmanager
+    async def attempt(
+        self, ctx: Context, instance: Instance, *, acquits: bool = True
+    ) -> AsyncIterator[None]:
+        """Send a request to an upstream, for a prompt's reading too; all go through here.
+
+        Raises RefusedError where the request is kept from upstreams. Where it `acquits`, its end
+        without an error means that the request got its own answer.
+        """
+        async with self.guard.attempt(ctx, instance, acquits=acquits):
+            self.conditions.note_sent(instance)
+            yield
+
     def list_usable(self, service: str, now: float) -> list[Instance]:
         """Return a service's instances that are neither leaving nor left out as broken."""
         listed = self.fleet.list_service(service)
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -88,7 +88,7 @@
         instance.own = instance.own.plus(ONE)
         self._parts.ejector.note_use(instance.name, now)
         try:
-            async with self._parts.guard.attempt(ctx, instance):
+            async with self._parts.attempt(ctx, instance):
                 await make_attempt(ctx, self._parts.pool, plan, relay)
             self._parts.ejector.note_success(instance.name, asyncio.get_running_loop().time())
         finally:
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -87,7 +87,7 @@
         expected = booking.wait + booking.fetch_seconds + booking.tokens / reader.pace
         limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
         try:
-            async with self._parts.guard.attempt(ctx, reader, acquits=False):
+            async with self._parts.attempt(ctx, reader, acquits=False):
                 handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
             use.outcome = Outcome.DONE
             self._parts.ejector.note_success(reader.name, loop.time())
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections import defaultdict, deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from swifttrestle.errors import UpstreamUnreachedError
@@ -55,12 +56,16 @@
         self._lent: dict[str, set[UpstreamConnection]] = defaultdict(set)
         self._drop_at = float("-inf")
         self.opened = 0
+        # Called with the instance, the head of each of its answers and the loop's time at which
+        # the request was sent, before anybody else gets the answer.
+        self.on_answer: Callable[[str, AnswerHead, float], None] = _ignore
 
     @contextlib.asynccontextmanager
     async def borrow(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection; it is kept only where `give_back` says so before the end."""
         connection = self._take_idle(instance) or await self._connect(address)
         self._lent[instance].add(connection)
+        connection.on_head = functools.partial(self.on_answer, instance)
         try:
             yield connection
         except BaseException:
@@ -149,6 +154,10 @@
         return protocol
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing: nobody wants to know."""
+
+
 def _bound_silence(sock: socket.socket, unacknowledged_ms: int) -> None:
     """Have the kernel break a connection whose other end is not heard any more."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import httptools
@@ -60,6 +60,8 @@
         self._heard = False
         self.reusable = True
         self.idle_until = 0.0
+        # Called with the head of each answer and the loop's time at which its request was sent.
+        self.on_head: Callable[[AnswerHead, float], None] = _ignore
 
     # Called by the event loop.
 
@@ -121,6 +123,7 @@
         self._answer = self._build_head(status)
         self._body = Body(keep=False)
         self._body.resume_reading = self._resume_reading
+        self.on_head(self._answer, self._sent_at)
         if self._head is not None and not self._head.done():
             self._head.set_result(self._answer)
         if self._answer.framing is Framing.NONE:
@@ -265,6 +268,10 @@
             self._transport.abort()
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing: nobody wants to know."""
+
+
 def _read_keep_time(headers: Sequence[Header]) -> float | None:
     for part in find_header(headers, b"keep-alive").split(b","):
         name, _, value = part.strip().partition(b"=")
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -197,6 +197,16 @@
     )
 
 
+def is_of_instance(status: int, headers: Sequence[Header], expected: str) -> bool:
+    """Return whether an answer is one of the expected instance, not of a later one there."""
+    return status != _MISDIRECTED or read_answer_facts(status, headers, expected).replaced is False
+
+
+def names_request(headers: Sequence[Header]) -> bool:
+    """Return whether an answer is one to a request, not to a call of the system itself."""
+    return any(name.lower() == REQUEST_ID for name, _ in headers)
+
+
 def write_request_id(request_id: bytes) -> Header:
     """Return the header that tells a caller which request an answer belongs to."""
     return (b"X-Request-Id", request_id)
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,6 +36,44 @@
         return self.steps.popleft() if self.steps else ""
 
 
+class _SpeakingReply(Reply):
+    """Adds what an upstream says of itself to all of its answers."""
+
+    def __init__(self, reply: Reply, upstream: "StandInUpstream") -> None:
+        """Write to `reply` for an upstream."""
+        self._reply = reply
+        self._upstream = upstream
+
+    async def send_whole(self, status: int, headers: Sequence[Header], content: bytes) -> None:
+        """Send a whole answer."""
+        self.started = True
+        await self._reply.send_whole(status, self._add(status, headers), content)
+
+    async def start(
+        self, status: int, headers: Sequence[Header], framing: Framing, length: int
+    ) -> None:
+        """Send the head of an answer whose body follows."""
+        self.started = True
+        await self._reply.start(status, self._add(status, headers), framing, length)
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes of the body."""
+        await self._reply.send(data)
+
+    async def end(self) -> None:
+        """End the answer as whole."""
+        await self._reply.end()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._reply.abort()
+
+    def _add(self, status: int, headers: Sequence[Header]) -> list[Header]:
+        rest = self._upstream.rest
+        asked = [(b"Retry-After", rest)] if rest and status == 503 else []
+        return [*headers, *self._upstream.says, *asked]
+
+
 class StandInUpstream(RequestHandler):
     """What all upstreams share: one instance id, records of runs, a script of failures."""
 
@@ -52,6 +90,12 @@
         self.runs: dict[str, int] = defaultdict(int)
         self.cancelled: list[str] = []
         self.arrivals: list[tuple[str, dict[str, str]]] = []
+        # Headers that all of its answers carry, from now on.
+        self.says: list[Header] = []
+        # What its refusals ask for as time of rest, in seconds; while there is one, it refuses all.
+        self.rest = b""
+        # The loop's time of each arrival.
+        self.arrived_at: list[float] = []
         self.hold = asyncio.Event()
         self.hold.set()
         # Called with the body of a request in the place of a run that crashes the upstream; without
@@ -90,6 +134,7 @@
 
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Check the instance, then fail as told or run the request."""
+        reply = _SpeakingReply(reply, self)
         headers = read_headers(request)
         name = headers.get("x-request-id", "")
         content = await request.body.read_whole(BODY_LIMIT)
@@ -97,7 +142,10 @@
             await reply.send_whole(421, [(b"X-Instance-Id", self.instance.encode())], b"")
             return
         self.arrivals.append((name, headers))
+        self.arrived_at.append(asyncio.get_running_loop().time())
         step = self.script.take()
+        if self.rest:
+            step = "busy"
         if step == "busy":
             await reply.send_whole(503, [(b"X-Not-Executed", b"1")], b"")
             return
