--- /dev/null
+++ b/tests/hosted/test_upstream_limits.py
@@ -0,0 +1,146 @@
+"""Upstreams that name in their answers how many requests a second they take from all hosts.
+
+One engine named a limit of 9.7 a second in all its answers from the eighth second on, and went on
+getting as many as before, from each of eight hosts: 21, 16, 23, 31 in the seconds that followed,
+where 63 in any four seconds would have been allowed. No line of any host told of the limit:
+
+    at 11.07 s: an upstream that had named a limit of 9.7 a second got 128 requests in 4 s from
+    hosts that it had told; allowed 63
+    at 39.03 s: ... a limit of 14.7 a second got 159 requests in 4 s ...; allowed 93
+"""
+
+import asyncio
+import contextlib
+import itertools
+from dataclasses import dataclass
+
+import pytest
+
+from swifttrestle.internal.policy import scheduling
+from swifttrestle_standins.hosted.site import wait_until
+from tests.common.http import ask
+from tests.hosted.sites import LONG, SHORT, address_of, on_site
+
+ENGINES = ("prefill", "prefill", "prefill", "decode", "decode", "decode", "decode", "decode")
+STREAM = {"X_Token_Usage": SHORT, "X_Model": "m"}
+READING = {"X_Token_Usage": LONG, "X_Model": "m"}
+# What the users allow: in any so many seconds, so many times what the limit says, and some more.
+WINDOW_SECONDS = 4.0
+ALLOWED_SHARE = 1.5
+ALLOWED_EXTRA = 5
+# Seconds from the first word on in which hosts may still learn of it; the users allow three.
+LEARN_SECONDS = 1.0
+LOAD_SECONDS = 5.2
+REQUESTS_A_SECOND = 50
+NUMBERS = itertools.count()
+
+
+@dataclass(frozen=True)
+class Load:
+    """Requests that come at each host in turn."""
+
+    path: str
+    headers: dict
+
+
+PLAIN, ONCE = Load("/card/a", {}), Load("/goal/a", {})
+STREAMS, READINGS = Load("/verdict/a", STREAM), Load("/verdict/a", READING)
+
+
+@contextlib.asynccontextmanager
+async def load_of(site, load):
+    """Send requests all the time; give the list of their answers, which grows."""
+    answers, waiting = [], set()
+
+    async def send(number):
+        hosts = list(site.gateways)
+        host = address_of(site, hosts[number % len(hosts)])
+        answers.append(await ask(host, load.path, f"l{number}", **load.headers))
+
+    async def send_all():
+        while True:
+            task = asyncio.ensure_future(send(next(NUMBERS)))
+            waiting.add(task)
+            task.add_done_callback(waiting.discard)
+            await asyncio.sleep(1 / REQUESTS_A_SECOND)
+
+    sender = asyncio.ensure_future(send_all())
+    try:
+        yield answers
+    finally:
+        sender.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+
+def list_served(site, load):
+    """Return the upstreams that such requests have reached, the busiest first."""
+    role = {"verdict": "prefill" if load is READINGS else "decode"}.get(load.path.split("/")[1])
+    found = [
+        item
+        for item in site.upstreams.values()
+        if item.arrived_at and getattr(item, "role", None) == role
+    ]
+    return sorted(found, key=lambda item: len(item.arrived_at), reverse=True)
+
+
+def count_worst(arrived_at, begin):
+    """Return the most arrivals in any window from `begin` on."""
+    late = [at for at in arrived_at if at >= begin]
+    return max(
+        (sum(1 for at in late if first <= at < first + WINDOW_SECONDS) for first in late), default=0
+    )
+
+
+async def name_limit(site, load, rate, count):
+    """Have the busiest upstreams name a limit under load; return them, and when it began."""
+    await wait_until(lambda: len(list_served(site, load)) >= count, "served")
+    await asyncio.sleep(0.5)
+    upstreams = list_served(site, load)[:count]
+    for upstream in upstreams:
+        upstream.says = [(b"Server-Limit", f"{rate}".encode())]
+    began = asyncio.get_running_loop().time()
+    await asyncio.sleep(LEARN_SECONDS + LOAD_SECONDS)
+    return upstreams, began
+
+
+def assert_kept(upstreams, began, rate):
+    allowed = ALLOWED_SHARE * rate * WINDOW_SECONDS + ALLOWED_EXTRA
+    worst = [count_worst(item.arrived_at, began + LEARN_SECONDS) for item in upstreams]
+    assert max(worst) <= allowed
+
+
+@pytest.mark.parametrize(
+    ("load", "rate"),
+    [(PLAIN, 4.1), (ONCE, 4.1), (STREAMS, 2.9), (READINGS, 2.9), (PLAIN, 0.5), (PLAIN, 0)],
+    ids=["repeatable", "once", "streams", "readings", "half a request", "none at all"],
+)
+@on_site(gateways=3, engines=ENGINES, plain=6)
+async def test_all_hosts_together_send_no_more_than_an_upstream_takes(site, load, rate):
+    async with load_of(site, load):
+        upstreams, began = await name_limit(site, load, rate, 1)
+    assert_kept(upstreams, began, rate)
+
+
+@pytest.mark.parametrize(
+    ("load", "rate", "count"),
+    [(PLAIN, 4.1, 4), (STREAMS, 2.0, 5), (READINGS, 2.0, 3)],
+    ids=["repeatable", "streams", "readings"],
+)
+@on_site(gateways=3, engines=ENGINES, plain=4)
+async def test_a_service_of_which_all_name_a_limit_is_kept_to_all_of_them(site, load, rate, count):
+    async with load_of(site, load):
+        upstreams, began = await name_limit(site, load, rate, count)
+    assert_kept(upstreams, began, rate)
+
+
+@pytest.mark.parametrize(
+    ("load", "rate"), [(PLAIN, 2.0), (STREAMS, 2.0), (READINGS, 2.0)], ids=["plain", "s", "r"]
+)
+@on_site(gateways=8, engines=ENGINES, plain=4)
+async def test_hosts_that_book_by_schedulers_keep_to_the_limit_as_well(
+    site, load, rate, monkeypatch
+):
+    monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 4)
+    async with load_of(site, load):
+        upstreams, began = await name_limit(site, load, rate, 1)
+    assert_kept(upstreams, began, rate)
