Hosts keep together to the requests a second that an upstream names

Callers saw nothing of it; an upstream in need got three times as much as it took, from hosts that it had told. Cause: an answer was read for its request alone, and what it said of its upstream nowhere, so that arrivals did not change when a limit was named.

Now all answers are heard in one place, all choices and sends ask one place, and one host counts for each limited upstream. A model compares four ways at 8, 65 and 195 hosts.

Ruled out as a mend: an equal part for each host, which lets 56 through where 22 are allowed at 65 hosts, since each may send one at once.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,13 +2,25 @@
 
 import sys
 
-from bench import capacity, configuration, division, guards, mix, quarantine, relay, report, slopes
+from bench import (
+    capacity,
+    configuration,
+    division,
+    guards,
+    limits,
+    mix,
+    quarantine,
+    relay,
+    report,
+    slopes,
+)
 
 BENCHES = {
     "capacity": capacity.main,
     "configuration": configuration.main,
     "division": division.main,
     "guards": guards.main,
+    "limits": limits.main,
     "mix": mix.main,
     "quarantine": quarantine.main,
     "relay": relay.main,
--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -37,6 +37,7 @@
     UPSTREAM_REFUSED = 1018
     QUARANTINED = 1019
     KEY_UNCONFIRMED = 1020
+    UPSTREAMS_HELD = 1021
     ANSWER_LOST = 2001
     ANSWER_LATE = 2002
     STREAM_BROKEN = 3001
@@ -57,6 +58,7 @@
     UPSTREAM_BROKEN = 5012
     CROSSED_ANSWER = 5013
     CALLER_GONE = 5014
+    UPSTREAM_HELD = 5015
 
 
 @dataclass(frozen=True)
@@ -106,6 +108,11 @@
         _NOT_RUN,
         "This host has not heard of late which keys hold; another host, or this one, soon will.",
     ),
+    Code.UPSTREAMS_HELD: CodeEntry(
+        503,
+        _NOT_RUN,
+        "Each upstream of the service takes nothing now, by its own word; see Retry-After.",
+    ),
     Code.ANSWER_LOST: CodeEntry(
         502, _MAY, "The connection was lost after a byte may have been sent."
     ),
@@ -136,4 +143,7 @@
         0, None, "An upstream answered another request's id, attempt or offset."
     ),
     Code.CALLER_GONE: CodeEntry(0, None, "The caller closed its connection."),
+    Code.UPSTREAM_HELD: CodeEntry(
+        0, None, "An upstream takes nothing now: it rests, or its limit leaves no request."
+    ),
 }
--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -139,6 +139,16 @@
     code = Code.UPSTREAM_BUSY
 
 
+class UpstreamHeldError(UpstreamError):
+    """The upstream takes nothing now by its own word, so that nothing was sent to it."""
+
+    code = Code.UPSTREAM_HELD
+
+    def __init__(self, message: str, seconds: float) -> None:
+        """Keep after how many seconds it may take a request."""
+        super().__init__(message, sent=False, retry_after=seconds)
+
+
 class UpstreamLeavingError(UpstreamError):
     """The upstream refused because it is leaving or away, before running anything."""
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -25,6 +25,7 @@
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
+from swifttrestle.internal.forward.permits import NUMBER_BITS, Permits
 from swifttrestle.internal.forward.shared_booking import SharedBooker
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.loop import run_in_loop
@@ -185,6 +186,14 @@
             bounds.revocation,
             self._duties.usage.note_run,
         )
+        self._parts.permits = Permits(
+            self._parts.conditions,
+            socket,
+            settings.host,
+            self._gossip.list_members,
+            rng.getrandbits(NUMBER_BITS),
+        )
+        self._parts.conditions.note_room = self._serve_queues
         self._kept_parts = KeptPartsLoader(
             settings.zone, self._fleet, self._parts.pool, self._booker.books, rng
         )
@@ -213,6 +222,7 @@
         self._start(self._gossip.run())
         self._start(self._gossip.register(self._store, self._skipped))
         self._start(self._booker.run())
+        self._start(self._parts.conditions.run())
         self._start(self._kept_parts.run())
         self._start(self._quarantine.run())
         self._start(self._crashes.run())
--- a/src/swifttrestle/internal/forward/conditions.py
+++ b/src/swifttrestle/internal/forward/conditions.py
@@ -1,8 +1,10 @@
-"""Hears what upstreams say of themselves in all their answers, and keeps it."""
+"""What each upstream takes now, by its own words: hears them in all answers, and keeps them."""
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable, Iterable
 
+from swifttrestle.errors import UpstreamHeldError
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.state.backpressure import Backpressure
@@ -12,7 +14,14 @@
 from swifttrestle.platform.backpressure import read_backpressure
 from swifttrestle.platform.wire import is_of_instance, names_request
 
+# The source of a word that this host heard itself.
 OWN = "own"
+# Share by which a limit must differ from the one known for others to be told of it: what differs
+# less stays within what an upstream bears beyond its limit.
+TOLD_CHANGE_SHARE = 0.1
+# Seconds after which a start that nothing is heard of is forgotten, and between looks for these.
+FORGET_SECONDS = 600.0
+EXPIRE_SECONDS = 30.0
 
 
 class Conditions:
@@ -23,6 +32,37 @@
         self._fleet = fleet
         self._metrics = metrics
         self._conditions: dict[str, Condition] = defaultdict(Condition)
+        # Called with a start whose limit this host has heard to be another one.
+        self.tell_limit: Callable[[str, RateWord], None] = _ignore
+        # Called when an upstream that was held back may take work again.
+        self.note_room: Callable[[], None] = _ignore
+
+    # Asking.
+
+    def find_rate(self, start: str) -> RateWord:
+        """Return the newest word on a start's limit."""
+        known = self._conditions.get(start)
+        return known.word if known else RateWord()
+
+    def find_hold(self, instance: Instance, now: float, urgent: bool) -> float:
+        """Return the seconds for which an upstream takes no request from this host."""
+        known = self._conditions.get(instance.name)
+        return known.find_hold(now, urgent) if known else 0.0
+
+    def find_shortest_hold(
+        self, instances: Iterable[Instance], now: float, urgent: bool = False
+    ) -> float:
+        """Return the seconds until one of some upstreams takes a request; 0 where there is none."""
+        return min((self.find_hold(item, now, urgent) for item in instances), default=0.0)
+
+    def check(self, instance: Instance, urgent: bool, permitted: bool = False) -> None:
+        """Raise UpstreamHeldError for an upstream that takes no request from this host now."""
+        known = self._conditions.get(instance.name)
+        seconds = known.find_hold(_now(), urgent, permitted) if known else 0.0
+        if seconds > 0:
+            raise UpstreamHeldError(f"{instance.name} takes nothing now", seconds)
+
+    # Hearing.
 
     def hear(self, start: str, head: AnswerHead, sent_at: float) -> None:
         """Take over what an answer says; its request was sent at the loop's time `sent_at`."""
@@ -43,6 +83,28 @@
         if said.rest != 0.0:
             self._hear_rest(start, said.rest)
 
+    def take_rate(self, start: str, word: RateWord, source: str) -> bool:
+        """Take over a word on a start's limit if it is newer; return whether it says otherwise."""
+        known = self._conditions.get(start)
+        before = known.word if known else RateWord()
+        if word.at <= before.at:
+            return False
+        condition = self._conditions[start]
+        condition.word = word
+        if not _differs(word.rate, before.rate):
+            return False
+        condition.lift_denials()
+        log_decision("upstream limit", instance=start, rate=word.rate, source=source)
+        self.note_room()
+        return True
+
+    def deny(self, start: str, seconds: float, urgent: bool) -> None:
+        """Take over that the limit of a start leaves no request to this host for a while."""
+        now = _now()
+        self._conditions[start].deny(now + seconds, urgent)
+        self._metrics.count("upstream_limit_denials_total")
+        asyncio.get_running_loop().call_at(now + seconds, self.note_room)
+
     def note_sent(self, instance: Instance) -> None:
         """Count a request that goes to an upstream, by the condition that it is in."""
         known = self._conditions.get(instance.name)
@@ -52,14 +114,40 @@
             condition=known.name if known else "open",
         )
 
+    def describe(self, now: float) -> dict[str, dict[str, object]]:
+        """Return what starts say that do not take all work, for the dump of the state."""
+        return {
+            start: {
+                "leaving": known.leaving,
+                "limit": known.word.rate,
+                "limit_heard_before": round(now - known.word.at, 1) if known.word.at > 0 else None,
+                "rests_for": round(max(0.0, known.rest_until - now), 2),
+                "held_for": round(known.find_hold(now, urgent=False), 2),
+            }
+            for start, known in self._conditions.items()
+            if known.name != "open" or known.rest_until > now
+        }
+
+    async def run(self) -> None:
+        """Forget starts that are long gone, for as long as the process lives."""
+        while True:
+            await asyncio.sleep(EXPIRE_SECONDS)
+            now = _now()
+            for start in self._fleet.instances.keys() & self._conditions.keys():
+                self._conditions[start].seen_at = now
+            for start, known in list(self._conditions.items()):
+                if known.seen_at == 0.0:
+                    known.seen_at = now
+                elif now - known.seen_at > FORGET_SECONDS:
+                    del self._conditions[start]
+
     def _hear_rate(self, start: str, said: Backpressure, head: AnswerHead, sent_at: float) -> None:
-        known = self._conditions.get(start)
-        word = known.word if known else RateWord()
+        word = self.find_rate(start)
         if said.rate is None and not _ends_limit(word, head, sent_at):
             return
-        self._conditions[start].word = RateWord(said.rate, _now())
-        if said.rate != word.rate:
-            log_decision("upstream limit", instance=start, rate=said.rate, source=OWN)
+        heard = RateWord(said.rate, _now())
+        if self.take_rate(start, heard, OWN):
+            self.tell_limit(start, heard)
 
     def _hear_rest(self, start: str, seconds: float | None) -> None:
         now = _now()
@@ -70,6 +158,13 @@
         condition.rest_until = max(condition.rest_until, now + (seconds or 0.0))
 
 
+def _differs(rate: float | None, other: float | None) -> bool:
+    """Return whether two limits differ by more than is worth telling of."""
+    if rate is None or other is None:
+        return rate is not other
+    return abs(rate - other) > TOLD_CHANGE_SHARE * other
+
+
 def _ends_limit(word: RateWord, head: AnswerHead, sent_at: float) -> bool:
     """Return whether an answer that names no limit means that there is none any more.
 
@@ -79,5 +174,9 @@
     return word.rate is not None and sent_at > word.at and names_request(head.headers)
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing: nobody wants to know."""
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -41,6 +41,8 @@
     arrivals: int = 0
     excluded: set[str] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
+    # The loop's times until which permits hold, by the upstream that they are for.
+    permits: dict[str, float] = field(default_factory=dict)
     # Where the request was open when its time was over.
     open_to_the_end: Instance | None = None
     # Called at the first byte of an answer that streams.
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -8,6 +8,7 @@
     RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
+    UpstreamHeldError,
     UpstreamLeavingError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
@@ -39,6 +40,9 @@
 # Prompt readings of one request, the first included, and attempts to make its tokens.
 MOST_READS = 2
 MOST_DECODES = 3
+# Bookings of one request whose engines took nothing, each the word of another host: more mean that
+# the limits leave nothing for it.
+MOST_HELD = 8
 # Share of what is left that a repeatable request waits for its first token at one engine.
 FIRST_TOKEN_SHARE = 0.5
 # Bounds of the time to come back, in seconds.
@@ -65,22 +69,42 @@
         """Serve one request; raise RefusedError where it is given up on."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable, self._longest_pause(ctx))
-        for number in range(MOST_READS):
-            booking = await self._book(ctx, first=number == 0)
+        reads = held = 0
+        while reads < MOST_READS and held < MOST_HELD:
+            booking = await self._book(ctx, first=reads == 0)
             use = Use(asyncio.get_running_loop().time())
             reading = DirectReading(booking, self._booker)
             ctx.on_first_byte = reading.end
             try:
+                if not await self._may_use(ctx, booking):
+                    held += 1
+                    continue
                 handle = None if booking.direct else await self._reader.read(ctx, booking)
                 if handle is not None or booking.direct:
                     await self._decode(ctx, booking, use, handle, relay)
                     return
+                reads += 1
             finally:
                 reading.cancel()
                 seconds = asyncio.get_running_loop().time() - use.began
                 self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
         raise ctx.refuse(Code.NO_UPSTREAM, "no engine read the prompt", LEAST_RETRY_AFTER)
 
+    async def _may_use(self, ctx: Context, booking: Booking) -> bool:
+        """Take permits for both engines, where they need any, before a prompt is read for nothing.
+
+        Where one of them takes nothing now the booking's reading ends unused.
+        """
+        engines = [booking.decoder] if booking.direct else [booking.reader, booking.decoder]
+        try:
+            await self._parts.permits.reserve(ctx, *engines)
+            return True
+        except UpstreamHeldError as error:
+            ctx.note(str(error))
+            if not booking.direct:
+                self._booker.end(booking, Stage.READ, Outcome.CANCELLED, 0.0)
+            return False
+
     # Booking.
 
     async def _book(self, ctx: Context, first: bool) -> Booking:
@@ -104,6 +128,7 @@
             parts=name_parts(ctx),
             patience=min(ctx.left, find_patience(ctx.route) - ctx.age) * LATE_SHARE,
         )
+        self._check_holds(ctx, request)
         found = await self._booker.book(request)
         if isinstance(found, NoRoom):
             raise self._refuse_for_load(ctx, found)
@@ -118,6 +143,21 @@
         )
         return found
 
+    def _check_holds(self, ctx: Context, request: BookingRequest) -> None:
+        """Refuse a request at once that would wait in vain for engines that take nothing now."""
+        hold = self._find_hold(ctx)
+        if hold > max(request.longest_wait, request.patience):
+            reason = "the engines take nothing now by their own word"
+            raise ctx.refuse(Code.UPSTREAMS_HELD, reason, max(LEAST_RETRY_AFTER, hold))
+
+    def _find_hold(self, ctx: Context) -> float:
+        """Return the seconds until engines of each role that it needs take a request."""
+        service, now = ctx.service.name, asyncio.get_running_loop().time()
+        engines = self._parts.fleet.list_service(service)
+        short = reads_soon(ctx.facts.prompt_tokens, engines)
+        roles = (Role.DECODE,) if short else (Role.DECODE, Role.PREFILL)
+        return self._parts.find_hold(service, now, roles, ctx.urgent)
+
     def _note_arrival(self, ctx: Context, now: float) -> None:
         self._parts.budgets.find(ctx.service.name).note_request(now)
         engines = self._parts.fleet.list_service(ctx.service.name)
@@ -129,12 +169,13 @@
         engines = self._parts.fleet.list_service(ctx.service.name)
         if not engines:
             return ctx.refuse(Code.NO_UPSTREAM, "no engine is listed", NO_ENGINE_RETRY_AFTER)
-        retry = self._choose_retry_after(ctx, found.soonest)
+        hold = self._find_hold(ctx)
+        retry = self._choose_retry_after(ctx, max(hold, found.soonest))
         reason = (
             f"no engine has room: {found.waiting} wait, {len(engines)} engines, "
             f"soonest free in {found.soonest * 1000:.0f} ms"
         )
-        return ctx.refuse(Code.OVERLOADED, reason, retry)
+        return ctx.refuse(Code.UPSTREAMS_HELD if hold else Code.OVERLOADED, reason, retry)
 
     def _choose_retry_after(self, ctx: Context, soonest: float) -> float:
         """Return when a caller that was refused for load is to come back, in seconds.
@@ -163,13 +204,19 @@
         fetch_from = find_source_address(booking) if booking.direct else None
         try:
             decoder = self._confirm_decoder(ctx, booking.decoder)
-            for number in range(MOST_DECODES):
+            number = 0
+            while True:
                 try:
                     await self._try_decoder(ctx, decoder, source, relay, fetch_from)
                     source = ""
                     if decoder is booking.decoder:
                         use.outcome = Outcome.DONE
                     return
+                except UpstreamHeldError as error:
+                    # Nothing was sent, so that the next engine is not paid for.
+                    ctx.note(str(error))
+                    decoder = self._pick_decoder(ctx, str(error), _now())
+                    continue
                 except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
                     outcome = self._parts.note_failed_use(ctx, decoder, error)
                     if decoder is booking.decoder:
@@ -184,6 +231,7 @@
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
                 decoder = self._next_decoder(ctx, relay, reason, number)
+                number += 1
         finally:
             if source:
                 self._reader.free(booking.reader, handle)
@@ -202,10 +250,12 @@
 
     def _pick_decoder(self, ctx: Context, reason: str, now: float) -> Instance:
         """Return an engine to make the tokens; raise RefusedError where there is none."""
-        engines = self._parts.list_usable(ctx.service.name, now)
+        engines = self._parts.list_usable(ctx.service.name, now, ctx.urgent)
         decoder = pick_decoder(engines, self._parts.zone, ctx.excluded, now, urgent=ctx.urgent)
         if decoder is None:
-            raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, LEAST_RETRY_AFTER)
+            hold = self._parts.find_hold(ctx.service.name, now, (Role.DECODE,), ctx.urgent)
+            code = Code.UPSTREAMS_HELD if hold else Code.UPSTREAM_REFUSED
+            raise ctx.refuse(code, reason, max(LEAST_RETRY_AFTER, hold))
         return decoder
 
     def _next_decoder(self, ctx: Context, relay: EventRelay, reason: str, number: int) -> Instance:
@@ -254,6 +304,10 @@
         return max(1.0, 2 * ctx.route.objective, 4 * ctx.route.gap_objective)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def name_parts(ctx: Context) -> tuple[PromptPart, ...]:
     """Return the prompt's parts under names that other models' parts do not have."""
     facts = ctx.facts
--- a/src/swifttrestle/internal/forward/finding.py
+++ b/src/swifttrestle/internal/forward/finding.py
@@ -32,13 +32,14 @@
     def find(self, request: BookingRequest, waited: float = 0.0) -> Booking | None:
         """Return engines with room, booked, or None; the request has waited for so long."""
         now = _now()
-        engines = self._parts.list_usable(request.service, now)
+        engines = self._parts.list_usable(request.service, now, request.urgent)
         decoder = self._pick_decoder(request, engines, request.zone)
         if decoder is None:
             return None
         plan = self._find_plan(request, engines)
-        readers = any(item.role is Role.PREFILL for item in engines)
-        if not readers or reads_soon(request.tokens, engines):
+        if not self._has_readers(request.service, engines, now) or reads_soon(
+            request.tokens, engines
+        ):
             return self._take(decoder, decoder, request, plan)
         longest = max(0.0, request.longest_read_wait - waited)
         if request.late:
@@ -52,6 +53,19 @@
         decoder = self._pick_decoder(request, engines, reader.record.zone)
         return self._take(reader, decoder, request, plan) if decoder else None
 
+    def _has_readers(self, service: str, engines: list[Instance], now: float) -> bool:
+        """Return whether there are engines that read for others.
+
+        Those that take nothing now count: decoding engines do not take over all long prompts for
+        the seconds of their rest.
+        """
+        held = (
+            item
+            for item in self._parts.fleet.list_service(service)
+            if self._parts.conditions.find_hold(item, now, urgent=True)
+        )
+        return any(item.role is Role.PREFILL for item in (*engines, *held))
+
     def _pick_reader(
         self,
         request: BookingRequest,
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
@@ -17,6 +17,7 @@
 from swifttrestle.internal.forward.conditions import Conditions
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crash_guard import CrashGuard
+from swifttrestle.internal.forward.permits import NoLimits, PermitSource
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import (
@@ -27,6 +28,7 @@
 from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.policy.windows import WindowedRetryBudget
 from swifttrestle.internal.state.bookings import Outcome
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.demand import DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
@@ -92,6 +94,7 @@
         self.crashes = self.guard.watch
         self.conditions = Conditions(fleet, metrics)
         self.pool.on_answer = self.conditions.hear
+        self.permits: PermitSource = NoLimits()
         fleet.on_replaced = self._end_start
         fleet.on_removed = self.crashes.note_withdrawn
 
@@ -101,19 +104,39 @@
     ) -> AsyncIterator[None]:
         """Send a request to an upstream, for a prompt's reading too; all go through here.
 
-        Raises RefusedError where the request is kept from upstreams. Where it `acquits`, its end
-        without an error means that the request got its own answer.
+        Raises RefusedError where the request is kept from upstreams, and UpstreamHeldError where
+        this one takes nothing now. Where it `acquits`, its end without an error means that the
+        request got its own answer.
         """
         async with self.guard.attempt(ctx, instance, acquits=acquits):
+            await self.permits.use(ctx, instance)
             self.conditions.note_sent(instance)
             yield
 
-    def list_usable(self, service: str, now: float) -> list[Instance]:
-        """Return a service's instances that are neither leaving nor left out as broken."""
-        listed = self.fleet.list_service(service)
+    def list_usable(self, service: str, now: float, urgent: bool = False) -> list[Instance]:
+        """Return a service's instances that are neither leaving nor left out as broken.
+
+        Where all are left out as broken they are tried all the same; those that take nothing now by
+        their own word are not.
+        """
+        listed = [
+            item
+            for item in self.fleet.list_service(service)
+            if not self.conditions.find_hold(item, now, urgent)
+        ]
         usable = [item for item in listed if not self.ejector.is_out(item.name, now)]
         return usable or listed
 
+    def find_hold(self, service: str, now: float, roles: Collection[Role], urgent: bool) -> float:
+        """Return the seconds until an instance of each role takes a request; 0 where some do."""
+        listed = self.fleet.list_service(service)
+        return max(
+            self.conditions.find_shortest_hold(
+                [item for item in listed if item.role is role], now, urgent
+            )
+            for role in roles
+        )
+
     def note_prompt(
         self, engine: Instance, parts: tuple[PromptPart, ...], read: bool = False
     ) -> None:
--- /dev/null
+++ b/src/swifttrestle/internal/forward/permits.py
@@ -0,0 +1,224 @@
+"""Takes a permit for each request to an upstream that names a limit, and gives them to others.
+
+One host counts for each such upstream; a host that cannot reach it asks the next one, and one that
+reaches neither keeps to its own equal part of the limit.
+"""
+
+import asyncio
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+
+from swifttrestle.errors import UpstreamHeldError
+from swifttrestle.internal.forward.conditions import Conditions
+from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.policy.rate_limits import (
+    ASKS,
+    LEAST_RATE,
+    RateBucket,
+    find_keepers,
+)
+from swifttrestle.internal.policy.scheduling import is_large
+from swifttrestle.internal.protocol.permits import Answer, Ask, Tell, pack_message, unpack_message
+from swifttrestle.internal.state.conditions import RateWord
+from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
+
+# Seconds to wait for a keeper's answer: some round trips between zones and a turn of its loop.
+ANSWER_SECONDS = 0.05
+# Seconds for which a keeper that did not answer is not asked.
+SILENT_SECONDS = 1.0
+# Seconds for which a permit holds: about what the reading of a long prompt takes before the engine
+# that makes the tokens is reached.
+PERMIT_SECONDS = 1.5
+# Seconds after which a word is told once more: the datagram may have been lost.
+TOLD_AGAIN_SECONDS = 0.5
+# Bits of the first number: a host that starts anew must not meet the asks of its former life.
+NUMBER_BITS = 48
+
+
+class PermitSource(ABC):
+    """Where requests get the permits that limited upstreams need."""
+
+    @abstractmethod
+    async def reserve(self, ctx: Context, *instances: Instance) -> None:
+        """Take permits for a request that will go to some upstreams within PERMIT_SECONDS.
+
+        Raises UpstreamHeldError where one of them takes none now.
+        """
+
+    @abstractmethod
+    async def use(self, ctx: Context, instance: Instance) -> None:
+        """Use the permit for a request that is sent now, or take one.
+
+        Raises UpstreamHeldError where the upstream takes none now.
+        """
+
+
+class NoLimits(PermitSource):
+    """Takes no limit into account: for request paths without peers."""
+
+    async def reserve(self, ctx: Context, *instances: Instance) -> None:
+        """Let the request go."""
+
+    async def use(self, ctx: Context, instance: Instance) -> None:
+        """Let the request go."""
+
+
+class Permits(PermitSource):
+    """This host's part in the counting, as one who asks and as one who counts."""
+
+    def __init__(
+        self,
+        conditions: Conditions,
+        socket: PeerSocket,
+        host: str,
+        list_members: Callable[[], Sequence[Member]],
+        first_number: int = 0,
+    ) -> None:
+        """Count for `host` among those that `list_members` returns."""
+        self._conditions = conditions
+        self._socket = socket
+        self._host = host
+        self._list_members = list_members
+        self._numbers = itertools.count(first_number)
+        self._asked: dict[int, asyncio.Future[Answer]] = {}
+        self._silent_until: dict[str, float] = {}
+        # What this host counts for all, and what it keeps to where it reaches no other.
+        self._kept: dict[str, RateBucket] = {}
+        self._own: dict[str, RateBucket] = {}
+        conditions.tell_limit = self._tell
+        socket.receive(DatagramKind.PERMIT, self._receive)
+
+    async def reserve(self, ctx: Context, *instances: Instance) -> None:
+        """Take permits for a request that will go to some upstreams within PERMIT_SECONDS.
+
+        Raises UpstreamHeldError where one of them takes none now.
+        """
+        for instance in instances:
+            self._conditions.check(instance, ctx.urgent)
+        for instance in instances:
+            if self._conditions.find_rate(instance.name).rate is not None:
+                await self._take(instance, ctx.urgent)
+                ctx.permits[instance.name] = _now() + PERMIT_SECONDS
+
+    async def use(self, ctx: Context, instance: Instance) -> None:
+        """Use the permit for a request that is sent now, or take one.
+
+        Raises UpstreamHeldError where the upstream takes none now.
+        """
+        if ctx.permits.pop(instance.name, 0.0) > _now():
+            self._conditions.check(instance, ctx.urgent, permitted=True)
+            return
+        await self.reserve(ctx, instance)
+        ctx.permits.pop(instance.name, None)
+
+    async def _take(self, instance: Instance, urgent: bool) -> None:
+        seconds = await self._ask_keepers(instance, urgent)
+        if seconds > 0:
+            self._conditions.deny(instance.name, seconds, urgent)
+            raise UpstreamHeldError(f"the limit of {instance.name} leaves none now", seconds)
+
+    async def _ask_keepers(self, instance: Instance, urgent: bool) -> float:
+        members = self._list_members()
+        for keeper in find_keepers(members, instance.name, instance.record.zone):
+            if keeper.host == self._host:
+                return self._count(self._kept, instance.name, urgent)
+            if self._silent_until.get(keeper.host, 0.0) > _now():
+                continue
+            answer = await self._ask_again(keeper, instance.name, urgent)
+            if answer is not None:
+                # What was not used alone is not left for the next time.
+                self._own.pop(instance.name, None)
+                return answer.seconds
+        return self._count(self._own, instance.name, urgent, len(members))
+
+    async def _ask_again(self, keeper: Member, start: str, urgent: bool) -> Answer | None:
+        for _ in range(ASKS):
+            answer = await self._ask(keeper, start, urgent)
+            if answer is not None:
+                return answer
+        self._silent_until[keeper.host] = _now() + SILENT_SECONDS
+        log_decision("keeper of a limit silent", keeper=keeper.host, instance=start)
+        return None
+
+    async def _ask(self, keeper: Member, start: str, urgent: bool) -> Answer | None:
+        number = next(self._numbers)
+        waiting: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._asked[number] = waiting
+        word = self._conditions.find_rate(start)
+        try:
+            self._send(keeper.ip, Ask(number, start, urgent, word))
+            async with asyncio.timeout(ANSWER_SECONDS):
+                return await waiting
+        except TimeoutError:
+            return None
+        finally:
+            del self._asked[number]
+
+    def _count(
+        self, buckets: dict[str, RateBucket], start: str, urgent: bool, hosts: int = 1
+    ) -> float:
+        """Take one request of one of so many equal parts of a limit.
+
+        Returns 0, or the seconds after which to ask again.
+        """
+        rate = self._conditions.find_rate(start).rate
+        if rate is None:
+            buckets.pop(start, None)
+            return 0.0
+        bucket = buckets.get(start)
+        if bucket is None:
+            bucket = buckets[start] = RateBucket(_now())
+        return bucket.take(max(rate, LEAST_RATE) / hosts, urgent, _now())
+
+    # Telling.
+
+    def _tell(self, start: str, word: RateWord) -> None:
+        """Tell the others of a limit that this host has heard; in a large fleet its keepers do."""
+        self._tell_once(start, word)
+        asyncio.get_running_loop().call_later(
+            TOLD_AGAIN_SECONDS, lambda: self._tell_once(start, self._conditions.find_rate(start))
+        )
+
+    def _tell_once(self, start: str, word: RateWord) -> None:
+        members = self._list_members()
+        keepers = find_keepers(members, start, "")
+        if not is_large(len(members)) or self._host in (item.host for item in keepers):
+            self._tell_all(start, word)
+            return
+        for keeper in keepers:
+            self._send(keeper.ip, Tell(start, word, spread=True))
+
+    def _tell_all(self, start: str, word: RateWord) -> None:
+        for member in self._list_members():
+            if member.host != self._host:
+                self._send(member.ip, Tell(start, word))
+
+    def _send(self, ip: str, message: Ask | Answer | Tell) -> None:
+        self._socket.send(ip, DatagramKind.PERMIT, pack_message(message, _now()))
+
+    # Called by the socket.
+
+    def _receive(self, data: bytes, ip: str) -> None:
+        """Take a peer's message over; raise FrameError."""
+        message = unpack_message(data, _now())
+        news = self._conditions.take_rate(message.start, message.word, ip)
+        match message:
+            case Ask(number, start, urgent, _):
+                seconds = self._count(self._kept, start, urgent)
+                word = self._conditions.find_rate(start)
+                self._send(ip, Answer(number, start, seconds, word))
+            case Answer(number):
+                waiting = self._asked.get(number)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(message)
+            case Tell(start, word, spread):
+                if news and spread:
+                    self._tell_all(start, word)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -5,8 +5,10 @@
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
     FailedByUpstreamError,
+    RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
+    UpstreamHeldError,
     UpstreamLeavingError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
@@ -14,6 +16,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.parts import Parts
 from swifttrestle.internal.policy.placement import pick_plain
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
 from swifttrestle.platform.wire import Forwarding
 
@@ -40,14 +43,21 @@
         budget = self._parts.budgets.find(ctx.service.name)
         budget.note_request(loop.time())
         last = "there is no instance"
+        paid = False
         while True:
             instance = self._choose(ctx, loop.time())
-            if instance is None or not self._may_try(ctx, loop.time()):
-                raise ctx.refuse(Code.NO_UPSTREAM, last, RETRY_AFTER_SECONDS)
+            if instance is None or not (paid or self._may_try(ctx, loop.time())):
+                raise self._refuse(ctx, last, loop.time())
             ctx.note(f"to {instance.name} open={instance.total.requests}")
             try:
                 await self._try(ctx, instance)
                 return
+            except UpstreamHeldError as error:
+                # Nothing was sent: what this attempt cost the budget pays for the next one.
+                paid = True
+                last = str(error)
+                ctx.note(last)
+                continue
             except UpstreamLeavingError as error:
                 self._parts.note_gone(instance)
                 last = str(error)
@@ -59,9 +69,18 @@
                 self._note_broken(ctx, instance, error)
             ctx.note(last)
             ctx.excluded.add(instance.name)
+            paid = False
+
+    def _refuse(self, ctx: Context, reason: str, now: float) -> RefusedError:
+        """Return the final answer where no instance may be tried."""
+        hold = self._parts.find_hold(ctx.service.name, now, (Role.NONE,), ctx.urgent)
+        if hold:
+            reason = "each instance takes nothing now by its own word"
+            return ctx.refuse(Code.UPSTREAMS_HELD, reason, hold)
+        return ctx.refuse(Code.NO_UPSTREAM, reason, RETRY_AFTER_SECONDS)
 
     def _choose(self, ctx: Context, now: float) -> Instance | None:
-        usable = self._parts.list_usable(ctx.service.name, now)
+        usable = self._parts.list_usable(ctx.service.name, now, ctx.urgent)
         return pick_plain(usable, self._parts.zone, ctx.excluded, now, self._parts.rng)
 
     def _may_try(self, ctx: Context, now: float) -> bool:
@@ -76,7 +95,6 @@
         return self._parts.budgets.find(ctx.service.name).take(now)
 
     async def _try(self, ctx: Context, instance: Instance) -> None:
-        ctx.arrivals += 1
         last = ctx.runs + 1 >= ctx.route.max_attempts or not ctx.repeatable
         patience = ctx.left if last else ctx.left * FIRST_ATTEMPT_SHARE
         now = asyncio.get_running_loop().time()
@@ -89,6 +107,7 @@
         self._parts.ejector.note_use(instance.name, now)
         try:
             async with self._parts.attempt(ctx, instance):
+                ctx.arrivals += 1
                 await make_attempt(ctx, self._parts.pool, plan, relay)
             self._parts.ejector.note_success(instance.name, asyncio.get_running_loop().time())
         finally:
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -162,6 +162,11 @@
         }
         if len(names) == len(engines):
             names = set()
+        names |= {
+            item.name
+            for item in engines
+            if self._parts.conditions.find_hold(item, now, request.urgent)
+        }
         names |= self._parts.fleet.list_leaving(request.service)
         return replace(request, excluded=request.excluded | names) if names else request
 
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -68,6 +68,7 @@
             "ready": self._is_ready(),
             "live": self._gossip.live_hosts(),
             "instances": describe_fleet(self._parts.fleet),
+            "conditions": self._parts.conditions.describe(_now()),
             "duties": self._duties.describe(),
             "quarantine": describe_quarantine(self._parts.guard.quarantine, _now()),
         }
--- a/src/swifttrestle/internal/state/conditions.py
+++ b/src/swifttrestle/internal/state/conditions.py
@@ -1,6 +1,6 @@
 """What is known of what each upstream takes, by its own words."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 NEVER = float("-inf")
 
@@ -20,12 +20,15 @@
 class Condition:
     """What one start of an upstream takes; times are the loop's.
 
-    `rest_until` is when it wants to hear from this host again.
+    `rest_until` is when it wants to hear from this host again, `denied_until` by urgency when its
+    limit may leave this host a request again. `seen_at` is when it was last listed, 0 before that.
     """
 
     leaving: bool = False
     word: RateWord = RateWord()
     rest_until: float = NEVER
+    denied_until: dict[bool, float] = field(default_factory=dict)
+    seen_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -33,3 +36,21 @@
         if self.leaving:
             return "leaving"
         return "limited" if self.word.rate is not None else "open"
+
+    def find_hold(self, now: float, urgent: bool, permitted: bool = False) -> float:
+        """Return the seconds for which it takes no request from this host, 0 where it takes one.
+
+        What its limit leaves to others does not hold back a request that has a permit.
+        """
+        denied = NEVER if permitted else self.denied_until.get(urgent, NEVER)
+        return max(0.0, denied - now)
+
+    def deny(self, until: float, urgent: bool) -> None:
+        """Hold back until a time; what is denied to urgent requests is denied to all."""
+        self.denied_until[False] = max(until, self.denied_until.get(False, NEVER))
+        if urgent:
+            self.denied_until[True] = until
+
+    def lift_denials(self) -> None:
+        """Forget what an earlier limit denied."""
+        self.denied_until.clear()
--- a/src/swifttrestle/internal/transport/datagrams.py
+++ b/src/swifttrestle/internal/transport/datagrams.py
@@ -20,6 +20,7 @@
     CRASHES = 5
     BELIEF = 6
     USAGE = 7
+    PERMIT = 8
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- /dev/null
+++ b/tests/cover/test_backpressure.py
@@ -0,0 +1,106 @@
+"""What upstreams say of themselves in answers: how it is read, and what is kept of it."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.protocol.permits import Answer, Ask, Tell, pack_message, unpack_message
+from swifttrestle.internal.state.backpressure import Backpressure
+from swifttrestle.internal.state.conditions import RateWord
+from swifttrestle.platform.backpressure import read_backpressure
+
+LIMIT, LEAVING, REST = b"Server-Limit", b"server-leaving", b"Retry-After"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "said"),
+    [
+        (200, [], Backpressure()),
+        (200, [(b"Content-Type", b"x")], Backpressure()),
+        (200, [(LIMIT, b"4.1")], Backpressure(rate=4.1)),
+        (200, [(LIMIT, b" 4 ")], Backpressure(rate=4.0)),
+        (503, [(b"SERVER-LIMIT", b"0")], Backpressure(rate=0.0)),
+        (200, [(LIMIT, b"1e300")], Backpressure(rate=1e300)),
+        (200, [(LIMIT, b"9.7"), (LIMIT, b"4.1")], Backpressure(rate=4.1)),
+        (200, [(LIMIT, b"x"), (LIMIT, b"4.1")], Backpressure(rate=4.1, odd=("server-limit: x",))),
+        (200, [(LIMIT, b"")], Backpressure(odd=("server-limit: ",))),
+        (200, [(LIMIT, b"-1")], Backpressure(odd=("server-limit: -1",))),
+        (200, [(LIMIT, b"nan")], Backpressure(odd=("server-limit: nan",))),
+        (200, [(LIMIT, b"inf")], Backpressure(odd=("server-limit: inf",))),
+        (200, [(LIMIT, b"1e999")], Backpressure(odd=("server-limit: 1e999",))),
+        (200, [(LIMIT, b"1_0")], Backpressure(odd=("server-limit: 1_0",))),
+        (200, [(LEAVING, b"1")], Backpressure(leaving=True)),
+        (200, [(LEAVING, b"0")], Backpressure()),
+        (200, [(LEAVING, b"0"), (LEAVING, b"1")], Backpressure(leaving=True)),
+        (200, [(LEAVING, b"yes")], Backpressure(odd=("server-leaving: yes",))),
+        (503, [(REST, b"3")], Backpressure(rest=3.0)),
+        (429, [(REST, b"0.25")], Backpressure(rest=0.25)),
+        (503, [(REST, b"1"), (REST, b"3")], Backpressure(rest=3.0)),
+        (503, [(REST, b"0")], Backpressure()),
+        (200, [(REST, b"3")], Backpressure()),
+        (200, [(REST, b"soon")], Backpressure()),
+        (503, [(REST, b"-3")], Backpressure(rest=None, odd=("retry-after: -3",))),
+        (
+            503,
+            [(REST, b"Thu, 03 Dec 2026 06:00:00 GMT")],
+            Backpressure(rest=None, odd=("retry-after: Thu, 03 Dec 2026 06:00:00 GMT",)),
+        ),
+    ],
+)
+def test_each_form_of_a_word_is_read_or_named_as_odd(status, headers, said):
+    assert read_backpressure(status, headers) == said
+
+
+@given(
+    st.integers(100, 599),
+    st.lists(st.tuples(st.sampled_from([LIMIT, LEAVING, REST, b"x"]), st.binary(max_size=60))),
+)
+def test_no_header_whatever_it_holds_raises_an_error(status, headers):
+    said = read_backpressure(status, headers)
+    assert said.rate is None or 0 <= said.rate < float("inf")
+    assert said.rest is None or 0 <= said.rest < float("inf")
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Ask(7, "e1@5", True, RateWord()),
+        Ask(7, "e1", False, RateWord(4.5, 99.0)),
+        Answer(7, "e1", 0.0, RateWord(None, 98.5)),
+        Answer(7, "e1", 0.25, RateWord(4.5, 99.0)),
+        Tell("e1", RateWord(0.0, 100.0), spread=True),
+    ],
+)
+def test_messages_on_limits_pass_between_hosts(message):
+    assert unpack_message(pack_message(message, now=100.0), now=100.0) == message
+
+
+@given(st.binary(max_size=60))
+def test_a_spoiled_message_on_limits_is_a_frame_error(data):
+    with contextlib.suppress(FrameError):
+        unpack_message(data, now=100.0)
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (1, -1, "e1", True, 4.5, 0.0),
+        (1, 7, "", True, 4.5, 0.0),
+        (1, 7, "e" * 401, True, 4.5, 0.0),
+        (2, 7, "e1", -0.5, 4.5, 0.0),
+        (2, 7, "e1", float("inf"), 4.5, 0.0),
+        (2, 7, "e1", float("nan"), 4.5, 0.0),
+        (3, 0, "e1", True, -4.5, 0.0),
+        (3, 0, "e1", True, 4.5, -1.0),
+        (9, 0, "e1", True, 4.5, 0.0),
+        (3, 0, "e1", True, 4.5),
+    ],
+)
+def test_a_message_on_limits_with_a_wrong_field_is_a_frame_error(values):
+    import msgpack
+
+    with pytest.raises(FrameError):
+        unpack_message(msgpack.packb(values), now=100.0)
--- a/tests/hosted/test_upstream_limits.py
+++ b/tests/hosted/test_upstream_limits.py
@@ -7,6 +7,10 @@
     at 11.07 s: an upstream that had named a limit of 9.7 a second got 128 requests in 4 s from
     hosts that it had told; allowed 63
     at 39.03 s: ... a limit of 14.7 a second got 159 requests in 4 s ...; allowed 93
+
+No line of the code asked for the header: an answer was read for the request that it answered, and
+what it said of its upstream was read nowhere. And had each host kept to a part of the limit, each
+could still have sent one at once: with 65 hosts 56 in four seconds where 22 are allowed.
 """
 
 import asyncio
@@ -91,11 +95,17 @@
     )
 
 
-async def name_limit(site, load, rate, count):
-    """Have the busiest upstreams name a limit under load; return them, and when it began."""
-    await wait_until(lambda: len(list_served(site, load)) >= count, "served")
+async def name_limit(site, load, rate, everywhere=False):
+    """Have the busiest upstream name a limit under load, or `everywhere` all of its service.
+
+    Return them, and when it began.
+    """
+    await wait_until(lambda: list_served(site, load), "served")
     await asyncio.sleep(0.5)
-    upstreams = list_served(site, load)[:count]
+    busiest = list_served(site, load)[0]
+    upstreams = [item for item in site.upstreams.values() if item.service == busiest.service]
+    if not everywhere:
+        upstreams = [busiest]
     for upstream in upstreams:
         upstream.says = [(b"Server-Limit", f"{rate}".encode())]
     began = asyncio.get_running_loop().time()
@@ -117,19 +127,19 @@
 @on_site(gateways=3, engines=ENGINES, plain=6)
 async def test_all_hosts_together_send_no_more_than_an_upstream_takes(site, load, rate):
     async with load_of(site, load):
-        upstreams, began = await name_limit(site, load, rate, 1)
+        upstreams, began = await name_limit(site, load, rate)
     assert_kept(upstreams, began, rate)
 
 
 @pytest.mark.parametrize(
-    ("load", "rate", "count"),
-    [(PLAIN, 4.1, 4), (STREAMS, 2.0, 5), (READINGS, 2.0, 3)],
+    ("load", "rate"),
+    [(PLAIN, 4.1), (STREAMS, 2.0), (READINGS, 2.0)],
     ids=["repeatable", "streams", "readings"],
 )
 @on_site(gateways=3, engines=ENGINES, plain=4)
-async def test_a_service_of_which_all_name_a_limit_is_kept_to_all_of_them(site, load, rate, count):
+async def test_a_service_of_which_all_name_a_limit_is_kept_to_all_of_them(site, load, rate):
     async with load_of(site, load):
-        upstreams, began = await name_limit(site, load, rate, count)
+        upstreams, began = await name_limit(site, load, rate, everywhere=True)
     assert_kept(upstreams, began, rate)
 
 
@@ -142,5 +152,5 @@
 ):
     monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 4)
     async with load_of(site, load):
-        upstreams, began = await name_limit(site, load, rate, 1)
+        upstreams, began = await name_limit(site, load, rate)
     assert_kept(upstreams, began, rate)
