An upstream that says in its answers that it leaves gets no more work

Callers' requests went on to an engine that would soon end. Cause: leaving was read from the discovery list alone, and while the store was down the list stood still; the word in each answer was not read. What a start says itself now counts against any list, also one that has dropped it and names it again, until that start is forgotten; peers are told by a datagram, in a large fleet by way of two hosts, so that each need not learn by a request of its own. It holds since each record of the list passes one place, and every choice and grant reads the record.

--- a/src/swifttrestle/internal/forward/conditions.py
+++ b/src/swifttrestle/internal/forward/conditions.py
@@ -32,8 +32,11 @@
         self._fleet = fleet
         self._metrics = metrics
         self._conditions: dict[str, Condition] = defaultdict(Condition)
+        fleet.says_leaving = self.is_leaving
         # Called with a start whose limit this host has heard to be another one.
         self.tell_limit: Callable[[str, RateWord], None] = _ignore
+        # Called with a start that has told this host that it leaves.
+        self.tell_leaving: Callable[[str], None] = _ignore
         # Called when an upstream that was held back may take work again.
         self.note_room: Callable[[], None] = _ignore
 
@@ -77,12 +80,25 @@
             self._metrics.count("upstream_odd_words_total")
             log_decision("upstream word not read", instance=start, word=word)
         self._hear_rate(start, said, head, sent_at)
-        if said.leaving and not self._conditions[start].leaving:
-            self._conditions[start].leaving = True
-            log_decision("upstream says that it leaves", instance=start, source=OWN)
+        if said.leaving and self.take_leaving(start, OWN):
+            self.tell_leaving(start)
         if said.rest != 0.0:
             self._hear_rest(start, said.rest)
 
+    def is_leaving(self, start: str) -> bool:
+        """Return whether a start has said that it leaves; it does not take that back."""
+        known = self._conditions.get(start)
+        return known is not None and known.leaving
+
+    def take_leaving(self, start: str, source: str) -> bool:
+        """Take over that a start has said that it leaves; return whether that was news."""
+        if self.is_leaving(start):
+            return False
+        self._conditions[start].leaving = True
+        self._fleet.note_leaving(start)
+        log_decision("upstream says that it leaves", instance=start, source=source)
+        return True
+
     def take_rate(self, start: str, word: RateWord, source: str) -> bool:
         """Take over a word on a start's limit if it is newer; return whether it says otherwise."""
         known = self._conditions.get(start)
--- a/src/swifttrestle/internal/forward/permits.py
+++ b/src/swifttrestle/internal/forward/permits.py
@@ -8,6 +8,7 @@
 import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from swifttrestle.errors import UpstreamHeldError
 from swifttrestle.internal.forward.conditions import Conditions
@@ -20,7 +21,15 @@
     find_keepers,
 )
 from swifttrestle.internal.policy.scheduling import is_large
-from swifttrestle.internal.protocol.permits import Answer, Ask, Tell, pack_message, unpack_message
+from swifttrestle.internal.protocol.permits import (
+    Answer,
+    Ask,
+    Leaving,
+    Message,
+    Tell,
+    pack_message,
+    unpack_message,
+)
 from swifttrestle.internal.state.conditions import RateWord
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.members import Member
@@ -89,7 +98,8 @@
         # What this host counts for all, and what it keeps to where it reaches no other.
         self._kept: dict[str, RateBucket] = {}
         self._own: dict[str, RateBucket] = {}
-        conditions.tell_limit = self._tell
+        conditions.tell_limit = self._tell_limit
+        conditions.tell_leaving = self._tell_leaving
         socket.receive(DatagramKind.PERMIT, self._receive)
 
     async def reserve(self, ctx: Context, *instances: Instance) -> None:
@@ -176,28 +186,33 @@
 
     # Telling.
 
-    def _tell(self, start: str, word: RateWord) -> None:
-        """Tell the others of a limit that this host has heard; in a large fleet its keepers do."""
-        self._tell_once(start, word)
-        asyncio.get_running_loop().call_later(
-            TOLD_AGAIN_SECONDS, lambda: self._tell_once(start, self._conditions.find_rate(start))
-        )
+    def _tell_limit(self, start: str, _: RateWord) -> None:
+        self._tell_twice(lambda: Tell(start, self._conditions.find_rate(start), spread=True))
+
+    def _tell_leaving(self, start: str) -> None:
+        self._tell_twice(lambda: Leaving(start, spread=True))
+
+    def _tell_twice(self, make: Callable[[], Tell | Leaving]) -> None:
+        """Tell the others of what this host has heard, and once more what is known by then."""
+        self._tell(make())
+        asyncio.get_running_loop().call_later(TOLD_AGAIN_SECONDS, lambda: self._tell(make()))
 
-    def _tell_once(self, start: str, word: RateWord) -> None:
+    def _tell(self, message: Tell | Leaving) -> None:
+        """Tell all hosts, or in a large fleet two that tell all others."""
         members = self._list_members()
-        keepers = find_keepers(members, start, "")
-        if not is_large(len(members)) or self._host in (item.host for item in keepers):
-            self._tell_all(start, word)
+        tellers = find_keepers(members, message.start, "")
+        if not is_large(len(members)) or self._host in (item.host for item in tellers):
+            self._tell_all(message)
             return
-        for keeper in keepers:
-            self._send(keeper.ip, Tell(start, word, spread=True))
+        for teller in tellers:
+            self._send(teller.ip, message)
 
-    def _tell_all(self, start: str, word: RateWord) -> None:
+    def _tell_all(self, message: Tell | Leaving) -> None:
         for member in self._list_members():
             if member.host != self._host:
-                self._send(member.ip, Tell(start, word))
+                self._send(member.ip, replace(message, spread=False))
 
-    def _send(self, ip: str, message: Ask | Answer | Tell) -> None:
+    def _send(self, ip: str, message: Message) -> None:
         self._socket.send(ip, DatagramKind.PERMIT, pack_message(message, _now()))
 
     # Called by the socket.
@@ -205,7 +220,10 @@
     def _receive(self, data: bytes, ip: str) -> None:
         """Take a peer's message over; raise FrameError."""
         message = unpack_message(data, _now())
-        news = self._conditions.take_rate(message.start, message.word, ip)
+        if isinstance(message, Leaving):
+            news = self._conditions.take_leaving(message.start, ip)
+        else:
+            news = self._conditions.take_rate(message.start, message.word, ip)
         match message:
             case Ask(number, start, urgent, _):
                 seconds = self._count(self._kept, start, urgent)
@@ -215,9 +233,9 @@
                 waiting = self._asked.get(number)
                 if waiting is not None and not waiting.done():
                     waiting.set_result(message)
-            case Tell(start, word, spread):
-                if news and spread:
-                    self._tell_all(start, word)
+            case Tell() | Leaving():
+                if news and message.spread:
+                    self._tell_all(message)
 
 
 def _now() -> float:
--- a/src/swifttrestle/internal/protocol/permits.py
+++ b/src/swifttrestle/internal/protocol/permits.py
@@ -19,6 +19,7 @@
     ASK = 1
     ANSWER = 2
     TELL = 3
+    LEAVING = 4
 
 
 @dataclass(frozen=True)
@@ -50,12 +51,20 @@
     spread: bool = False
 
 
-Message = Ask | Answer | Tell
+@dataclass(frozen=True)
+class Leaving:
+    """Tells of a start that has said that it leaves; `spread` as in Tell."""
+
+    start: str
+    spread: bool = False
+
+
+Message = Ask | Answer | Tell | Leaving
 
 
 def pack_message(message: Message, now: float) -> bytes:
     """Return the datagram of a message; times go as seconds before `now`, the loop's time."""
-    word = message.word
+    word = RateWord() if isinstance(message, Leaving) else message.word
     age = max(0.0, now - word.at) if word.at > float("-inf") else None
     values: tuple[Any, ...]
     match message:
@@ -65,6 +74,8 @@
             values = (PermitMessageKind.ANSWER, number, start, seconds)
         case Tell(start, _, spread):
             values = (PermitMessageKind.TELL, 0, start, spread)
+        case Leaving(start, spread):
+            values = (PermitMessageKind.LEAVING, 0, start, spread)
     data: bytes = msgpack.packb((*values, word.rate, age))
     return data
 
@@ -81,6 +92,8 @@
                 return Answer(_read_number(number), start, _read_seconds(value), word)
             case PermitMessageKind.TELL:
                 return Tell(start, word, bool(value))
+            case PermitMessageKind.LEAVING:
+                return Leaving(start, bool(value))
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"a word on a limit cannot be read: {error!r}") from None
 
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
 from swifttrestle.internal.state.prompt_cache import PromptCache, SentPrompt
@@ -101,6 +101,11 @@
     """Do nothing: nobody wants to know."""
 
 
+def _never(_: str) -> bool:
+    """Return that it has not."""
+    return False
+
+
 @dataclass
 class _PeerWork:
     at: float
@@ -125,6 +130,8 @@
         self.confirmed_at = float("-inf")
         # What services declare of their engines, by service.
         self.traits: dict[str, EngineTraits] = {}
+        # Whether a start has said in its own answers that it leaves.
+        self.says_leaving: Callable[[str], bool] = _never
         self._services: dict[str, dict[str, Instance]] = defaultdict(dict)
         self._peers: dict[str, _PeerWork] = {}
 
@@ -178,8 +185,11 @@
         """Take a record over; return whether anything but its heartbeat changed.
 
         A later start ends all that was believed of the one before, open work included. A record
-        of an earlier start than the one in use is an old word and changes nothing.
+        of an earlier start than the one in use is an old word and changes nothing. What a start
+        has said itself counts against a list that still calls it ready: the store may be away.
         """
+        if not record.leaving and self.says_leaving(record.start):
+            record = replace(record, leaving=True)
         known = self.find_start(record.instance)
         if known is not None and (known.record == record or self.is_old_word(record)):
             return False
@@ -200,6 +210,12 @@
         self._services[record.service][known.name] = known
         return True
 
+    def note_leaving(self, start: str) -> None:
+        """Take over that a start has said that it leaves."""
+        known = self.instances.get(start)
+        if known is not None:
+            self.put(known.record)
+
     def _replace(self, former: Instance) -> None:
         former.replaced = True
         self._drop(former)
--- a/tests/hosted/test_leaving_and_rest.py
+++ b/tests/hosted/test_leaving_and_rest.py
@@ -8,6 +8,10 @@
     at 9.64 s: a request reached an upstream 2106 ms after an answer had told the host that sent it
     that the upstream leaves (bound 2000 ms)
     at 7.35 s: an upstream had asked a host for 3 s of rest, and got 7 requests from it in that time
+Leaving was known from the discovery list alone, and the list stood still with the store. Now what an
+upstream says itself counts against a list that still calls it ready, also when the list has lost it
+and names it again, and all hosts are told.
+
     "decoder i-9bf74881b2 failed: 5010 UPSTREAM_BUSY: i-9bf74881b2 refused with 503", every 0.25 s
 """
 
