An upstream gets no work in the time of rest that it asks for

Callers of an engine's service were refused, since its refusals used the repeats up that others needed. Cause: the time of rest in a refusal was not read; an upstream that had refused was left alone for a fixed quarter of a second, and where all had refused they were asked all the same. Now the time is kept for each start at each host, and holds for every choice and at the moment of sending; where all of a service rest, callers are refused at once (1021) with the time until the first one is free. After a rest one request tries the upstream before the others, so that all that waited does not reach it at once.

--- a/src/swifttrestle/internal/forward/conditions.py
+++ b/src/swifttrestle/internal/forward/conditions.py
@@ -19,6 +19,9 @@
 # Share by which a limit must differ from the one known for others to be told of it: what differs
 # less stays within what an upstream bears beyond its limit.
 TOLD_CHANGE_SHARE = 0.1
+# Seconds of rest where the time that is asked for cannot be read, and at most.
+UNKNOWN_REST_SECONDS = 1.0
+LONGEST_REST_SECONDS = 3600.0
 # Seconds after which a start that nothing is heard of is forgotten, and between looks for these.
 FORGET_SECONDS = 600.0
 EXPIRE_SECONDS = 30.0
@@ -84,6 +87,8 @@
             self.tell_leaving(start)
         if said.rest != 0.0:
             self._hear_rest(start, said.rest)
+        elif start in self._conditions and self._conditions[start].note_taken(sent_at):
+            self.note_room()
 
     def is_leaving(self, start: str) -> bool:
         """Return whether a start has said that it leaves; it does not take that back."""
@@ -124,6 +129,8 @@
     def note_sent(self, instance: Instance) -> None:
         """Count a request that goes to an upstream, by the condition that it is in."""
         known = self._conditions.get(instance.name)
+        if known is not None:
+            known.note_sent(_now())
         self._metrics.count(
             "upstream_sends_total",
             service=instance.record.service,
@@ -171,7 +178,10 @@
         if condition.rest_until <= now:
             log_decision("upstream asks for rest", instance=start, seconds=seconds)
         self._metrics.count("upstream_rests_total")
-        condition.rest_until = max(condition.rest_until, now + (seconds or 0.0))
+        rest = UNKNOWN_REST_SECONDS if seconds is None else min(seconds, LONGEST_REST_SECONDS)
+        # Each request that it refuses in that time costs its service a repeat.
+        condition.rest(now + rest)
+        asyncio.get_running_loop().call_at(condition.rest_until, self.note_room)
 
 
 def _differs(rate: float | None, other: float | None) -> bool:
--- a/tests/hosted/test_leaving_and_rest.py
+++ b/tests/hosted/test_leaving_and_rest.py
@@ -8,11 +8,12 @@
     at 9.64 s: a request reached an upstream 2106 ms after an answer had told the host that sent it
     that the upstream leaves (bound 2000 ms)
     at 7.35 s: an upstream had asked a host for 3 s of rest, and got 7 requests from it in that time
-Leaving was known from the discovery list alone, and the list stood still with the store. Now what an
-upstream says itself counts against a list that still calls it ready, also when the list has lost it
-and names it again, and all hosts are told.
-
     "decoder i-9bf74881b2 failed: 5010 UPSTREAM_BUSY: i-9bf74881b2 refused with 503", every 0.25 s
+
+Leaving was known from the discovery list alone, and the list stood still with the store. Now what
+an upstream says itself counts against a list that still calls it ready, also when the list has lost
+it and names it again, and all hosts are told. The time of rest was not read either: one that had
+refused was left alone for a fixed quarter of a second, and where all had refused not at all.
 """
 
 import asyncio
@@ -114,10 +115,15 @@
         told = [await ask(address_of(site), load.path, f"t{n}", **load.headers) for n in range(5)]
         took = asyncio.get_running_loop().time() - began
         await asyncio.sleep(0.7)
+        late = [count_after(item, began) for item in resting]
+        # All that waits at the end of the rest is not sent at once to one that may rest again.
+        again = asyncio.get_running_loop().time() + 0.6
+        await asyncio.sleep(1.0)
+        rush = [count_after(item, again) for item in resting]
     assert all(answer.status == 503 for answer in told)
     # They are refused at once, and return when one of the upstreams may take them.
     assert took < UNDER_WAY_SECONDS
     assert all(0.5 < answer.retry_after <= REST_SECONDS for answer in told)
-    late = [count_after(item, began) for item in resting]
+    assert max(rush) <= ALLOWED_IN_REST
     assert max(late) <= ALLOWED_IN_REST
     assert len(answers) > 0
