--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, script
+from tests.soak import promises
 from tests.soak.processes import GRACE_SECONDS, KEY
 from tests.soak.proxy import Way
 
@@ -33,6 +34,8 @@
 )
 # Seconds after which their caller gives an attempt up.
 DEADLY_PATIENCE = 3.0
+# Requests a second that upstreams in need take.
+LIMITS = (0.5, 2.9, 8.0)
 STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -50,13 +53,16 @@
         self._end = 0.0
         self.log = []
         self.findings = []
+        # The limits that upstreams named, and when.
+        self.limits = []
 
     async def run(self, seconds, planned):
-        kinds = [self.stop, self.reload, self.change]
+        kinds = [self.stop, self.reload, self.change, self.limit]
         if not planned:
             kinds += [self.kill, self.pause, self.hold, self.reset, self.outage, self.drain]
             kinds += [self.spoil, self.restart, self.stray, self.overwrite, self.deadly]
             kinds += [self.revoke, self.reclaim, self.kill_holder, self.lose_duty_answers]
+            kinds += [self.rest, self.say_leaving]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._rng.choice(kinds)
@@ -204,6 +210,35 @@
     async def lose_duty_answers(self):
         self._site.duties.faults.lose_answers += 1
 
+    async def limit(self):
+        """Have an upstream name a limit in all its answers, for longer than hosts may learn it."""
+        upstream = self._rng.choice(self._site.fixed)
+        if upstream.says:
+            return
+        rate = self._rng.choice(LIMITS)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        upstream.says = [(b"Server-Limit", f"{rate}".encode())]
+        await asyncio.sleep(promises.LEARN_SECONDS + self._some_time(4.0))
+        upstream.says = []
+        self.limits.append(promises.NamedLimit(upstream, rate, began, loop.time()))
+
+    async def rest(self):
+        upstream = self._rng.choice(self._site.fixed)
+        upstream.rest = self._rng.choice((b"0.3", b"1.5", b"soon"))
+        await asyncio.sleep(self._some_time(2.0))
+        upstream.rest = b""
+
+    async def say_leaving(self):
+        """Have an upstream say in its answers alone that it leaves, and then start anew."""
+        upstream = self._rng.choice(self._site.fixed)
+        if upstream.says:
+            return
+        upstream.says = [(b"Server-Leaving", b"1")]
+        await asyncio.sleep(self._some_time(2.5))
+        upstream.says = []
+        self._site.restart_upstream(upstream, next(self._starts))
+
     async def spoil(self):
         script(self._site, self._rng.choice("se"), *self._rng.choices(STEPS, k=4))
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,6 +1,8 @@
 """What must hold after a round: from what callers saw and what upstreams recorded."""
 
 from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import Any
 
 from tests.soak.callers import ONCE, expected_body
 from tests.soak.processes import OTHER_KEY
@@ -8,10 +10,24 @@
 # Crashes of one request after which it may reach few upstreams more, the seconds in which all hosts
 # must know of them, and how few.
 CRASHES, KNOWN_SECONDS, MORE = 3, 3.0, 3
+# Seconds in which hosts learn of a limit, and what all together may send in a window after that.
+LEARN_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+ALLOWED_SHARE, ALLOWED_EXTRA = 1.5, 5
 # Statuses that promise that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """A limit that an upstream named, in requests a second, and the loop's times of it."""
+
+    upstream: Any
+    rate: float
+    began: float
+    ended: float
+
+
 def list_all(site):
     """Return all upstreams that there were, with what they recorded."""
     return [*site.upstreams.values(), *site.duties.ended]
@@ -106,3 +122,14 @@
         late = [at for at in times[CRASHES:] if at > times[CRASHES - 1] + KNOWN_SECONDS]
         if len(late) > MORE:
             yield f"{body!r}: {len(times)} crashes, {len(late)} of them late"
+
+
+def check_limits(limits):
+    """In a round of planned work alone an upstream gets no more than it takes."""
+    for limit in limits:
+        first = limit.began + LEARN_SECONDS
+        times = [at for at in limit.upstream.arrived_at if first <= at <= limit.ended]
+        allowed = ALLOWED_SHARE * limit.rate * WINDOW_SECONDS + ALLOWED_EXTRA
+        worst = max((sum(at <= i < at + WINDOW_SECONDS for i in times) for at in times), default=0)
+        if worst > allowed:
+            yield f"{limit.upstream.instance}: {worst} requests in a window, {allowed} allowed"
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -56,6 +56,7 @@
         findings += promises.check_duties(site)
         if planned:
             findings += promises.check_planned(crowd.seen, runs)
+            findings += promises.check_limits(faults.limits)
         served = sum(1 for item in crowd.seen if item.answer and item.answer.status == 200)
         return Outcome(seed, findings, faults.log, len(crowd.seen), served)
     finally:
@@ -75,6 +76,7 @@
     """Return the hosts and kinds of requests that do not come back."""
     for upstream in site.fixed:
         upstream.script.steps.clear()
+        upstream.says, upstream.rest = [], b""
         site.list_upstream(upstream)
     findings = []
     for host in site.hosts.values():
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -123,3 +123,13 @@
     upstream = SimpleNamespace(arrivals=[("goal-1", headers)])
     site = SimpleNamespace(upstreams={"s0": upstream}, duties=SimpleNamespace(ended=[]))
     assert len(list(promises.check_workspaces(site, seen))) == wanted
+
+
+@pytest.mark.parametrize(
+    ("times", "found"),
+    [([], 0), ([1.0] * 50, 0), ([4.0] * 11, 0), ([4.0] * 12, 1), ([4.0, 9.0] * 11, 0)],
+)
+def test_more_requests_than_an_upstream_takes_are_found(times, found):
+    upstream = SimpleNamespace(instance="s0", arrived_at=times)
+    limit = promises.NamedLimit(upstream, 1.0, began=0.5, ended=10.0)
+    assert len(list(promises.check_limits([limit]))) == found
