--- a/tests/common/http.py
+++ b/tests/common/http.py
@@ -26,8 +26,10 @@
         self.writer = writer
 
     @classmethod
-    async def connect(cls, address):
-        return cls(*await asyncio.open_connection(*address))
+    async def connect(cls, address, source=None):
+        """Connect, from the IP `source` where one is given."""
+        local = None if source is None else (source, 0)
+        return cls(*await asyncio.open_connection(*address, local_addr=local))
 
     def send(self, data):
         self.writer.write(data)
@@ -83,9 +85,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def ask(address, path, request_id, **changes):
+async def ask(address, path, request_id, source=None, **changes):
     """Send one request on a connection of its own and return the answer."""
-    caller = await RawCaller.connect(address)
+    caller = await RawCaller.connect(address, source)
     caller.send(write_request(path, request_id, **changes))
     try:
         return await caller.read_answer()
--- a/tests/hosted/test_deadly_requests.py
+++ b/tests/hosted/test_deadly_requests.py
@@ -46,13 +46,16 @@
 NUMBERS = itertools.count()
 
 
-async def send_again_and_again(site, path, body, headers, attempts=ATTEMPTS):
-    """Send a request under ever new ids, at each host in turn; return the answers."""
+async def send_again_and_again(
+    site, path, body, headers, attempts=ATTEMPTS, hosts=HOSTS, sources=(None,)
+):
+    """Send a request under ever new ids, at each host in turn, from each source in turn."""
     answers = []
     for _ in range(attempts):
         number = next(NUMBERS)
-        host = address_of(site, HOSTS[number % len(HOSTS)])
-        answers.append(await ask(host, path, f"d{number}", body=body, **headers))
+        host = address_of(site, hosts[number % len(hosts)])
+        source = sources[number % len(sources)]
+        answers.append(await ask(host, path, f"d{number}", source, body=body, **headers))
         await asyncio.sleep(PAUSE_SECONDS)
     return answers
 
@@ -86,6 +89,42 @@
     assert answers[-1].retry_after > 1
 
 
+@pytest.mark.parametrize(("path", "body", "headers"), KINDS, ids=NAMES)
+@on_site(gateways=3, engines=ENGINES, plain=8)
+async def test_the_same_request_from_many_addresses_is_one(site, path, body, headers):
+    """A caller has many addresses, of its own connections or of what stands before it.
+
+    The address was part of what made two requests the same, so that each address began at no crash:
+    the requests that were held under 14 ended engines had one body, one host and one path, and 15
+    addresses; where an address came a second time it was kept back, 12 of 52 times.
+    """
+    await tell_starts(site)
+    site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
+    sources = [f"127.0.0.{number}" for number in range(2, 38)]
+    answers = await send_again_and_again(site, path, body, headers, sources=sources)
+    assert len(site.crashes) <= MOST_CRASHES
+    assert answers[-1].status == 503
+    assert answers[-1].retry_after > 1
+
+
+@pytest.mark.parametrize(("path", "body", "headers"), KINDS[:4], ids=NAMES[:4])
+@on_site(gateways=3, engines=ENGINES, plain=8)
+async def test_hosts_that_never_saw_a_deadly_request_keep_it_back_from_other_addresses(
+    site, path, body, headers
+):
+    await tell_starts(site)
+    site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
+    sources = [f"127.0.0.{number}" for number in range(2, 38)]
+    seen = {"hosts": HOSTS[:1], "sources": sources[:18]}
+    await send_again_and_again(site, path, body, headers, attempts=6, **seen)
+    before = len(site.crashes)
+    others = {"hosts": HOSTS[1:], "sources": sources[18:]}
+    answers = await send_again_and_again(site, path, body, headers, attempts=6, **others)
+    assert before <= MOST_CRASHES
+    assert len(site.crashes) == before
+    assert all(answer.status == 503 for answer in answers)
+
+
 @pytest.mark.parametrize(("path", "body", "headers"), KINDS, ids=NAMES)
 @on_site(gateways=6, engines=ENGINES, plain=8)
 async def test_keepers_tell_all_hosts_of_a_large_fleet(site, path, body, headers, monkeypatch):
