--- a/src/swifttrestle_standins/hosted/duties.py
+++ b/src/swifttrestle_standins/hosted/duties.py
@@ -117,8 +117,7 @@
         if wanted > len(standing) and reclaimable and zone in self.faults.dry_zones:
             return 409
         for upstream in standing[wanted:]:
-            self._site.list_upstream(upstream, "draining")
-            self._later(self._boot_seconds, functools.partial(self._end, upstream))
+            self._withdraw(upstream, self._boot_seconds)
         for _ in range(wanted - len(standing)):
             self._start_engine(body["service"], zone, reclaimable)
         return 200
@@ -131,8 +130,7 @@
                 continue
             if upstream.reclaimable:
                 upstream.leaves_ms = int(notice_seconds * 1000)
-                self._site.list_upstream(upstream, "draining")
-                self._later(notice_seconds, functools.partial(self._end, upstream))
+                self._withdraw(upstream, notice_seconds)
 
     def _list_standing(self, service: str, zone: str, reclaimable: bool) -> list[StandInEngine]:
         """Return the engines of a kind that serve or come up, and do not leave."""
@@ -148,7 +146,20 @@
         engine = StandInEngine(f"n{next(self._numbers)}", service, zone, "prefill")
         engine.reclaimable = reclaimable
         self._site.upstreams[engine.instance] = engine
-        self._later(self._boot_seconds, lambda: self._site.add_upstream(engine))
+        self._later(self._boot_seconds, lambda: self._bring_up(engine))
+
+    async def _bring_up(self, engine: StandInEngine) -> None:
+        """Have an engine serve, unless it was withdrawn while it came up."""
+        if engine.instance in self._site.upstreams:
+            await self._site.add_upstream(engine)
+
+    def _withdraw(self, engine: StandInEngine, seconds: float) -> None:
+        """Have an engine leave within some seconds; one that still comes up never does."""
+        if engine.instance not in self._site.addresses:
+            del self._site.upstreams[engine.instance]
+            return
+        self._site.list_upstream(engine, "draining")
+        self._later(seconds, functools.partial(self._end, engine))
 
     def _end(self, upstream: StandInEngine) -> None:
         self._site.unlist_upstream(upstream)
--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -266,3 +266,15 @@
     page = (await ask(running.metrics_address, "/metrics", "m1", method="GET")).body.decode()
     for name in ("capacity_paid_total", "capacity_orders_total", "usage_reports_total"):
         assert f"swifttrestle_{name}" in page
+
+
+@on_duty_site(gateways=0)
+async def test_an_engine_that_is_taken_away_while_it_comes_up_never_serves(site):
+    # The stand-in listed it as leaving before it had an address; a soak of the seed 535 ended there.
+    engine = StandInEngine("n1", "model", "hall-a", "prefill")
+    engine.reclaimable = True
+    site.upstreams["n1"] = engine
+    site.duties.reclaim("hall-a", 0.1)
+    assert "n1" not in site.upstreams
+    await site.duties._bring_up(engine)
+    assert "n1" not in site.upstreams
