A request is the same one from whatever address it comes

Cause: the address of the connection was part of a request's name, and a caller has many. Ruled out: other paths or hosts (the 15 names that were held shared both). Now the workspace stands in its place, empty where callers need no key; the names of what is open are found by the request's context alone, so that the address is read nowhere any more (no other use of it stood).

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -9,6 +9,7 @@
 from swifttrestle.errors import RefusedError
 from swifttrestle.internal.state.declared import Repeat, Route, ServiceDeclaration, Workspace
 from swifttrestle.internal.state.fleet import Instance
+from swifttrestle.internal.state.request_names import RequestName, name_head, name_request
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply
 from swifttrestle.internal.transport.messages import Header
 from swifttrestle.platform.wire import RequestFacts
@@ -72,6 +73,17 @@
         """Seconds since the request was read."""
         return asyncio.get_running_loop().time() - self.request.received
 
+    @property
+    def name_head(self) -> bytes:
+        """The half of the request's name that is known before its body has arrived."""
+        return name_head(self.request.head, self.workspace.name if self.workspace else "")
+
+    @property
+    def name(self) -> RequestName | None:
+        """The request's name, None while its body is not whole."""
+        workspace = self.workspace.name if self.workspace else ""
+        return name_request(self.request.head, workspace, self.request.body)
+
     @contextlib.contextmanager
     def open_at(self, instance: Instance) -> Iterator[None]:
         """Keep where the request is open if it is called off there."""
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -12,7 +12,7 @@
 from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
 from swifttrestle.internal.state.crash_cases import Case, Crash
 from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.state.request_names import RequestName, name_head, name_request
+from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Seconds after which to ask again while another copy of the request is tried: about as long as a
@@ -41,7 +41,7 @@
         """Return a request's name if something is held against it.
 
         Raises RefusedError for one that is kept from upstreams. Few requests wait here: those
-        whose caller, host and path are those of a request that was open at a crash, until their
+        whose host and path are those of a request that was open at a crash, until their
         body is whole and tells whether they are the same.
         """
         name = await self._find_known(ctx)
@@ -119,12 +119,11 @@
         """Return the request's name if something may be held against it."""
         if not len(self.quarantine):
             return None
-        request = ctx.request
-        if not self.quarantine.knows_head(name_head(request.head, request.caller)):
+        if not self.quarantine.knows_head(ctx.name_head):
             return None
         # A body that never gets whole ends with its caller's connection or the request's time.
-        await request.body.wait_for_end()
-        return name_request(request.head, request.caller, request.body)
+        await ctx.request.body.wait_for_end()
+        return ctx.name
 
     async def _note_answered(self, ctx: Context) -> None:
         # Whatever was heard of it while it ran counts as well.
--- a/src/swifttrestle/internal/forward/crashes.py
+++ b/src/swifttrestle/internal/forward/crashes.py
@@ -13,8 +13,7 @@
 from swifttrestle.errors import UpstreamUnreachedError
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.state.request_names import RequestName, name_request
-from swifttrestle.internal.transport.caller import IncomingRequest
+from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Seconds for which a request that broke off may still turn out to have been open at a crash. An
@@ -62,14 +61,14 @@
         self._unsettled: dict[str, list[_Unsettled]] = defaultdict(list)
         self._looks: dict[str, asyncio.Task[None]] = {}
 
-    def note_broken(self, instance: Instance, request: IncomingRequest) -> None:
+    def note_broken(self, instance: Instance, name: RequestName | None) -> None:
         """Take over that a request's connection was lost, and look at the upstream."""
-        if self._keep(instance, request, silent=False) and not instance.replaced:
+        if self._keep(instance, name, silent=False) and not instance.replaced:
             self._look(instance)
 
-    def note_silent(self, instance: Instance, request: IncomingRequest) -> None:
+    def note_silent(self, instance: Instance, name: RequestName | None) -> None:
         """Take over that a request got no answer in its time, on a connection that still stood."""
-        if self._keep(instance, request, silent=True) and instance.gone:
+        if self._keep(instance, name, silent=True) and instance.gone:
             self._look(instance)
 
     async def finish_looks(self) -> None:
@@ -87,8 +86,7 @@
         if not instance.record.leaving:
             self._settle(instance, "its next start", next_start=True)
 
-    def _keep(self, instance: Instance, request: IncomingRequest, *, silent: bool) -> bool:
-        name = name_request(request.head, request.caller, request.body)
+    def _keep(self, instance: Instance, name: RequestName | None, *, silent: bool) -> bool:
         if name is None or instance.record.leaving:
             # An upstream that leaves ends by plan, and may cut what is still open.
             return False
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -19,7 +19,6 @@
     judge_key,
 )
 from swifttrestle.internal.state.declared import Limits, Route, Workspace
-from swifttrestle.internal.state.request_names import name_request
 from swifttrestle.internal.state.routes import RouteTable, pick_service
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
 from swifttrestle.internal.transport.messages import Header, RequestHead
@@ -190,7 +189,7 @@
         except TimeoutError:
             ctx.note("deadline")
             if ctx.open_to_the_end is not None:
-                self._parts.crashes.note_silent(ctx.open_to_the_end, ctx.request)
+                self._parts.crashes.note_silent(ctx.open_to_the_end, ctx.name)
             if ctx.may_have_run:
                 raise RefusedError(Code.ANSWER_LATE, "the time is over") from None
             raise ctx.refuse(Code.DEADLINE_PASSED, "the time is over", 0.1) from None
@@ -246,7 +245,7 @@
     lost = ctx.may_have_run and code is not Code.OK
     if not (lost or ctx.runs or ctx.lost_reads or code is Code.QUARANTINED):
         return {}
-    name = name_request(ctx.request.head, ctx.request.caller, ctx.request.body)
+    name = ctx.name
     return {"name": str(name)} if name else {}
 
 
--- a/src/swifttrestle/internal/forward/parts.py
+++ b/src/swifttrestle/internal/forward/parts.py
@@ -199,9 +199,9 @@
             return
         match error:
             case UpstreamSilentError():
-                self.crashes.note_silent(instance, ctx.request)
+                self.crashes.note_silent(instance, ctx.name)
             case UpstreamError(sent=True):
-                self.crashes.note_broken(instance, ctx.request)
+                self.crashes.note_broken(instance, ctx.name)
         self.note_failure(instance, now, str(error), weigh_failure(error))
 
     def note_failure(self, instance: Instance, now: float, reason: str, weight: int = 1) -> None:
--- a/src/swifttrestle/internal/state/request_names.py
+++ b/src/swifttrestle/internal/state/request_names.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True)
 class RequestName:
-    """The name of a request: of its head (caller, method, host, path), and of its body.
+    """The name of a request: of its head (workspace, method, host, path), and of its body.
 
     The halves stand apart, since the first is known before the body has arrived: most requests
     are told from a known one without a wait for their body, and without reading it.
@@ -35,22 +35,24 @@
     return name
 
 
-def name_head(head: RequestHead, caller: str) -> bytes:
-    """Return the half of a name that a request's head and its caller's address make.
+def name_head(head: RequestHead, workspace: str) -> bytes:
+    """Return the half of a name that a request's head and its workspace make.
 
-    The request's other headers are not part of it: they differ from one attempt to the next.
+    The request's other headers are not part of it, nor is the address that it came from: they
+    differ from one attempt of the same caller to the next. `workspace` is empty where callers need
+    no key.
     """
-    return digest_parts((caller.encode(), head.method, head.find(b"host").lower(), head.target))
+    return digest_parts((workspace.encode(), head.method, head.find(b"host").lower(), head.target))
 
 
-def name_request(head: RequestHead, caller: str, body: Body) -> RequestName | None:
+def name_request(head: RequestHead, workspace: str, body: Body) -> RequestName | None:
     """Return a request's name; None while its body is not whole."""
     if not body.complete:
         return None
     digest = hashlib.blake2b(digest_size=HALF_BYTES)
     for chunk in body.list_kept():
         digest.update(chunk)
-    return RequestName(name_head(head, caller), digest.digest())
+    return RequestName(name_head(head, workspace), digest.digest())
 
 
 def digest_parts(parts: Iterable[bytes]) -> bytes:
--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -64,15 +64,11 @@
 
 @dataclass(frozen=True)
 class IncomingRequest:
-    """One request of a caller; `received` is the loop's time when its head was whole.
-
-    `caller` is the address that its connection comes from, without the port.
-    """
+    """One request of a caller; `received` is the loop's time when its head was whole."""
 
     head: RequestHead
     body: Body
     received: float
-    caller: str = ""
 
 
 class RequestHandler(ABC):
@@ -115,7 +111,6 @@
         self._connections = connections
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._caller = ""
         self._parser = httptools.HttpRequestParser(self)
         self._limits = handler.limits()
         self._headers: list[Header] = []
@@ -140,7 +135,6 @@
         """Start the connection's task."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._caller = _read_address(transport)
         self._connections.open.add(self)
         self._task = asyncio.ensure_future(self._serve())
         self._watch_idle()
@@ -205,7 +199,7 @@
         self._body.resume_reading = self._resume_reading
         if find_header(head.headers, b"expect").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        request = IncomingRequest(head, self._body, self._loop.time(), self._caller)
+        request = IncomingRequest(head, self._body, self._loop.time())
         self._requests.append((request, self._parser.should_keep_alive()))
         self._arrived.set()
         self._hold_reading_if_full()
@@ -379,11 +373,5 @@
             self._transport.close()
 
 
-def _read_address(transport: asyncio.BaseTransport) -> str:
-    """Return the address of a connection's other end; empty where it is gone already."""
-    peer = transport.get_extra_info("peername")
-    return str(peer[0]) if peer else ""
-
-
 class _RefusedError(Exception):
     """Leaves the parser; the status stands in the connection."""
--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -270,7 +270,7 @@
 
 @on_duty_site(gateways=0)
 async def test_an_engine_that_is_taken_away_while_it_comes_up_never_serves(site):
-    # The stand-in listed it as leaving before it had an address; a soak of the seed 535 ended there.
+    # The stand-in listed it as leaving before it had an address; a soak ended there.
     engine = StandInEngine("n1", "model", "hall-a", "prefill")
     engine.reclaimable = True
     site.upstreams["n1"] = engine
