A request whose upstream takes nothing more at the last moment goes elsewhere

Found on reading: a time of rest that began between a reading's booking and its first byte ended the request with 502, since nobody took that word there. Both engines are now asked for where the reading begins, and the booking is given back in one place. Words that cannot be read are told once and not with each answer, and buckets of upstreams that ended are not kept for ever.

--- a/src/swifttrestle/internal/forward/conditions.py
+++ b/src/swifttrestle/internal/forward/conditions.py
@@ -8,7 +8,7 @@
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.state.backpressure import Backpressure
-from swifttrestle.internal.state.conditions import Condition, RateWord
+from swifttrestle.internal.state.conditions import NEVER, Condition, RateWord
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.transport.messages import AnswerHead
 from swifttrestle.platform.backpressure import read_backpressure
@@ -79,9 +79,8 @@
             # Another one has its address now and speaks for itself.
             return
         said = read_backpressure(head.status, head.headers)
-        for word in said.odd:
-            self._metrics.count("upstream_odd_words_total")
-            log_decision("upstream word not read", instance=start, word=word)
+        if said.odd:
+            self._note_odd(start, said.odd)
         self._hear_rate(start, said, head, sent_at)
         if said.leaving and self.take_leaving(start, OWN):
             self.tell_leaving(start)
@@ -143,7 +142,9 @@
             start: {
                 "leaving": known.leaving,
                 "limit": known.word.rate,
-                "limit_heard_before": round(now - known.word.at, 1) if known.word.at > 0 else None,
+                "limit_heard_before": round(now - known.word.at, 1)
+                if known.word.at > NEVER
+                else None,
                 "rests_for": round(max(0.0, known.rest_until - now), 2),
                 "held_for": round(known.find_hold(now, urgent=False), 2),
             }
@@ -172,6 +173,14 @@
         if self.take_rate(start, heard, OWN):
             self.tell_limit(start, heard)
 
+    def _note_odd(self, start: str, words: tuple[str, ...]) -> None:
+        """Tell of words that cannot be read, once for each: they may stand in every answer."""
+        self._metrics.count("upstream_odd_words_total", len(words))
+        condition = self._conditions[start]
+        if words != condition.odd:
+            condition.odd = words
+            log_decision("upstream word not read", instance=start, words=words)
+
     def _hear_rest(self, start: str, seconds: float | None) -> None:
         now = _now()
         condition = self._conditions[start]
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -76,34 +76,26 @@
             reading = DirectReading(booking, self._booker)
             ctx.on_first_byte = reading.end
             try:
-                if not await self._may_use(ctx, booking):
-                    held += 1
-                    continue
-                handle = None if booking.direct else await self._reader.read(ctx, booking)
+                handle = await self._read(ctx, booking)
                 if handle is not None or booking.direct:
                     await self._decode(ctx, booking, use, handle, relay)
                     return
                 reads += 1
+            except UpstreamHeldError as error:
+                ctx.note(str(error))
+                held += 1
             finally:
                 reading.cancel()
                 seconds = asyncio.get_running_loop().time() - use.began
                 self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
         raise ctx.refuse(Code.NO_UPSTREAM, "no engine read the prompt", LEAST_RETRY_AFTER)
 
-    async def _may_use(self, ctx: Context, booking: Booking) -> bool:
-        """Take permits for both engines, where they need any, before a prompt is read for nothing.
-
-        Where one of them takes nothing now the booking's reading ends unused.
-        """
-        engines = [booking.decoder] if booking.direct else [booking.reader, booking.decoder]
-        try:
-            await self._parts.permits.reserve(ctx, *engines)
-            return True
-        except UpstreamHeldError as error:
-            ctx.note(str(error))
-            if not booking.direct:
-                self._booker.end(booking, Stage.READ, Outcome.CANCELLED, 0.0)
-            return False
+    async def _read(self, ctx: Context, booking: Booking) -> KvHandle | None:
+        """Have the prompt read where another engine does so; raise UpstreamHeldError."""
+        if booking.direct:
+            await self._parts.permits.reserve(ctx, booking.decoder)
+            return None
+        return await self._reader.read(ctx, booking)
 
     # Booking.
 
--- a/src/swifttrestle/internal/forward/permits.py
+++ b/src/swifttrestle/internal/forward/permits.py
@@ -45,6 +45,8 @@
 PERMIT_SECONDS = 1.5
 # Seconds after which a word is told once more: the datagram may have been lost.
 TOLD_AGAIN_SECONDS = 0.5
+# Limited upstreams that a host counts for at a time: a tenth of all that there may be.
+MOST_BUCKETS = 1000
 # Bits of the first number: a host that starts anew must not meet the asks of its former life.
 NUMBER_BITS = 48
 
@@ -198,6 +200,9 @@
             return 0.0
         bucket = buckets.get(start)
         if bucket is None:
+            if len(buckets) >= MOST_BUCKETS:
+                # Upstreams that ended while they named a limit leave theirs behind.
+                del buckets[next(iter(buckets))]
             bucket = buckets[start] = RateBucket(_now())
         longest = find_longest_pause(len(self._list_members()))
         return bucket.take(max(rate, LEAST_RATE) / hosts, urgent, _now(), longest)
--- a/src/swifttrestle/internal/forward/reading.py
+++ b/src/swifttrestle/internal/forward/reading.py
@@ -80,13 +80,15 @@
     async def read(self, ctx: Context, booking: Booking) -> KvHandle | None:
         """Have the prompt read; None where the engine refused or failed.
 
-        Raises RefusedError where no other engine may be tried.
+        Raises RefusedError where no other engine may be tried, and UpstreamHeldError where one of
+        the two takes nothing now: a prompt is not read for an engine that then makes no tokens.
         """
         reader, loop = booking.reader, asyncio.get_running_loop()
         use = Use(loop.time())
         expected = booking.wait + booking.fetch_seconds + booking.tokens / reader.pace
         limit = max(LEAST_READ_SECONDS, READ_PATIENCE * expected)
         try:
+            await self._parts.permits.reserve(ctx, reader, booking.decoder)
             async with self._parts.attempt(ctx, reader, acquits=False):
                 handle = await self._call(ctx, booking, min(limit, max(0.0, ctx.left)))
             use.outcome = Outcome.DONE
--- a/src/swifttrestle/internal/state/conditions.py
+++ b/src/swifttrestle/internal/state/conditions.py
@@ -23,8 +23,8 @@
     """What one start of an upstream takes; times are the loop's.
 
     `rest_until` is when it wants to hear from this host again, `tried_until` until when one request
-    tries it after that, and `denied_until` by urgency when its
-    limit may leave this host a request again. `seen_at` is when it was last listed, 0 before that.
+    tries it after that, and `denied_until` by urgency when its limit may leave this host a request
+    again. `seen_at` is when it was last listed, 0 before that.
     """
 
     leaving: bool = False
@@ -35,10 +35,12 @@
     rested: bool = False
     denied_until: dict[bool, float] = field(default_factory=dict)
     seen_at: float = 0.0
+    # Its last words that could not be read.
+    odd: tuple[str, ...] = ()
 
     @property
     def name(self) -> str:
-        """Return the condition in one word, the gravest first, as metrics label it."""
+        """The condition in one word, the gravest first, as metrics label it."""
         if self.leaving:
             return "leaving"
         return "limited" if self.word.rate is not None else "open"
--- a/tests/cover/test_conditions.py
+++ b/tests/cover/test_conditions.py
@@ -104,6 +104,17 @@
     run_in_virtual_time(check())
 
 
+@in_virtual_time
+async def test_words_that_cannot_be_read_are_told_once_and_change_nothing():
+    parts = make_parts()
+    parts.conditions.hear("s0", answer(200, ID, LIMIT), now())
+    for _ in range(3):
+        parts.conditions.hear("s0", answer(200, ID, (b"Server-Limit", b"few"), LIMIT), now())
+    assert parts.conditions.find_rate("s0").rate == 4.0
+    assert parts.metrics.total("upstream_odd_words_total") == 3
+    assert parts.conditions._conditions["s0"].odd == ("server-limit: few",)
+
+
 @in_virtual_time
 async def test_a_shorter_rest_does_not_end_a_longer_one():
     parts = make_parts()
--- a/tests/hosted/test_upstream_limits.py
+++ b/tests/hosted/test_upstream_limits.py
@@ -20,6 +20,7 @@
 
 import pytest
 
+from swifttrestle.errors import UpstreamHeldError
 from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import wait_until
 from tests.common.http import ask
@@ -154,3 +155,23 @@
     async with load_of(site, load):
         upstreams, began = await name_limit(site, load, rate)
     assert_kept(upstreams, began, rate)
+
+
+@pytest.mark.parametrize("load", [PLAIN, STREAMS, READINGS], ids=["plain", "streams", "readings"])
+@on_site(gateways=1, engines=ENGINES, plain=2)
+async def test_a_request_goes_elsewhere_where_a_word_comes_at_the_last_moment(site, load):
+    # The word is heard between the choice and the first byte: the chosen one takes nothing more.
+    permits = site.gateways["g0"].gateway._parts.permits
+    use, held = permits.use, []
+
+    async def hold_once(ctx, instance):
+        if not held:
+            held.append(instance.name)
+            raise UpstreamHeldError(f"{instance.name} takes nothing now", 0.1)
+        await use(ctx, instance)
+
+    permits.use = hold_once
+    answer = await ask(address_of(site), load.path, "r1", **load.headers)
+    assert (answer.status, answer.whole) == (200, True)
+    assert len(held) == 1
+    assert not site.gateways["g0"].gateway.count_open_work()
