--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -28,6 +28,7 @@
 from swifttrestle.internal.forward.permits import NUMBER_BITS, Permits
 from swifttrestle.internal.forward.shared_booking import SharedBooker
 from swifttrestle.internal.lines import WRITER, log_decision
+from swifttrestle.internal.listeners import Listeners
 from swifttrestle.internal.loop import run_in_loop
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
@@ -37,14 +38,8 @@
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.true_time import TrueTime
-from swifttrestle.internal.transport.caller import (
-    CallerConnection,
-    ConnectionSet,
-    RequestHandler,
-)
 from swifttrestle.internal.transport.datagrams import PeerSocket
 from swifttrestle.internal.transport.pool import ConnectionPool
-from swifttrestle.internal.transport.upstream import Address
 from swifttrestle.platform.settings import (
     PATH_VARIABLE,
     HostSettings,
@@ -55,15 +50,8 @@
 EXIT_BAD_SETTING = 2
 # The port that deploy/system.toml names to the platform.
 METRICS_PORT = 9464
-# Connections that may wait to be accepted.
-BACKLOG = 1024
-# Seconds after a planned stop begins before idle connections are closed: the balancer asks
-# once a second and takes a host out after two misses.
-LEARN_SECONDS = 2.5
 # Seconds before the platform's hard stop at which the process ends in any case.
 END_MARGIN_SECONDS = 0.4
-# Seconds between looks at open work while stopping.
-STOP_LOOK_SECONDS = 0.05
 # Objects that may be made between two collections of garbage; the default of 700 costs a
 # noticeable share of a small host's processor.
 GC_THRESHOLD = 50_000
@@ -197,13 +185,9 @@
         self._kept_parts = KeptPartsLoader(
             settings.zone, self._fleet, self._parts.pool, self._booker.books, rng
         )
-        self._callers = ConnectionSet()
-        self._pages = ConnectionSet()
+        self._listeners = Listeners()
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[asyncio.Server] = []
-        # Whether all addresses take connections: readiness promises that to whoever asks.
-        self._listening = False
         self._operators = OperatorPages(
             settings.host,
             self.is_ready,
@@ -232,12 +216,12 @@
         for task in self._duties.list_tasks():
             self._start(task)
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
-        await self._listen(settings.callers, self._handler, self._callers)
+        await self._listeners.open_for_callers(settings.callers, self._handler)
         ready = PageHandler({READY_PATH: self._operators.make_ready})
-        await self._listen(settings.readiness, ready, self._pages)
+        await self._listeners.open(settings.readiness, ready)
         pages = self._operators.make_handler()
-        await self._listen((settings.ip, self._metrics_port), pages, self._pages)
-        self._listening = True
+        await self._listeners.open((settings.ip, self._metrics_port), pages)
+        self._listeners.complete = True
         log_decision("started", ip=settings.ip, zone=settings.zone)
         try:
             await self._stopping.wait()
@@ -289,8 +273,7 @@
     def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         self._gossip.close()
 
     async def _stop(self) -> None:
@@ -298,18 +281,13 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         end = began + self._settings.bounds.stop - END_MARGIN_SECONDS
-        log_decision("stopping", open=self._callers.count_busy())
+        log_decision("stopping", open=self._listeners.count_busy())
         self._gossip.say_leaving()
-        # Answers from now on end their connections, so that callers go elsewhere.
-        self._callers.closing = True
-        await asyncio.sleep(min(LEARN_SECONDS, self._settings.bounds.stop / 2))
+        await self._listeners.wait_for_learning(self._settings.bounds.stop / 2)
         self._handler.ends_at = end
-        self._callers.close_idle()
-        while self._callers.count_busy() and loop.time() < end:
-            await asyncio.sleep(STOP_LOOK_SECONDS)
-        log_decision(
-            "stopped", cut=self._callers.count_busy(), seconds=round(loop.time() - began, 2)
-        )
+        await self._listeners.finish(end)
+        seconds = round(loop.time() - began, 2)
+        log_decision("stopped", cut=self._listeners.count_busy(), seconds=seconds)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -324,15 +302,6 @@
             WRITER.flush()
             self._stopping.set()
 
-    async def _listen(
-        self, address: Address, handler: RequestHandler, connections: ConnectionSet
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: CallerConnection(handler, connections), *address, backlog=BACKLOG
-        )
-        self._servers.append(server)
-
     def _serve_queues(self) -> None:
         self._booker.serve_queues()
 
@@ -389,7 +358,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        known = self._configuration.table is not None and self._discovery.known and self._listening
+        known = self._configuration.table is not None and self._discovery.known
+        known = known and self._listeners.complete
         # One that may not take keys would turn all of its callers away.
         known = known and self._beliefs.is_young()
         return known and not self._stopping.is_set()
--- a/tests/hosted/test_readiness.py
+++ b/tests/hosted/test_readiness.py
@@ -2,25 +2,24 @@
 
 import asyncio
 
-from swifttrestle.gateway import Gateway
+from swifttrestle.internal.listeners import Listeners
 from tests.common.http import ask
 from tests.hosted.sites import build_site, on_built
 
 
 async def build_slow_site():
     """Start a site whose host takes a while until its operators' address listens."""
-    listen = Gateway._listen
+    open_others = Listeners.open
 
-    async def listen_late(gateway, address, handler, connections):
-        if address[1] == gateway._metrics_port:
-            await asyncio.sleep(0.5)
-        await listen(gateway, address, handler, connections)
+    async def open_late(listeners, address, handler):
+        await asyncio.sleep(0.5)
+        await open_others(listeners, address, handler)
 
-    Gateway._listen = listen_late
+    Listeners.open = open_late
     try:
         return await build_site()
     finally:
-        Gateway._listen = listen
+        Listeners.open = open_others
 
 
 @on_built(build_slow_site)
