A request's name is read from its body once; the two numbers of crashes have two names

The guard hashed a held request's body twice at each attempt. MOST_CRASHES stood for what hosts keep and, with another value, for what a datagram may hold.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -50,6 +51,7 @@
     on_first_byte: Callable[[], None] | None = None
     # Called once with the workspace's name when the request has begun to run.
     on_run: Callable[[str], None] | None = None
+    _name: RequestName | None = None
 
     @property
     def priority(self) -> int:
@@ -73,16 +75,18 @@
         """Seconds since the request was read."""
         return asyncio.get_running_loop().time() - self.request.received
 
-    @property
+    @functools.cached_property
     def name_head(self) -> bytes:
         """The half of the request's name that is known before its body has arrived."""
         return name_head(self.request.head, self.workspace.name if self.workspace else "")
 
     @property
     def name(self) -> RequestName | None:
-        """The request's name, None while its body is not whole."""
-        workspace = self.workspace.name if self.workspace else ""
-        return name_request(self.request.head, workspace, self.request.body)
+        """The request's name, None while its body is not whole; its bytes are read once."""
+        if self._name is None:
+            workspace = self.workspace.name if self.workspace else ""
+            self._name = name_request(self.request.head, workspace, self.request.body)
+        return self._name
 
     @contextlib.contextmanager
     def open_at(self, instance: Instance) -> Iterator[None]:
--- a/src/swifttrestle/internal/protocol/quarantine.py
+++ b/src/swifttrestle/internal/protocol/quarantine.py
@@ -17,8 +17,9 @@
 
 # Cases in one datagram: each takes 170 bytes with four crashes of usual names.
 CASES_PER_PART = LARGEST_DATAGRAM // 172
-# Crashes that a case may have.
-MOST_CRASHES = 16
+# Crashes that a case may have in a datagram, more than hosts keep of one: a later version may keep
+# more.
+MOST_TOLD_CRASHES = 16
 # Characters that the name of a start may have in a datagram.
 LONGEST_START = 200
 
@@ -78,8 +79,8 @@
 
 def _read_case(name: Any, crashes: Any, now: float) -> Case:
     read = tuple(Crash(_read_start(start), now - _read_age(age)) for start, age in crashes)
-    if not 0 < len(read) <= MOST_CRASHES:
-        raise ValueError(f"{len(read)} crashes; give 1 to {MOST_CRASHES}")
+    if not 0 < len(read) <= MOST_TOLD_CRASHES:
+        raise ValueError(f"{len(read)} crashes; give 1 to {MOST_TOLD_CRASHES}")
     return Case(read_name(name), read)
 
 
