--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -8,7 +8,9 @@
 
 # One round of planned work, two of everything. A seed that ever failed joins them, with its
 # cause.
-SEEDS = (3, 1, 2)
+# 523: a key that had just been brought was refused before its version had to be in force; the
+# check asked more than is promised. 535: the stand-in listed an engine that had not come up yet.
+SEEDS = (3, 1, 2, 523, 535)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
