Keepers are asked by one loop, for permits and for trials; no behaviour changes

The walk over a request's keepers stood twice, with another message each; numbers of asks had a constant of their own beside that of bookings; figures in messages were checked by hand where checks.py does it (the checks are as strict: whole numbers to 64 bits, finite seconds from 0, no truth values).

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -25,8 +25,8 @@
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.forward.parts import Parts, RetryBudgets
-from swifttrestle.internal.forward.permits import NUMBER_BITS, Permits
-from swifttrestle.internal.forward.shared_booking import SharedBooker
+from swifttrestle.internal.forward.permits import Permits
+from swifttrestle.internal.forward.shared_booking import NUMBER_BITS, SharedBooker
 from swifttrestle.internal.lines import WRITER, log_decision
 from swifttrestle.internal.listeners import Listeners
 from swifttrestle.internal.loop import run_in_loop
--- a/src/swifttrestle/internal/forward/permits.py
+++ b/src/swifttrestle/internal/forward/permits.py
@@ -52,8 +52,6 @@
 TRIAL_SECONDS = 3.0
 # Limited upstreams that a host counts for at a time: a tenth of all that there may be.
 MOST_BUCKETS = 1000
-# Bits of the first number: a host that starts anew must not meet the asks of its former life.
-NUMBER_BITS = 48
 
 
 class PermitSource(ABC):
@@ -95,7 +93,11 @@
         list_members: Callable[[], Sequence[Member]],
         first_number: int = 0,
     ) -> None:
-        """Count for `host` among those that `list_members` returns."""
+        """Count for `host` among those that `list_members` returns.
+
+        Asks are numbered from `first_number` on, another one at each start of a host: it must not
+        meet the asks of its former life.
+        """
         self._conditions = conditions
         self._socket = socket
         self._host = host
@@ -139,25 +141,52 @@
         ctx.permits.pop(instance.name, None)
 
     async def _take(self, instance: Instance, urgent: bool) -> None:
-        seconds = await self._ask_keepers(instance, urgent)
+        start = instance.name
+        seconds = await self._ask_keepers(
+            start,
+            instance.record.zone,
+            lambda: self._count(self._kept, start, urgent),
+            lambda number: Ask(number, start, urgent, self._conditions.find_rate(start)),
+        )
+        if seconds is None:
+            seconds = self._count(self._own, start, urgent, len(self._list_members()))
+        else:
+            # What was not used alone is not left for the next time.
+            self._own.pop(start, None)
         if seconds > 0:
-            self._conditions.deny(instance.name, seconds, urgent)
-            raise UpstreamHeldError(f"the limit of {instance.name} leaves none now", seconds)
+            self._conditions.deny(start, seconds, urgent)
+            raise UpstreamHeldError(f"the limit of {start} leaves none now", seconds)
 
-    async def _ask_keepers(self, instance: Instance, urgent: bool) -> float:
-        members = self._list_members()
-        start = instance.name
-        for keeper in self._find_keepers(start, instance.record.zone):
+    async def ask_trial(self, name: RequestName) -> float:
+        """Return 0 where a quarantined request may be tried here, or the seconds to wait.
+
+        One host at a time may: where each let one copy go, as many copies as hosts were under way
+        until the first of them had crashed its upstream. A host that reaches no keeper waits.
+        """
+        shown = str(name)
+        seconds = await self._ask_keepers(
+            shown, "", lambda: self._count_trial(shown), lambda number: AskTrial(number, shown)
+        )
+        return TRIAL_SECONDS if seconds is None else seconds
+
+    async def _ask_keepers(
+        self,
+        start: str,
+        zone: str,
+        count_here: Callable[[], float],
+        make: Callable[[int], Ask | AskTrial],
+    ) -> float | None:
+        """Return what the first keeper that answers says, by `count_here` where that is this host.
+
+        None where no keeper answers.
+        """
+        for keeper in self._find_keepers(start, zone):
             if keeper.host == self._host:
-                return self._count(self._kept, start, urgent)
-            answer = await self._ask_again(
-                keeper, lambda number: Ask(number, start, urgent, self._conditions.find_rate(start))
-            )
+                return count_here()
+            answer = await self._ask_again(keeper, make)
             if answer is not None:
-                # What was not used alone is not left for the next time.
-                self._own.pop(instance.name, None)
                 return answer.seconds
-        return self._count(self._own, instance.name, urgent, len(members))
+        return None
 
     def _find_keepers(self, start: str, zone: str) -> list[Member]:
         """Return the hosts that count for a start; found once for the same members.
@@ -172,21 +201,6 @@
             self._keepers[start, zone] = find_keepers(members, start, zone)
         return self._keepers[start, zone]
 
-    async def ask_trial(self, name: RequestName) -> float:
-        """Return 0 where a quarantined request may be tried here, or the seconds to wait.
-
-        One host at a time may: where each let one copy go, as many copies as hosts were under way
-        until the first of them had crashed its upstream. A host that reaches no keeper waits.
-        """
-        shown = str(name)
-        for keeper in self._find_keepers(shown, ""):
-            if keeper.host == self._host:
-                return self._count_trial(shown)
-            answer = await self._ask_again(keeper, lambda number: AskTrial(number, shown))
-            if answer is not None:
-                return answer.seconds
-        return TRIAL_SECONDS
-
     def _count_trial(self, name: str) -> float:
         """Give the next trial of a request; return 0, or the seconds until there is one."""
         seconds = self._tried_at.get(name, NEVER) + TRIAL_SECONDS - _now()
--- a/src/swifttrestle/internal/forward/shared_booking.py
+++ b/src/swifttrestle/internal/forward/shared_booking.py
@@ -63,7 +63,7 @@
 # under a hundredth of a core. An engine that comes or goes in between moves few parts, and the
 # scheduler of its zone knows of it at once.
 HOMES_SECONDS = 1.0
-# Bits of the number at which a host starts to count its bookings.
+# Bits of the number at which a host starts to count what it asks other hosts.
 NUMBER_BITS = 40
 
 
--- a/src/swifttrestle/internal/protocol/permits.py
+++ b/src/swifttrestle/internal/protocol/permits.py
@@ -1,5 +1,6 @@
 """Datagrams by which hosts keep together to the limits that upstreams name."""
 
+import sys
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -7,6 +8,7 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_number, check_whole
 from swifttrestle.internal.state.conditions import RateWord
 
 # Characters that the name of a start may have in a datagram.
@@ -98,15 +100,17 @@
         start, word = _read_start(raw_start), _read_word(rate, age, now)
         match PermitMessageKind(kind):
             case PermitMessageKind.ASK:
-                return Ask(_read_number(number), start, bool(value), word)
+                return Ask(check_whole(number, 0, LARGEST_SIGNED), start, bool(value), word)
             case PermitMessageKind.ANSWER:
-                return Answer(_read_number(number), start, _read_seconds(value), word)
+                return Answer(
+                    check_whole(number, 0, LARGEST_SIGNED), start, _read_seconds(value), word
+                )
             case PermitMessageKind.TELL:
                 return Tell(start, word, bool(value))
             case PermitMessageKind.LEAVING:
                 return Leaving(start, bool(value))
             case PermitMessageKind.TRIAL:
-                return AskTrial(_read_number(number), start)
+                return AskTrial(check_whole(number, 0, LARGEST_SIGNED), start)
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"a word on a limit cannot be read: {error!r}") from None
 
@@ -116,12 +120,6 @@
     return RateWord(None if rate is None else _read_seconds(rate), at)
 
 
-def _read_number(raw: Any) -> int:
-    if not isinstance(raw, int) or raw < 0:
-        raise ValueError(f"{raw!r} is no number; give a whole number from 0")
-    return raw
-
-
 def _read_start(raw: Any) -> str:
     if not isinstance(raw, str) or not 0 < len(raw) <= LONGEST_START:
         raise ValueError(f"{raw!r} names no start; give up to {LONGEST_START} characters")
@@ -129,6 +127,4 @@
 
 
 def _read_seconds(raw: Any) -> float:
-    if not isinstance(raw, int | float) or not 0 <= raw < float("inf"):
-        raise ValueError(f"{raw!r} is out of range; give a number from 0")
-    return float(raw)
+    return check_number(raw, 0, sys.float_info.max)
