--- a/src/swifttrestle/platform/backpressure.py
+++ b/src/swifttrestle/platform/backpressure.py
@@ -1,7 +1,7 @@
 """The headers by which an upstream says in an answer what work it takes."""
 
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from swifttrestle.internal.state.backpressure import SILENT, Backpressure
 from swifttrestle.platform.wire import Header
@@ -9,7 +9,6 @@
 LEAVING = b"server-leaving"
 RATE = b"server-limit"
 REST = b"retry-after"
-_NAMES = frozenset((LEAVING, RATE, REST))
 # Statuses by which an upstream turns a request away and may name a time of rest.
 _TURNED_AWAY = frozenset((429, 503))
 # A decimal number as HTTP writes one: no sign, no word such as nan, no digits grouped by _.
@@ -23,23 +22,20 @@
 
     Of a word that comes twice the stricter value counts.
     """
-    found = [(name.lower(), value) for name, value in headers if name.lower() in _NAMES]
+    found = [(name.lower(), value) for name, value in headers if name.lower() in _READERS]
     if not found:
         return SILENT
-    odd: list[str] = []
-    leaving = [_read_flag(value) for name, value in found if name == LEAVING]
-    rates = [_read_decimal(value) for name, value in found if name == RATE]
     turned_away = status in _TURNED_AWAY
-    rests = [_read_decimal(value) for name, value in found if name == REST and turned_away]
-    for name, value in found:
-        reader = _read_flag if name == LEAVING else _read_decimal
-        if reader(value) is None and (name != REST or turned_away):
-            odd.append(f"{name.decode()}: {value[:_SHOWN_BYTES].decode('latin-1')}")
+    words = [
+        (name, value, _READERS[name](value)) for name, value in found if name != REST or turned_away
+    ]
     return Backpressure(
-        leaving=any(leaving),
-        rest=_find_longest(rests),
-        rate=min((item for item in rates if item is not None), default=None),
-        odd=tuple(odd),
+        leaving=any(read for name, _, read in words if name == LEAVING),
+        rest=_find_longest([read for name, _, read in words if name == REST]),
+        rate=min(
+            (read for name, _, read in words if name == RATE and read is not None), default=None
+        ),
+        odd=tuple(_show(name, value) for name, value, read in words if read is None),
     )
 
 
@@ -62,3 +58,14 @@
     number = float(text)
     # A number beyond all that a float holds reads as infinite.
     return number if number != float("inf") else None
+
+
+def _show(name: bytes, value: bytes) -> str:
+    return f"{name.decode()}: {value[:_SHOWN_BYTES].decode('latin-1')}"
+
+
+_READERS: dict[bytes, Callable[[bytes], float | None]] = {
+    LEAVING: _read_flag,
+    RATE: _read_decimal,
+    REST: _read_decimal,
+}
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -199,7 +199,7 @@
 
 def is_of_instance(status: int, headers: Sequence[Header], expected: str) -> bool:
     """Return whether an answer is one of the expected instance, not of a later one there."""
-    return status != _MISDIRECTED or read_answer_facts(status, headers, expected).replaced is False
+    return status != _MISDIRECTED or not read_answer_facts(status, headers, expected).replaced
 
 
 def names_request(headers: Sequence[Header]) -> bool:
