--- a/src/swifttrestle/internal/forward/conditions.py
+++ b/src/swifttrestle/internal/forward/conditions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from swifttrestle.errors import UpstreamHeldError
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.state.backpressure import Backpressure
@@ -37,11 +38,11 @@
         self._conditions: dict[str, Condition] = defaultdict(Condition)
         fleet.says_leaving = self.is_leaving
         # Called with a start whose limit this host has heard to be another one.
-        self.tell_limit: Callable[[str, RateWord], None] = _ignore
+        self.tell_limit: Callable[[str, RateWord], None] = ignore
         # Called with a start that has told this host that it leaves.
-        self.tell_leaving: Callable[[str], None] = _ignore
+        self.tell_leaving: Callable[[str], None] = ignore
         # Called when an upstream that was held back may take work again.
-        self.note_room: Callable[[], None] = _ignore
+        self.note_room: Callable[[], None] = ignore
 
     # Asking.
 
@@ -50,10 +51,12 @@
         known = self._conditions.get(start)
         return known.word if known else RateWord()
 
-    def find_hold(self, instance: Instance, now: float, urgent: bool) -> float:
+    def find_hold(
+        self, instance: Instance, now: float, urgent: bool, permitted: bool = False
+    ) -> float:
         """Return the seconds for which an upstream takes no request from this host."""
         known = self._conditions.get(instance.name)
-        return known.find_hold(now, urgent) if known else 0.0
+        return known.find_hold(now, urgent, permitted) if known else 0.0
 
     def find_shortest_hold(
         self, instances: Iterable[Instance], now: float, urgent: bool = False
@@ -63,8 +66,7 @@
 
     def check(self, instance: Instance, urgent: bool, permitted: bool = False) -> None:
         """Raise UpstreamHeldError for an upstream that takes no request from this host now."""
-        known = self._conditions.get(instance.name)
-        seconds = known.find_hold(_now(), urgent, permitted) if known else 0.0
+        seconds = self.find_hold(instance, _now(), urgent, permitted)
         if seconds > 0:
             raise UpstreamHeldError(f"{instance.name} takes nothing now", seconds)
 
@@ -209,9 +211,5 @@
     return word.rate is not None and sent_at > word.at and names_request(head.headers)
 
 
-def _ignore(*_: object) -> None:
-    """Do nothing: nobody wants to know."""
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -7,6 +7,7 @@
 from swifttrestle.codes import Code
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crashes import CrashWatch
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
@@ -42,8 +43,8 @@
         # Asks whether a quarantined request may be tried now; returns 0, or the seconds to wait.
         self.ask_trial: Callable[[RequestName], Awaitable[float]] = _allow_trial
         # Called with what this host found out: peers need it before the next attempt.
-        self.tell_cases: Teller = _ignore
-        self.tell_acquittal: AcquittalTeller = _ignore
+        self.tell_cases: Teller = ignore
+        self.tell_acquittal: AcquittalTeller = ignore
 
     async def check(self, ctx: Context) -> RequestName | None:
         """Return a request's name if something is held against it.
@@ -199,9 +200,5 @@
     return False
 
 
-def _ignore(*_: object) -> None:
-    """Do nothing: nobody wants to know."""
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
 from swifttrestle.internal.state.prompt_cache import PromptCache, SentPrompt
 
@@ -97,10 +98,6 @@
         self.read_rate += LEARN_SHARE * (tokens / seconds / share - self.read_rate)
 
 
-def _ignore(_: Instance) -> None:
-    """Do nothing: nobody wants to know."""
-
-
 def _never(_: str) -> bool:
     """Return that it has not."""
     return False
@@ -122,8 +119,8 @@
         # The name of the start in use of each instance that the list names.
         self._starts: dict[str, str] = {}
         # Called with a start that a later one has replaced, and with one that the list has lost.
-        self.on_replaced: Callable[[Instance], None] = _ignore
-        self.on_removed: Callable[[Instance], None] = _ignore
+        self.on_replaced: Callable[[Instance], None] = ignore
+        self.on_removed: Callable[[Instance], None] = ignore
         # The services that the configuration in force names, None while there is none.
         self.declared: frozenset[str] | None = None
         # The loop's time at which the discovery list was last confirmed.
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.transport.messages import AnswerHead
 from swifttrestle.internal.transport.upstream import Address, OutgoingRequest, UpstreamConnection
 
@@ -58,7 +59,7 @@
         self.opened = 0
         # Called with the instance, the head of each of its answers and the loop's time at which
         # the request was sent, before anybody else gets the answer.
-        self.on_answer: Callable[[str, AnswerHead, float], None] = _ignore
+        self.on_answer: Callable[[str, AnswerHead, float], None] = ignore
 
     @contextlib.asynccontextmanager
     async def borrow(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
@@ -154,10 +155,6 @@
         return protocol
 
 
-def _ignore(*_: object) -> None:
-    """Do nothing: nobody wants to know."""
-
-
 def _bound_silence(sock: socket.socket, unacknowledged_ms: int) -> None:
     """Have the kernel break a connection whose other end is not heard any more."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -8,6 +8,7 @@
 import httptools
 
 from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.transport.messages import (
     LAST_CHUNK,
     AnswerHead,
@@ -61,7 +62,7 @@
         self.reusable = True
         self.idle_until = 0.0
         # Called with the head of each answer and the loop's time at which its request was sent.
-        self.on_head: Callable[[AnswerHead, float], None] = _ignore
+        self.on_head: Callable[[AnswerHead, float], None] = ignore
 
     # Called by the event loop.
 
@@ -268,10 +269,6 @@
             self._transport.abort()
 
 
-def _ignore(*_: object) -> None:
-    """Do nothing: nobody wants to know."""
-
-
 def _read_keep_time(headers: Sequence[Header]) -> float | None:
     for part in find_header(headers, b"keep-alive").split(b","):
         name, _, value = part.strip().partition(b"=")
