--- a/tests/hosted/test_deadly_requests.py
+++ b/tests/hosted/test_deadly_requests.py
@@ -60,6 +60,13 @@
     return answers
 
 
+def assert_kept_back(site, answers):
+    """Few upstreams crashed, and the last caller was told to come back in some time."""
+    assert len(site.crashes) <= MOST_CRASHES
+    assert answers[-1].status == 503
+    assert answers[-1].retry_after > 1
+
+
 def all_hosts_know_starts(site):
     starts = {f"{name}@{item.born}" for name, item in site.upstreams.items()}
     gateways = [item.gateway for item in site.gateways.values()]
@@ -84,9 +91,7 @@
     await tell_starts(site)
     site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
     answers = await send_again_and_again(site, path, body, headers)
-    assert len(site.crashes) <= MOST_CRASHES
-    assert answers[-1].status == 503
-    assert answers[-1].retry_after > 1
+    assert_kept_back(site, answers)
 
 
 @pytest.mark.parametrize(("path", "body", "headers"), KINDS, ids=NAMES)
@@ -102,9 +107,7 @@
     site.allow_crashes(AWAY_SECONDS, LATER_START_MS)
     sources = [f"127.0.0.{number}" for number in range(2, 38)]
     answers = await send_again_and_again(site, path, body, headers, sources=sources)
-    assert len(site.crashes) <= MOST_CRASHES
-    assert answers[-1].status == 503
-    assert answers[-1].retry_after > 1
+    assert_kept_back(site, answers)
 
 
 @pytest.mark.parametrize(("path", "body", "headers"), KINDS[:4], ids=NAMES[:4])
@@ -173,9 +176,7 @@
         await wait_until(lambda: all_hosts_know_starts(site), "the next starts heard of")
         # What the former start sent may arrive for so long yet, and breaks off so long after that.
         await asyncio.sleep(2 * LAST_BYTES_SECONDS + PAUSE_SECONDS)
-    assert len(site.crashes) <= MOST_CRASHES
-    assert answers[-1].status == 503
-    assert answers[-1].retry_after > 1
+    assert_kept_back(site, answers)
 
 
 @pytest.mark.parametrize(("path", "body", "headers"), KINDS[:3], ids=NAMES[:3])
--- a/tests/hosted/test_upstream_limits.py
+++ b/tests/hosted/test_upstream_limits.py
@@ -20,6 +20,7 @@
 
 import pytest
 
+from bench.limits import allow, count_worst
 from swifttrestle.errors import UpstreamHeldError
 from swifttrestle.internal.policy import scheduling
 from swifttrestle_standins.hosted.site import wait_until
@@ -29,10 +30,6 @@
 ENGINES = ("prefill", "prefill", "prefill", "decode", "decode", "decode", "decode", "decode")
 STREAM = {"X_Token_Usage": SHORT, "X_Model": "m"}
 READING = {"X_Token_Usage": LONG, "X_Model": "m"}
-# What the users allow: in any so many seconds, so many times what the limit says, and some more.
-WINDOW_SECONDS = 4.0
-ALLOWED_SHARE = 1.5
-ALLOWED_EXTRA = 5
 # Seconds from the first word on in which hosts may still learn of it; the users allow three.
 LEARN_SECONDS = 1.0
 LOAD_SECONDS = 5.2
@@ -88,14 +85,6 @@
     return sorted(found, key=lambda item: len(item.arrived_at), reverse=True)
 
 
-def count_worst(arrived_at, begin):
-    """Return the most arrivals in any window from `begin` on."""
-    late = [at for at in arrived_at if at >= begin]
-    return max(
-        (sum(1 for at in late if first <= at < first + WINDOW_SECONDS) for first in late), default=0
-    )
-
-
 async def name_limit(site, load, rate, everywhere=False):
     """Have the busiest upstream name a limit under load, or `everywhere` all of its service.
 
@@ -115,9 +104,9 @@
 
 
 def assert_kept(upstreams, began, rate):
-    allowed = ALLOWED_SHARE * rate * WINDOW_SECONDS + ALLOWED_EXTRA
-    worst = [count_worst(item.arrived_at, began + LEARN_SECONDS) for item in upstreams]
-    assert max(worst) <= allowed
+    told = began + LEARN_SECONDS
+    worst = [count_worst([at for at in item.arrived_at if at >= told]) for item in upstreams]
+    assert max(worst) <= allow(rate)
 
 
 @pytest.mark.parametrize(
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,16 +4,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bench.limits import allow, count_worst
 from tests.soak.callers import ONCE, expected_body
 from tests.soak.processes import OTHER_KEY
 
 # Crashes of one request after which it may reach few upstreams more, the seconds in which all hosts
 # must know of them, and how few.
 CRASHES, KNOWN_SECONDS, MORE = 3, 3.0, 3
-# Seconds in which hosts learn of a limit, and what all together may send in a window after that.
+# Seconds in which hosts learn of a limit.
 LEARN_SECONDS = 3.0
-WINDOW_SECONDS = 4.0
-ALLOWED_SHARE, ALLOWED_EXTRA = 1.5, 5
 # Seconds after which a version must be in force at all hosts.
 IN_FORCE_SECONDS = 2.0
 # Statuses that promise that a request has not run and never will.
@@ -138,7 +137,6 @@
     for limit in limits:
         first = limit.began + LEARN_SECONDS
         times = [at for at in limit.upstream.arrived_at if first <= at <= limit.ended]
-        allowed = ALLOWED_SHARE * limit.rate * WINDOW_SECONDS + ALLOWED_EXTRA
-        worst = max((sum(at <= i < at + WINDOW_SECONDS for i in times) for at in times), default=0)
+        worst, allowed = count_worst(times), allow(limit.rate)
         if worst > allowed:
             yield f"{limit.upstream.instance}: {worst} requests in a window, {allowed} allowed"
