--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -49,6 +49,7 @@
     INVALID_SETTING = 4006
     BAD_PLATFORM_ANSWER = 4007
     BAD_ENTRY = 4008
+    OLD_EPOCH = 4009
     LEASE_LOST = 5001
     STALE_TOKEN = 5002
     BAD_FRAME = 5003
@@ -132,6 +133,9 @@
     Code.BAD_ENTRY: CodeEntry(
         0, None, "An entry of the store has a field that cannot be taken; the others hold."
     ),
+    Code.OLD_EPOCH: CodeEntry(
+        0, None, "An answer of the object store was made before its return from a copy."
+    ),
     Code.LEASE_LOST: CodeEntry(0, None, "The lease is not held, or its time has run out."),
     Code.STALE_TOKEN: CodeEntry(0, None, "An engine refused an order for its old fencing token."),
     Code.BAD_FRAME: CodeEntry(0, None, "A peer frame was too large or not what it should be."),
--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -91,6 +91,12 @@
         self.reason = reason
 
 
+class OldEpochError(PlatformUnavailableError):
+    """An answer was made before the store came back from a copy; it says nothing any more."""
+
+    code = Code.OLD_EPOCH
+
+
 class HistoryGoneError(SwifttrestleError):
     """A watch asked for changes that the platform has forgotten; list anew."""
 
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -126,6 +126,7 @@
         self._stale = False
         if snapshot.revision < self._revision:
             # Another host has told of what is newer in the meantime.
+            log_decision("older list dropped", revision=snapshot.revision, known=self._revision)
             return
         self._revision = snapshot.revision
         listed = {item.name for item in snapshot.items if self._take(item).listed}
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -4,6 +4,7 @@
 raises PlatformUnavailableError, and whoever wrote reads back before it acts on the write.
 """
 
+import asyncio
 from typing import Any
 from urllib.parse import quote
 
@@ -17,7 +18,8 @@
     RateLimitedError,
     UpstreamBrokenError,
 )
-from swifttrestle.internal.transport.messages import Body, Framing
+from swifttrestle.internal.state.store_epochs import StoreEpochs
+from swifttrestle.internal.transport.messages import AnswerHead, Body, Framing, find_header
 from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
 from swifttrestle.internal.transport.upstream import Address, OutgoingRequest
 from swifttrestle.platform.objects import (
@@ -50,6 +52,10 @@
 # Milliseconds after which a silent connection to the store is broken: with the time to read
 # anew, less than the three seconds after which a host must know what it says.
 SILENCE_MS = 2000
+# The header in which all answers of the store name its epoch.
+EPOCH_HEADER = b"store-era"
+# Digits that an epoch may have: fencing tokens are made of it and must fit 64 bits.
+LONGEST_EPOCH = 10
 # Bytes that one page of a list, or one object, may have.
 LARGEST_ANSWER = 16 * 1024 * 1024
 
@@ -62,6 +68,7 @@
         self._address = address
         self._pool = pool
         self.calls = 0
+        self.epochs = StoreEpochs()
 
     async def list(self, kind: str) -> Snapshot:
         """Return all objects of a kind, read page by page."""
@@ -120,9 +127,18 @@
             )
         except (UpstreamBrokenError, TimeoutError) as error:
             raise PlatformUnavailableError(f"{method.decode()} {path}: {error!r}") from None
+        self._note_epoch(head)
         _check_status(head.status, path)
         return decode_answer(path, content)
 
+    def _note_epoch(self, head: AnswerHead) -> None:
+        """Take over the epoch that an answer names; raise OldEpochError."""
+        text = find_header(head.headers, EPOCH_HEADER)
+        named = _read_epoch(text)
+        if named is None and text:
+            self.epochs.note_odd(text.decode("latin-1"))
+        self.epochs.take(named, asyncio.get_running_loop().time())
+
     def _build(self, method: bytes, path: str, body: Any) -> OutgoingRequest:
         host = f"{self._address[0]}:{self._address[1]}".encode()
         headers = [(b"Host", host)]
@@ -134,6 +150,13 @@
         return OutgoingRequest(method, path.encode(), headers, Framing.LENGTH, len(content), sent)
 
 
+def _read_epoch(text: bytes) -> int | None:
+    """Return the epoch of a header, or None where it names none that can be read."""
+    if not text.isdigit() or len(text) > LONGEST_EPOCH:
+        return None
+    return int(text)
+
+
 def _check_status(status: int, path: str) -> None:
     if status < 300:
         return
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -11,6 +11,7 @@
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.store_epochs import StoreEpochs
 from swifttrestle.platform.store import CALL_SECONDS, ObjectStore
 from swifttrestle_standins.hosted.store import StandInStore
 from tests.common.fakes import skip_silently
@@ -55,6 +56,7 @@
     def __init__(self):
         self.stand_in = StandInStore()
         self.calls = 0
+        self.epochs = StoreEpochs()
         self.way = "up"
         self.changed = asyncio.Event()
 
