--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform's object store, with outages and lost answers."""
+"""A stand-in for the platform's object store: outages, lost answers, returns from a copy."""
 
 import asyncio
 from collections.abc import Mapping
@@ -10,7 +10,7 @@
 
 from swifttrestle.internal.state.declared import Limits
 from swifttrestle.internal.transport.caller import IncomingRequest, Reply, RequestHandler
-from swifttrestle.internal.transport.messages import Framing
+from swifttrestle.internal.transport.messages import Framing, Header
 from swifttrestle_standins.pieces import cut_pieces
 
 PREFIX = "/v1/objects/"
@@ -40,7 +40,8 @@
 
     `lose_answers` counts writes to do without an answer. With `deaf_watches` a watch is taken
     and hears of no change until its end, when it is told that history is gone. Answers are sent
-    in so many `pieces`, with a pause after each, as over a thin link.
+    in so many `pieces`, with a pause after each, as over a thin link. All answers name
+    `epoch_text` as the epoch in place of the store's own one; empty, they name none.
     """
 
     down: bool = False
@@ -48,6 +49,7 @@
     pause_seconds: float = 0.0
     lose_answers: int = 0
     deaf_watches: bool = False
+    epoch_text: bytes | None = None
 
 
 @dataclass(frozen=True)
@@ -58,6 +60,15 @@
     removed: bool
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at a moment; it may come back with that and nothing else."""
+
+    revision: int
+    objects: Mapping[tuple[str, str], dict[str, Any]]
+    events: tuple[_Event, ...]
+
+
 class StandInStore(RequestHandler):
     """Objects by kind and name, with revisions, lists, watches and conditional writes."""
 
@@ -65,7 +76,10 @@
         """Start empty."""
         self.faults = StoreFaults()
         self.revision = 0
+        self.epoch = 1
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        # What the operator and upstreams wrote last, None for what they removed.
+        self._written: dict[tuple[str, str], Any] = {}
         self.calls: list[str] = []
         self._events: list[_Event] = []
         self._forgotten = 0
@@ -79,6 +93,7 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object whatever its revision."""
+        self._written[kind, name] = spec
         self._write(kind, name, spec)
 
     def put_raw(self, kind: str, name: str, content: bytes) -> None:
@@ -93,6 +108,10 @@
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
+        self._written[kind, name] = None
+        self._remove(kind, name)
+
+    def _remove(self, kind: str, name: str) -> None:
         item = self.objects.pop((kind, name), None)
         if item is not None:
             self.revision += 1
@@ -103,6 +122,39 @@
         self._events.clear()
         self._forgotten = self.revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return what the store holds now, to come back from later."""
+        return StoreCopy(self.revision, dict(self.objects), tuple(self._events))
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy; revisions go on from there, the epoch rises.
+
+        Watches that wait are kept and hear of nothing: their revisions are still to be given out.
+        """
+        self.epoch += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self._events = list(copy.events)
+        self._forgotten = min(self._forgotten, copy.revision)
+        self.wake()
+
+    def list_written(self) -> list[tuple[str, str]]:
+        """Return the kinds and names that the operator and upstreams wrote."""
+        return list(self._written)
+
+    def write_again(self, kind: str, name: str) -> None:
+        """Do the last write of the operator, or of an upstream, once more."""
+        spec = self._written[kind, name]
+        if spec is None:
+            self._remove(kind, name)
+        else:
+            self._write(kind, name, spec)
+
+    def write_all_again(self) -> None:
+        """Do the last writes of the operator and of all upstreams once more."""
+        for kind, name in self.list_written():
+            self.write_again(kind, name)
+
     # The protocol.
 
     async def handle(self, request: IncomingRequest, reply: Reply) -> None:
@@ -111,7 +163,7 @@
         self.calls.append(f"{request.head.method.decode()} {target}")
         body = await request.body.read_whole(BODY_LIMIT)
         if self.faults.down:
-            await reply.send_whole(503, (), b"")
+            await reply.send_whole(503, self._name_epoch(), b"")
             return
         path, _, query = target.partition("?")
         method = request.head.method.decode()
@@ -121,12 +173,17 @@
             reply.abort()
             return
         content = write_answer(answer)
-        await reply.start(status, (), Framing.LENGTH, len(content))
+        await reply.start(status, self._name_epoch(), Framing.LENGTH, len(content))
         for piece in cut_pieces(content, self.faults.pieces):
             await reply.send(piece)
             await asyncio.sleep(self.faults.pause_seconds)
         await reply.end()
 
+    def _name_epoch(self) -> tuple[Header, ...]:
+        named = self.faults.epoch_text
+        text = str(self.epoch).encode() if named is None else named
+        return ((b"Store-Era", text),) if text else ()
+
     async def _answer(self, method: str, path: str, query: str, body: bytes) -> tuple[int, Any]:
         kind, _, name = path.partition("/")
         asked = {key: values[0] for key, values in parse_qs(query).items()}
@@ -138,7 +195,7 @@
             item = self.objects.get((kind, name))
             return (200, item) if item else (404, {})
         if method == "DELETE":
-            self.remove(kind, name)
+            self._remove(kind, name)
             return 200, {}
         raw = orjson.loads(body)
         return self._change(method, kind, name or raw["metadata"]["name"], raw)
@@ -162,7 +219,7 @@
 
     async def _watch(self, kind: str, asked: Mapping[str, str]) -> tuple[int, Any]:
         since = int(asked["watch"])
-        if since < self._forgotten:
+        if since < self._forgotten or since > self.revision:
             return 410, {}
         try:
             async with asyncio.timeout(int(asked["waitMs"]) / 1000):
--- /dev/null
+++ b/tests/hosted/test_store_returns.py
@@ -0,0 +1,106 @@
+"""The store comes back from a copy some seconds old: what it acknowledged since then is gone."""
+
+import asyncio
+
+import pytest
+
+from swifttrestle.internal.policy import scheduling
+from swifttrestle_standins.hosted.site import wait_until
+from swifttrestle_standins.hosted.upstreams import StandInUpstream
+from tests.hosted.sites import on_site
+
+# Writes of others, which hosts do not read, by which revisions go on.
+OTHERS = "others"
+AWAY_SECONDS = 0.4
+
+
+def write_others(site, count):
+    for number in range(count):
+        site.store.put(OTHERS, "counter", {"number": f"{site.store.revision} {number}"})
+
+
+async def wait_for_revision(site):
+    """Wait until all hosts have the store's newest revision of the list."""
+    site.list_upstream(site.upstreams["s1"], "ready")
+    target = site.store.revision
+    for item in site.gateways.values():
+        await wait_until(lambda g=item.gateway: has_revision(g, target), "the newest revision")
+
+
+def has_revision(gateway, target):
+    known = gateway._discovery._revision
+    return getattr(known, "number", known) >= target
+
+
+async def lose_writes(site, lost, cut=True, away=AWAY_SECONDS):
+    """Have the store come back without its last writes, after hosts have read all of them."""
+    copy = site.store.take_copy()
+    write_others(site, lost)
+    site.store.put("servers", "s1", {**site.store.objects["servers", "s1"]["spec"], "seq": lost})
+    await wait_for_revision(site)
+    if away:
+        site.store.faults.down = True
+        site.store.wake()
+        await asyncio.sleep(away)
+        site.store.faults.down = False
+    site.store.come_back(copy)
+    if cut:
+        site.cut_store_connections()
+
+
+def hosts_using(site, instance):
+    """Return the hosts that give an instance new work."""
+    return {
+        name
+        for name, item in site.gateways.items()
+        for known in item.gateway.list_instances().values()
+        if known.record.instance == instance and not known.record.leaving
+    }
+
+
+WAYS = [
+    pytest.param({"lost": 20}, id="20 writes lost"),
+    pytest.param({"lost": 400}, id="400 writes lost"),
+    pytest.param({"lost": 400, "cut": False}, id="connections kept"),
+    pytest.param({"lost": 400, "away": 0.0}, id="not away at all"),
+    pytest.param({"lost": 400, "cut": False, "away": 0.0}, id="unseen"),
+]
+
+
+@pytest.mark.parametrize("way", WAYS)
+@on_site(gateways=3)
+async def test_an_upstream_that_leaves_after_a_return_gets_no_new_work(site, way):
+    await lose_writes(site, **way)
+    site.list_upstream(site.upstreams["s0"], "draining")
+    await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
+
+
+@pytest.mark.parametrize("way", WAYS)
+@on_site(gateways=3)
+async def test_an_upstream_that_comes_after_a_return_is_used(site, way):
+    await lose_writes(site, **way)
+    await site.add_upstream(StandInUpstream("s9", "alerts", "hall-a"))
+    await wait_until(lambda: hosts_using(site, "s9") == set(site.gateways), "used by all hosts")
+
+
+@on_site(gateways=3)
+async def test_what_was_written_under_numbers_that_were_given_out_again_is_not_missed(site):
+    # The store has passed the hosts' revision before any of them asks, so that no watch gets 410.
+    copy = site.store.take_copy()
+    write_others(site, 5)
+    await wait_for_revision(site)
+    site.store.come_back(copy)
+    site.list_upstream(site.upstreams["s0"], "draining")
+    write_others(site, 20)
+    await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
+
+
+@pytest.mark.parametrize("way", WAYS[1:3])
+@on_site(gateways=5)
+async def test_a_large_fleet_hears_of_an_upstream_that_leaves_after_a_return(
+    site, way, monkeypatch
+):
+    monkeypatch.setattr(scheduling, "SMALL_FLEET_HOSTS", 2)
+    await lose_writes(site, **way)
+    site.list_upstream(site.upstreams["s0"], "draining")
+    await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
