Revisions of the store are of an epoch, and compared and watched from within it

Cause: the store came back from a copy and gave its revisions out again. A host drops what is lower than the highest number it has seen, its own fresh lists among them, and watches from that number: 410 until the store's writes have passed it, and from then on a watch that skips what lies before it.

Ruled out: a history that was only forgotten (lists were answered and dropped); a removal held back (no such line). A rule "a lower list after a 410 counts" was weighed: a stale read has a lower number too.

Now the one client gives each revision its epoch; all comparisons, the words between hosts and copies carry the pair; a watch or a page that is answered in another epoch is one whose history is gone; a conditional write at a revision of another epoch is not sent, or counts as not done.

--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -18,6 +18,7 @@
 from swifttrestle.internal.state.belief import ConfigurationBelief
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 from swifttrestle.platform.objects import StoredObject, UnreadObject
 from swifttrestle.platform.records import CONFIG_KIND, CONFIG_NAME, read_configuration
 from swifttrestle.platform.store import WATCH_SECONDS, ObjectStore
@@ -53,12 +54,12 @@
         self._store = store
         self._rng = rng
         self._changed = changed
-        self._revision = 0
+        self._revision = NO_REVISION
         self._failures = 0
         # The call to the store that is under way.
         self._call: asyncio.Future[None] | None = None
         # The revision and version of the entry that was last read to prove the version in force.
-        self._confirmed: tuple[int, int] = (0, 0)
+        self._confirmed: tuple[StoreRevision, int] = (NO_REVISION, 0)
         self.table: RouteTable | None = None
         self.raw: Any = None
         self.belief = ConfigurationBelief(lambda: self.version)
@@ -132,8 +133,8 @@
                 await self._follow()
                 await self._ask_store()
             except HistoryGoneError:
-                log_decision("configuration history gone", revision=self._revision)
-                self._revision = 0
+                log_decision("configuration history gone", revision=str(self._revision))
+                self._revision = NO_REVISION
                 await asyncio.sleep(self._rng.random() * LONGEST_PAUSE / 2)
             except PlatformUnavailableError as error:
                 await self._wait_out(error)
@@ -147,11 +148,12 @@
             return
         while self.follows():
             await asyncio.sleep(FOLLOW_LOOK_SECONDS)
-        self._revision = 0
+        self._revision = NO_REVISION
 
     async def _ask_store(self) -> None:
         """Make one call, unless a peer's copy makes it needless while it is under way."""
-        self._call = asyncio.ensure_future(self._watch() if self._revision else self._read())
+        call = self._read() if self._revision == NO_REVISION else self._watch()
+        self._call = asyncio.ensure_future(call)
         try:
             await asyncio.wait((self._call,))
             if not self._call.cancelled():
@@ -217,7 +219,7 @@
     async def _wait_out(self, error: PlatformUnavailableError) -> None:
         # A watch after a cut one may be taken by a store that has forgotten what lay between,
         # and then hear nothing: only a fresh read tells what is there.
-        self._revision = 0
+        self._revision = NO_REVISION
         self._failures += 1
         if self._failures == 2:
             log_decision("store lost", by="configuration", reason=str(error))
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 from swifttrestle.platform.objects import Change, StoredObject, UnreadObject
 from swifttrestle.platform.records import UPSTREAM_KIND
 from swifttrestle.platform.store import ObjectStore
@@ -71,13 +72,13 @@
         self._stale = True
         self._told_at = float("-inf")
         # What this host told others last.
-        self._last_told = ListingChanges(0, 0, 0.0)
+        self._last_told = ListingChanges(NO_REVISION, NO_REVISION, 0.0)
         self._store = store
         self._fleet = fleet
         self._entries = UpstreamEntries(fleet, skipped)
         self._rng = rng
         self._changed = changed
-        self._revision = 0
+        self._revision = NO_REVISION
         # Seconds of the pause before the call that is under way.
         self._paused = 0.0
         self._failures = 0
@@ -114,7 +115,7 @@
                 self._paused = max(0.0, PACE_SECONDS - (self._now() - began))
                 await asyncio.sleep(self._paused)
             except HistoryGoneError:
-                log_decision("discovery history gone", revision=self._revision)
+                log_decision("discovery history gone", revision=str(self._revision))
                 self._stale = True
                 await asyncio.sleep(self._rng.random() * PACE_SECONDS / 2)
             except PlatformUnavailableError as error:
@@ -126,7 +127,8 @@
         self._stale = False
         if snapshot.revision < self._revision:
             # Another host has told of what is newer in the meantime.
-            log_decision("older list dropped", revision=snapshot.revision, known=self._revision)
+            dropped, known = str(snapshot.revision), str(self._revision)
+            log_decision("older list dropped", revision=dropped, known=known)
             return
         self._revision = snapshot.revision
         listed = {item.name for item in snapshot.items if self._take(item).listed}
@@ -183,7 +185,7 @@
         changed = self._put_record(record, self._revision, "store")
         return _Taken(listed=True, changed=record if changed else None)
 
-    def _put_record(self, record: UpstreamRecord, revision: int, source: str) -> bool:
+    def _put_record(self, record: UpstreamRecord, revision: StoreRevision, source: str) -> bool:
         if self._fleet.is_old_word(record):
             return False
         was_missing = self.removals.restore(record.instance)
@@ -195,7 +197,7 @@
             service=record.service,
             role=record.role.value,
             leaving=record.leaving,
-            revision=revision,
+            revision=str(revision),
             source=source,
         )
         return True
@@ -203,7 +205,10 @@
     # Changes that other hosts tell of.
 
     def _tell(
-        self, since: int, records: tuple[UpstreamRecord, ...], removed: tuple[str, ...]
+        self,
+        since: StoreRevision,
+        records: tuple[UpstreamRecord, ...],
+        removed: tuple[str, ...],
     ) -> None:
         if not self._relay.tells():
             return
@@ -226,7 +231,7 @@
             async with asyncio.timeout(max(0.0, self._told_at + FOLLOW_SECONDS - self._now())):
                 await self._told.wait()
         except TimeoutError:
-            log_decision("list watcher silent", revision=self._revision)
+            log_decision("list watcher silent", revision=str(self._revision))
             self._stale = True
 
     def _take_told(self, changes: ListingChanges) -> None:
--- a/src/swifttrestle/internal/coordination/duty_lease.py
+++ b/src/swifttrestle/internal/coordination/duty_lease.py
@@ -25,6 +25,7 @@
     RecordedUsage,
     read_duty_lease,
 )
+from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
 
@@ -61,7 +62,7 @@
         self._host = host
         self._incarnation = incarnation
         self._wait = duration + SEND_SECONDS + ARRIVAL_SECONDS
-        self._seen_revision = 0
+        self._seen_revision = NO_REVISION
         self._seen_at = 0.0
         self._look_at = 0.0
         self._stored: StoredObject | None = None
@@ -104,7 +105,7 @@
         no token is above the revision.
         """
         self._skipped.skip(LEASE_KIND, self._name, error, known.spec)
-        return DutyLease("", 0, known.revision)
+        return DutyLease("", 0, known.revision.number)
 
     async def observe(self) -> StoredObject:
         """Read the lease and remember when it was first seen so; raise NotFoundError."""
@@ -152,7 +153,7 @@
                 raise LeaseLostError("another holder has taken the lease over")
             return began + SEND_SECONDS
 
-    async def _write(self, wanted: DutyLease, revision: int) -> bool:
+    async def _write(self, wanted: DutyLease, revision: StoreRevision) -> bool:
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 stored = await self._store.replace(LEASE_KIND, self._name, wanted.spec(), revision)
--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/exchange.py
@@ -6,6 +6,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.protocol.copies import LARGEST_CONFIGURATION, pack_copy, unpack_copy
+from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 
 # Seconds to wait for the store's own watch before a newer configuration is fetched elsewhere.
 CONFIG_WAIT_SECONDS = 0.15
@@ -34,7 +35,7 @@
         self._fetching: asyncio.Task[None] | None = None
         # The packed copy of a version and of the revision that it was packed with: many hosts
         # ask for the same one at once.
-        self._packed: tuple[int, int, bytes] = (0, 0, b"")
+        self._packed: tuple[int, StoreRevision, bytes] = (0, NO_REVISION, b"")
 
     async def open(self) -> None:
         """Listen for peers that ask; raise OSError."""
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/registration.py
@@ -4,7 +4,13 @@
 import ipaddress
 import random
 
-from swifttrestle.errors import BadEntryError, NotFoundError, PlatformUnavailableError
+from swifttrestle.errors import (
+    BadEntryError,
+    ConflictError,
+    HistoryGoneError,
+    NotFoundError,
+    PlatformUnavailableError,
+)
 from swifttrestle.internal.checks import check_text
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.lines import log_decision
@@ -36,7 +42,7 @@
             for item in snapshot.items:
                 _learn_peer(item, peers, skipped)
             return
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, ConflictError, HistoryGoneError) as error:
             log_decision("peers not read", reason=str(error))
             await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
 
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -13,6 +13,7 @@
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.peers import NEVER
+from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Seconds after an outage in which lapsed upstreams may come back before they count as gone;
 # the platform promises about two.
@@ -27,7 +28,7 @@
 
     since: float
     until: float
-    revision: int
+    revision: StoreRevision
 
 
 class Removals:
@@ -76,7 +77,7 @@
         """Take over that an instance is listed; return whether its removal was held back."""
         return self._held.pop(name, None) is not None
 
-    def remove(self, name: str, until: float, revision: int) -> None:
+    def remove(self, name: str, until: float, revision: StoreRevision) -> None:
         """Drop an instance, at once or at the loop's time `until` if it is not listed again."""
         if not self._fleet.knows(name):
             return
@@ -87,7 +88,9 @@
             return
         if name not in self._held:
             seconds = round(until - now, 2)
-            log_decision("removal held back", instance=name, seconds=seconds, revision=revision)
+            log_decision(
+                "removal held back", instance=name, seconds=seconds, revision=str(revision)
+            )
         self._held[name] = replace(held, until=min(until, held.until))
         self._look_later()
 
@@ -95,7 +98,7 @@
         self._held.pop(name, None)
         if self._fleet.remove(name):
             seconds = round(self._now() - held.since, 2)
-            log_decision("instance gone", instance=name, revision=held.revision, held=seconds)
+            log_decision("instance gone", instance=name, revision=str(held.revision), held=seconds)
 
     def _look_later(self) -> None:
         if self._timer is None:
--- a/src/swifttrestle/internal/protocol/copies.py
+++ b/src/swifttrestle/internal/protocol/copies.py
@@ -8,6 +8,8 @@
 import orjson
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.protocol.listings import pack_revision, unpack_revision
+from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Bytes that a version may have once it is unpacked.
 LARGEST_CONFIGURATION = 4 * 1024 * 1024
@@ -19,17 +21,17 @@
 class ConfigurationCopy:
     """A version as the store gave it, and a revision at which the store still held it.
 
-    The revision is 0 where the sender does not know one.
+    The revision is `NO_REVISION` where the sender does not know one.
     """
 
-    revision: int
+    revision: StoreRevision
     raw: Any
 
 
 def pack_copy(copy: ConfigurationCopy) -> bytes:
     """Return the bytes of a copy; a thin link carries them in an eleventh of the time."""
     content = zlib.compress(orjson.dumps(copy.raw), COMPRESSION_LEVEL)
-    data: bytes = msgpack.packb((copy.revision, content))
+    data: bytes = msgpack.packb((pack_revision(copy.revision), content))
     return data
 
 
@@ -41,6 +43,6 @@
         plain = unpacking.decompress(content, LARGEST_CONFIGURATION)
         if not unpacking.eof:
             raise FrameError(f"a configuration is cut or over {LARGEST_CONFIGURATION} bytes")
-        return ConfigurationCopy(int(revision), orjson.loads(plain))
+        return ConfigurationCopy(unpack_revision(revision), orjson.loads(plain))
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as error:
         raise FrameError(f"a configuration cannot be read: {error!r}") from None
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -7,8 +7,9 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.checks import LARGEST_SIGNED, check_number, check_text
+from swifttrestle.internal.checks import LARGEST_SIGNED, check_number, check_text, check_whole
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
+from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Kept under one packet of the usual links, so that a datagram is never split.
 LARGEST_DATAGRAM = 1400
@@ -28,8 +29,8 @@
     which records that went in an outage of the store may still come back.
     """
 
-    since: int
-    revision: int
+    since: StoreRevision
+    revision: StoreRevision
     distrust: float
     records: tuple[UpstreamRecord, ...] = ()
     removed: tuple[str, ...] = ()
@@ -86,7 +87,8 @@
         )
         for item in changes.records
     ]
-    values = (changes.since, changes.revision, changes.distrust, records, changes.removed)
+    marks = pack_revision(changes.since), pack_revision(changes.revision)
+    values = (*marks, changes.distrust, records, changes.removed)
     data: bytes = msgpack.packb(values)
     return data
 
@@ -95,10 +97,10 @@
     """Return the changes of a datagram; raise FrameError."""
     try:
         match msgpack.unpackb(_decompress(data)):
-            case [int(since), int(revision), float(distrust), list(records), list(removed)]:
+            case [since, revision, float(distrust), list(records), list(removed)]:
                 return ListingChanges(
-                    since,
-                    revision,
+                    unpack_revision(since),
+                    unpack_revision(revision),
                     _check_seconds(distrust),
                     tuple(_read_record(item) for item in records),
                     tuple(check_text(name) for name in removed),
@@ -118,6 +120,21 @@
     return content
 
 
+def pack_revision(revision: StoreRevision) -> tuple[int, int]:
+    """Return the form in which hosts tell each other a revision."""
+    return revision.epoch, revision.number
+
+
+def unpack_revision(value: Any) -> StoreRevision:
+    """Return the revision of such a form; raise ValueError."""
+    match value:
+        case [epoch, number]:
+            return StoreRevision(
+                check_whole(epoch, 0, LARGEST_SIGNED), check_whole(number, 0, LARGEST_SIGNED)
+            )
+    raise ValueError(f"{value!r:.80} is no revision")
+
+
 def _check_seconds(value: float) -> float:
     return check_number(value, 0, LONGEST_DISTRUST_SECONDS)
 
--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -9,6 +9,7 @@
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
 from swifttrestle.internal.checks import LARGEST_SIGNED, check_text, check_whole
+from swifttrestle.internal.state.store_epochs import StoreRevision
 
 
 @dataclass(frozen=True)
@@ -17,7 +18,7 @@
 
     kind: str
     name: str
-    revision: int
+    revision: StoreRevision
     spec: Any
 
 
@@ -48,7 +49,7 @@
     """
 
     items: tuple[StoredObject, ...]
-    revision: int
+    revision: StoreRevision
     unread: tuple[UnreadObject, ...] = ()
     complete: bool = True
 
@@ -58,7 +59,7 @@
     """What a watch returned, and the revision from which the next one goes on."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True)
@@ -67,7 +68,7 @@
 
     items: tuple[StoredObject, ...]
     unread: tuple[UnreadObject, ...]
-    revision: int
+    revision: StoreRevision
     more: bool
     last: str
 
@@ -100,8 +101,8 @@
     return value if math.isfinite(value) else _mark(text)
 
 
-def read_object(kind: str, raw: Any) -> StoredObject:
-    """Return one object; raise BadEntryError."""
+def read_object(kind: str, raw: Any, epoch: int = 0) -> StoredObject:
+    """Return one object of an answer of the store's `epoch`; raise BadEntryError."""
     what = f"object of kind {kind}"
     if not isinstance(raw, dict) or not isinstance(raw.get("metadata"), dict):
         raise BadEntryError(what, "metadata", raw, "it is missing or no map")
@@ -112,7 +113,7 @@
         raise BadEntryError(what, "metadata.name", metadata.get("name"), str(error)) from None
     revision = metadata.get("revision")
     try:
-        check_whole(revision, 0, LARGEST_SIGNED)
+        number = check_whole(revision, 0, LARGEST_SIGNED)
     except ValueError as error:
         raise BadEntryError(what, "metadata.revision", revision, str(error)) from None
     try:
@@ -120,45 +121,46 @@
         orjson.dumps(raw)
     except TypeError as error:
         raise BadEntryError(what, "spec", raw.get("spec"), str(error)) from None
-    return StoredObject(kind, name, revision, raw.get("spec"))
+    return StoredObject(kind, name, StoreRevision(epoch, number), raw.get("spec"))
 
 
-def read_page(kind: str, raw: Any) -> Page:
+def read_page(kind: str, raw: Any, epoch: int = 0) -> Page:
     """Return one page of a list; raise BadPlatformAnswerError where it is none."""
     try:
         raw_items = list(raw["items"])
-        revision = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
+        number = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
         more = bool(raw.get("hasMore")) and bool(raw_items)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadPlatformAnswerError(f"a list cannot be read: {error!r}") from None
-    read = [_try_object(kind, item) for item in raw_items]
+    read = [_try_object(kind, item, epoch) for item in raw_items]
     items = tuple(item for item in read if isinstance(item, StoredObject))
     unread = tuple(item for item in read if isinstance(item, UnreadObject))
     last = next((item.name for item in reversed(read) if item.name), "")
-    return Page(items, unread, revision, more, last)
+    return Page(items, unread, StoreRevision(epoch, number), more, last)
 
 
-def read_changes(kind: str, raw: Any) -> Changes:
+def read_changes(kind: str, raw: Any, epoch: int = 0) -> Changes:
     """Return what a watch answered; raise BadPlatformAnswerError where it is no answer to one."""
     try:
         events = list(raw["events"])
-        revision = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
+        number = check_whole(raw["timestamp"], 0, LARGEST_SIGNED)
     except (KeyError, TypeError, ValueError) as error:
         raise BadPlatformAnswerError(f"a watch cannot be read: {error!r}") from None
-    return Changes(tuple(_read_change(kind, event) for event in events), revision)
+    read = tuple(_read_change(kind, event, epoch) for event in events)
+    return Changes(read, StoreRevision(epoch, number))
 
 
-def _read_change(kind: str, event: Any) -> Change:
+def _read_change(kind: str, event: Any, epoch: int) -> Change:
     if not isinstance(event, dict):
         error = BadEntryError(f"event of kind {kind}", "object", event, "the event is no map")
         return Change(UnreadObject(kind, "", error, event), False)
     # A removal counts by its name alone: what the object held does not matter any more.
-    return Change(_try_object(kind, event.get("object")), event.get("removed") is True)
+    return Change(_try_object(kind, event.get("object"), epoch), event.get("removed") is True)
 
 
-def _try_object(kind: str, raw: Any) -> StoredObject | UnreadObject:
+def _try_object(kind: str, raw: Any, epoch: int) -> StoredObject | UnreadObject:
     try:
-        return read_object(kind, raw)
+        return read_object(kind, raw, epoch)
     except BadEntryError as error:
         return UnreadObject(kind, _find_name(raw), error, raw)
 
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -2,6 +2,9 @@
 
 A call that got no answer may have been done, or may be done seconds later. Such a call
 raises PlatformUnavailableError, and whoever wrote reads back before it acts on the write.
+
+A store may come back from a copy and give its revisions out again. So each revision is one of an
+epoch: what was known of an epoch before is neither watched from nor written over.
 """
 
 import asyncio
@@ -18,7 +21,7 @@
     RateLimitedError,
     UpstreamBrokenError,
 )
-from swifttrestle.internal.state.store_epochs import StoreEpochs
+from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
 from swifttrestle.internal.transport.messages import AnswerHead, Body, Framing, find_header
 from swifttrestle.internal.transport.pool import ConnectionPool, Patience, call_once
 from swifttrestle.internal.transport.upstream import Address, OutgoingRequest
@@ -71,49 +74,72 @@
         self.epochs = StoreEpochs()
 
     async def list(self, kind: str) -> Snapshot:
-        """Return all objects of a kind, read page by page."""
+        """Return all objects of a kind, read page by page.
+
+        Raises HistoryGoneError where the store came back from a copy between two pages.
+        """
         items: list[StoredObject] = []
         unread: list[UnreadObject] = []
-        revision = 0
+        first: StoreRevision | None = None
         after = ""
         while True:
             query = f"?after={quote(after)}" if after else ""
             raw = await self._call(b"GET", f"/v1/objects/{kind}{query}", None, READ_SECONDS)
-            page = read_page(kind, raw)
+            page = read_page(kind, raw, self.epochs.current)
             items += page.items
             unread += page.unread
             # The oldest page's revision is safe to watch from: nothing after it is missed.
-            revision = revision or page.revision
+            first = first or page.revision
+            _check_epoch(first, page.revision, path=kind)
             complete = not page.more
             if complete or page.last in ("", after):
-                return Snapshot(tuple(items), revision, tuple(unread), complete)
+                return Snapshot(tuple(items), first, tuple(unread), complete)
             after = page.last
 
-    async def watch(self, kind: str, revision: int, seconds: float) -> Changes:
-        """Wait for changes after a revision; raise HistoryGoneError where they are forgotten."""
-        path = f"/v1/objects/{kind}?watch={revision}&waitMs={int(seconds * 1000)}"
+    async def watch(self, kind: str, since: StoreRevision, seconds: float) -> Changes:
+        """Wait for changes after a revision; raise HistoryGoneError where they are forgotten.
+
+        That is also where the answer is of another epoch: a store that has passed the number again
+        takes the watch, and tells nothing of what it has written before it.
+        """
+        path = f"/v1/objects/{kind}?watch={since.number}&waitMs={int(seconds * 1000)}"
         raw = await self._call(b"GET", path, None, seconds + WATCH_MARGIN_SECONDS)
-        return read_changes(kind, raw)
+        seen = read_changes(kind, raw, self.epochs.current)
+        _check_epoch(since, seen.revision, path)
+        return seen
 
     async def get(self, kind: str, name: str) -> StoredObject:
         """Return one object; raise NotFoundError."""
         path = f"/v1/objects/{kind}/{quote(name)}"
-        return read_object(kind, await self._call(b"GET", path, None, READ_SECONDS))
+        raw = await self._call(b"GET", path, None, READ_SECONDS)
+        return read_object(kind, raw, self.epochs.current)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Make an object; raise ConflictError where it is there."""
         body = {"metadata": {"name": name}, "spec": spec}
-        return read_object(kind, await self._call(b"POST", f"/v1/objects/{kind}", body))
+        raw = await self._call(b"POST", f"/v1/objects/{kind}", body)
+        return read_object(kind, raw, self.epochs.current)
 
-    async def replace(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredObject:
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: StoreRevision | None
+    ) -> StoredObject:
         """Replace an object at a revision; raise ConflictError where it is at another.
 
-        Without a revision whatever stands there is replaced.
+        A revision of another epoch is another one: the write is not sent, or, where only its answer
+        tells of the return, it may have been done and counts as not done. Without a revision
+        whatever stands there is replaced.
         """
-        metadata = {"name": name} if revision is None else {"name": name, "revision": revision}
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            if revision.epoch != self.epochs.current:
+                raise ConflictError(f"{kind}/{name}: {revision} is of another epoch")
+            metadata["revision"] = revision.number
         body = {"metadata": metadata, "spec": spec}
         raw = await self._call(b"PUT", f"/v1/objects/{kind}/{quote(name)}", body)
-        return read_object(kind, raw)
+        stored = read_object(kind, raw, self.epochs.current)
+        if revision is not None and revision.epoch != stored.revision.epoch:
+            raise ConflictError(f"{kind}/{name}: {revision} is of another epoch")
+        return stored
 
     async def _call(
         self, method: bytes, path: str, body: Any, seconds: float = CALL_SECONDS
@@ -157,6 +183,12 @@
     return int(text)
 
 
+def _check_epoch(since: StoreRevision, answered: StoreRevision, path: str) -> None:
+    """Raise HistoryGoneError where an answer is of another epoch than what it follows."""
+    if since.epoch != answered.epoch:
+        raise HistoryGoneError(f"{path}: {since} is of another epoch than {answered}")
+
+
 def _check_status(status: int, path: str) -> None:
     if status < 300:
         return
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -30,6 +30,7 @@
 from swifttrestle.internal.state.declared import Role, Scaling, UpstreamRecord
 from swifttrestle.internal.state.demand import Demand
 from swifttrestle.internal.state.fleet import UNKNOWN_READ_RATE, Instance
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform.records import read_configuration, read_upstream
 
 ZONES = ("a", "b", "c")
@@ -252,7 +253,7 @@
     The holder of the duties took 19 reclaimable engines of another zone for lasting ones, and kept
     29 dear ones beside them: 1,657 paid seconds on a calm day.
     """
-    changes = ListingChanges(1, 2, 0.0, (record,), ())
+    changes = ListingChanges(StoreRevision(0, 1), StoreRevision(0, 2), 0.0, (record,), ())
     assert unpack_changes(pack_changes(changes)) == changes
 
 
@@ -289,7 +290,7 @@
         )
         for number in range(1, 61)
     )  # fmt: skip
-    changes = ListingChanges(1, 2, 0.0, records, ("i-1", "i-2"))
+    changes = ListingChanges(StoreRevision(0, 1), StoreRevision(0, 2), 0.0, records, ("i-1", "i-2"))
     data = pack_changes(changes)
     assert len(data) <= LARGEST_DATAGRAM
     assert unpack_changes(data) == changes
--- a/tests/cover/test_copies.py
+++ b/tests/cover/test_copies.py
@@ -11,8 +11,11 @@
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.protocol import copies
 from swifttrestle.internal.protocol.copies import ConfigurationCopy, pack_copy, unpack_copy
+from swifttrestle.internal.state.store_epochs import StoreRevision
 
-COPY = ConfigurationCopy(70, {"version": 9, "routes": [{"name": f"r{n}"} for n in range(500)]})
+COPY = ConfigurationCopy(
+    StoreRevision(0, 70), {"version": 9, "routes": [{"name": f"r{n}"} for n in range(500)]}
+)
 
 
 def test_a_copy_survives_its_bytes():
@@ -24,7 +27,10 @@
         {"name": f"r-{n * 7919 % 99991:07x}", "host": "site.example", "pathPrefix": f"/{n:08x}/"}
         for n in range(4000)
     ]
-    assert len(pack_copy(ConfigurationCopy(1, routes))) < len(orjson.dumps(routes)) / 5
+    assert (
+        len(pack_copy(ConfigurationCopy(StoreRevision(0, 1), routes)))
+        < len(orjson.dumps(routes)) / 5
+    )
 
 
 @pytest.mark.parametrize("kept", [0, 1, 10, -1])
@@ -44,7 +50,7 @@
 def test_a_version_that_unpacks_to_more_than_the_limit_is_refused(monkeypatch):
     monkeypatch.setattr(copies, "LARGEST_CONFIGURATION", 1000)
     with pytest.raises(FrameError):
-        unpack_copy(pack_copy(ConfigurationCopy(1, "x" * 2000)))
+        unpack_copy(pack_copy(ConfigurationCopy(StoreRevision(0, 1), "x" * 2000)))
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -17,6 +17,7 @@
 from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform import objects
 from swifttrestle.platform.records import read_upstream
 from tests.common.virtual_time import run_in_virtual_time
@@ -286,8 +287,8 @@
     fleet = Fleet()
     skipped = []
     entries = UpstreamEntries(fleet, SkippedEntries(lambda kind, field: skipped.append(field)))
-    told = objects.StoredObject("servers", "i", 1, change(born=5))
-    untold = objects.StoredObject("servers", "i", 2, GOOD)
+    told = objects.StoredObject("servers", "i", StoreRevision(0, 1), change(born=5))
+    untold = objects.StoredObject("servers", "i", StoreRevision(0, 2), GOOD)
     assert entries.read(told).born == 5
     assert entries.read(untold) is None
     assert skipped == ["born"]
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -21,6 +21,7 @@
 from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
 from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from tests.common.fakes import skip_silently
 
@@ -302,7 +303,7 @@
     """One object, with writes that fail as told."""
 
     def __init__(self):
-        self.spec, self.revision, self.lose = None, 0, ""
+        self.spec, self.revision, self.lose = None, StoreRevision(0, 0), ""
 
     async def get(self, kind, name):
         if self.spec is None:
@@ -323,7 +324,7 @@
         if self.lose == "not done":
             self.lose = ""
             raise PlatformUnavailableError("lost")
-        self.spec, self.revision = spec, self.revision + 1
+        self.spec, self.revision = spec, StoreRevision(0, self.revision.number + 1)
         if self.lose == "done":
             self.lose = ""
             raise PlatformUnavailableError("lost")
--- a/tests/cover/test_other_writers.py
+++ b/tests/cover/test_other_writers.py
@@ -25,6 +25,7 @@
 from swifttrestle.internal.state.duties import read_duty_lease
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.routes import RouteTable
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform import objects
 from swifttrestle.platform.engine import read_handle, read_kept_parts, read_report
 from swifttrestle.platform.records import read_configuration, read_upstream
@@ -204,7 +205,11 @@
     pack_report(REPORT),
     pack_message("h", ASK),
     pack_message("h", Grant(1, "e", "d", 10, 0.1)),
-    pack_changes(ListingChanges(1, 2, 0.0, (read_upstream("i", GOOD),), ("gone",))),
+    pack_changes(
+        ListingChanges(
+            StoreRevision(0, 1), StoreRevision(0, 2), 0.0, (read_upstream("i", GOOD),), ("gone",)
+        )
+    ),
 )
 DATAGRAMS = st.binary(max_size=60) | JSON.map(pack)
 
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -11,7 +11,7 @@
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
-from swifttrestle.internal.state.store_epochs import StoreEpochs
+from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
 from swifttrestle.platform.store import CALL_SECONDS, ObjectStore
 from swifttrestle_standins.hosted.store import StandInStore
 from tests.common.fakes import skip_silently
@@ -173,6 +173,10 @@
         return False
 
 
+def follow(revision, count=1):
+    return StoreRevision(revision.epoch, revision.number + count)
+
+
 async def start_follower():
     """Return a host that knows the list and can read no more of it, and the list's revision."""
     host = Host(1, Follower())
@@ -188,9 +192,9 @@
     async def story():
         host, revision = await start_follower()
         host.relay.take(ListingChanges(revision, revision, 2.2))
-        host.relay.take(ListingChanges(revision, revision + 1, 0.0, removed=("s0",)))
+        host.relay.take(ListingChanges(revision, follow(revision), 0.0, removed=("s0",)))
         assert not host.knows("s0")
-        host.relay.take(ListingChanges(revision + 1, revision + 2, 2.2, removed=("s1",)))
+        host.relay.take(ListingChanges(follow(revision), follow(revision, 2), 2.2, removed=("s1",)))
         assert host.knows("s1")
         await asyncio.sleep(2.5)
         assert not host.knows("s1")
@@ -202,8 +206,8 @@
 def test_a_removal_is_held_back_no_longer_than_the_surest_teller_says():
     async def story():
         host, revision = await start_follower()
-        host.relay.take(ListingChanges(revision, revision + 1, 2.2, removed=("s0",)))
-        host.relay.take(ListingChanges(revision, revision + 1, 0.5, removed=("s0",)))
+        host.relay.take(ListingChanges(revision, follow(revision), 2.2, removed=("s0",)))
+        host.relay.take(ListingChanges(revision, follow(revision), 0.5, removed=("s0",)))
         assert host.knows("s0")
         await asyncio.sleep(0.8)
         assert not host.knows("s0")
@@ -221,19 +225,19 @@
     [
         # What holds at the end counts, and a gap between the two is never covered up.
         (
-            ListingChanges(3, 5, 0.0, (record("s0"),), ("s1",)),
-            ListingChanges(5, 8, 1.0, (record("s1"),), ("s0",)),
-            ListingChanges(3, 8, 1.0, (record("s1"),), ("s0",)),
+            ListingChanges(StoreRevision(0, 3), StoreRevision(0, 5), 0.0, (record("s0"),), ("s1",)),
+            ListingChanges(StoreRevision(0, 5), StoreRevision(0, 8), 1.0, (record("s1"),), ("s0",)),
+            ListingChanges(StoreRevision(0, 3), StoreRevision(0, 8), 1.0, (record("s1"),), ("s0",)),
         ),
         (
-            ListingChanges(3, 5, 0.0, (record("s0"),), ("s1",)),
-            ListingChanges(5, 6, 0.0),
-            ListingChanges(3, 6, 0.0, (record("s0"),), ("s1",)),
+            ListingChanges(StoreRevision(0, 3), StoreRevision(0, 5), 0.0, (record("s0"),), ("s1",)),
+            ListingChanges(StoreRevision(0, 5), StoreRevision(0, 6), 0.0),
+            ListingChanges(StoreRevision(0, 3), StoreRevision(0, 6), 0.0, (record("s0"),), ("s1",)),
         ),
         (
-            ListingChanges(3, 5, 0.0, (record("s0"),), ()),
-            ListingChanges(6, 8, 0.0, (), ("s1",)),
-            ListingChanges(6, 8, 0.0, (), ("s1",)),
+            ListingChanges(StoreRevision(0, 3), StoreRevision(0, 5), 0.0, (record("s0"),), ()),
+            ListingChanges(StoreRevision(0, 6), StoreRevision(0, 8), 0.0, (), ("s1",)),
+            ListingChanges(StoreRevision(0, 6), StoreRevision(0, 8), 0.0, (), ("s1",)),
         ),
     ],
 )
--- a/tests/cover/test_starts.py
+++ b/tests/cover/test_starts.py
@@ -19,6 +19,7 @@
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.fleet import NOTHING, Fleet, OpenWork
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform.engine import is_other_start, read_kept_parts, read_report
 from tests.common.virtual_time import run_in_virtual_time
 
@@ -132,7 +133,9 @@
 
 
 def test_hosts_tell_each_other_of_starts():
-    changes = ListingChanges(1, 2, 0.0, (FIRST, LATER), ("gone",))
+    changes = ListingChanges(
+        StoreRevision(0, 1), StoreRevision(0, 2), 0.0, (FIRST, LATER), ("gone",)
+    )
     assert unpack_changes(pack_changes(changes)) == changes
 
 
--- a/tests/cover/test_suspension.py
+++ b/tests/cover/test_suspension.py
@@ -17,11 +17,13 @@
 from swifttrestle.internal.clock import MonotonicClock, read_seconds
 from swifttrestle.internal.coordination.duty_lease import SEND_SECONDS, DutyLeaseKeeper
 from swifttrestle.internal.loop import run_in_loop
+from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from tests.common.fakes import skip_silently
 
 SOURCES = Path(clock.__file__).parents[1]
 SUSPENDED_SECONDS = 7.0
+FIRST = StoreRevision(0, 1)
 
 
 @pytest.fixture
@@ -60,12 +62,12 @@
 def test_an_order_that_was_recorded_before_a_suspension_is_too_old_after_it(suspension):
     class SuspendedInTheWrite:
         async def get(self, kind, name):
-            return StoredObject(kind, name, 1, {"holder": "h1", "incarnation": 1, "token": 1,
+            return StoredObject(kind, name, FIRST, {"holder": "h1", "incarnation": 1, "token": 1,
                                                 "orders": []})  # fmt: skip
 
         async def replace(self, kind, name, spec, revision):
             suspension(SUSPENDED_SECONDS)
-            return StoredObject(kind, name, revision + 1, spec)
+            return StoredObject(kind, name, StoreRevision(0, 2), spec)
 
     async def work():
         keeper = DutyLeaseKeeper(SuspendedInTheWrite(), "roles", "h1", 1, 1.0, skip_silently())
--- a/tests/hosted/test_store_returns.py
+++ b/tests/hosted/test_store_returns.py
@@ -104,3 +104,16 @@
     await lose_writes(site, **way)
     site.list_upstream(site.upstreams["s0"], "draining")
     await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
+
+
+@pytest.mark.parametrize("named", [b"", b"-3", b"banana", b"0", b"99999999999999999999", b"7"])
+@on_site(gateways=2)
+async def test_an_odd_epoch_loses_nothing(site, named):
+    await wait_for_revision(site)
+    site.store.faults.epoch_text = named
+    site.list_upstream(site.upstreams["s0"], "draining")
+    version = site.declare()
+    await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(g.config_version == version for g in gateways), "in force")
+    assert not any(item.task.done() for item in site.gateways.values())
