--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -125,7 +125,8 @@
         snapshot = await self._store.list(UPSTREAM_KIND)
         self._note_answer()
         self._stale = False
-        if snapshot.revision < self._revision:
+        same_epoch = snapshot.revision.epoch == self._revision.epoch
+        if same_epoch and snapshot.revision < self._revision:
             # Another host has told of what is newer in the meantime.
             dropped, known = str(snapshot.revision), str(self._revision)
             log_decision("older list dropped", revision=dropped, known=known)
