Upstreams that a copy of the store lacks have their time to come back

An epoch's first list starts the 2.2 s in which lapsed entries may return, and no peer's word on an unbroken store shortens them.

--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -131,6 +131,8 @@
             dropped, known = str(snapshot.revision), str(self._revision)
             log_decision("older list dropped", revision=dropped, known=known)
             return
+        if not same_epoch and self.known:
+            self._begin_epoch()
         self._revision = snapshot.revision
         listed = {item.name for item in snapshot.items if self._take(item).listed}
         for unread in snapshot.unread:
@@ -143,6 +145,13 @@
         # What changed before this list was read is not known one by one.
         self._tell(self._revision, (), ())
 
+    def _begin_epoch(self) -> None:
+        """Take the first list after a return of the store for the old copy that it is."""
+        now = self._now()
+        self._contact.note_break()
+        self._contact.note_answer(now)
+        self.removals.note_epoch(now)
+
     async def _watch(self) -> None:
         longest = WATCH_SECONDS - self._paused
         wait = TELLING_WAIT_SECONDS if self._relay.tells() else longest
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -48,6 +48,8 @@
         self._held: dict[str, _Held] = {}
         self._lost_at = NEVER
         self._returned_at = NEVER
+        # Until when entries may be missing that the copy lacks from which the store came back.
+        self._incomplete_until = NEVER
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
@@ -62,16 +64,22 @@
         """Take over that the store answers this host again after a loss."""
         self._returned_at = now
 
+    def note_epoch(self, now: float) -> None:
+        """Take over that the store came back from a copy, whoever it answered meanwhile."""
+        self._incomplete_until = now + RETURN_SECONDS
+
     def find_trusted_from(self) -> float:
         """Return the time from which a missing record is one that was withdrawn."""
-        return min(self._returned_at + RETURN_SECONDS, self._find_trusted_by_peers())
+        by_own = max(self._returned_at + RETURN_SECONDS, self._incomplete_until)
+        return min(by_own, self._find_trusted_by_peers())
 
     def _find_trusted_by_peers(self) -> float:
         """Return the time from which a missing record is withdrawn by what peers know."""
         up_since = self._find_up_since()
         # A peer that the store answered all the while shows that only this host's path was cut;
         # without its word a host sent requests to an instance for 2.8 s after it had left.
-        return NEVER if up_since <= self._lost_at else up_since + RETURN_SECONDS
+        by_peers = NEVER if up_since <= self._lost_at else up_since + RETURN_SECONDS
+        return max(by_peers, self._incomplete_until)
 
     def restore(self, name: str) -> bool:
         """Take over that an instance is listed; return whether its removal was held back."""
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -20,8 +20,8 @@
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform import objects
 from swifttrestle.platform.records import read_upstream
+from tests.common.discovery import Alone, Store
 from tests.common.virtual_time import run_in_virtual_time
-from tests.cover.test_removals import Alone, Store
 
 GOOD = {
     "service": "s",
