What was known of upstreams counts against the older entries of a copy

An entry that a host knows better counts only once its upstream has written it again, which shows by its revision; a withdrawn one also when it had time to lapse and still stands, since an upstream that lives checks in without changing it (a test holds that side too). Ruled out: remembering for good (an upstream that lapsed in an outage and lives would never come back).

--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from swifttrestle.errors import HistoryGoneError, PlatformUnavailableError
+from swifttrestle.internal.coordination.copied_entries import CopiedEntries
 from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
 from swifttrestle.internal.coordination.removals import Removals
@@ -16,7 +17,7 @@
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
-from swifttrestle.platform.objects import Change, StoredObject, UnreadObject
+from swifttrestle.platform.objects import Change, Snapshot, StoredObject, UnreadObject
 from swifttrestle.platform.records import UPSTREAM_KIND
 from swifttrestle.platform.store import ObjectStore
 
@@ -87,6 +88,8 @@
         self.store_returns = 0
         self._contact = StoreContact()
         self.removals = Removals(fleet, changed, find_up_since)
+        self._copied = CopiedEntries(fleet)
+        self.removals.note_dropped = lambda name: self._copied.note_withdrawn(name, self._now())
         self.known = False
         relay.receive(self._take_told)
 
@@ -132,7 +135,7 @@
             log_decision("older list dropped", revision=dropped, known=known)
             return
         if not same_epoch and self.known:
-            self._begin_epoch()
+            self._begin_epoch(snapshot)
         self._revision = snapshot.revision
         listed = {item.name for item in snapshot.items if self._take(item).listed}
         for unread in snapshot.unread:
@@ -145,12 +148,13 @@
         # What changed before this list was read is not known one by one.
         self._tell(self._revision, (), ())
 
-    def _begin_epoch(self) -> None:
+    def _begin_epoch(self, snapshot: Snapshot) -> None:
         """Take the first list after a return of the store for the old copy that it is."""
         now = self._now()
         self._contact.note_break()
         self._contact.note_answer(now)
         self.removals.note_epoch(now)
+        self._copied.begin(snapshot, now)
 
     async def _watch(self) -> None:
         longest = WATCH_SECONDS - self._paused
@@ -158,6 +162,8 @@
         since = self._revision
         seen = await self._store.watch(UPSTREAM_KIND, since, wait)
         self._note_answer()
+        if self._copied.drop_due(self._now()):
+            self._stale = True
         if seen.revision < self._revision:
             # Another host has told of what is newer in the meantime.
             return
@@ -189,6 +195,8 @@
     def _take(self, item: StoredObject | UnreadObject) -> _Taken:
         """Take one entry over; one that names no instance to use counts as gone."""
         record = self._entries.read(item)
+        if record is not None:
+            record = self._copied.judge(item, record)
         if record is None:
             self._remove(item.name)
             return _Taken(listed=False)
@@ -199,6 +207,7 @@
         if self._fleet.is_old_word(record):
             return False
         was_missing = self.removals.restore(record.instance)
+        self._copied.note_listed(record.instance)
         if not self._fleet.put(record):
             return was_missing
         log_decision(
--- a/src/swifttrestle/internal/coordination/removals.py
+++ b/src/swifttrestle/internal/coordination/removals.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.peers import NEVER
@@ -50,6 +51,8 @@
         self._returned_at = NEVER
         # Until when entries may be missing that the copy lacks from which the store came back.
         self._incomplete_until = NEVER
+        # Called with an instance that is dropped.
+        self.note_dropped: Callable[[str], None] = ignore
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
@@ -105,6 +108,7 @@
     def _drop(self, name: str, held: _Held) -> None:
         self._held.pop(name, None)
         if self._fleet.remove(name):
+            self.note_dropped(name)
             seconds = round(self._now() - held.since, 2)
             log_decision("instance gone", instance=name, revision=str(held.revision), held=seconds)
 
--- a/tests/cover/test_returned_list.py
+++ b/tests/cover/test_returned_list.py
@@ -79,6 +79,40 @@
     play(story, seed)
 
 
+@on_returns
+@on_seeds
+def test_an_upstream_that_has_said_that_it_leaves_is_not_called_ready_by_a_copy(way, away, seed):
+    async def story(host, store):
+        copy = store.take_copy()
+        store.put("servers", "s0", LEAVING)
+        await asyncio.sleep(3.0)
+        assert not host.uses("s0")
+        await come_back(host, copy, way, away)
+        await watch_for(8.0, lambda: not host.uses("s0"))
+        # A start that follows it under its name writes an entry of its own.
+        store.put("servers", "s0", {**RECORD, "slots": 7})
+        await asyncio.sleep(COMING_SECONDS)
+        assert host.uses("s0")
+
+    play(story, seed)
+
+
+@on_returns
+@on_seeds
+def test_an_upstream_that_was_withdrawn_is_not_used_by_a_copy_that_holds_it(way, away, seed):
+    async def story(host, store):
+        copy = store.take_copy()
+        store.remove("servers", "s0")
+        await asyncio.sleep(3.0)
+        assert not host.knows("s0")
+        await come_back(host, copy, way, away)
+        await watch_for(REWRITTEN_SECONDS, lambda: not host.uses("s0"))
+        store.write_again("servers", "s0")
+        await watch_for(8.0, lambda: not host.uses("s0"))
+
+    play(story, seed)
+
+
 @on_returns
 @on_seeds
 def test_an_upstream_that_lapsed_and_lives_is_used_again_after_a_return(way, away, seed):
@@ -111,3 +145,22 @@
         assert host.uses("s2")
 
     play(story, seed)
+
+
+@on_seeds
+def test_two_returns_in_a_row_leave_the_newest_list(seed):
+    async def story(host, store):
+        first = store.take_copy()
+        store.put("servers", "s2", RECORD)
+        await asyncio.sleep(1.0)
+        second = store.take_copy()
+        store.put("servers", "s0", LEAVING)
+        await asyncio.sleep(2.0)
+        await come_back(host, second, "busy", 0.4)
+        await asyncio.sleep(0.1 + 0.1 * seed)
+        await come_back(host, first, "busy", 0.4)
+        await watch_for(REWRITTEN_SECONDS, lambda: host.uses("s2") and not host.uses("s0"))
+        store.write_all_again()
+        await watch_for(5.0, lambda: host.uses("s2") and not host.uses("s0"))
+
+    play(story, seed)
