A task that is cancelled as the last byte of its request goes out ends

Traced: a stopped host's duty went on ordering upstreams for ten seconds. Its cancellation met the end of the sending of a request, and asyncio.wait_for returned the result in place of raising it (Python 3.11). Now asyncio.wait, which does not. Ruled out: the swallowing of errors in the duty itself (it catches LeaseLostError alone), time-outs in the calls.

--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -1,7 +1,6 @@
 """Connections to upstreams: one exchange at a time, strict answers, kept for reuse."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -189,9 +188,11 @@
         request can be taken for that rest.
         """
         if self._sender is not None:
-            with contextlib.suppress(TimeoutError, Exception):
-                await asyncio.wait_for(self._sender, patience)
-            if not self._sender.done() or self._sender.cancelled():
+            # `asyncio.wait_for` would swallow a cancellation that meets the end of the sending.
+            if not self._sender.done():
+                await asyncio.wait((self._sender,), timeout=patience)
+            if not _has_ended(self._sender):
+                self._sender.cancel()
                 self.reusable = False
             self._sender = None
         whole = self._body is not None and self._body.complete
@@ -275,3 +276,11 @@
         if name.lower() == b"timeout" and value.strip().isdigit():
             return float(value)
     return None
+
+
+def _has_ended(sender: "asyncio.Future[None]") -> bool:
+    """Return whether a sending has come to its own end; its error is seen elsewhere."""
+    if not sender.done() or sender.cancelled():
+        return False
+    sender.exception()
+    return True
