A lease counts in the epoch of the store in which it was taken, and tokens rise over all returns

Cause: a missing lease was created at once, a copy's holder took it as its own, and a token was the last one that the store knew, plus one. Now the lease names its epoch; one of an epoch before is free once what was recorded in that has been sent (1.5 s), for its last holder first, which merges what it knows; and its first token is made of epoch and revision, above all that were lost. Ruled out: a token from hosts' memory (gone with the hosts); waiting the lease's whole time (not needed: nobody can act on a lease of an epoch before).

--- a/src/swifttrestle/internal/coordination/duty_lease.py
+++ b/src/swifttrestle/internal/coordination/duty_lease.py
@@ -4,6 +4,10 @@
 may obey any order, so time alone has to keep holders apart: a challenger takes over only after it
 has itself seen the lease unchanged for its duration, and a holder sends only within a short time
 after the write that recorded what it sends.
+
+A store that came back from a copy has lost the latest leases. So a lease counts only in the epoch
+in which it was taken; after a return all wait until what was recorded before it has been sent, and
+the host that held the lease last goes first, since it alone knows what the copy lacks.
 """
 
 import asyncio
@@ -25,6 +29,7 @@
     RecordedUsage,
     read_duty_lease,
 )
+from swifttrestle.internal.state.peers import NEVER
 from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
@@ -37,6 +42,12 @@
 CALL_SECONDS = 1.0
 # Seconds for an order that has left to arrive, and for the clocks' small differences.
 ARRIVAL_SECONDS = 1.0
+# Seconds for which others leave a lease to its last holder after a return, beyond the time in which
+# what was recorded before it is sent: two looks of that holder.
+FORMER_FIRST_SECONDS = 1.0
+# Tokens of one epoch: more than the revisions that one return can lose, which is what is written
+# within some seconds.
+TOKENS_PER_EPOCH = 1 << 24
 # Orders kept on the lease, newest last: more than may be open at once.
 KEPT_ORDERS = 16
 
@@ -66,6 +77,12 @@
         self._seen_at = 0.0
         self._look_at = 0.0
         self._stored: StoredObject | None = None
+        # The lease as this host held it last, and the loop's time at which it was written last.
+        self._former: DutyLease | None = None
+        self._written_at = float("-inf")
+        self._highest_token = 0
+        # The loop's time until which another holder may have acted of whom no word is left.
+        self.unknown_until = NEVER
         # Several duties write on the one lease, each at the revision that the last one left.
         self._writing = asyncio.Lock()
         self.lease: DutyLease | None = None
@@ -76,36 +93,80 @@
     async def campaign(self) -> bool:
         """Return whether this process holds the lease, having tried to take it."""
         if self.lease is not None:
-            return True
+            return self._still_holds(self.lease)
         if self._now() < self._look_at:
             return False
         try:
             known = await self.observe()
         except NotFoundError:
             return await self._create()
+        return await self._contend(known)
+
+    def _still_holds(self, lease: DutyLease) -> bool:
+        if lease.epoch == self._store.epochs.current:
+            return True
+        return self._lose("the store came back from a copy")
+
+    async def _contend(self, known: StoredObject) -> bool:
+        """Take the lease as it stands in the store, where this host may."""
         try:
             current = read_duty_lease(known.spec)
         except BadEntryError as error:
             current = self._replace_unread(known, error)
+        if current.epoch != known.revision.epoch:
+            return await self._take_copied(current, known)
+        if current.holder != self._host:
+            # Others have acted since; what this host knew is old.
+            self._former = None
         mine = current.holder == self._host
         if not mine and self._now() - self._seen_at < self._wait:
             # Nothing between now and then can make the lease free.
             self._look_at = self._seen_at + self._wait
             return False
-        taken = replace(
-            current, holder=self._host, incarnation=self._incarnation, token=current.token + 1
-        )
-        return await self._write(taken, known.revision)
+        return await self._write(self._take(current, current.token), known.revision)
+
+    def reclaims(self) -> bool:
+        """Return whether this host held the lease as the store came back from a copy."""
+        return self._former is not None and self._former.epoch != self._store.epochs.current
+
+    def _take(self, current: DutyLease, below: int) -> DutyLease:
+        """Return a lease as this host takes it over, under a token above another."""
+        token = max(below, current.token, self._highest_token) + 1
+        return replace(current, holder=self._host, incarnation=self._incarnation, token=token)
+
+    async def _take_copied(self, current: DutyLease, known: StoredObject) -> bool:
+        """Take a lease of an epoch before, which says nothing of who held it last."""
+        if self._now() < self._find_free_at():
+            return False
+        return await self._write(self._take_anew(current, known.revision), known.revision)
+
+    def _take_anew(self, current: DutyLease, revision: StoreRevision) -> DutyLease:
+        """Return the first lease of an epoch, with what this host knows beyond the copy."""
+        taken = self._take(current, _find_highest_token(revision))
+        taken = replace(taken, epoch=revision.epoch)
+        since = self._store.epochs.since
+        if since - self._written_at >= self._wait:
+            # Time enough for another one to have taken the lease over, and to have lost it.
+            self.unknown_until = since + SEND_SECONDS + ARRIVAL_SECONDS
+        return taken if self._former is None else taken.with_former(self._former)
+
+    def _find_free_at(self) -> float:
+        """Return the loop's time from which a lease of an epoch before may be taken."""
+        epochs = self._store.epochs
+        if not epochs.current:
+            return NEVER
+        wait = SEND_SECONDS + ARRIVAL_SECONDS
+        return epochs.since + (wait if self.reclaims() else wait + FORMER_FIRST_SECONDS)
 
     def _replace_unread(self, known: StoredObject, error: BadEntryError) -> DutyLease:
         """Return a lease of nobody in place of one that cannot be read.
 
         It has to be waited out like any other, since a holder may have used its last word until
-        now. Its token is the revision: each holder's token came with a write of its own, so that
-        no token is above the revision.
+        now.
         """
         self._skipped.skip(LEASE_KIND, self._name, error, known.spec)
-        return DutyLease("", 0, known.revision.number)
+        token = _find_highest_token(known.revision)
+        return DutyLease("", 0, token, epoch=known.revision.epoch)
 
     async def observe(self) -> StoredObject:
         """Read the lease and remember when it was first seen so; raise NotFoundError."""
@@ -115,13 +176,19 @@
         return known
 
     async def _create(self) -> bool:
-        first = DutyLease(self._host, self._incarnation, 1)
+        """Take a lease that does not stand in the store."""
+        snapshot = await self._store.list(LEASE_KIND)
+        if self._now() < self._find_free_at():
+            return False
+        first = self._take_anew(DutyLease("", 0, 0), snapshot.revision)
         try:
             stored = await self._store.create(LEASE_KIND, self._name, first.spec())
         except ConflictError:
             return False
         except PlatformUnavailableError:
             return await self._read_back(first)
+        if stored.revision.epoch != first.epoch:
+            return False
         self._keep(first, stored)
         return True
 
@@ -170,7 +237,7 @@
             stored = await self._get()
         except (NotFoundError, PlatformUnavailableError):
             return self._lose("the write has no answer")
-        if stored.spec != wanted.spec():
+        if stored.spec != wanted.spec() or stored.revision.epoch != wanted.epoch:
             return self._lose("the write was not done, or is yet to come")
         self._keep(wanted, stored)
         return True
@@ -186,14 +253,27 @@
         if self.lease is None:
             log_decision("lease taken", lease=self._name, token=lease.token)
         self.lease, self._stored = lease, stored
+        self._former = None
+        self._highest_token = max(self._highest_token, lease.token)
+        self._written_at = self._now()
 
     def _lose(self, reason: str) -> bool:
         if self.lease is not None:
             log_decision("lease lost", lease=self._name, reason=reason)
+            self._former = self.lease
         self.lease, self._stored = None, None
         return False
 
 
+def _find_highest_token(revision: StoreRevision) -> int:
+    """Return a token that no holder's is above who took the lease until a revision.
+
+    Each token came with a write of its own, so that none is above the revision of its epoch; those
+    of a later epoch are above all of one before, the lost ones too.
+    """
+    return revision.epoch * TOKENS_PER_EPOCH + revision.number
+
+
 def _add_order(lease: DutyLease, engine: str, role: str) -> DutyLease:
     last = lease.orders[-1].number if lease.orders else 0
     order = RecordedOrder(last + 1, engine, role)
--- a/src/swifttrestle/internal/state/duties.py
+++ b/src/swifttrestle/internal/state/duties.py
@@ -42,7 +42,7 @@
 class RecordedUsage:
     """One window's report as written down before it is sent; it never changes after that.
 
-    `taken` says that the platform has acknowledged it.
+    `taken` says that the platform has acknowledged it, or that it is left out for good.
     """
 
     window: int
@@ -70,6 +70,8 @@
     capacity: tuple[RecordedCapacity, ...] = ()
     usage: tuple[RecordedUsage, ...] = ()
     drafts: tuple[UsageDraft, ...] = ()
+    # The store's epoch in which the holder took it; in a later one it is an old copy.
+    epoch: int = 0
     # Rises with each write, so that none leaves the lease as it was: a challenger waits for one
     # that stays unchanged.
     writes: int = 0
@@ -90,6 +92,7 @@
             "token": self.token,
             "orders": [vars(order) for order in self.orders],
             "writes": self.writes,
+            **({"epoch": self.epoch} if self.epoch else {}),
             **{name: part for name, part in parts.items() if part},
         }
 
@@ -99,6 +102,22 @@
         others = (i for i in self.capacity if (i.service, i.zone, i.reclaimable) != subject)
         return replace(self, capacity=(*others, order))
 
+    def with_former(self, former: "DutyLease") -> "DutyLease":
+        """Return the lease with what its last holder knows beyond an older copy of it."""
+        reports = {item.window: item for item in self.usage}
+        for item in former.usage:
+            known = reports.get(item.window)
+            reports[item.window] = replace(item, taken=True) if known and known.taken else item
+        usage = sorted(reports.values(), key=lambda item: item.window)[-KEPT_REPORTS:]
+        return replace(
+            self,
+            orders=former.orders,
+            capacity=former.capacity,
+            usage=tuple(usage),
+            drafts=former.drafts,
+            writes=max(self.writes, former.writes),
+        )
+
     def with_usage(self, report: RecordedUsage) -> "DutyLease":
         """Return the lease with a window's report, which takes the place of its draft."""
         others = [item for item in self.usage if item.window != report.window]
@@ -124,16 +143,17 @@
                 _read_list(spec, "capacity", _read_capacity),
                 _read_list(spec, "usage", _read_usage),
                 _read_list(spec, "drafts", _read_draft),
-                _read_writes(spec),
+                _read_number(spec, "epoch"),
+                _read_number(spec, "writes"),
             )
     raise BadEntryError("a lease", "spec", spec, "a field is missing or of another type")
 
 
-def _read_writes(spec: Mapping[str, Any]) -> int:
+def _read_number(spec: Mapping[str, Any], name: str) -> int:
     try:
-        return check_whole(spec.get("writes", 0), 0, LARGEST_SIGNED)
+        return check_whole(spec.get(name, 0), 0, LARGEST_SIGNED)
     except ValueError as error:
-        raise BadEntryError("a lease", "writes", spec.get("writes"), str(error)) from None
+        raise BadEntryError("a lease", name, spec.get(name), str(error)) from None
 
 
 def _read_list(spec: Mapping[str, Any], name: str, read: Callable[[Any], T]) -> tuple[T, ...]:
--- a/tests/common/discovery.py
+++ b/tests/common/discovery.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import orjson
+
 from swifttrestle.errors import PlatformUnavailableError
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.listing_relay import ListingRelay
@@ -44,8 +46,8 @@
 class Store(ObjectStore):
     """The client of the store, with a path that a test breaks: calls hang, or fail at once."""
 
-    def __init__(self):
-        self.stand_in = StandInStore()
+    def __init__(self, stand_in=None):
+        self.stand_in = stand_in or StandInStore()
         self.calls = 0
         self.epochs = StoreEpochs()
         self.way = "up"
@@ -58,7 +60,7 @@
 
     async def _call(self, method, path, body, seconds=CALL_SECONDS):
         ends = asyncio.get_running_loop().time() + seconds
-        answer = asyncio.ensure_future(self._answer(method, path))
+        answer = asyncio.ensure_future(self._answer(method, path, body))
         broken = asyncio.ensure_future(self._wait_for_loss())
         await asyncio.wait([answer, broken], return_when=asyncio.FIRST_COMPLETED)
         broken.cancel()
@@ -70,10 +72,11 @@
             await asyncio.sleep(ends - asyncio.get_running_loop().time())
         raise PlatformUnavailableError(f"{path}: {self.way}")
 
-    async def _answer(self, method, path):
+    async def _answer(self, method, path, body=None):
         await asyncio.sleep(ANSWER_SECONDS)
         path, _, query = path.removeprefix("/v1/objects/").partition("?")
-        status, answer = await self.stand_in._answer(method.decode(), path, query, b"")
+        content = b"" if body is None else orjson.dumps(body)
+        status, answer = await self.stand_in._answer(method.decode(), path, query, content)
         self.epochs.take(self.stand_in.epoch, asyncio.get_running_loop().time())
         _check_status(status, path)
         return answer
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -154,7 +154,7 @@
         super().__init__()
         self.pages = pages
 
-    async def _answer(self, method, path):
+    async def _answer(self, method, path, body=None):
         after = path.partition("after=")[2]
         number = int(after[1:]) + 1 if after else 0
         more = number + 1 < len(self.pages)
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -21,8 +21,8 @@
 from swifttrestle.internal.state.demand import Demand, DemandMeter
 from swifttrestle.internal.state.fleet import Fleet, Instance, OpenWork
 from swifttrestle.internal.state.routes import RouteTable
-from swifttrestle.internal.state.store_epochs import StoreRevision
-from swifttrestle.platform.objects import StoredObject
+from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
+from swifttrestle.platform.objects import Snapshot, StoredObject
 from tests.common.fakes import skip_silently
 
 
@@ -304,6 +304,10 @@
 
     def __init__(self):
         self.spec, self.revision, self.lose = None, StoreRevision(0, 0), ""
+        self.epochs = StoreEpochs()
+
+    async def list(self, kind):
+        return Snapshot((), self.revision)
 
     async def get(self, kind, name):
         if self.spec is None:
--- a/tests/cover/test_suspension.py
+++ b/tests/cover/test_suspension.py
@@ -17,7 +17,7 @@
 from swifttrestle.internal.clock import MonotonicClock, read_seconds
 from swifttrestle.internal.coordination.duty_lease import SEND_SECONDS, DutyLeaseKeeper
 from swifttrestle.internal.loop import run_in_loop
-from swifttrestle.internal.state.store_epochs import StoreRevision
+from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from tests.common.fakes import skip_silently
 
@@ -61,6 +61,8 @@
 
 def test_an_order_that_was_recorded_before_a_suspension_is_too_old_after_it(suspension):
     class SuspendedInTheWrite:
+        epochs = StoreEpochs()
+
         async def get(self, kind, name):
             return StoredObject(kind, name, FIRST, {"holder": "h1", "incarnation": 1, "token": 1,
                                                 "orders": []})  # fmt: skip
