A window that a lost holder may have reported is not reported with other counts

After a return the lease lacks the latest reports. It now leaves out what another holder, of whom no word is left, may have reported; a missing report costs its window alone. The last holder itself goes on from its memory.

--- a/src/swifttrestle/internal/coordination/usage.py
+++ b/src/swifttrestle/internal/coordination/usage.py
@@ -9,7 +9,11 @@
 from swifttrestle.internal.coordination.duty_lease import DutyLeaseKeeper
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.reporting import list_due_windows, list_open_reports
+from swifttrestle.internal.policy.reporting import (
+    is_doubtful,
+    list_due_windows,
+    list_open_reports,
+)
 from swifttrestle.internal.protocol.usage import split_counts, unpack_counts
 from swifttrestle.internal.state.duties import DutyLease, RecordedUsage, UsageDraft
 from swifttrestle.internal.state.members import Member
@@ -155,9 +159,17 @@
         drafts = {item.window: item for item in lease.drafts}
         for window in due:
             counts = self.meter.sum_with(window, drafts.get(window))
-            lease = lease.with_usage(RecordedUsage(window, counts))
+            doubtful = self._is_doubtful(window)
+            if doubtful:
+                log_decision("usage left out", window=window, reason="it may have been reported")
+            lease = lease.with_usage(RecordedUsage(window, counts, taken=doubtful))
         return self._add_drafts(lease)
 
+    def _is_doubtful(self, window: int) -> bool:
+        """Return whether a window may have been reported without a word of it being left."""
+        until = self._true_time.now() - _now() + self._lease.unknown_until
+        return is_doubtful(window, until, self._seconds)
+
     def _add_drafts(self, lease: DutyLease) -> DutyLease:
         """Write down what is counted so far of the windows that are not reported yet."""
         before = {item.window: item for item in lease.drafts}
--- a/src/swifttrestle/internal/policy/reporting.py
+++ b/src/swifttrestle/internal/policy/reporting.py
@@ -23,6 +23,15 @@
     return [item for item in reports if not item.taken]
 
 
+def is_doubtful(window: int, until: float, seconds: float) -> bool:
+    """Return whether a holder of whom no word is left may have reported a window.
+
+    That one may have acted until a Unix time. Its report cannot be repeated as it was, and a
+    missing one costs its window alone.
+    """
+    return (window + 1) * seconds + GATHER_SECONDS <= until
+
+
 def list_due_windows(
     counted: Collection[int],
     reports: Sequence[RecordedUsage],
--- /dev/null
+++ b/tests/hosted/test_returned_duties.py
@@ -0,0 +1,89 @@
+"""The duties where the store comes back from a copy that lacks what was written down."""
+
+import asyncio
+
+import pytest
+
+from swifttrestle_standins.hosted.site import wait_until
+from tests.hosted.test_duties import (
+    WINDOW,
+    on_duty_site,
+    send,
+    sum_reported,
+    wait_for_holder,
+    wait_for_usage,
+)
+
+
+async def come_back(site, copy, away):
+    site.store.faults.down = bool(away)
+    site.store.wake()
+    await asyncio.sleep(away)
+    site.store.faults.down = False
+    site.store.come_back(copy)
+    site.cut_store_connections()
+
+
+def list_holders(site):
+    """Return the hosts that act as holders of the duties."""
+    return [
+        name
+        for name, item in site.gateways.items()
+        if not item.task.done()
+        and item.gateway._duties.lease.lease is not None
+        and item.gateway._gossip.candidates.holds_roles
+    ]
+
+
+@pytest.mark.parametrize("away", [0.0, 0.4, 2.0])
+@on_duty_site(gateways=3)
+async def test_usage_goes_on_after_a_return_and_no_window_is_reported_twice(site, away):
+    # The copy is from before the lease.
+    copy = site.store.take_copy()
+    await wait_for_holder(site)
+    await send(site, 3)
+    await wait_for_usage(site, {"club": 3})
+    await come_back(site, copy, away)
+    await send(site, 2, "g1")
+    await wait_for_usage(site, {"club": 5})
+    assert len(list_holders(site)) == 1
+
+
+@on_duty_site(gateways=3)
+async def test_a_window_that_a_lost_holder_may_have_reported_is_not_reported_again(
+    site,
+):
+    holder = await wait_for_holder(site)
+    copy = site.store.take_copy()
+    await send(site, 3, holder)
+    await wait_for_usage(site, {"club": 3})
+    window = next(number for number, counts in site.duties.reports.items() if counts)
+    for name, item in site.gateways.items():
+        if name != holder:
+            # Counts that reach the others after the report, by a late word.
+            item.gateway._duties.usage.meter.note("club", window)
+    site.gateways[holder].task.cancel()
+    await come_back(site, copy, 0.4)
+    await wait_until(lambda: list_holders(site), "another holder")
+    other = list_holders(site)[0]
+    await send(site, 2, other)
+    await wait_until(lambda: sum_reported(site).get("club", 0) >= 5, "the windows after it")
+    await asyncio.sleep(2 * WINDOW)
+    print([(c.holder, c.token, c.body) for c in site.duties.calls if c.body.get("counts")])
+    assert sum_reported(site) == {"club": 5}
+
+
+@pytest.mark.parametrize("away", [0.0, 0.4])
+@on_duty_site(gateways=3)
+async def test_the_last_holder_takes_the_duties_again_after_a_return(site, away):
+    copy = site.store.take_copy()
+    holder = await wait_for_holder(site)
+    epoch = site.store.epoch
+    await come_back(site, copy, away)
+
+    def is_taken():
+        known = site.store.objects.get(("swifttrestle-leases", "roles"))
+        return known is not None and known["spec"].get("epoch") == epoch + 1
+
+    await wait_until(is_taken, "the lease in the new epoch")
+    assert list_holders(site) == [holder]
