A host that starts is ready once no version of its peers is newer than its own

It is now ready once it has met a peer, or 0.65 s after its start, and has no older version than they tell. Only until it is ready first: a new version does not take hosts out of use.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -187,6 +187,8 @@
             settings.zone, self._fleet, self._parts.pool, self._booker.books, rng
         )
         self._listeners = Listeners()
+        # Whether this process has had the newest version of its peers in force.
+        self._caught_up = False
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._operators = OperatorPages(
@@ -361,6 +363,8 @@
         """Return whether the balancer may send callers here."""
         known = self._configuration.table is not None and self._discovery.known
         known = known and self._listeners.complete
+        self._caught_up = self._caught_up or (known and self._gossip.has_caught_up())
+        known = known and self._caught_up
         # One that may not take keys would turn all of its callers away.
         known = known and self._beliefs.is_young()
         return known and not self._stopping.is_set()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -43,6 +43,9 @@
 # Seconds between two looks at what is to be told in a large fleet, at hosts that are no
 # schedulers: a fifth of a heartbeat.
 LARGE_REPORT_SECONDS = 0.1
+# Seconds after the start in which peers that are greeted answer, and for which their word on the
+# newest version counts: a little more than the longest pause between two heartbeats.
+MEET_SECONDS = 0.65
 # Peers that one heartbeat names, so that hosts find each other without the store.
 NAMED_PEERS = 8
 # Prompts that one report tells of, some 60 bytes each.
@@ -90,6 +93,9 @@
         self._report_at = 0.0
         # The configuration version of this host's last summary.
         self._told_version = 0
+        self._started_at = float("inf")
+        # The newest version that a peer has told of, and when.
+        self._newest_told = (0, float("-inf"))
         # Tells for how many seconds the store has answered this host without a break.
         self.count_store_seconds: Callable[[], float] = float
 
@@ -98,6 +104,7 @@
         self._socket.receive(DatagramKind.REPORT, self._take_report)
         await self._socket.open()
         await self._exchange.open()
+        self._started_at = self._now()
         self.add_seeds(seeds)
 
     def add_seeds(self, seeds: list[str]) -> None:
@@ -113,6 +120,16 @@
         """Return this host and the peers heard of late, with their addresses and zones."""
         return self.hearers.list_members()
 
+    def has_caught_up(self) -> bool:
+        """Return whether this host has met its peers, and no version of theirs is newer.
+
+        The store alone does not tell the newest one: it may have come back from a copy.
+        """
+        now = self._now()
+        version, told_at = self._newest_told
+        met = len(self.live_hosts()) > 1 or now - self._started_at >= MEET_SECONDS
+        return met and (version <= self._configuration.version or now - told_at >= MEET_SECONDS)
+
     def find_store_up_since(self) -> float:
         """Return the loop's time since when the store has answered some peer, or infinity."""
         return self._peers.find_store_up_since(self._now())
@@ -333,6 +350,8 @@
         return joined
 
     def _take_version(self, host: str, ip: str, version: int) -> None:
+        if version >= self._newest_told[0]:
+            self._newest_told = (version, self._now())
         if version > self._configuration.version:
             self._exchange.fetch_later(host, ip, version)
 
--- a/tests/hosted/test_store_returns.py
+++ b/tests/hosted/test_store_returns.py
@@ -117,3 +117,47 @@
     gateways = [item.gateway for item in site.gateways.values()]
     await wait_until(lambda: all(g.config_version == version for g in gateways), "in force")
     assert not any(item.task.done() for item in site.gateways.values())
+
+
+@on_site(gateways=2)
+async def test_a_host_that_starts_after_a_return_is_ready_with_the_version_that_others_have(site):
+    copy = site.store.take_copy()
+    version = site.declare()
+    others = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(g.config_version == version for g in others), "in force")
+    site.store.come_back(copy)
+    started = (await site.add_gateway("g7", 7)).gateway
+    await wait_until(started.is_ready, "ready")
+    assert started.config_version == version
+    assert all(g.config_version == version for g in others)
+
+
+@on_site(gateways=2)
+async def test_a_version_under_a_number_that_was_given_out_again_is_in_force(site):
+    copy = site.store.take_copy()
+    first = site.declare()
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(g.config_version == first for g in gateways), "in force")
+    number = site.store.objects["config", "main"]["metadata"]["revision"]
+    site.store.come_back(copy)
+    second = site.declare()
+    assert site.store.objects["config", "main"]["metadata"]["revision"] == number
+    await wait_until(lambda: all(g.config_version == second for g in gateways), "in force")
+
+
+@on_site(gateways=2)
+async def test_a_key_that_a_version_under_a_former_number_takes_away_is_refused(site):
+    # No watch tells of the version: it is proved, or not, by reads of the entry alone.
+    site.workspaces = [{"name": "club", "apiKeys": ["key-1", "key-2"]}]
+    copy = site.store.take_copy()
+    site.declare()
+    gateways = [item.gateway for item in site.gateways.values()]
+    await wait_until(lambda: all(g.config_version == site._version for g in gateways), "in force")
+    for gateway in gateways:
+        await gateway._configuration.confirm()
+    site.store.come_back(copy)
+    site.workspaces = [{"name": "club", "apiKeys": ["key-2"]}]
+    version = site.declare()
+    for gateway in gateways:
+        await gateway._configuration.confirm()
+        assert gateway.config_version == version
