Own entries stand in a store that came back without them

Each host now looks at its address once, all of them spread over 0.05 s a host, and the one host that keeps the quarantine writes it again. The soak's store comes back from copies too, with others writing again late and in any order. Ruled out: writing without looking (a write for each host where a read shows that nothing is lost).

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -81,6 +81,7 @@
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._skipped = SkippedEntries(self._count_skipped)
         self._store = ObjectStore(settings.store, ConnectionPool(SILENCE_MS))
+        self._store.epochs.on_return = self._restore_entries
         self._configuration = ConfigurationKeeper(
             self._store,
             rng,
@@ -330,6 +331,11 @@
         self._budgets.hosts = len(live)
         self._serve_queues()
 
+    def _restore_entries(self) -> None:
+        """Write this host's own entries again, where the store came back without them."""
+        self._quarantine.note_change()
+        self._start(self._gossip.restore_registration(self._store))
+
     def _find_configuration(self) -> Configuration | None:
         table = self._configuration.table
         return table.configuration if table else None
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -16,7 +16,7 @@
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
 from swifttrestle.internal.coordination.hearers import Hearers
 from swifttrestle.internal.coordination.ordered_roles import OrderedRoles
-from swifttrestle.internal.coordination.registration import register_host
+from swifttrestle.internal.coordination.registration import register_host, restore_registration
 from swifttrestle.internal.coordination.rosters import Rosters
 from swifttrestle.internal.coordination.zone_demand import ZoneDemand
 from swifttrestle.internal.lines import log_decision
@@ -138,6 +138,10 @@
         """Leave this host's address in the store, and learn the others'; retried until done."""
         await register_host(store, self._me, self._peers, self._rng, skipped)
 
+    async def restore_registration(self, store: ObjectStore) -> None:
+        """Have this host's address stand in a store that came back from a copy."""
+        await restore_registration(store, self._me, len(self.live_hosts()), self._rng)
+
     # Sending.
 
     async def run(self) -> None:
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/registration.py
@@ -23,6 +23,9 @@
 # Least seconds between two tries, and the most that chance adds to them: a store that comes back
 # must not meet all hosts at once.
 RETRY_SECONDS = 1.0
+# Seconds for each host over which all hosts spread their looks after a return of the store: 20
+# calls a second of a whole fleet.
+RETURN_SECONDS_PER_HOST = 0.05
 
 
 async def register_host(
@@ -47,6 +50,20 @@
             await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
 
 
+async def restore_registration(
+    store: ObjectStore, me: Member, hosts: int, rng: random.Random
+) -> None:
+    """Have this host's address stand in a store that came back from a copy, as one of `hosts`."""
+    await asyncio.sleep(rng.random() * hosts * RETURN_SECONDS_PER_HOST)
+    while True:
+        try:
+            await _write_record(store, me)
+            return
+        except (PlatformUnavailableError, ConflictError) as error:
+            log_decision("own address not kept", reason=str(error))
+            await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
+
+
 async def _write_record(store: ObjectStore, me: Member) -> None:
     spec = {"ip": me.ip}
     try:
--- a/src/swifttrestle/internal/state/store_epochs.py
+++ b/src/swifttrestle/internal/state/store_epochs.py
@@ -1,8 +1,10 @@
 """Which history of the store an answer belongs to: a store may come back from an older copy."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from swifttrestle.errors import OldEpochError
+from swifttrestle.internal.hooks import ignore
 from swifttrestle.internal.lines import log_decision
 
 # Seconds for which a store must have named nothing but a lower epoch until that one counts: far
@@ -40,6 +42,8 @@
         self.since = 0.0
         # How often the store has come back since this process first heard of an epoch.
         self.returns = 0
+        # Called after each return.
+        self.on_return: Callable[[], None] = ignore
         self._named = False
         self._lower_since: float | None = None
         self._told_odd = ""
@@ -78,9 +82,10 @@
 
     def _begin(self, named: int, now: float) -> None:
         # A process that has just started knows no history that could have been lost.
-        if self._named:
-            self.returns += 1
+        returned, self._named = self._named, True
+        self.returns += returned
         log_decision("store epoch", before=self.current, epoch=named, returns=self.returns)
         self.current, self.since = named, now
-        self._named = True
         self._lower_since = None
+        if returned:
+            self.on_return()
--- a/tests/hosted/test_store_returns.py
+++ b/tests/hosted/test_store_returns.py
@@ -4,10 +4,14 @@
 
 import pytest
 
+from swifttrestle.internal.coordination.quarantine_store import QUARANTINE_KIND, QUARANTINE_NAME
+from swifttrestle.internal.coordination.registration import PEER_KIND
 from swifttrestle.internal.policy import scheduling
+from swifttrestle.internal.state.crash_cases import Case, Crash
+from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInUpstream
-from tests.hosted.sites import on_site
+from tests.hosted.sites import build_site, on_built, on_site
 
 # Writes of others, which hosts do not read, by which revisions go on.
 OTHERS = "others"
@@ -161,3 +165,43 @@
     for gateway in gateways:
         await gateway._configuration.confirm()
         assert gateway.config_version == version
+
+
+async def build_site_with_early_copy():
+    """Start a site whose store may come back with nothing of its hosts."""
+    site = await build_site(gateways=0)
+    site.early = site.store.take_copy()
+    for number in range(3):
+        await site.add_gateway(f"g{number}", number)
+    await site.wait_ready()
+    return site
+
+
+def list_registered(site):
+    return {name for kind, name in site.store.objects if kind == PEER_KIND}
+
+
+@on_built(build_site_with_early_copy)
+async def test_hosts_leave_their_addresses_in_the_store_again(site):
+    await wait_until(lambda: list_registered(site) == set(site.gateways), "registered")
+    site.store.come_back(site.early)
+    await wait_until(lambda: list_registered(site) == set(site.gateways), "registered again")
+
+
+@on_built(build_site_with_early_copy)
+async def test_a_host_that_starts_after_a_return_knows_the_quarantined_requests(site):
+    now = asyncio.get_running_loop().time()
+    case = Case(RequestName(bytes(8), b"deadly66"), (Crash("i-1", now), Crash("i-2", now)))
+    for item in site.gateways.values():
+        item.gateway._parts.guard.take_cases([case], "a test")
+        item.gateway._quarantine.note_change()
+    await wait_until(lambda: (QUARANTINE_KIND, QUARANTINE_NAME) in site.store.objects, "kept")
+    site.store.come_back(site.early)
+    await wait_until(lambda: (QUARANTINE_KIND, QUARANTINE_NAME) in site.store.objects, "again")
+    await wait_until(lambda: list_registered(site) == set(site.gateways), "registered again")
+    for item in site.gateways.values():
+        item.task.cancel()
+    started = (await site.add_gateway("g7", 7)).gateway
+    guard = started._parts.guard
+    await wait_until(guard.quarantine.list_quarantined, "known")
+    assert guard.quarantine.list_quarantined()[0].name == case.name
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,6 +36,9 @@
 DEADLY_PATIENCE = 3.0
 # Requests a second that upstreams in need take.
 LIMITS = (0.5, 2.9, 8.0)
+# Seconds of the oldest copy that a round's store comes back from, of its longest absence, and in
+# which the operator and the upstreams have written again.
+OLDEST_COPY_SECONDS, LONGEST_AWAY_SECONDS, REWRITTEN_SECONDS = 5.0, 2.0, 2.0
 STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -62,7 +65,7 @@
             kinds += [self.kill, self.pause, self.hold, self.reset, self.outage, self.drain]
             kinds += [self.spoil, self.restart, self.stray, self.overwrite, self.deadly]
             kinds += [self.revoke, self.reclaim, self.kill_holder, self.lose_duty_answers]
-            kinds += [self.rest, self.say_leaving]
+            kinds += [self.rest, self.say_leaving, self.lose_writes]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._rng.choice(kinds)
@@ -145,6 +148,24 @@
         await asyncio.sleep(self._some_time(2.0))
         self._site.store.faults.down = False
 
+    async def lose_writes(self):
+        """Have the store come back from a copy, and others write again, late and in any order."""
+        store = self._site.store
+        copy = store.take_copy()
+        await asyncio.sleep(self._some_time(OLDEST_COPY_SECONDS))
+        store.faults.down = self._rng.random() < 0.7
+        store.wake()
+        await asyncio.sleep(self._some_time(LONGEST_AWAY_SECONDS) * store.faults.down)
+        store.faults.down = False
+        store.come_back(copy)
+        if self._rng.random() < 0.5:
+            self._site.proxies["store"].reset()
+        written = store.list_written()
+        self._rng.shuffle(written)
+        for kind, name in written:
+            await asyncio.sleep(self._rng.random() * REWRITTEN_SECONDS / len(written))
+            store.write_again(kind, name)
+
     async def drain(self):
         upstream = self._rng.choice(self._site.fixed)
         self._site.list_upstream(upstream, "draining")
