After a return hosts list at once, and those that hear of it from others spread their reading

The pause after a forgotten history is left out where the epoch has changed: watches end at different moments. Its rig, the client without a network and the loop of virtual time move to the stand-ins, assertions unchanged. Ruled out: followers that all read at once (the same calls within one moment).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     quarantine,
     relay,
     report,
+    returns,
     slopes,
 )
 
@@ -24,6 +25,7 @@
     "mix": mix.main,
     "quarantine": quarantine.main,
     "relay": relay.main,
+    "returns": returns.main,
     "slopes": slopes.main,
 }
 
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -38,6 +38,9 @@
 # itself: one and a half times the pace, so that a leaving upstream gets no new work after the
 # two seconds promised, also where the host that told of it is gone.
 FOLLOW_SECONDS = 1.2
+# Seconds over which hosts spread what they read after a return of the store from a copy, where
+# nothing else has them read at different moments.
+RETURN_SPREAD_SECONDS = 0.4
 # Failed calls in a row after which the store counts as away: a single one may be a cut watch.
 FAILURES_FOR_OUTAGE = 2
 
@@ -71,6 +74,8 @@
         self._told = asyncio.Event()
         # Whether the list is to be read anew, and not only watched from the last revision.
         self._stale = True
+        # Seconds to wait before that, so that not all read it at once.
+        self._spread = 0.0
         self._told_at = float("-inf")
         # What this host told others last.
         self._last_told = ListingChanges(NO_REVISION, NO_REVISION, 0.0)
@@ -108,6 +113,7 @@
             began = self._now()
             try:
                 if self._stale:
+                    await self._wait_turn()
                     await self._list()
                 elif self._follows():
                     await self._follow()
@@ -120,10 +126,15 @@
             except HistoryGoneError:
                 log_decision("discovery history gone", revision=str(self._revision))
                 self._stale = True
-                await asyncio.sleep(self._rng.random() * PACE_SECONDS / 2)
+                if self._store.epochs.current == self._revision.epoch:
+                    await asyncio.sleep(self._rng.random() * PACE_SECONDS / 2)
             except PlatformUnavailableError as error:
                 await self._wait_out(error)
 
+    async def _wait_turn(self) -> None:
+        seconds, self._spread = self._spread, 0.0
+        await asyncio.sleep(seconds)
+
     async def _list(self) -> None:
         snapshot = await self._store.list(UPSTREAM_KIND)
         self._note_answer()
@@ -264,6 +275,8 @@
         self._told_at = self._now()
         if changes.since > self._revision:
             self._stale = True
+            if changes.since.epoch != self._revision.epoch:
+                self._spread = self._rng.random() * RETURN_SPREAD_SECONDS
         else:
             self._fleet.confirmed_at = self._told_at
             self._revision = changes.revision
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -154,7 +154,7 @@
         except (UpstreamBrokenError, TimeoutError) as error:
             raise PlatformUnavailableError(f"{method.decode()} {path}: {error!r}") from None
         self._note_epoch(head)
-        _check_status(head.status, path)
+        check_status(head.status, path)
         return decode_answer(path, content)
 
     def _note_epoch(self, head: AnswerHead) -> None:
@@ -189,7 +189,8 @@
         raise HistoryGoneError(f"{path}: {since} is of another epoch than {answered}")
 
 
-def _check_status(status: int, path: str) -> None:
+def check_status(status: int, path: str) -> None:
+    """Raise the error of an answer that is none to work with."""
     if status < 300:
         return
     if status == 404:
--- a/tests/cover/test_conditions.py
+++ b/tests/cover/test_conditions.py
@@ -13,7 +13,7 @@
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.transport.messages import AnswerHead, Framing
-from tests.common.virtual_time import run_in_virtual_time
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 
 ID = (b"X-Request-Id", b"r1")
 LIMIT = (b"Server-Limit", b"4")
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -20,8 +20,9 @@
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform import objects
 from swifttrestle.platform.records import read_upstream
-from tests.common.discovery import Alone, Store
-from tests.common.virtual_time import run_in_virtual_time
+from swifttrestle_standins.hosted.direct import DirectStore
+from swifttrestle_standins.virtual_time import run_in_virtual_time
+from tests.common.discovery import Alone
 
 GOOD = {
     "service": "s",
@@ -147,7 +148,7 @@
         objects.read_page("servers", raw)
 
 
-class PagedStore(Store):
+class PagedStore(DirectStore):
     """Lists in pages of two, in which a test puts bad items."""
 
     def __init__(self, pages):
@@ -187,7 +188,7 @@
     """One host's discovery, and what it skipped."""
 
     def __init__(self):
-        self.store = Store()
+        self.store = DirectStore()
         self.fleet = Fleet()
         self.skipped = []
         self.told = []
--- a/tests/cover/test_quarantine_relay.py
+++ b/tests/cover/test_quarantine_relay.py
@@ -22,7 +22,7 @@
 from swifttrestle.internal.state.crash_cases import Crash
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.request_names import RequestName
-from tests.common.virtual_time import run_in_virtual_time
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 
 # Seconds that a datagram takes at most, and within which all hosts must know.
 DATAGRAM_SECONDS = 0.02
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -7,8 +7,8 @@
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.store_epochs import StoreRevision
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 from tests.common.discovery import RECORD, Alone, Host
-from tests.common.virtual_time import run_in_virtual_time
 
 # Seconds in which an instance that leaves is to get no more work, and for which the store, and
 # a host's path to it, must have been in order before that counts.
--- a/tests/cover/test_returned_lease.py
+++ b/tests/cover/test_returned_lease.py
@@ -11,10 +11,10 @@
 
 from swifttrestle.errors import LeaseLostError, PlatformUnavailableError
 from swifttrestle.internal.coordination.duty_lease import ARRIVAL_SECONDS, DutyLeaseKeeper
+from swifttrestle_standins.hosted.direct import DirectStore
 from swifttrestle_standins.hosted.store import StandInStore
-from tests.common.discovery import Store
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 from tests.common.fakes import skip_silently
-from tests.common.virtual_time import run_in_virtual_time
 
 LEASE_SECONDS = 3.0
 TICK_SECONDS = 0.5
@@ -83,7 +83,7 @@
     def __init__(self, name, site):
         self.name = name
         self.site = site
-        self.store = Store(site.stand_in)
+        self.store = DirectStore(site.stand_in)
         self.keeper = DutyLeaseKeeper(self.store, "roles", name, 1, LEASE_SECONDS, skip_silently())
         # A clock that runs a little slow or fast.
         self.pace = 1.0 + 0.02 * (site.rng.random() - 0.5)
--- a/tests/cover/test_returned_list.py
+++ b/tests/cover/test_returned_list.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 from tests.common.discovery import RECORD, Host
-from tests.common.virtual_time import run_in_virtual_time
 
 # Seconds in which an upstream that leaves gets no new work, and one that comes is used, from when
 # the entry can be read; and in which upstreams have written their entries again.
--- a/tests/cover/test_starts.py
+++ b/tests/cover/test_starts.py
@@ -21,7 +21,7 @@
 from swifttrestle.internal.state.prompt_cache import PromptPart, SentPrompt
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform.engine import is_other_start, read_kept_parts, read_report
-from tests.common.virtual_time import run_in_virtual_time
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 
 FIRST = UpstreamRecord("e", "s", ("10.0.0.1", 80), "a", 8, False, Role.PREFILL, born=1000)
 LATER = replace(FIRST, born=2000)
