A version is in force after a return, though a waiting watch hears nothing of it

The first answer of another epoch, to whatever call, now has the configuration read anew, within 0.4 s by chance.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -14,7 +14,7 @@
 from swifttrestle.errors import InvalidSettingError
 from swifttrestle.internal.coordination.beliefs import BeliefKeeper
 from swifttrestle.internal.coordination.configuration import ConfigurationKeeper
-from swifttrestle.internal.coordination.discovery import Discovery
+from swifttrestle.internal.coordination.discovery import RETURN_SPREAD_SECONDS, Discovery
 from swifttrestle.internal.coordination.duties import Duties
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.coordination.gossip import Gossip
@@ -73,7 +73,7 @@
         self._settings = settings
         self._metrics_port = metrics_port
         incarnation = incarnation or time.time_ns()
-        rng = random.Random(f"{settings.host} {incarnation}")
+        rng = self._rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
         self._metrics = Metrics()
         self._fleet = Fleet()
@@ -81,7 +81,7 @@
         self._parts = Parts(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._skipped = SkippedEntries(self._count_skipped)
         self._store = ObjectStore(settings.store, ConnectionPool(SILENCE_MS))
-        self._store.epochs.on_return = self._restore_entries
+        self._store.epochs.on_return = self._note_store_return
         self._configuration = ConfigurationKeeper(
             self._store,
             rng,
@@ -331,8 +331,10 @@
         self._budgets.hosts = len(live)
         self._serve_queues()
 
-    def _restore_entries(self) -> None:
-        """Write this host's own entries again, where the store came back without them."""
+    def _note_store_return(self) -> None:
+        """Take over that the store came back: read it anew, and write own entries again."""
+        later = self._rng.random() * RETURN_SPREAD_SECONDS
+        asyncio.get_running_loop().call_later(later, self._configuration.note_return)
         self._quarantine.note_change()
         self._start(self._gossip.restore_registration(self._store))
 
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration.py
@@ -126,6 +126,13 @@
             self._revision = copy.revision
             self._call.cancel()
 
+    def note_return(self) -> None:
+        """Read anew: the store came back from a copy, and a waiting watch may hear nothing."""
+        watching = self._revision != NO_REVISION
+        self._revision = NO_REVISION
+        if self._call is not None and watching:
+            self._call.cancel()
+
     async def run(self) -> None:
         """Read, then watch, for as long as the process lives."""
         while True:
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -85,6 +85,12 @@
         discovery.PACE_SECONDS / 2 + LIST,
         LEAVING["small"],
     ),
+    "leaving: the store came back from a copy": (FIRST_PAUSE + LIST, LEAVING["small"]),
+    "leaving: the store came back from a copy, and connections were kept": (
+        # The watch from before ends without a word.
+        discovery.WATCH_SECONDS + 2 * SLOW_STORE,
+        STEADY["small"],
+    ),
     "leaving, by a teller: nothing": (
         discovery.PACE_SECONDS + SLOW_STORE + DATAGRAM,
         LEAVING["large"],
@@ -111,6 +117,20 @@
         NOTICE + HELD + DATAGRAM,
         STEADY["large"] + LEAVING["large"],
     ),
+    "leaving, by a teller: the store came back from a copy": (
+        FIRST_PAUSE + LIST + DATAGRAM + discovery.RETURN_SPREAD_SECONDS + LIST,
+        LEAVING["large"],
+    ),
+    "leaving, by a teller: the same, and connections were kept": (
+        discovery.PACE_SECONDS + 2 * SLOW_STORE + DATAGRAM + discovery.RETURN_SPREAD_SECONDS + LIST,
+        LEAVING["large"],
+    ),
+    "in force: the store came back from a copy": (FIRST_PAUSE + LIST, IN_FORCE["small"]),
+    "in force: the same, and connections were kept": (
+        # The list's watch ends first, and tells.
+        discovery.WATCH_SECONDS + SLOW_STORE + discovery.RETURN_SPREAD_SECONDS + SLOW_STORE,
+        STEADY["small"],
+    ),
     "in force: nothing": (SLOW_STORE, IN_FORCE["small"]),
     "in force: the watch is reset": (
         FIRST_PAUSE + LIST,
--- a/tests/hosted/test_store_returns.py
+++ b/tests/hosted/test_store_returns.py
@@ -136,6 +136,21 @@
     assert all(g.config_version == version for g in others)
 
 
+@on_site(gateways=1)
+async def test_a_version_is_in_force_though_a_waiting_watch_hears_nothing_of_it(site):
+    gateway = site.gateways["g0"].gateway
+    gateway._configuration._choose_wait = lambda: 3600.0
+    copy = site.store.take_copy()
+    write_others(site, 5)
+    first = site.declare()
+    watch = f"GET /v1/objects/config?watch={site.store.revision}&waitMs=3600000"
+    await wait_until(lambda: gateway.config_version == first, "in force")
+    await wait_until(lambda: watch in site.store.calls, "the long watch")
+    site.store.come_back(copy)
+    second = site.declare()
+    await wait_until(lambda: gateway.config_version == second, "in force again")
+
+
 @on_site(gateways=2)
 async def test_a_version_under_a_number_that_was_given_out_again_is_in_force(site):
     copy = site.store.take_copy()
