A returned list has a line with both revisions, what is left aside and what it lacks

A host that is stopping does not take the lease back. A test stops all hosts at once as the store loses its last seconds: versions, usage and service go on.

--- a/src/swifttrestle/internal/coordination/copied_entries.py
+++ b/src/swifttrestle/internal/coordination/copied_entries.py
@@ -50,14 +50,15 @@
         """Take over that an instance is used again."""
         self._withdrawn.pop(name, None)
 
-    def begin(self, snapshot: Snapshot, now: float) -> None:
-        """Take over the first list after a return."""
+    def begin(self, snapshot: Snapshot, now: float) -> list[str]:
+        """Take over the first list after a return; return the names that count less than known."""
         self._copied.clear()
         for item in snapshot.items:
             if now - self._withdrawn.get(item.name, float("-inf")) < WITHDRAWN_SECONDS:
                 self._copied[item.name] = _Copied(item.revision, True, now + LAPSE_SECONDS)
             elif self._is_leaving(item.name):
                 self._copied[item.name] = _Copied(item.revision, False, float("inf"))
+        return sorted(self._copied)
 
     def drop_due(self, now: float) -> bool:
         """Let go of entries that had time to lapse; return whether the list is to be read anew."""
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -165,7 +165,14 @@
         self._contact.note_break()
         self._contact.note_answer(now)
         self.removals.note_epoch(now)
-        self._copied.begin(snapshot, now)
+        left_aside = self._copied.begin(snapshot, now)
+        log_decision(
+            "list of a returned store",
+            revision=str(snapshot.revision),
+            known=str(self._revision),
+            left_aside=left_aside,
+            missing=sorted(self._fleet.list_names() - {item.name for item in snapshot.items}),
+        )
 
     async def _watch(self) -> None:
         longest = WATCH_SECONDS - self._paused
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -118,7 +118,8 @@
         if self._candidates.holds_roles and self._is_store_away():
             # Orders could not be written down, and the list here is an old one.
             raise PlatformUnavailableError("the store is away")
-        if not self._candidates.is_candidate() and not self._lease.reclaims():
+        reclaims = self._lease.reclaims() and not self._candidates.leaving
+        if not reclaims and not self._candidates.is_candidate():
             await self._stand_by()
             return
         # The lease is held before it is needed: a takeover waits for seconds, in which the
--- a/tests/hosted/test_returned_duties.py
+++ b/tests/hosted/test_returned_duties.py
@@ -86,4 +86,23 @@
         return known is not None and known["spec"].get("epoch") == epoch + 1
 
     await wait_until(is_taken, "the lease in the new epoch")
+    await wait_until(lambda: list_holders(site), "the answer to that")
     assert list_holders(site) == [holder]
+
+
+@on_duty_site(gateways=3)
+async def test_all_hosts_lose_power_as_the_store_loses_its_last_seconds(site):
+    await wait_for_holder(site)
+    copy = site.store.take_copy()
+    await send(site, 3)
+    await wait_for_usage(site, {"club": 3})
+    for running in site.gateways.values():
+        running.task.cancel()
+    site.store.come_back(copy)
+    site.store.write_all_again()
+    for number in (7, 8):
+        await site.add_gateway(f"g{number}", number)
+    await site.wait_ready("g7", "g8")
+    assert site.gateways["g7"].gateway.config_version == site._version
+    await send(site, 2, "g7")
+    await wait_until(lambda: sum_reported(site).get("club", 0) >= 5, "the windows after it")
