A list whose pages are of two epochs counts as unanswered, and a start waits for no turn

Found on reading: a list of the lease's kind of more than one page, met by a return between two of them, raised an error that the duty does not catch, and ended the process. It is raised as OldEpochError now, which all who read handle as a call without an answer (test; before it was HistoryGoneError). A host of a large fleet that heard others before its first own list waited up to 0.4 s for nothing.

--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery.py
@@ -282,7 +282,7 @@
         self._told_at = self._now()
         if changes.since > self._revision:
             self._stale = True
-            if changes.since.epoch != self._revision.epoch:
+            if self.known and changes.since.epoch != self._revision.epoch:
                 self._spread = self._rng.random() * RETURN_SPREAD_SECONDS
         else:
             self._fleet.confirmed_at = self._told_at
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/registration.py
@@ -7,7 +7,6 @@
 from swifttrestle.errors import (
     BadEntryError,
     ConflictError,
-    HistoryGoneError,
     NotFoundError,
     PlatformUnavailableError,
 )
@@ -45,7 +44,7 @@
             for item in snapshot.items:
                 _learn_peer(item, peers, skipped)
             return
-        except (PlatformUnavailableError, ConflictError, HistoryGoneError) as error:
+        except (PlatformUnavailableError, ConflictError) as error:
             log_decision("peers not read", reason=str(error))
             await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
 
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -17,6 +17,7 @@
     ConflictError,
     HistoryGoneError,
     NotFoundError,
+    OldEpochError,
     PlatformUnavailableError,
     RateLimitedError,
     UpstreamBrokenError,
@@ -76,7 +77,7 @@
     async def list(self, kind: str) -> Snapshot:
         """Return all objects of a kind, read page by page.
 
-        Raises HistoryGoneError where the store came back from a copy between two pages.
+        Raises OldEpochError where the store came back from a copy between two pages.
         """
         items: list[StoredObject] = []
         unread: list[UnreadObject] = []
@@ -90,7 +91,8 @@
             unread += page.unread
             # The oldest page's revision is safe to watch from: nothing after it is missed.
             first = first or page.revision
-            _check_epoch(first, page.revision, path=kind)
+            if first.epoch != page.revision.epoch:
+                raise OldEpochError(f"{kind}: the first page is of {first}")
             complete = not page.more
             if complete or page.last in ("", after):
                 return Snapshot(tuple(items), first, tuple(unread), complete)
--- a/tests/cover/test_store_epochs.py
+++ b/tests/cover/test_store_epochs.py
@@ -10,7 +10,10 @@
     StoreEpochs,
     StoreRevision,
 )
-from swifttrestle.platform.store import _read_epoch
+from swifttrestle.platform.store import CALL_SECONDS, _read_epoch
+from swifttrestle_standins.hosted.direct import DirectStore
+from swifttrestle_standins.hosted.store import PAGE_ITEMS
+from swifttrestle_standins.virtual_time import run_in_virtual_time
 
 
 def hear(*words):
@@ -74,3 +77,24 @@
 def test_hosts_tell_each_other_revisions_with_their_epochs():
     changes = ListingChanges(StoreRevision(3, 90), StoreRevision(4, 2), 0.5)
     assert unpack_changes(pack_changes(changes)) == changes
+
+
+class ReturningStore(DirectStore):
+    """A store that comes back from a copy after the first page of each list."""
+
+    async def _call(self, method, path, body, seconds=CALL_SECONDS):
+        page = await super()._call(method, path, body, seconds)
+        if page["hasMore"]:
+            self.stand_in.come_back(self.stand_in.take_copy())
+        return page
+
+
+def test_a_list_of_two_epochs_is_none():
+    async def story():
+        store = ReturningStore()
+        for number in range(PAGE_ITEMS + 1):
+            store.stand_in.put("others", f"o{number:03}", number)
+        with pytest.raises(OldEpochError):
+            await store.list("others")
+
+    run_in_virtual_time(story())
