What hosts try on the store until it is done is tried by one loop

Ruled out as not worth it: spreading reads after a return inside the configuration's keeper (the draw stays where the return is heard).

--- a/src/swifttrestle/internal/coordination/quarantine_store.py
+++ b/src/swifttrestle/internal/coordination/quarantine_store.py
@@ -10,14 +10,10 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from swifttrestle.errors import (
-    BadEntryError,
-    ConflictError,
-    NotFoundError,
-    PlatformUnavailableError,
-)
+from swifttrestle.errors import BadEntryError, NotFoundError
 from swifttrestle.internal.checks import LARGEST_SIGNED, check_text, check_whole
 from swifttrestle.internal.coordination.entries import SkippedEntries
+from swifttrestle.internal.coordination.store_tries import try_until_done
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.lines import log_decision
 from swifttrestle.internal.policy.placement import rank
@@ -34,9 +30,8 @@
 # Requests that the object holds, the latest crashes first: some 100 kB, a tenth of what one object
 # may have.
 MOST_STORED = 512
-# Least seconds between two tries, and the most that chance adds to them: a store that comes back
-# must not meet all hosts at once.
-RETRY_SECONDS = 1.0
+# The event of the line that tells of a try in vain.
+NOT_KEPT = "quarantine not kept"
 # Seconds for which what comes in is gathered before a write: the requests of one crash.
 GATHER_SECONDS = 0.05
 
@@ -68,21 +63,12 @@
 
     async def run(self) -> None:
         """Read once, then write for as long as the process lives."""
-        await self._until_done(self._load)
+        await try_until_done(self._load, NOT_KEPT, self._rng)
         while True:
             await self._changed.wait()
             await asyncio.sleep(GATHER_SECONDS)
             self._changed.clear()
-            await self._until_done(self._save)
-
-    async def _until_done(self, act: Callable[[], Any]) -> None:
-        while True:
-            try:
-                await act()
-                return
-            except (PlatformUnavailableError, ConflictError) as error:
-                log_decision("quarantine not kept", reason=str(error))
-                await asyncio.sleep(RETRY_SECONDS * (1 + self._rng.random()))
+            await try_until_done(self._save, NOT_KEPT, self._rng)
 
     async def _load(self) -> None:
         known = await self._read()
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/registration.py
@@ -4,24 +4,16 @@
 import ipaddress
 import random
 
-from swifttrestle.errors import (
-    BadEntryError,
-    ConflictError,
-    NotFoundError,
-    PlatformUnavailableError,
-)
+from swifttrestle.errors import BadEntryError, NotFoundError
 from swifttrestle.internal.checks import check_text
 from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.lines import log_decision
+from swifttrestle.internal.coordination.store_tries import try_until_done
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import PeerTable
 from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
 
 PEER_KIND = "swifttrestle-peers"
-# Least seconds between two tries, and the most that chance adds to them: a store that comes back
-# must not meet all hosts at once.
-RETRY_SECONDS = 1.0
 # Seconds for each host over which all hosts spread their looks after a return of the store: 20
 # calls a second of a whole fleet.
 RETURN_SECONDS_PER_HOST = 0.05
@@ -35,18 +27,16 @@
     skipped: SkippedEntries,
 ) -> None:
     """Write this host's address and learn those of others; retried until it is done."""
-    while True:
-        try:
-            await _write_record(store, me)
-            snapshot = await store.list(PEER_KIND)
-            for unread in snapshot.unread:
-                skipped.skip(PEER_KIND, unread.name, unread.error, unread.content)
-            for item in snapshot.items:
-                _learn_peer(item, peers, skipped)
-            return
-        except (PlatformUnavailableError, ConflictError) as error:
-            log_decision("peers not read", reason=str(error))
-            await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
+
+    async def write_and_learn() -> None:
+        await _write_record(store, me)
+        snapshot = await store.list(PEER_KIND)
+        for unread in snapshot.unread:
+            skipped.skip(PEER_KIND, unread.name, unread.error, unread.content)
+        for item in snapshot.items:
+            _learn_peer(item, peers, skipped)
+
+    await try_until_done(write_and_learn, "peers not read", rng)
 
 
 async def restore_registration(
@@ -54,13 +44,7 @@
 ) -> None:
     """Have this host's address stand in a store that came back from a copy, as one of `hosts`."""
     await asyncio.sleep(rng.random() * hosts * RETURN_SECONDS_PER_HOST)
-    while True:
-        try:
-            await _write_record(store, me)
-            return
-        except (PlatformUnavailableError, ConflictError) as error:
-            log_decision("own address not kept", reason=str(error))
-            await asyncio.sleep(RETRY_SECONDS * (1 + rng.random()))
+    await try_until_done(lambda: _write_record(store, me), "own address not kept", rng)
 
 
 async def _write_record(store: ObjectStore, me: Member) -> None:
