--- a/tests/hosted/sites.py
+++ b/tests/hosted/sites.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 
-from swifttrestle_standins.hosted.site import Site, make_model_service, make_route
+from swifttrestle_standins.hosted.site import Site, make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 
 # Prompt tokens of a long prompt (another engine reads it) and of a short one.
@@ -92,3 +92,21 @@
 def count_runs(site, request_id):
     """Return how often a request ran, at all upstreams together."""
     return sum(upstream.runs.get(request_id, 0) for upstream in site.upstreams.values())
+
+
+async def bring_back(site, copy, away, cut=True):
+    """Have the store go away for some seconds, and come back from a copy."""
+    if away:
+        site.store.faults.down = True
+        site.store.wake()
+        await asyncio.sleep(away)
+        site.store.faults.down = False
+    site.store.come_back(copy)
+    if cut:
+        site.cut_store_connections()
+
+
+async def wait_in_force(site, version):
+    """Wait until all gateways have a version in force."""
+    for running in site.gateways.values():
+        await wait_until(lambda g=running.gateway: g.config_version == version, "in force")
--- a/tests/hosted/test_returned_duties.py
+++ b/tests/hosted/test_returned_duties.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swifttrestle_standins.hosted.site import wait_until
+from tests.hosted.sites import bring_back
 from tests.hosted.test_duties import (
     WINDOW,
     on_duty_site,
@@ -15,15 +16,6 @@
 )
 
 
-async def come_back(site, copy, away):
-    site.store.faults.down = bool(away)
-    site.store.wake()
-    await asyncio.sleep(away)
-    site.store.faults.down = False
-    site.store.come_back(copy)
-    site.cut_store_connections()
-
-
 def list_holders(site):
     """Return the hosts that act as holders of the duties."""
     return [
@@ -43,7 +35,7 @@
     await wait_for_holder(site)
     await send(site, 3)
     await wait_for_usage(site, {"club": 3})
-    await come_back(site, copy, away)
+    await bring_back(site, copy, away)
     await send(site, 2, "g1")
     await wait_for_usage(site, {"club": 5})
     assert len(list_holders(site)) == 1
@@ -63,7 +55,7 @@
             # Counts that reach the others after the report, by a late word.
             item.gateway._duties.usage.meter.note("club", window)
     site.gateways[holder].task.cancel()
-    await come_back(site, copy, 0.4)
+    await bring_back(site, copy, 0.4)
     await wait_until(lambda: list_holders(site), "another holder")
     other = list_holders(site)[0]
     await send(site, 2, other)
@@ -79,7 +71,7 @@
     copy = site.store.take_copy()
     holder = await wait_for_holder(site)
     epoch = site.store.epoch
-    await come_back(site, copy, away)
+    await bring_back(site, copy, away)
 
     def is_taken():
         known = site.store.objects.get(("swifttrestle-leases", "roles"))
--- a/tests/hosted/test_store_returns.py
+++ b/tests/hosted/test_store_returns.py
@@ -11,7 +11,7 @@
 from swifttrestle.internal.state.request_names import RequestName
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInUpstream
-from tests.hosted.sites import build_site, on_built, on_site
+from tests.hosted.sites import bring_back, build_site, on_built, on_site, wait_in_force
 
 # Writes of others, which hosts do not read, by which revisions go on.
 OTHERS = "others"
@@ -28,12 +28,8 @@
     site.list_upstream(site.upstreams["s1"], "ready")
     target = site.store.revision
     for item in site.gateways.values():
-        await wait_until(lambda g=item.gateway: has_revision(g, target), "the newest revision")
-
-
-def has_revision(gateway, target):
-    known = gateway._discovery._revision
-    return getattr(known, "number", known) >= target
+        discovery = item.gateway._discovery
+        await wait_until(lambda d=discovery: d._revision.number >= target, "the newest revision")
 
 
 async def lose_writes(site, lost, cut=True, away=AWAY_SECONDS):
@@ -42,14 +38,7 @@
     write_others(site, lost)
     site.store.put("servers", "s1", {**site.store.objects["servers", "s1"]["spec"], "seq": lost})
     await wait_for_revision(site)
-    if away:
-        site.store.faults.down = True
-        site.store.wake()
-        await asyncio.sleep(away)
-        site.store.faults.down = False
-    site.store.come_back(copy)
-    if cut:
-        site.cut_store_connections()
+    await bring_back(site, copy, away, cut)
 
 
 def hosts_using(site, instance):
@@ -118,8 +107,7 @@
     site.list_upstream(site.upstreams["s0"], "draining")
     version = site.declare()
     await wait_until(lambda: not hosts_using(site, "s0"), "left at all hosts")
-    gateways = [item.gateway for item in site.gateways.values()]
-    await wait_until(lambda: all(g.config_version == version for g in gateways), "in force")
+    await wait_in_force(site, version)
     assert not any(item.task.done() for item in site.gateways.values())
 
 
@@ -128,7 +116,7 @@
     copy = site.store.take_copy()
     version = site.declare()
     others = [item.gateway for item in site.gateways.values()]
-    await wait_until(lambda: all(g.config_version == version for g in others), "in force")
+    await wait_in_force(site, version)
     site.store.come_back(copy)
     started = (await site.add_gateway("g7", 7)).gateway
     await wait_until(started.is_ready, "ready")
@@ -155,13 +143,12 @@
 async def test_a_version_under_a_number_that_was_given_out_again_is_in_force(site):
     copy = site.store.take_copy()
     first = site.declare()
-    gateways = [item.gateway for item in site.gateways.values()]
-    await wait_until(lambda: all(g.config_version == first for g in gateways), "in force")
+    await wait_in_force(site, first)
     number = site.store.objects["config", "main"]["metadata"]["revision"]
     site.store.come_back(copy)
     second = site.declare()
     assert site.store.objects["config", "main"]["metadata"]["revision"] == number
-    await wait_until(lambda: all(g.config_version == second for g in gateways), "in force")
+    await wait_in_force(site, second)
 
 
 @on_site(gateways=2)
@@ -171,7 +158,7 @@
     copy = site.store.take_copy()
     site.declare()
     gateways = [item.gateway for item in site.gateways.values()]
-    await wait_until(lambda: all(g.config_version == site._version for g in gateways), "in force")
+    await wait_in_force(site, site._version)
     for gateway in gateways:
         await gateway._configuration.confirm()
     site.store.come_back(copy)
