--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -26,7 +26,7 @@
     """Faults of the next requests, one step per request; without steps, requests succeed.
 
     Steps: busy, reset, reset-after, silent, crossed, unsigned, fail, cut (in a stream, after
-    its second event).
+    its second event), pause (in a stream, after its second event).
     """
 
     steps: deque[str] = field(default_factory=deque)
@@ -88,6 +88,8 @@
         self.script = Script()
         # Duration of a run, or of each event of a stream, in seconds.
         self.seconds = 0.005
+        # Seconds for which the step pause sends nothing.
+        self.pause_seconds = 1.3
         self.runs: dict[str, int] = defaultdict(int)
         self.cancelled: list[str] = []
         self.arrivals: list[tuple[str, dict[str, str]]] = []
@@ -179,6 +181,8 @@
         await self.hold.wait()
         if step == "silent":
             await asyncio.sleep(3600)
+        if step == "pause":
+            await asyncio.sleep(self.pause_seconds)
         await asyncio.sleep(self.seconds)
         if step == "reset-after":
             reply.abort()
@@ -270,7 +274,7 @@
             await reply.send_whole(421, [(b"X-Instance-Id", self.instance.encode())], b"")
             return
         if is_prefill:
-            await self._prefill(name, headers, reply)
+            await self._prefill(name, headers, step, reply)
             return
         source = headers.get("x-kv-source", "")
         if source and not take_handle(source, name):
@@ -278,8 +282,12 @@
             return
         await self._stream(name, headers, step, reply)
 
-    async def _prefill(self, name: str, headers: dict[str, str], reply: ResponseWriter) -> None:
+    async def _prefill(
+        self, name: str, headers: dict[str, str], step: str, reply: ResponseWriter
+    ) -> None:
         await self.hold.wait()
+        if step == "pause":
+            await asyncio.sleep(self.pause_seconds)
         await asyncio.sleep(self.seconds)
         handle = f"{self.instance}-h{next(self._numbers)}"
         self.handles[handle] = name
@@ -308,6 +316,8 @@
                 await reply.send(make_event(name, number)[:5])
                 reply.abort()
                 return
+            if step == "pause" and number == first + 2:
+                await asyncio.sleep(self.pause_seconds)
             await asyncio.sleep(self.seconds)
             await reply.send(make_event(name, number))
         await reply.end()
