Answers that were cut after they had begun are counted by code

A caller whose answer has begun sees a reset and no status, and no counter told such requests from those with an error.

--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -206,6 +206,7 @@
         self, request: IncomingRequest, reply: ResponseWriter, error: RefusedError
     ) -> None:
         if reply.started:
+            self._state.metrics.count("gateway_answers_cut_total", code=error.code.name)
             reply.abort()
             return
         headers: list[Header] = [(b"Content-Type", b"application/json")]
