A silent upstream is given up only where another one takes over

What callers saw: a stream reset, a 502 or a 503 after about a second, although the upstream went on a moment later (LOST, beside a change of configuration). Cause: silence was taken for a failure. The attempt was closed first, and only then was it asked whether the route, the retry budget and the other engines allow another one; where they did not, the caller's connection was reset. Change: the question comes first. A silence limit names who may give up, and a true answer has already taken the retry from the budget. Otherwise the host waits on, up to the deadline. An answer that has begun and whose next engine refuses is tried on for as long as its caller waits. The same for the first attempt at a plain service and for prefill. A plain stream, which nothing continues, has no such limit any more. Ruled out on the way: keepalive and TCP_USER_TIMEOUT (3 s) are longer than the silence; a request keeps the route that it began with.

--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -1,6 +1,5 @@
 """One attempt of a request at one instance: sends it, checks the answer and delivers it."""
 
-import asyncio
 from dataclasses import dataclass
 
 from swifttrestle.errors import (
@@ -16,6 +15,7 @@
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
 from swifttrestle.internal.transport.pool import ConnectionPool
+from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 from swifttrestle.internal.transport.upstream import OutgoingRequest, UpstreamConnection
 from swifttrestle.platform.wire import (
     ForwardingHeaders,
@@ -35,14 +35,14 @@
 
 @dataclass(frozen=True)
 class AttemptPlan:
-    """How to make one attempt; `head_timeout` bounds the wait for the answer's head, in seconds.
+    """How to make one attempt; `silence` limits the wait for the answer's head.
 
     `retry_failure` turns a server error into an exception, for another attempt.
     """
 
     instance: Instance
     forwarding: ForwardingHeaders
-    head_timeout: float
+    silence: SilenceLimit
     retry_failure: bool = False
 
 
@@ -68,7 +68,7 @@
     did not run, and UpstreamBrokenError where that is unknown.
     """
     try:
-        async with asyncio.timeout(min(plan.head_timeout, max(0.0, ctx.seconds_left))):
+        async with limit_silence(plan.silence):
             head, body = await connection.exchange(build_request(ctx, plan.forwarding))
     except TimeoutError:
         raise UpstreamSilentError(
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -50,6 +50,8 @@
     steps: list[str] = field(default_factory=list)
     # Expiry of rate limit permits in the loop's time, by instance.
     permits: dict[str, float] = field(default_factory=dict)
+    # Whether the next attempt was taken from the retry budget when the last one was given up.
+    retry_reserved: bool = False
     # Whether this request is the trial of a quarantined one.
     is_trial: bool = False
     # The instance at which the request was open when it was cancelled.
@@ -116,6 +118,16 @@
         if self.on_first_byte is not None:
             self.on_first_byte()
 
+    def reserve_retry(self, taken: bool) -> bool:
+        """Record whether a retry was taken from the budget before its attempt; return that."""
+        self.retry_reserved = taken
+        return taken
+
+    def use_reserved_retry(self) -> bool:
+        """Return whether the next attempt has its retry already, and use that up."""
+        reserved, self.retry_reserved = self.retry_reserved, False
+        return reserved
+
     def note(self, step: str) -> None:
         """Add a decision, with the request's age in milliseconds, to its log line."""
         self.steps.append(f"{self.age * 1000:.0f}:{step}")
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -1,6 +1,7 @@
 """Forwards requests to model engines: books engines, has the prompt prefilled, relays tokens."""
 
 import asyncio
+import functools
 import math
 
 from swifttrestle.codes import Code
@@ -18,6 +19,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.prefill import (
+    MAX_PREFILLS,
     DirectPrefill,
     EngineUse,
     PromptPrefiller,
@@ -34,12 +36,14 @@
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart
+from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.engine import KvHandle, format_kv_source
 from swifttrestle.platform.wire import ForwardingHeaders
 
-# Maximum prefill and decode attempts of one request, the first ones included.
-MAX_PREFILLS = 2
+# Maximum decode attempts of one request before its answer begins, the first one included.
 MAX_DECODE_ATTEMPTS = 3
+# Seconds between two attempts to continue an answer that has begun.
+RESUME_INTERVAL_SECONDS = 0.2
 # Maximum bookings of one request whose engines turn out to accept no requests.
 MAX_HELD_BOOKINGS = 8
 # Share of the time to the deadline that a repeatable request waits at an engine for its first
@@ -67,7 +71,7 @@
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError if it cannot be served."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
-        relay = EventRelay(ctx.route.resumable, self._max_event_gap(ctx))
+        relay = EventRelay(ctx.route.resumable)
         prefills = held_bookings = 0
         while prefills < MAX_PREFILLS and held_bookings < MAX_HELD_BOOKINGS:
             booking = await self._book(ctx, first=prefills == 0)
@@ -235,7 +239,7 @@
                             source, handle = "", None
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
-                decoder = self._replace_decoder(ctx, relay, reason, attempt)
+                decoder = await self._replace_decoder(ctx, relay, reason, attempt)
                 attempt += 1
         finally:
             if source:
@@ -269,21 +273,57 @@
             raise ctx.refuse(code, reason, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
         return decoder
 
-    def _replace_decoder(
+    async def _replace_decoder(
         self, ctx: Context, relay: EventRelay, reason: str, attempt: int
     ) -> Instance:
-        """Return another engine to continue the answer; raise RefusedError if none may."""
-        now = asyncio.get_running_loop().time()
-        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS and ctx.runs < ctx.route.max_attempts
-        allowed = allowed and (ctx.repeatable or not ctx.may_have_run)
-        if not allowed:
+        """Return another engine to continue the answer; raise RefusedError if none may.
+
+        An answer that has begun waits for an engine for as long as its caller does.
+        """
+        give_up_at = _now() + (self._max_event_gap(ctx) if relay.started else 0.0)
+        while True:
+            try:
+                return self._find_replacement(ctx, relay, reason, attempt)
+            except RefusedError:
+                if not self._may_repeat(ctx) or _now() >= give_up_at:
+                    raise
+            await asyncio.sleep(RESUME_INTERVAL_SECONDS)
+            # Engines that failed or refused may have recovered.
+            ctx.excluded.clear()
+
+    def _find_replacement(
+        self, ctx: Context, relay: EventRelay, reason: str, attempt: int
+    ) -> Instance:
+        """Return another engine to continue the answer; raise RefusedError if there is none now."""
+        now = _now()
+        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS or relay.started
+        if not allowed or not self._may_repeat(ctx):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
         decoder = self._pick_decode_engine(ctx, reason, now)
-        if not self._state.budgets.find(ctx.service.name).take(now):
+        reserved = ctx.use_reserved_retry()
+        if not reserved and not self._state.budgets.find(ctx.service.name).take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
         ctx.note(f"decoder {decoder.name} after event {relay.last_event!r}")
         return decoder
 
+    @staticmethod
+    def _may_repeat(ctx: Context) -> bool:
+        """Return whether the route allows another attempt after those that may have run."""
+        if ctx.runs >= ctx.route.max_attempts:
+            return False
+        return ctx.repeatable or not ctx.may_have_run
+
+    def _reserve_replacement(self, ctx: Context, decoder: Instance) -> bool:
+        """Return whether another engine takes over from a silent one, and reserve its retry."""
+        if not ctx.repeatable or ctx.runs + 1 >= ctx.route.max_attempts:
+            return False
+        now = _now()
+        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent)
+        excluded = ctx.excluded | {decoder.name}
+        if pick_decode_engine(engines, self._state.zone, excluded, now, urgent=ctx.urgent) is None:
+            return False
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+
     async def _attempt_decode(
         self,
         ctx: Context,
@@ -292,9 +332,8 @@
         relay: EventRelay,
         fetch_from: tuple[str, int] | None,
     ) -> None:
-        head_timeout = ctx.seconds_left
-        if ctx.repeatable and ctx.runs + 1 < ctx.route.max_attempts:
-            head_timeout *= FIRST_TOKEN_SHARE
+        may_give_up = functools.partial(self._reserve_replacement, ctx, decoder)
+        relay.silence = SilenceLimit(self._max_event_gap(ctx), may_give_up)
         forwarding = ForwardingHeaders(
             decoder.record.instance,
             ctx.seconds_left,
@@ -304,7 +343,8 @@
             fetch_from=fetch_from,
         )
         started_at = asyncio.get_running_loop().time()
-        plan = AttemptPlan(decoder, forwarding, head_timeout)
+        head_silence = SilenceLimit(ctx.seconds_left * FIRST_TOKEN_SHARE, may_give_up)
+        plan = AttemptPlan(decoder, forwarding, head_silence)
         async with self._state.attempt(ctx, decoder):
             await make_attempt(ctx, self._state.pool, plan, relay)
         now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -3,6 +3,7 @@
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
+from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import strip_answer_headers
 
 _END_OF_EVENT = b"\n\n"
@@ -16,10 +17,11 @@
     after the last one. The answer keeps the head from its first upstream.
     """
 
-    def __init__(self, resumable: bool, max_gap: float) -> None:
-        """Treat a resumable stream as broken after `max_gap` seconds without data."""
+    def __init__(self, resumable: bool) -> None:
+        """Start without events."""
         self._resumable = resumable
-        self._max_gap = max_gap
+        # When a resumable stream without data counts as broken; None if never.
+        self.silence: SilenceLimit | None = None
         self.last_event: bytes | None = None
         self.events = 0
         self.started = False
@@ -41,7 +43,7 @@
 
     async def _relay_complete_events(self, ctx: Context, body: Body) -> None:
         pending = b""
-        async for chunk in body.chunks(self._max_gap):
+        async for chunk in body.chunks(self.silence):
             pending += chunk
             end = pending.rfind(_END_OF_EVENT)
             if end >= 0:
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -1,6 +1,7 @@
 """Forwards requests to plain services."""
 
 import asyncio
+import functools
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
@@ -18,6 +19,7 @@
 from swifttrestle.internal.policy.placement import pick_plain_instance
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
+from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import ForwardingHeaders
 
 # Timeout of an attempt that may be repeated, as a share of the time to the deadline.
@@ -68,7 +70,7 @@
                 self._note_broken(ctx, instance, error)
             ctx.note(last_reason)
             ctx.excluded.add(instance.name)
-            budget_charged = False
+            budget_charged = ctx.use_reserved_retry()
 
     def _refuse(self, ctx: Context, reason: str, now: float) -> RefusedError:
         """Return the error for a request that may be sent to no further instance."""
@@ -95,18 +97,32 @@
             return False
         return self._state.budgets.find(ctx.service.name).take(now)
 
+    def _reserve_replacement(self, ctx: Context, instance: Instance) -> bool:
+        """Return whether another instance takes over from a silent one, and reserve its retry."""
+        if not ctx.repeatable or ctx.runs + 1 >= ctx.route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
+        excluded = ctx.excluded | {instance.name}
+        if pick_plain_instance(usable, self._state.zone, excluded, now, self._state.rng) is None:
+            return False
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
         is_last = ctx.runs + 1 >= ctx.route.max_attempts or not ctx.repeatable
-        head_timeout = ctx.seconds_left if is_last else ctx.seconds_left * FIRST_ATTEMPT_SHARE
+        silence = SilenceLimit(
+            ctx.seconds_left * FIRST_ATTEMPT_SHARE,
+            functools.partial(self._reserve_replacement, ctx, instance),
+        )
         now = asyncio.get_running_loop().time()
         may_retry = not is_last and self._state.budgets.find(ctx.service.name).allows(now)
         plan = AttemptPlan(
             instance,
             ForwardingHeaders(instance.record.instance, ctx.seconds_left),
-            head_timeout,
+            silence,
             retry_failure=may_retry,
         )
-        relay = EventRelay(ctx.route.resumable, head_timeout) if ctx.route.streaming else None
+        relay = EventRelay(ctx.route.resumable) if ctx.route.streaming else None
         instance.own = instance.own.plus(ONE_REQUEST)
         self._state.ejector.note_use(instance.name, now)
         try:
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from dataclasses import dataclass
 
 from swifttrestle.codes import Code
@@ -20,6 +21,7 @@
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle.internal.transport.pool import call_once
+from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 from swifttrestle.internal.transport.upstream import OutgoingRequest
 from swifttrestle.platform.engine import (
     KvHandle,
@@ -29,6 +31,8 @@
 )
 from swifttrestle.platform.wire import ForwardingHeaders, read_response_metadata
 
+# Maximum prefill attempts of one request, the first one included.
+MAX_PREFILLS = 2
 # Timeout of a prefill, as a multiple of its predicted duration, and its minimum.
 PREFILL_TIMEOUT_FACTOR = 4.0
 MIN_PREFILL_TIMEOUT_SECONDS = 1.0
@@ -92,13 +96,14 @@
         expected = (
             booking.wait + booking.fetch_seconds + booking.tokens / reader.effective_read_rate
         )
-        timeout_seconds = max(MIN_PREFILL_TIMEOUT_SECONDS, PREFILL_TIMEOUT_FACTOR * expected)
+        silence = SilenceLimit(
+            max(MIN_PREFILL_TIMEOUT_SECONDS, PREFILL_TIMEOUT_FACTOR * expected),
+            functools.partial(self._reserve_replacement, ctx, reader),
+        )
         try:
             await self._state.permits.reserve(ctx, reader, booking.decoder)
             async with self._state.attempt(ctx, reader, is_final_answer=False):
-                handle = await self._request_prefill(
-                    ctx, booking, min(timeout_seconds, max(0.0, ctx.seconds_left))
-                )
+                handle = await self._request_prefill(ctx, booking, silence)
             use.outcome = Outcome.DONE
             self._state.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
@@ -137,12 +142,27 @@
             budget.note_repeat(now)
             allowed = budget.allows(now)
         else:
-            allowed = budget.take(now)
+            allowed = ctx.use_reserved_retry() or budget.take(now)
         if not allowed:
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, RETRY_AFTER_SECONDS)
 
+    def _reserve_replacement(self, ctx: Context, reader: Instance) -> bool:
+        """Return whether another engine takes over from a silent one, and reserve its retry."""
+        if ctx.failed_prefills + 1 >= MAX_PREFILLS:
+            return False
+        now = asyncio.get_running_loop().time()
+        excluded = ctx.excluded | {reader.name}
+        others = [
+            item
+            for item in self._state.list_usable(ctx.service.name, now, ctx.urgent)
+            if item.role is reader.role and item.name not in excluded
+        ]
+        if not others:
+            return False
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+
     async def _request_prefill(
-        self, ctx: Context, booking: Booking, timeout_seconds: float
+        self, ctx: Context, booking: Booking, silence: SilenceLimit
     ) -> KvHandle:
         reader = booking.reader
         forwarding = ForwardingHeaders(
@@ -153,7 +173,7 @@
             fetch_from=find_source_address(booking),
         )
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with limit_silence(silence):
                 head, content = await call_once(
                     self._state.pool,
                     reader.name,
@@ -163,7 +183,7 @@
                 )
         except TimeoutError:
             raise UpstreamSilentError(
-                f"no prefill within {timeout_seconds:.2f} s by {reader.name}"
+                f"no prefill within {silence.seconds:.2f} s by {reader.name}"
             ) from None
         metadata = read_response_metadata(head.status, head.headers, reader.record.instance)
         if metadata.not_run:
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from swifttrestle.errors import UpstreamBrokenError, UpstreamSilentError
+from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 
 Header = tuple[bytes, bytes]
 
@@ -123,10 +124,10 @@
             self._changed.clear()
             await self._changed.wait()
 
-    async def chunks(self, byte_seconds: float | None = None) -> AsyncIterator[bytes]:
+    async def chunks(self, silence: SilenceLimit | None = None) -> AsyncIterator[bytes]:
         """Yield the body from its start, or its unread rest without `keep`; raise its error.
 
-        With `byte_seconds`, raise UpstreamSilentError after that time without a byte.
+        With `silence`, raise UpstreamSilentError once that limit is reached.
         """
         index = 0
         while True:
@@ -143,20 +144,20 @@
             if self._ended:
                 break
             self._changed.clear()
-            if byte_seconds is None:
-                # `asyncio.timeout(None)` would add overhead to each wait.
+            if silence is None:
+                # A timeout would add overhead to each wait.
                 await self._changed.wait()
             else:
-                await self._wait_for_more(byte_seconds)
+                await self._wait_for_more(silence)
         if self._error is not None:
             raise self._error
 
-    async def _wait_for_more(self, seconds: float) -> None:
+    async def _wait_for_more(self, silence: SilenceLimit) -> None:
         try:
-            async with asyncio.timeout(seconds):
+            async with limit_silence(silence):
                 await self._changed.wait()
         except TimeoutError:
-            message = f"no byte for {seconds:g} s after {self.size} bytes of a body"
+            message = f"no byte for {silence.seconds:g} s after {self.size} bytes of a body"
             raise UpstreamSilentError(message) from None
 
     async def read_whole(self, limit: int, byte_seconds: float | None = None) -> bytes:
@@ -166,7 +167,8 @@
         """
         parts = []
         size = 0
-        async for chunk in self.chunks(byte_seconds):
+        silence = None if byte_seconds is None else SilenceLimit(byte_seconds)
+        async for chunk in self.chunks(silence):
             size += len(chunk)
             if size > limit:
                 raise UpstreamBrokenError(f"response body of over {limit} bytes", sent=True)
