Failed connections are counted by upstream and result

Opening a connection has a module of its own, without a change of behaviour, since a stand-in must be able to cut one host's paths alone.

--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -94,6 +94,7 @@
         self.guard.is_last = self._is_last
         self.conditions = UpstreamConditionTable(fleet, metrics)
         self.pool.on_answer = self.conditions.record_answer
+        self.pool.on_unreached = self._count_unreached
         self.permits: RateLimiter = NoRateLimits()
         fleet.on_replaced = self._end_incarnation
         fleet.on_removed = self.crash_detector.note_unlisted
@@ -126,6 +127,10 @@
         usable = [item for item in listed if not self.ejector.is_ejected(item.name, now)]
         return usable or listed
 
+    def _count_unreached(self, instance: str, error: UpstreamUnreachedError) -> None:
+        result = "refused" if error.refused else "timeout"
+        self.metrics.count("upstream_connects_failed_total", instance=instance, result=result)
+
     def _is_last(self, instance: Instance, crashed: Collection[str]) -> bool:
         """Return whether no other instance could take over for this one.
 
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -3,26 +3,16 @@
 import asyncio
 import contextlib
 import functools
-import socket
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from swifttrestle.errors import UpstreamUnreachedError
 from swifttrestle.internal.callbacks import do_nothing
+from swifttrestle.internal.transport.dialer import UNACKNOWLEDGED_MS, Dialer
 from swifttrestle.internal.transport.messages import ResponseHead
 from swifttrestle.internal.transport.upstream import Address, OutgoingRequest, UpstreamConnection
 
-# Connection timeout, shorter than TCP's first SYN retransmission, so that another upstream is tried
-# instead.
-CONNECT_TIMEOUT_SECONDS = 0.3
-# TCP keepalive: idle time before the first probe and between probes, and the number of probes
-# without a response after which the kernel breaks the connection. A silent connection ends within
-# three seconds.
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-# Time for which sent data may stay unacknowledged before the kernel breaks the connection.
-UNACKNOWLEDGED_MS = 3000
 # Minimum time between two closures of all idle connections because one was silent: the fault may
 # be that of a single upstream.
 DROP_INTERVAL_SECONDS = 2.0
@@ -52,7 +42,7 @@
 
     def __init__(self, unacknowledged_ms: int = UNACKNOWLEDGED_MS) -> None:
         """Break connections whose data stays unacknowledged for `unacknowledged_ms`."""
-        self._unacknowledged_ms = unacknowledged_ms
+        self.dialer = Dialer(unacknowledged_ms)
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._in_use: dict[str, set[UpstreamConnection]] = defaultdict(set)
         self._next_drop_at = float("-inf")
@@ -60,11 +50,13 @@
         # Called with the instance, the head of each of its responses and the event loop's time at
         # which the request was sent, before the response is processed.
         self.on_answer: Callable[[str, ResponseHead, float], None] = do_nothing
+        # Called with the instance for each connection that was not established.
+        self.on_unreached: Callable[[str, UpstreamUnreachedError], None] = do_nothing
 
     @contextlib.asynccontextmanager
     async def acquire(self, instance: str, address: Address) -> AsyncIterator[UpstreamConnection]:
         """Yield a connection, which is kept afterwards only if `mark_reusable` was called."""
-        connection = self._take_idle(instance) or await self._connect(address)
+        connection = self._take_idle(instance) or await self._connect(instance, address)
         self._in_use[instance].add(connection)
         connection.on_head = functools.partial(self.on_answer, instance)
         try:
@@ -109,7 +101,7 @@
 
         Raises UpstreamUnreachedError, whose `refused` is true if the connection was refused.
         """
-        connection = await self._connect(address)
+        connection = await self._connect(instance, address)
         now = asyncio.get_running_loop().time()
         connection.idle_until = now + DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
         self._idle[instance].append(connection)
@@ -140,30 +132,14 @@
             connection.close()
         return None
 
-    async def _connect(self, address: Address) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
+    async def _connect(self, instance: str, address: Address) -> UpstreamConnection:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                transport, protocol = await loop.create_connection(UpstreamConnection, *address)
-        except (OSError, TimeoutError) as error:
-            raise UpstreamUnreachedError(
-                f"cannot connect to {address[0]}:{address[1]}: {error!r}",
-                refused=isinstance(error, ConnectionRefusedError),
-            ) from None
+            connection = await self.dialer.dial(address)
+        except UpstreamUnreachedError as error:
+            self.on_unreached(instance, error)
+            raise
         self.opened += 1
-        sock = transport.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            _set_tcp_timeouts(sock, self._unacknowledged_ms)
-        return protocol
-
-
-def _set_tcp_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
-    """Have the kernel break a connection whose other end no longer responds."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+        return connection
 
 
 async def call_once(
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -18,7 +18,7 @@
 from swifttrestle.internal.policy import revocation
 from swifttrestle.internal.policy.backoff import find_max_backoff
 from swifttrestle.internal.state import peers
-from swifttrestle.internal.transport import pool
+from swifttrestle.internal.transport import dialer
 from swifttrestle.platform import store
 
 # Longest response time of the store, and longest delay of a datagram between two hosts including
@@ -45,7 +45,7 @@
 
 FIRST_BACKOFF_SECONDS = find_max_backoff(discovery.FIRST_BACKOFF_SECONDS)
 MAX_BACKOFF_SECONDS = find_max_backoff(discovery.MAX_BACKOFF_SECONDS)
-LIST_SECONDS = pool.CONNECT_TIMEOUT_SECONDS + SLOW_STORE_SECONDS
+LIST_SECONDS = dialer.CONNECT_TIMEOUT_SECONDS + SLOW_STORE_SECONDS
 HEARTBEAT_SECONDS = gossip.HEARTBEAT_SECONDS * 1.1
 # A host notices a recovered store by: its last failed call, its backoff and its next call.
 NOTICE_SECONDS = store.READ_TIMEOUT_SECONDS + MAX_BACKOFF_SECONDS + LIST_SECONDS
@@ -187,11 +187,11 @@
     ),
     # A connection that is being established when the signal arrives still gets a request.
     "draining, by its responses: a connection is being established": (
-        pool.CONNECT_TIMEOUT_SECONDS,
+        dialer.CONNECT_TIMEOUT_SECONDS,
         DRAINING_SECONDS["small"],
     ),
     "cool-down: a connection is being established": (
-        pool.CONNECT_TIMEOUT_SECONDS,
+        dialer.CONNECT_TIMEOUT_SECONDS,
         IN_FLIGHT_SECONDS,
     ),
     "quarantine: nothing": (CRASH_DETECTION_SECONDS + DATAGRAM_SECONDS, QUARANTINE_SECONDS),
