--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -267,6 +267,11 @@
         """Return the live hosts with their addresses and zones."""
         return list(self._gossip.list_members())
 
+    @property
+    def upstream_pool(self) -> ConnectionPool:
+        """The connections to upstreams."""
+        return self._state.pool
+
     def count_opened_connections(self) -> int:
         """Return the number of connections to upstreams that were opened since the start."""
         return self._state.pool.opened
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -146,6 +146,11 @@
 
     # Called by the request's task.
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """The connection's transport, once it is established."""
+        return self._transport
+
     @property
     def usable(self) -> bool:
         """Whether another request may be sent on this connection."""
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -17,6 +17,7 @@
     RequestHandler,
 )
 from swifttrestle.platform.settings import HostSettings, read_host_settings
+from swifttrestle_standins.hosted.cuts import CuttableDialer
 from swifttrestle_standins.hosted.duties import StandInDuties
 from swifttrestle_standins.hosted.store import StandInStore
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
@@ -73,12 +74,14 @@
 
 @dataclass
 class RunningGateway:
-    """One started gateway, its settings and its metrics address."""
+    """One started gateway, its settings, its metrics address and its paths to upstreams."""
 
     gateway: Gateway
     settings: HostSettings
     task: asyncio.Task[None]
     metrics_address: tuple[str, int]
+    # Its direct paths to the upstreams, which can be cut.
+    paths: CuttableDialer
 
 
 @dataclass
@@ -174,8 +177,9 @@
         settings = read_host_settings(self._make_settings(name, ip, zone))
         port = pick_port(ip)
         gateway = Gateway(settings, metrics_port=port, incarnation=incarnation)
+        gateway.upstream_pool.dialer = paths = CuttableDialer()
         task = asyncio.ensure_future(gateway.run())
-        running = RunningGateway(gateway, settings, task, (ip, port))
+        running = RunningGateway(gateway, settings, task, (ip, port), paths)
         self.gateways[name] = running
         return running
 
