A host that is cut from upstreams reaches them through its peers

Cause: a host sent by its own connections alone; nothing led around a cut of its paths, and nothing told such a cut from upstreams that have ended. Change: a connection that is not established within 0.1 s has peers asked as well, which copy its bytes; the first one wins. All decisions stay with the host that took the request. A refusal counts as an upstream's end only if no peer says otherwise. Orders to engines have connections of their own that nobody relays. Evidence: tests/hosted/test_cut_hosts.py, 7 of 7 failed on and pass now (its hosts wait to know each other first: the bound runs from a cut of a host in use); tests/hosted and tests/cover: 1813 passed, 1 xfailed, 9 xpassed.

--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -60,6 +60,7 @@
     CROSSED_ANSWER = 5013
     CALLER_GONE = 5014
     UPSTREAM_HELD = 5015
+    CONNECTION_REFUSED = 5016
 
 
 @dataclass(frozen=True)
@@ -162,4 +163,7 @@
         None,
         "An upstream accepts no request now: it is in its cool-down, or its limit is used up.",
     ),
+    Code.CONNECTION_REFUSED: CodeEntry(
+        0, None, "An upstream's address refused a connection, as no process listens there."
+    ),
 }
--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -176,6 +176,17 @@
         self.refused = refused
 
 
+class RelayRefusedError(UpstreamUnreachedError):
+    """A peer answered that it does not relay a connection to an instance, and why."""
+
+    def __init__(self, instance: str, code: Code) -> None:
+        """Store the peer's answer; it decides whether the instance refused the connection."""
+        super().__init__(
+            f"the relay for {instance} answered {code.name}",
+            refused=code is Code.CONNECTION_REFUSED,
+        )
+
+
 class UpstreamSilentError(UpstreamBrokenError):
     """The upstream did not respond in time on an open connection."""
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -23,6 +23,7 @@
 from swifttrestle.internal.coordination.prompt_cache_loader import PromptCacheLoader
 from swifttrestle.internal.coordination.quarantine_relay import QuarantineRelay
 from swifttrestle.internal.coordination.quarantine_store import QuarantineStore
+from swifttrestle.internal.coordination.relaying import Relaying
 from swifttrestle.internal.event_log import WRITER, log_event
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
@@ -118,6 +119,14 @@
             self._gossip.find_store_up_since,
             self._skipped_entries,
         )
+        self._relaying = Relaying(
+            own_member,
+            settings.internal_port,
+            self._gossip.listener,
+            self._state,
+            self._gossip.list_members,
+            rng,
+        )
         self._gossip.count_store_seconds = self._discovery.count_store_seconds
         self._booker = ScheduledBooker(
             LocalBooker(self._state),
@@ -202,6 +211,7 @@
             self._discovery,
             self._duties,
             self._store,
+            self._relaying,
         )
 
     async def run(self) -> None:
@@ -214,6 +224,7 @@
         self._start(self._gossip.register(self._store, self._skipped_entries))
         self._start(self._booker.run())
         self._start(self._state.conditions.run())
+        self._start(self._relaying.own.run())
         self._start(self._prompt_cache_loader.run())
         self._start(self._quarantine_store.run())
         self._start(self._quarantine_relay.run())
@@ -284,6 +295,7 @@
         for task in self._tasks:
             task.cancel()
         self._listeners.close()
+        self._relaying.server.close()
         self._gossip.close()
 
     async def _stop(self) -> None:
@@ -293,9 +305,11 @@
         end = started_at + self._settings.bounds.stop - SHUTDOWN_MARGIN_SECONDS
         log_event("stopping", open=self._listeners.count_busy())
         self._gossip.announce_leaving()
+        self._relaying.server.stop()
         await self._listeners.wait_for_deregistration(self._settings.bounds.stop / 2)
         self._handler.stops_at = end
         await self._listeners.finish(end)
+        await self._relaying.server.finish(end)
         seconds = round(loop.time() - started_at, 2)
         log_event("stopped", cut=self._listeners.count_busy(), seconds=seconds)
 
--- a/src/swifttrestle/internal/coordination/duties.py
+++ b/src/swifttrestle/internal/coordination/duties.py
@@ -80,7 +80,7 @@
             state.fleet,
             state.demand,
             state.ejector,
-            state.pool,
+            state.direct_pool,
             gossip,
             find_configuration,
             lambda: discovery.store_unreachable,
--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/exchange.py
@@ -4,46 +4,37 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.peer_listener import IO_TIMEOUT_SECONDS, PeerListener
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.protocol.copies import MAX_CONFIGURATION_BYTES, pack_copy, unpack_copy
 from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
 
 # Seconds to wait for this host's own watch before a newer configuration is fetched from a peer.
 CONFIG_WAIT_SECONDS = 0.15
-# Timeout in seconds of connecting, and of each read or write. The whole transfer has a longer one,
-# so that slow links can complete it.
-IO_TIMEOUT_SECONDS = 1.0
 # Timeout in seconds of a whole fetch, so that a peer that sends single bytes does not keep this
 # host from trying another one.
 FETCH_TIMEOUT_SECONDS = 10.0
 # Bytes read from or written to a stream at a time.
 CHUNK_BYTES = 64 * 1024
 
-CONFIGURATION_REQUEST = b"configuration\n"
+CONFIGURATION_WORD = b"configuration"
+CONFIGURATION_REQUEST = CONFIGURATION_WORD + b"\n"
 
 
 class ConfigurationExchange:
     """Serves and fetches configuration versions; all hosts use the same port."""
 
-    def __init__(self, ip: str, port: int, configuration: ConfigurationWatcher) -> None:
+    def __init__(
+        self, listener: PeerListener, port: int, configuration: ConfigurationWatcher
+    ) -> None:
         """Serve what `configuration` holds, and update it from peers."""
-        self._ip = ip
         self._port = port
         self._configuration = configuration
-        self._server: asyncio.Server | None = None
+        listener.set_handler(CONFIGURATION_WORD, self._serve)
         self._fetching: asyncio.Task[None] | None = None
         # The last packed copy with its version and revision, since many hosts request it at once.
         self._packed: tuple[int, StoreRevision, bytes] = (0, NO_REVISION, b"")
 
-    async def open(self) -> None:
-        """Listen for requests of peers; raise OSError."""
-        self._server = await asyncio.start_server(self._serve, self._ip, self._port)
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
     def fetch_later(self, host: str, ip: str, version: int) -> None:
         """Fetch a version from a peer, unless the watch of the store delivers it first."""
         if self._fetching is None or self._fetching.done():
@@ -79,17 +70,8 @@
         finally:
             writer.close()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            async with asyncio.timeout(IO_TIMEOUT_SECONDS):
-                request = await reader.readline()
-            if request == CONFIGURATION_REQUEST:
-                await self._write_copy(writer)
-        except (OSError, TimeoutError, ValueError) as error:
-            log_event("configuration request of a peer failed", reason=repr(error))
-            writer.transport.abort()
-        finally:
-            writer.close()
+    async def _serve(self, _: bytes, writer: asyncio.StreamWriter) -> None:
+        await self._write_copy(writer)
 
     async def _write_copy(self, writer: asyncio.StreamWriter) -> None:
         content = self._pack()
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/gossip.py
@@ -14,6 +14,7 @@
 from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
 from swifttrestle.internal.coordination.entries import SkippedEntries
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.peer_listener import PeerListener
 from swifttrestle.internal.coordination.recipients import ReportRecipients
 from swifttrestle.internal.coordination.registration import register_host, restore_registration
 from swifttrestle.internal.coordination.role_orders import RoleOrders
@@ -74,7 +75,8 @@
         self._socket = socket
         self._fleet = fleet
         self._configuration = configuration
-        self._exchange = ConfigurationExchange(socket.ip, socket.port, configuration)
+        self.listener = PeerListener(socket.ip, socket.port)
+        self._exchange = ConfigurationExchange(self.listener, socket.port, configuration)
         self._rng = rng
         self._changed = changed
         self._peers = PeerTable(me)
@@ -107,7 +109,7 @@
         """Listen on the internal port for datagrams and TCP streams."""
         self._socket.set_receiver(DatagramKind.REPORT, self._handle_report)
         await self._socket.open()
-        await self._exchange.open()
+        await self.listener.open()
         self._started_at = self._now()
         self.add_seeds(seeds)
 
@@ -185,7 +187,7 @@
     def close(self) -> None:
         """Stop listening."""
         self._socket.close()
-        self._exchange.close()
+        self.listener.close()
 
     def _find_interval(self) -> float:
         """Return the seconds until the next poll for changes to report."""
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -0,0 +1,215 @@
+"""Reaches upstreams through peers while this host's own paths to them are cut.
+
+A peer only copies bytes: this host chooses the upstream, counts attempts and budgets, and keeps
+deadlines, as for a direct connection. A peer connects directly or not at all, so that there is at
+most one peer on a path. See docs/design/relayed-paths.md.
+"""
+
+import asyncio
+import functools
+import random
+from collections.abc import Callable, Sequence
+
+from swifttrestle.errors import RelayRefusedError, UpstreamUnreachedError
+from swifttrestle.internal.event_log import log_event
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.upstream_paths import UpstreamPaths
+from swifttrestle.internal.state.fleet import Fleet, Instance
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS
+from swifttrestle.internal.transport.pool import ConnectionPool
+from swifttrestle.internal.transport.race import NoWayError, Way, connect_by_first
+from swifttrestle.internal.transport.relay import dial_through
+from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
+
+# Seconds after which a direct connection that is not established has a peer asked as well: some
+# round trips between availability zones and the wait of a busy upstream.
+RELAY_DELAY_SECONDS = 0.1
+# Seconds between asking one peer and the next.
+NEXT_RELAY_SECONDS = 0.05
+# Seconds between two checks of cut paths and of silent instances.
+CHECK_SECONDS = 0.25
+# Seconds without a byte on all open requests of an instance after which its path is checked.
+SILENT_SECONDS = 0.4
+# Minimum seconds between two checks of the path to one instance.
+RECHECK_SECONDS = 1.0
+# Paths that one round checks, so that many hosts whose paths heal do not all connect at once.
+MAX_CHECKS = 4
+
+
+class RelayedPaths:
+    """Connects to upstreams directly, or through peers where the direct path is cut."""
+
+    def __init__(
+        self,
+        local_member: Member,
+        port: int,
+        pool: ConnectionPool,
+        fleet: Fleet,
+        list_members: Callable[[], Sequence[Member]],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Make all connections of `pool`; peers listen for relayed ones on `port`."""
+        self.paths = UpstreamPaths(local_member, rng)
+        self._local_member = local_member
+        self._port = port
+        self._pool = pool
+        self._fleet = fleet
+        self._list_members = list_members
+        self._metrics = metrics
+        self._rng = rng
+        # The instances to which a connection is being made with the help of peers.
+        self._asking: set[str] = set()
+        # The loop's time of the last check of each instance's path.
+        self._checked_at: dict[str, float] = {}
+        pool.connect = self.connect
+        pool.may_use_relay = self._is_member
+
+    async def connect(self, instance: str, address: Address) -> UpstreamConnection:
+        """Connect to an instance; raise UpstreamUnreachedError."""
+        if not self.paths.is_cut(instance) and instance in self._asking:
+            # Another connection already finds out which way works.
+            return await self._pool.connect_directly(instance, address)
+        relays = self._choose_relays(instance)
+        if not relays:
+            return await self._pool.connect_directly(instance, address)
+        self._asking.add(instance)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                connection = await connect_by_first(self._list_ways(instance, address, relays))
+        except TimeoutError:
+            raise UpstreamUnreachedError(
+                f"cannot connect to {instance} at {address[0]}:{address[1]}, directly or through "
+                f"{len(relays)} peers",
+                refused=False,
+            ) from None
+        except NoWayError as error:
+            raise UpstreamUnreachedError(
+                f"cannot connect to {instance} at {address[0]}:{address[1]}: {error}",
+                refused=_is_refused(error.errors),
+            ) from None
+        finally:
+            self._asking.discard(instance)
+        self._note_way(instance, connection)
+        return connection
+
+    async def run(self) -> None:
+        """Check cut paths, and those to silent instances, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS * (0.8 + 0.4 * self._rng.random()))
+            self.paths.retain(self._fleet.instances)
+            self._checked_at = {
+                name: at for name, at in self._checked_at.items() if name in self._fleet.instances
+            }
+            self._pool.close_idle_through_lost()
+            names = [*self._list_cut(), *self._list_suspects()][:MAX_CHECKS]
+            await asyncio.gather(*(self._check(name) for name in names))
+
+    def describe(self, now: float) -> dict[str, dict[str, object]]:
+        """Return the cut paths by instance, for the state dump."""
+        return {
+            instance: {"seconds": round(now - cut.since, 1), "relay": cut.relay}
+            for instance, cut in self.paths.cuts.items()
+        }
+
+    def _choose_relays(self, instance: str) -> list[Member]:
+        known = self._fleet.instances.get(instance)
+        zone = known.record.zone if known else ""
+        return self.paths.choose_relays(instance, zone, self._list_members(), _now())
+
+    def _list_ways(self, instance: str, address: Address, relays: Sequence[Member]) -> list[Way]:
+        """Return the ways to try in turn; a direct path that is cut comes last."""
+        direct = functools.partial(self._pool.connect_directly, instance, address)
+        through = [functools.partial(self._connect_through, item, instance) for item in relays]
+        if self.paths.is_cut(instance):
+            return [Way(NEXT_RELAY_SECONDS, way) for way in (*through, direct)]
+        first, *others = through
+        return [
+            Way(0.0, direct),
+            Way(RELAY_DELAY_SECONDS, first),
+            *(Way(NEXT_RELAY_SECONDS, way) for way in others),
+        ]
+
+    async def _connect_through(self, relay: Member, instance: str) -> UpstreamConnection:
+        reached = False
+        try:
+            connection = await dial_through(self._local_member.ip, (relay.ip, self._port), instance)
+            reached = True
+        finally:
+            self.paths.note_relay(relay.host, instance, reached, _now())
+        connection.relay = relay.host
+        return connection
+
+    def _note_way(self, instance: str, connection: UpstreamConnection) -> None:
+        if not connection.relay:
+            self._note_direct(instance)
+            return
+        self._metrics.count("upstream_relayed_connections_total", relay=connection.relay)
+        if self.paths.note_relayed(instance, connection.relay, _now()):
+            log_event("upstream path lost", instance=instance, relay=connection.relay)
+            self._pool.close_idle_connections(instance)
+
+    def _note_direct(self, instance: str) -> None:
+        cut = self.paths.note_direct(instance)
+        if cut is not None:
+            seconds = round(_now() - cut.since, 2)
+            log_event("upstream path restored", instance=instance, seconds=seconds)
+            self._pool.close_idle_relayed(instance)
+
+    def _is_member(self, host: str) -> bool:
+        return any(item.host == host for item in self._list_members())
+
+    # Checks.
+
+    def _list_cut(self) -> list[str]:
+        """Return the instances whose cut path is due for a check, the longest unchecked first."""
+        return self._list_due(list(self.paths.cuts))
+
+    def _list_suspects(self) -> list[str]:
+        """Return the instances whose path may be cut, and all of them once one is."""
+        if self.paths.cuts:
+            names = list(self._fleet.instances)
+        else:
+            names = [*self.paths.suspects, *self._pool.list_silent(_now(), SILENT_SECONDS)]
+        return self._list_due([name for name in names if not self.paths.is_cut(name)])
+
+    def _list_due(self, names: Sequence[str]) -> list[str]:
+        now = _now()
+        checked_at = {name: self._checked_at.get(name, float("-inf")) for name in names}
+        due = [name for name in names if now - checked_at[name] >= RECHECK_SECONDS]
+        return sorted(due, key=lambda name: checked_at[name])
+
+    async def _check(self, name: str) -> None:
+        """Connect to an instance, and keep the connection for the next request."""
+        instance = self._fleet.instances.get(name)
+        if instance is None or instance.leaving:
+            return
+        self._checked_at[name] = _now()
+        try:
+            if self.paths.is_cut(name):
+                await self._check_direct(instance)
+            else:
+                await self._pool.probe(name, instance.record.address)
+        except UpstreamUnreachedError as error:
+            self._pool.on_unreached(name, error)
+
+    async def _check_direct(self, instance: Instance) -> None:
+        connection = await self._pool.connect_directly(instance.name, instance.record.address)
+        self._pool.keep(instance.name, connection)
+        self._note_direct(instance.name)
+
+
+def _is_refused(errors: Sequence[UpstreamUnreachedError]) -> bool:
+    """Return whether the instance's address refuses connections.
+
+    A refusal of this host's own connection may be the cut, so that peers decide if any answered.
+    """
+    verdicts = [error for error in errors if isinstance(error, RelayRefusedError)]
+    if verdicts:
+        return any(error.refused for error in verdicts)
+    return any(error.refused for error in errors)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -122,6 +122,8 @@
     """
     instance = plan.instance
     async with pool.acquire(instance.name, instance.record.address) as connection:
+        if connection.relay:
+            ctx.note(f"through {connection.relay}")
         # The instance may have started to drain while the connection was established.
         if instance.leaving:
             raise UpstreamLeavingError(f"{instance.name} is draining")
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -93,8 +93,12 @@
         self.crash_detector = self.guard.detector
         self.guard.is_last = self._is_last
         self.conditions = UpstreamConditionTable(fleet, metrics)
-        self.pool.on_answer = self.conditions.record_answer
-        self.pool.on_unreached = self._count_unreached
+        # For orders to engines, which must arrive from the host that holds the lease: no peer
+        # relays its connections.
+        self.direct_pool = ConnectionPool()
+        for pool in (self.pool, self.direct_pool):
+            pool.on_answer = self.conditions.record_answer
+            pool.on_unreached = self._count_unreached
         self.permits: RateLimiter = NoRateLimits()
         fleet.on_replaced = self._end_incarnation
         fleet.on_removed = self.crash_detector.note_unlisted
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -10,6 +10,7 @@
 from swifttrestle.internal.coordination.discovery import Discovery
 from swifttrestle.internal.coordination.duties import Duties
 from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.coordination.relaying import Relaying
 from swifttrestle.internal.event_log import WRITER
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.pages import Page, PageHandler
@@ -35,6 +36,7 @@
         discovery: Discovery,
         duties: Duties,
         store: ObjectStore,
+        relaying: Relaying,
     ) -> None:
         """Serve the state of these components."""
         self._host = host
@@ -45,6 +47,7 @@
         self._discovery = discovery
         self._duties = duties
         self._store = store
+        self._relaying = relaying
         self._add_gauges()
 
     def make_handler(self) -> PageHandler:
@@ -70,6 +73,8 @@
             "store": self._store.epochs.describe(),
             "instances": describe_fleet(self._state.fleet),
             "conditions": self._state.conditions.describe(_now()),
+            "cut_paths": self._relaying.own.describe(_now()),
+            "relayed_for_peers": self._relaying.server.open,
             "duties": self._duties.describe(),
             "quarantine": describe_quarantine(self._state.guard.quarantine, _now()),
         }
@@ -99,6 +104,16 @@
                 "Requests that are kept from upstreams, or were until a while ago",
                 lambda: len(self._state.guard.quarantine.list_quarantined()),
             ),
+            (
+                "upstream_paths_cut",
+                "Upstreams that this host reaches through peers alone",
+                lambda: len(self._relaying.own.paths.cuts),
+            ),
+            (
+                "peer_relays_open",
+                "Connections to upstreams that this host relays for peers",
+                lambda: self._relaying.server.open,
+            ),
             ("store_epoch", "Epoch of the object store", lambda: self._store.epochs.current),
             (
                 "store_returns",
--- a/src/swifttrestle/internal/transport/dialer.py
+++ b/src/swifttrestle/internal/transport/dialer.py
@@ -39,11 +39,11 @@
             ) from None
         sock = transport.get_extra_info("socket")
         with contextlib.suppress(OSError):
-            _set_tcp_timeouts(sock, self._unacknowledged_ms)
+            set_tcp_timeouts(sock, self._unacknowledged_ms)
         return protocol
 
 
-def _set_tcp_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
+def set_tcp_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
     """Have the kernel break a connection whose other end no longer responds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -4,7 +4,7 @@
 import contextlib
 import functools
 from collections import defaultdict, deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 from swifttrestle.errors import UpstreamUnreachedError
@@ -23,6 +23,13 @@
 DEFAULT_IDLE_SECONDS = 4.0
 
 
+Connect = Callable[[str, Address], Awaitable[UpstreamConnection]]
+
+
+def _allow(_: str) -> bool:
+    return True
+
+
 @dataclass(frozen=True)
 class CallTimeouts:
     """Timeouts of a call in seconds: until the response's head, and between bytes of its body.
@@ -43,6 +50,10 @@
     def __init__(self, unacknowledged_ms: int = UNACKNOWLEDGED_MS) -> None:
         """Break connections whose data stays unacknowledged for `unacknowledged_ms`."""
         self.dialer = Dialer(unacknowledged_ms)
+        # Connects to an instance at an address; raises UpstreamUnreachedError.
+        self.connect: Connect = self.connect_directly
+        # Returns whether connections that a peer relays may still be used.
+        self.may_use_relay: Callable[[str], bool] = _allow
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._in_use: dict[str, set[UpstreamConnection]] = defaultdict(set)
         self._next_drop_at = float("-inf")
@@ -90,6 +101,35 @@
         for connection in self._idle.pop(instance, ()):
             connection.close()
 
+    def close_idle_relayed(self, instance: str) -> None:
+        """Close the idle connections to an instance that peers relay."""
+        for connection in self._idle.get(instance, ()):
+            if connection.relay:
+                connection.close()
+
+    def close_idle_through_lost(self) -> None:
+        """Close the idle connections whose peers may no longer be used."""
+        for idle in self._idle.values():
+            for connection in idle:
+                if connection.relay and not self.may_use_relay(connection.relay):
+                    connection.close()
+
+    def list_silent(self, now: float, seconds: float) -> list[str]:
+        """Return the instances all of whose open requests have got no byte for `seconds`."""
+        return [
+            instance
+            for instance, connections in self._in_use.items()
+            if connections
+            and all(item.count_silent_seconds(now) >= seconds for item in connections)
+        ]
+
+    def keep(self, instance: str, connection: UpstreamConnection) -> None:
+        """Keep an unused connection for the next request."""
+        connection.claimed = True
+        now = asyncio.get_running_loop().time()
+        connection.idle_until = now + DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
+        self._idle[instance].append(connection)
+
     def abort_all(self, instance: str) -> None:
         """Close all connections to an instance that has ended, including those in use."""
         self.close_idle_connections(instance)
@@ -101,10 +141,7 @@
 
         Raises UpstreamUnreachedError, whose `refused` is true if the connection was refused.
         """
-        connection = await self._connect(instance, address)
-        now = asyncio.get_running_loop().time()
-        connection.idle_until = now + DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
-        self._idle[instance].append(connection)
+        self.keep(instance, await self._connect(instance, address))
 
     def _discard_in_use(self, instance: str, connection: UpstreamConnection) -> None:
         in_use = self._in_use[instance]
@@ -126,21 +163,31 @@
         idle = self._idle[instance]
         while idle:
             connection = idle.pop()
-            if connection.usable and now < connection.idle_until:
+            if self._may_reuse(connection, now):
                 connection.idle_until = 0.0
                 return connection
             connection.close()
         return None
 
+    def _may_reuse(self, connection: UpstreamConnection, now: float) -> bool:
+        if connection.relay and not self.may_use_relay(connection.relay):
+            return False
+        return connection.usable and now < connection.idle_until
+
     async def _connect(self, instance: str, address: Address) -> UpstreamConnection:
         try:
-            connection = await self.dialer.dial(address)
+            connection = await self.connect(instance, address)
         except UpstreamUnreachedError as error:
             self.on_unreached(instance, error)
             raise
+        connection.claimed = True
         self.opened += 1
         return connection
 
+    async def connect_directly(self, _: str, address: Address) -> UpstreamConnection:
+        """Connect without a peer between; raise UpstreamUnreachedError."""
+        return await self.dialer.dial(address)
+
 
 async def call_once(
     pool: ConnectionPool,
--- /dev/null
+++ b/src/swifttrestle/internal/transport/relay.py
@@ -0,0 +1,157 @@
+"""Connections to upstreams through a peer: both ends, and the peer that copies the bytes."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from swifttrestle.codes import Code
+from swifttrestle.errors import FrameError, RelayRefusedError, UpstreamUnreachedError
+from swifttrestle.internal.protocol.relays import (
+    MAX_REPLY_BYTES,
+    read_relay_reply,
+    write_relay_request,
+)
+from swifttrestle.internal.transport.dialer import UNACKNOWLEDGED_MS, set_tcp_timeouts
+from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
+
+# SO_LINGER with which a close resets the connection instead of ending it in order.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class _Handshake(asyncio.Protocol):
+    """Waits for a peer's reply; then the connection is an upstream's."""
+
+    def __init__(self, instance: str) -> None:
+        self.connection: asyncio.Future[UpstreamConnection] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._instance = instance
+        self._transport: asyncio.Transport | None = None
+        self._received = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.write(write_relay_request(self._instance))
+
+    def data_received(self, data: bytes) -> None:
+        """Read the reply, and hand the connection over after a positive one."""
+        self._received += data
+        line, newline, rest = self._received.partition(b"\n")
+        if not newline and len(line) <= MAX_REPLY_BYTES:
+            return
+        try:
+            code = read_relay_reply(line)
+        except FrameError as error:
+            self._fail(UpstreamUnreachedError(str(error), refused=False))
+            return
+        if code is not Code.OK or rest:
+            self._fail(RelayRefusedError(self._instance, code))
+            return
+        self._hand_over()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail if no reply has come."""
+        message = f"the relay for {self._instance} closed the connection: {error}"
+        self._fail(UpstreamUnreachedError(message, refused=False))
+
+    def _hand_over(self) -> None:
+        assert self._transport is not None
+        connection = UpstreamConnection()
+        connection.connection_made(self._transport)
+        self._transport.set_protocol(connection)
+        if self.connection.done():
+            connection.close()
+        else:
+            self.connection.set_result(connection)
+
+    def _fail(self, error: UpstreamUnreachedError) -> None:
+        if not self.connection.done():
+            self.connection.set_exception(error)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def dial_through(ip: str, relay: Address, instance: str) -> UpstreamConnection:
+    """Connect to an instance through the peer at `relay`, from this host's address `ip`.
+
+    Raises UpstreamUnreachedError, whose `refused` is true if the instance refused the peer.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        transport, handshake = await loop.create_connection(
+            lambda: _Handshake(instance), *relay, local_addr=(ip, 0)
+        )
+    except OSError as error:
+        raise UpstreamUnreachedError(
+            f"cannot connect to the relay {relay[0]}: {error!r}", refused=False
+        ) from None
+    with contextlib.suppress(OSError):
+        set_tcp_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_MS)
+    try:
+        return await handshake.connection
+    except BaseException:
+        transport.abort()
+        raise
+
+
+class RelayedPair:
+    """Two connections whose bytes are copied to each other until either ends."""
+
+    def __init__(self, caller: asyncio.Transport, upstream: asyncio.Transport) -> None:
+        """Copy between a peer's connection and an upstream's."""
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._transports = (caller, upstream)
+        caller.set_protocol(_Side(self, upstream))
+        upstream.set_protocol(_Side(self, caller))
+
+    def close(self) -> None:
+        """Reset both connections."""
+        for transport in self._transports:
+            reset_connection(transport)
+
+    def note_ended(self) -> None:
+        """Record that one of the connections has ended."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
+class _Side(asyncio.Protocol):
+    """Receives on one connection of a pair and sends on the other."""
+
+    def __init__(self, pair: RelayedPair, other: asyncio.Transport) -> None:
+        self._pair = pair
+        self._other = other
+
+    def data_received(self, data: bytes) -> None:
+        """Send the bytes on."""
+        self._other.write(data)
+
+    def pause_writing(self) -> None:
+        """Stop reading the other connection, since this one does not take its bytes."""
+        with contextlib.suppress(RuntimeError):
+            self._other.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read the other connection again."""
+        with contextlib.suppress(RuntimeError):
+            self._other.resume_reading()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the other connection in the same way: in order, or by a reset."""
+        if error is None:
+            self._other.close()
+        else:
+            reset_connection(self._other)
+        self._pair.note_ended()
+
+
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that its other end does not take what it got for complete."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -59,6 +59,11 @@
         self._received = False
         self.reusable = True
         self.idle_until = 0.0
+        # The peer that relays this connection; empty if it is direct.
+        self.relay = ""
+        # Whether it has been handed to its user.
+        self.claimed = False
+        self._received_at = 0.0
         # Called with each response head and the event loop's time at which its request was sent.
         self.on_head: Callable[[ResponseHead, float], None] = do_nothing
 
@@ -72,6 +77,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request awaits them."""
         self._received = True
+        self._received_at = asyncio.get_running_loop().time()
         if self._head is None and self._body is None:
             self._fail(UpstreamBrokenError("bytes received without a request", sent=True))
             return
@@ -208,6 +214,10 @@
         waited = asyncio.get_running_loop().time() - self._sent_at
         return self._exchanges > 1 and not self._received and waited >= SILENT_SECONDS
 
+    def count_silent_seconds(self, now: float) -> float:
+        """Return for how long nothing was received since the request was sent."""
+        return now - max(self._sent_at, self._received_at)
+
     def close(self) -> None:
         """Abort the connection, by which the upstream detects that the request is abandoned."""
         self.reusable = False
--- a/src/swifttrestle_standins/hosted/cuts.py
+++ b/src/swifttrestle_standins/hosted/cuts.py
@@ -35,6 +35,10 @@
         """Return the wrapped transport's information."""
         return self._inner.get_extra_info(name, default)
 
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """Pass received bytes to another protocol."""
+        self._inner.set_protocol(protocol)
+
     def is_closing(self) -> bool:
         """Return whether the connection is closing."""
         return self._inner.is_closing()
--- a/tests/hosted/test_cut_hosts.py
+++ b/tests/hosted/test_cut_hosts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swifttrestle_standins.hosted.cuts import Cut
+from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
 from tests.common.http import RawCaller, ask, write_request
 from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs, on_built
@@ -91,7 +92,10 @@
 
 
 async def build_fleet():
-    return await build_site(gateways=4, engines=("prefill", "decode", "decode"), plain=3)
+    site = await build_site(gateways=4, engines=("prefill", "decode", "decode"), plain=3)
+    for running in site.gateways.values():
+        await wait_until(lambda g=running.gateway: len(g.live_hosts()) == 4, "all hosts known")
+    return site
 
 
 @pytest.mark.parametrize("cut", list(Cut), ids=lambda cut: cut.name.lower())
--- a/tests/hosted/test_slow_links.py
+++ b/tests/hosted/test_slow_links.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swifttrestle.internal.coordination.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.peer_listener import PeerListener
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.loopback import pick_ip, pick_port
 from swifttrestle_standins.pieces import cut_pieces
@@ -55,12 +56,13 @@
         await wait_until(lambda: watcher.version == version, "version in force")
         return
     port = pick_port(pick_ip(0))
-    serving = ConfigurationExchange(pick_ip(1), port, watcher)
+    serving = PeerListener(pick_ip(1), port)
+    ConfigurationExchange(serving, port, watcher)
     link = SlowLink(pick_ip(2), port, pick_ip(1))
     await serving.open()
     await link.open()
     fetched = FetchingWatcher()
-    asking = ConfigurationExchange(pick_ip(3), port, fetched)
+    asking = ConfigurationExchange(PeerListener(pick_ip(3), port), port, fetched)
     asking.fetch_later("peer", pick_ip(2), watcher.version)
     try:
         await wait_until(lambda: fetched.received or asking._fetching.done(), "the fetch's end")
