--- a/tests/hosted/test_upstreams_given_up_too_soon.py
+++ b/tests/hosted/test_upstreams_given_up_too_soon.py
@@ -202,6 +202,8 @@
     runner = await find_runner(site, "v1")
     await asyncio.sleep(0.5)
     other = "e1" if runner.instance == "e2" else "e2"
+    # The host has no connection to it, and cannot open one in that time.
+    site.gateways["g0"].gateway._state.pool.close_idle_connections(other)
     await silence_kernel(site, other)
     answer = await asking
     assert (answer.status, answer.whole, answer.body) == (200, True, make_stream("v1"))
