--- a/tests/hosted/test_requests_without_any_answer.py
+++ b/tests/hosted/test_requests_without_any_answer.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+import os
 
 import pytest
 
+from swifttrestle.internal import event_log
+from swifttrestle.internal.event_log import LineWriter
 from swifttrestle_standins.hosted.site import make_route
 from tests.common.http import RawCaller, write_request
 from tests.hosted.sites import SHORT, address_of, build_site, on_built, on_site, wait_in_force
@@ -34,6 +37,25 @@
     run()
 
 
+def test_a_request_with_a_number_that_the_log_cannot_hold_gets_an_answer(monkeypatch):
+    writer = LineWriter(os.open(os.devnull, os.O_WRONLY))
+    writer.start("g0")
+    monkeypatch.setattr(event_log, "WRITER", writer)
+
+    @on_site()
+    async def run(site):
+        caller = await RawCaller.connect(address_of(site))
+        caller.send(write_request("/card/a", "k1", method="GET", X_Token_Usage="9" * 20 + ",1"))
+        answer = await caller.read_answer()
+        # The same connection goes on.
+        caller.send(write_request("/card/a", "k2", method="GET"))
+        second = await caller.read_answer()
+        caller.close()
+        assert (answer.status, second.status) == (200, 200)
+
+    run()
+
+
 async def send_slowly(site, number, size):
     """Send a request with a body in ten parts, 5 ms apart; return the status of its answer."""
     caller = await RawCaller.connect(address_of(site))
@@ -59,7 +81,7 @@
     run()
 
 
-@on_built(lambda: build_site())
+@on_built(build_site)
 async def test_a_pipelined_request_gets_an_answer_though_the_idle_connections_are_closed(site):
     for name in ("s0", "s1"):
         site.upstreams[name].seconds = 0.5
--- a/tests/hosted/test_upstreams_given_up_too_soon.py
+++ b/tests/hosted/test_upstreams_given_up_too_soon.py
@@ -167,9 +167,7 @@
 @on_built(lambda: build_silent_site(engines=("prefill", "decode")))
 async def test_streams_are_whole_though_the_other_engine_has_a_rate_limit(site):
     site.upstreams["e1"].script.steps.extend(["pause"] * 4)
-    asking = [
-        start(site, "/verdict/a", f"v{number}", X_Token_Usage=SHORT) for number in range(4)
-    ]
+    asking = [start(site, "/verdict/a", f"v{number}", X_Token_Usage=SHORT) for number in range(4)]
     await wait_until(lambda: len(site.upstreams["e1"].arrivals) == 4, "all at e1")
     other = await site.add_upstream(StandInEngine("e2", "model", "hall-a", "decode"))
     other.extra_headers = LIMIT
@@ -312,3 +310,37 @@
     assert (answer.status, answer.whole) == (200, True)
     budget = site.gateways["g0"].gateway._budgets.find("alerts")
     assert budget.count_repeats(asyncio.get_running_loop().time()) == 0
+
+
+# Several streams of one engine, and the other one refuses for longer.
+
+
+@on_built(build_silent_site)
+async def test_streams_go_on_at_their_engine_though_the_other_one_keeps_refusing(site):
+    runner, other = site.upstreams["e1"], site.upstreams["e2"]
+    site.unlist_upstream(other)
+    gateway = site.gateways["g0"].gateway
+    await wait_until(lambda: not gateway.knows_instance("e2"), "e2 unlisted")
+    runner.script.steps.extend(["pause"] * 4)
+    started = asyncio.get_running_loop().time()
+    asking = [start(site, "/verdict/a", f"v{number}", X_Token_Usage=SHORT) for number in range(4)]
+    await wait_until(lambda: len(runner.arrivals) == 4, "all at e1")
+    other.script.steps.extend(["busy"] * 1000)
+    site.list_upstream(other)
+    await wait_until(lambda: gateway.knows_instance("e2"), "e2 listed")
+    answers = await asyncio.gather(*asking)
+    seconds = asyncio.get_running_loop().time() - started
+    assert [(answer.status, answer.whole) for answer in answers] == [(200, True)] * 4
+    # Callers give up a stream after a gap of 2 s; the engine went on after 1.3 s.
+    assert seconds < 2.2
+
+
+@on_built(build_silent_site)
+async def test_one_broken_stream_does_not_use_up_the_retry_budget(site):
+    share_script(site, "e", "cut", *["busy"] * 1000)
+    asking = start(site, "/verdict/a", "v1", X_Token_Usage=SHORT)
+    # Callers give up a stream after a gap of 2 s.
+    await asyncio.wait((asking,), timeout=2.5)
+    arrivals = sum(len(site.upstreams[name].arrivals) for name in ("e1", "e2"))
+    assert asking.done()
+    assert arrivals <= 8
