--- a/tests/hosted/test_upstreams_given_up_too_soon.py
+++ b/tests/hosted/test_upstreams_given_up_too_soon.py
@@ -12,7 +12,9 @@
 
 import pytest
 
-from swifttrestle.internal.transport.messages import Framing
+from swifttrestle.internal.state.crash_records import Crash, CrashRecord
+from swifttrestle.internal.state.request_fingerprints import fingerprint_request
+from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
 from swifttrestle_standins.hosted.site import make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import (
     SIGNATURE,
@@ -344,3 +346,22 @@
     arrivals = sum(len(site.upstreams[name].arrivals) for name in ("e1", "e2"))
     assert asking.done()
     assert arrivals <= 8
+
+
+# The request is quarantined meanwhile, so that no other upstream may run it.
+
+
+@on_built(build_silent_site)
+async def test_a_plain_answer_arrives_though_its_request_is_quarantined_meanwhile(site):
+    share_script(site, "s", "pause")
+    asking = start(site, "/card/a", "k1", method="GET")
+    await find_runner(site, "k1")
+    await asyncio.sleep(0.5)
+    head = RequestHead(b"GET", b"/card/a", ((b"Host", b"site.example"),), Framing.NONE)
+    fingerprint = fingerprint_request(head, "", Body.from_bytes(b""))
+    now = asyncio.get_running_loop().time()
+    crashes = (Crash("s8", now - 0.1), Crash("s9", now))
+    guard = site.gateways["g0"].gateway._state.guard
+    assert guard.merge_crash_records([CrashRecord(fingerprint, crashes)], "peer")
+    answer = await asking
+    assert (answer.status, answer.body) == (200, make_content("k1"))
