A reserved retry is given back where the silent upstream answers after all

What callers saw: a second answer's bytes inside the body of the first one, where an upstream's head and the end of its silence came in one turn of the event loop (a host that had stood still) and the answer broke later. Change: the limit calls back where the wait ended in time; the reservation names its budget and is returned; it replaces only the budget's take, no other check.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
+from swifttrestle.internal.policy.retry_window import WindowedRetryBudget
 from swifttrestle.internal.state.declared import RetrySafety, Route, ServiceDeclaration, Workspace
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.request_fingerprints import (
@@ -50,8 +51,8 @@
     steps: list[str] = field(default_factory=list)
     # Expiry of rate limit permits in the loop's time, by instance.
     permits: dict[str, float] = field(default_factory=dict)
-    # Whether the next attempt was taken from the retry budget when the last one was given up.
-    retry_reserved: bool = False
+    # The budget from which the next attempt was taken when the last one was given up.
+    _reserved_from: WindowedRetryBudget | None = None
     # Whether this request is the trial of a quarantined one.
     is_trial: bool = False
     # The instance at which the request was open when it was cancelled.
@@ -118,15 +119,23 @@
         if self.on_first_byte is not None:
             self.on_first_byte()
 
-    def reserve_retry(self, taken: bool) -> bool:
-        """Record whether a retry was taken from the budget before its attempt; return that."""
-        self.retry_reserved = taken
-        return taken
+    def reserve_retry(self, budget: WindowedRetryBudget) -> bool:
+        """Take the next attempt from a retry budget already; return whether that is allowed."""
+        if not budget.take(asyncio.get_running_loop().time()):
+            return False
+        self._reserved_from = budget
+        return True
 
     def use_reserved_retry(self) -> bool:
-        """Return whether the next attempt has its retry already, and use that up."""
-        reserved, self.retry_reserved = self.retry_reserved, False
-        return reserved
+        """Return whether the next attempt was taken from the budget, and use that up."""
+        reserved, self._reserved_from = self._reserved_from, None
+        return reserved is not None
+
+    def withdraw_retry(self) -> None:
+        """Give a reserved attempt back, since the last one goes on."""
+        if self._reserved_from is not None:
+            self._reserved_from.give_back()
+            self._reserved_from = None
 
     def note(self, step: str) -> None:
         """Add a decision, with the request's age in milliseconds, to its log line."""
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -322,7 +322,7 @@
         excluded = ctx.excluded | {decoder.name}
         if pick_decode_engine(engines, self._state.zone, excluded, now, urgent=ctx.urgent) is None:
             return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
 
     async def _attempt_decode(
         self,
@@ -333,7 +333,7 @@
         fetch_from: tuple[str, int] | None,
     ) -> None:
         may_give_up = functools.partial(self._reserve_replacement, ctx, decoder)
-        relay.silence = SilenceLimit(self._max_event_gap(ctx), may_give_up)
+        relay.silence = SilenceLimit(self._max_event_gap(ctx), may_give_up, ctx.withdraw_retry)
         forwarding = ForwardingHeaders(
             decoder.record.instance,
             ctx.seconds_left,
@@ -343,7 +343,9 @@
             fetch_from=fetch_from,
         )
         started_at = asyncio.get_running_loop().time()
-        head_silence = SilenceLimit(ctx.seconds_left * FIRST_TOKEN_SHARE, may_give_up)
+        head_silence = SilenceLimit(
+            ctx.seconds_left * FIRST_TOKEN_SHARE, may_give_up, ctx.withdraw_retry
+        )
         plan = AttemptPlan(decoder, forwarding, head_silence)
         async with self._state.attempt(ctx, decoder):
             await make_attempt(ctx, self._state.pool, plan, relay)
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -47,7 +47,7 @@
         budget_charged = False
         while True:
             instance = self._choose(ctx, loop.time())
-            if instance is None or not (budget_charged or self._may_attempt(ctx, loop.time())):
+            if instance is None or not self._may_attempt(ctx, loop.time(), budget_charged):
                 raise self._refuse(ctx, last_reason, loop.time())
             ctx.note(f"to {instance.name} open={instance.total.requests}")
             try:
@@ -86,7 +86,8 @@
         usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
         return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
 
-    def _may_attempt(self, ctx: Context, now: float) -> bool:
+    def _may_attempt(self, ctx: Context, now: float, charged: bool) -> bool:
+        """Return whether another attempt may be made; `charged` if its retry was taken already."""
         if ctx.sent_attempts == 0:
             return True
         if ctx.may_have_run and not ctx.repeatable:
@@ -95,7 +96,7 @@
             return False
         if ctx.sent_attempts - ctx.runs >= MAX_REJECTIONS or ctx.reply.started:
             return False
-        return self._state.budgets.find(ctx.service.name).take(now)
+        return charged or self._state.budgets.find(ctx.service.name).take(now)
 
     def _reserve_replacement(self, ctx: Context, instance: Instance) -> bool:
         """Return whether another instance takes over from a silent one, and reserve its retry."""
@@ -106,13 +107,14 @@
         excluded = ctx.excluded | {instance.name}
         if pick_plain_instance(usable, self._state.zone, excluded, now, self._state.rng) is None:
             return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
 
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
         is_last = ctx.runs + 1 >= ctx.route.max_attempts or not ctx.repeatable
         silence = SilenceLimit(
             ctx.seconds_left * FIRST_ATTEMPT_SHARE,
             functools.partial(self._reserve_replacement, ctx, instance),
+            ctx.withdraw_retry,
         )
         now = asyncio.get_running_loop().time()
         may_retry = not is_last and self._state.budgets.find(ctx.service.name).allows(now)
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -99,6 +99,7 @@
         silence = SilenceLimit(
             max(MIN_PREFILL_TIMEOUT_SECONDS, PREFILL_TIMEOUT_FACTOR * expected),
             functools.partial(self._reserve_replacement, ctx, reader),
+            ctx.withdraw_retry,
         )
         try:
             await self._state.permits.reserve(ctx, reader, booking.decoder)
@@ -159,7 +160,7 @@
         ]
         if not others:
             return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name).take(now))
+        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
 
     async def _request_prefill(
         self, ctx: Context, booking: Booking, silence: SilenceLimit
--- a/src/swifttrestle/internal/policy/retry_window.py
+++ b/src/swifttrestle/internal/policy/retry_window.py
@@ -50,6 +50,11 @@
         self._repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Return the newest repeat that was taken, since it was not made."""
+        if self._repeats:
+            self._repeats.pop()
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and now - times[0] > self._window:
