A connection that was never made is no attempt of its request

What callers saw: 503 after 0.3 s from a stream that may run once, and after 0.6 s from a plain request, although another upstream was sound. Cause: an upstream that could not be reached counted as a run (engines) or as a rejection (plain), which used up the route's attempts and the retry budget. Change: nothing was sent, so the next upstream is tried as after a refused permit; the one that failed is left out, so that this ends.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -11,6 +11,7 @@
     UpstreamBusyError,
     UpstreamHeldError,
     UpstreamLeavingError,
+    UpstreamUnreachedError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.booking import Booker
@@ -231,14 +232,18 @@
                     if decoder is booking.decoder:
                         use.outcome = outcome
                     reason = str(error)
-                    if isinstance(error, UpstreamBrokenError):
+                    sent = not isinstance(error, UpstreamUnreachedError)
+                    if isinstance(error, UpstreamBrokenError) and error.sent:
                         ctx.runs += 1
                         # The failed attempt has consumed the handle.
-                        if error.sent:
-                            self._prefiller.free(booking.reader, handle)
-                            source, handle = "", None
+                        self._prefiller.free(booking.reader, handle)
+                        source, handle = "", None
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
+                if not sent:
+                    # Nothing reached an engine, so the next one is no repeat.
+                    decoder = self._pick_decode_engine(ctx, reason, _now())
+                    continue
                 decoder = await self._replace_decoder(ctx, relay, reason, attempt)
                 attempt += 1
         finally:
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -11,6 +11,7 @@
     UpstreamBusyError,
     UpstreamHeldError,
     UpstreamLeavingError,
+    UpstreamUnreachedError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.context import Context
@@ -59,6 +60,15 @@
                 last_reason = str(error)
                 ctx.note(last_reason)
                 continue
+            except UpstreamUnreachedError as error:
+                # Nothing was sent, so the next attempt is no repeat.
+                ctx.sent_attempts -= 1
+                budget_charged = True
+                last_reason = str(error)
+                self._note_broken(ctx, instance, error)
+                ctx.note(last_reason)
+                ctx.excluded.add(instance.name)
+                continue
             except UpstreamLeavingError as error:
                 self._state.remove_replaced(instance)
                 last_reason = str(error)
