A connection outlives a machine that acknowledges nothing for 1.5 s

What callers saw: 502 after 3.08 s from a long run whose machine had been silent from 0.9 to 2.1 s and was back. Change: 4 s, so that three probes go out and one meets a machine that is back.

--- a/src/swifttrestle/internal/transport/dialer.py
+++ b/src/swifttrestle/internal/transport/dialer.py
@@ -11,12 +11,13 @@
 # instead.
 CONNECT_TIMEOUT_SECONDS = 0.3
 # TCP keepalive: idle time before the first probe and between probes, and the number of probes
-# without a response after which the kernel breaks the connection. A silent connection ends within
-# three seconds.
+# without a response after which the kernel breaks the connection.
 KEEPALIVE_SECONDS = 1
-KEEPALIVE_PROBES = 2
-# Time for which sent data may stay unacknowledged before the kernel breaks the connection.
-UNACKNOWLEDGED_MS = 3000
+KEEPALIVE_PROBES = 3
+# Time for which sent data, or probes, may stay unacknowledged before the kernel breaks the
+# connection. It overrides the number of probes, and covers three of them: an upstream whose
+# machine is silent for 1.5 s misses two.
+UNACKNOWLEDGED_MS = 4000
 
 
 class Dialer:
