A stream that nobody continues ends when its caller stops waiting

What callers saw: one broken stream made some 25 attempts in 2.5 s and had not ended, at the cost of the service's retry budget. Change: the time counts from the last event that went to the caller, for as long as a caller waits for the next; the pauses between the attempts double.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -43,8 +43,8 @@
 
 # Maximum decode attempts of one request before its answer begins, the first one included.
 MAX_DECODE_ATTEMPTS = 3
-# Seconds between two attempts to continue an answer that has begun.
-RESUME_INTERVAL_SECONDS = 0.2
+# Seconds until engines that refused to continue an answer are tried again; doubles each time.
+FIRST_RESUME_SECONDS = 0.2
 # Maximum bookings of one request whose engines turn out to accept no requests.
 MAX_HELD_BOOKINGS = 8
 # Share of the time to the deadline that a repeatable request waits at an engine for its first
@@ -283,16 +283,18 @@
     ) -> Instance:
         """Return another engine to continue the answer; raise RefusedError if none may.
 
-        An answer that has begun waits for an engine for as long as its caller does.
+        An answer that has begun waits for an engine for as long as its caller waits for an event.
         """
-        give_up_at = _now() + (self._max_event_gap(ctx) if relay.started else 0.0)
+        give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
         while True:
             try:
                 return self._find_replacement(ctx, relay, reason, attempt)
             except RefusedError:
-                if not self._may_repeat(ctx) or _now() >= give_up_at:
+                seconds = FIRST_RESUME_SECONDS * 2**relay.resumes
+                if not self._may_repeat(ctx) or _now() + seconds >= give_up_at:
                     raise
-            await asyncio.sleep(RESUME_INTERVAL_SECONDS)
+            relay.resumes += 1
+            await asyncio.sleep(seconds)
             # Engines that failed or refused may have recovered.
             ctx.excluded.clear()
 
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -1,5 +1,7 @@
 """Relays event streams to callers, and resumes broken ones at another upstream."""
 
+import asyncio
+
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
@@ -25,11 +27,16 @@
         self.last_event: bytes | None = None
         self.events = 0
         self.started = False
+        # The event loop's time of the last bytes that went to the caller.
+        self.progress_at = float("-inf")
+        # Attempts to continue the answer since then.
+        self.resumes = 0
 
     async def relay(self, ctx: Context, head: ResponseHead, body: Body) -> None:
         """Relay one upstream's stream to its end; raise UpstreamBrokenError if it is cut."""
         if not self.started:
             self.started = True
+            self._note_progress()
             await ctx.reply.start(
                 head.status, strip_answer_headers(head.headers), Framing.CHUNKED, 0
             )
@@ -51,12 +58,17 @@
                 pending = pending[end + len(_END_OF_EVENT) :]
                 self._record_ids(complete_events)
                 ctx.note_first_byte()
+                self._note_progress()
                 await ctx.reply.send(complete_events)
         if pending:
             raise UpstreamBrokenError(
                 f"the stream ended with {len(pending)} bytes of an incomplete event", sent=True
             )
 
+    def _note_progress(self) -> None:
+        self.progress_at = asyncio.get_running_loop().time()
+        self.resumes = 0
+
     def _record_ids(self, complete_events: bytes) -> None:
         for line in complete_events.split(b"\n"):
             if line.startswith(_ID_FIELD):
