A stream that has begun stays with an engine that can be reached

What callers saw: streams reset after 1.3 to 3.5 s, although their engine had gone on after 1.3 s: the other engine refused, had a rate limit, or was silent itself, and the first one had been left before that was known. Cause: silence alone ended the attempt. Asking first whether another engine may take over does not tell whether it will. An engine that accepts none (limit, unreached) is replaced with the same patience as one that refuses. Before the first event, no reservation goes beyond the attempts allowed.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -217,7 +217,7 @@
             attempt = 0
             while True:
                 try:
-                    await self._attempt_decode(ctx, decoder, source, relay, fetch_from)
+                    await self._attempt_decode(ctx, decoder, source, relay, fetch_from, attempt)
                     source = ""
                     if decoder is booking.decoder:
                         use.outcome = Outcome.DONE
@@ -225,7 +225,7 @@
                 except UpstreamHeldError as error:
                     # Nothing was sent, so the next engine does not count as a repeat.
                     ctx.note(str(error))
-                    decoder = self._pick_decode_engine(ctx, str(error), _now())
+                    decoder = await self._replace_held(ctx, relay, str(error))
                     continue
                 except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
                     outcome = self._state.note_failed_use(ctx, decoder, error)
@@ -242,7 +242,7 @@
                 ctx.excluded.add(decoder.name)
                 if not sent:
                     # Nothing reached an engine, so the next one is no repeat.
-                    decoder = self._pick_decode_engine(ctx, reason, _now())
+                    decoder = await self._replace_held(ctx, relay, reason)
                     continue
                 decoder = await self._replace_decoder(ctx, relay, reason, attempt)
                 attempt += 1
@@ -298,6 +298,21 @@
             # Engines that failed or refused may have recovered.
             ctx.excluded.clear()
 
+    async def _replace_held(self, ctx: Context, relay: EventRelay, reason: str) -> Instance:
+        """Return an engine in place of one that accepts no requests; raise RefusedError.
+
+        An answer that has begun waits for one as after a refusal.
+        """
+        give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
+        while True:
+            try:
+                return self._pick_decode_engine(ctx, reason, _now())
+            except RefusedError:
+                if _now() + FIRST_RESUME_SECONDS >= give_up_at:
+                    raise
+            await asyncio.sleep(FIRST_RESUME_SECONDS)
+            ctx.excluded.clear()
+
     def _find_replacement(
         self, ctx: Context, relay: EventRelay, reason: str, attempt: int
     ) -> Instance:
@@ -320,10 +335,21 @@
             return False
         return ctx.repeatable or not ctx.may_have_run
 
-    def _reserve_replacement(self, ctx: Context, decoder: Instance) -> bool:
+    def _reserve_resumption(self, ctx: Context, decoder: Instance) -> bool:
+        """Return whether another engine continues a silent one's answer, and reserve its retry.
+
+        An engine that can still be reached goes on itself; another one might refuse.
+        """
+        return self._state.prober.is_unreachable(decoder) and self._reserve_replacement(
+            ctx, decoder, 0
+        )
+
+    def _reserve_replacement(self, ctx: Context, decoder: Instance, attempt: int) -> bool:
         """Return whether another engine takes over from a silent one, and reserve its retry."""
         if not ctx.repeatable or ctx.runs + 1 >= ctx.route.max_attempts:
             return False
+        if attempt + 1 >= MAX_DECODE_ATTEMPTS:
+            return False
         now = _now()
         engines = self._state.list_usable(ctx.service.name, now, ctx.urgent)
         excluded = ctx.excluded | {decoder.name}
@@ -338,6 +364,7 @@
         source: str,
         relay: EventRelay,
         fetch_from: tuple[str, int] | None,
+        attempt: int,
     ) -> None:
         may_give_up = functools.partial(self._reserve_replacement, ctx, decoder)
         relay.silence = SilenceLimit(self._max_event_gap(ctx), may_give_up, ctx.withdraw_retry)
@@ -351,7 +378,9 @@
         )
         started_at = asyncio.get_running_loop().time()
         head_silence = SilenceLimit(
-            ctx.seconds_left * FIRST_TOKEN_SHARE, may_give_up, ctx.withdraw_retry
+            ctx.seconds_left * FIRST_TOKEN_SHARE,
+            functools.partial(self._reserve_replacement, ctx, decoder, attempt),
+            ctx.withdraw_retry,
         )
         plan = AttemptPlan(decoder, forwarding, head_silence)
         async with self._state.attempt(ctx, decoder):
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -19,6 +19,7 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.forward.rate_limiter import NoRateLimits, RateLimiter
+from swifttrestle.internal.forward.reachability import ReachabilityProber
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import (
     CONNECT_TIMEOUT_WEIGHT,
@@ -92,6 +93,7 @@
         self.guard = CrashGuard(self.pool, Quarantine(rng.random()), metrics)
         self.crash_detector = self.guard.detector
         self.guard.is_last = self._is_last
+        self.prober = ReachabilityProber(self.pool)
         self.conditions = UpstreamConditionTable(fleet, metrics)
         # For orders to engines, which must arrive from the host that holds the lease: no peer
         # relays its connections.
