A plain request whose silent upstream was left is tried on till its deadline

What callers saw: 502 at 1.1 to 1.4 s from requests that may be repeated: the first upstream was left after 0.45 of the time, and the other one refused, had a rate limit, was silent itself or could not take the request, by then quarantined; the first had gone on meanwhile. 503 at 0.3 s where one packet of a new connection was lost. Cause: after the silent upstream was left, two refusals ended the request. Change: such a request is tried on, at the first upstream too, within attempts and retry budget and with pauses that double; a quarantined one does not leave its upstream. Where nothing was sent, and connections time out rather than being refused, another one is made as long as an answer would still come in time.

--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -65,6 +65,12 @@
             raise ctx.refuse(Code.QUARANTINED, "upstreams crashed during this request", seconds)
         return fingerprint if record else None
 
+    def holds_back(self, ctx: Context) -> bool:
+        """Return whether another attempt of a request would be refused as quarantined."""
+        fingerprint = ctx.fingerprint
+        record = self.quarantine.find(fingerprint) if fingerprint is not None else None
+        return record is not None and is_quarantined(record)
+
     def _protect_last(
         self, ctx: Context, fingerprint: RequestFingerprint | None, instance: Instance
     ) -> None:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -355,6 +355,8 @@
         excluded = ctx.excluded | {decoder.name}
         if pick_decode_engine(engines, self._state.zone, excluded, now, urgent=ctx.urgent) is None:
             return False
+        if self._state.guard.holds_back(ctx):
+            return False
         return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
 
     async def _attempt_decode(
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from dataclasses import dataclass
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
@@ -9,8 +10,10 @@
     RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
+    UpstreamError,
     UpstreamHeldError,
     UpstreamLeavingError,
+    UpstreamSilentError,
     UpstreamUnreachedError,
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
@@ -20,6 +23,7 @@
 from swifttrestle.internal.policy.placement import pick_plain_instance
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
+from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import ForwardingHeaders
 
@@ -30,6 +34,26 @@
 # Maximum rejections of one request.
 MAX_REJECTIONS = 2
 ONE_REQUEST = OpenWork(0, 1)
+# Seconds until instances that failed are tried again; doubles where they were sent the request.
+RETRY_SECONDS = 0.1
+# Share of a request's time by which its connection must be made; the rest is for the answer.
+LATEST_CONNECT_SHARE = 0.8
+
+
+@dataclass
+class _Course:
+    """How the attempts of one request went; `reason` is that of the last failure.
+
+    `charged` is whether the next attempt has been taken from the retry budget or needs none,
+    `left_silent` whether a silent instance was given up, and `unreached` whether the last
+    connection timed out.
+    """
+
+    reason: str
+    charged: bool = False
+    left_silent: bool = False
+    unreached: bool = False
+    waits: int = 0
 
 
 class PlainForwarder:
@@ -42,45 +66,69 @@
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError if it cannot be served."""
         loop = asyncio.get_running_loop()
-        budget = self._state.budgets.find(ctx.service.name)
-        budget.note_request(loop.time())
-        last_reason = f"service {ctx.service.name} has no available instance"
-        budget_charged = False
+        self._state.budgets.find(ctx.service.name).note_request(loop.time())
+        course = _Course(f"service {ctx.service.name} has no available instance")
         while True:
             instance = self._choose(ctx, loop.time())
-            if instance is None or not self._may_attempt(ctx, loop.time(), budget_charged):
-                raise self._refuse(ctx, last_reason, loop.time())
+            if instance is None or not self._may_attempt(ctx, loop.time(), course):
+                await self._wait_or_refuse(ctx, course)
+                continue
             ctx.note(f"to {instance.name} open={instance.total.requests}")
             try:
                 await self._attempt(ctx, instance)
                 return
-            except UpstreamHeldError as error:
-                # Nothing was sent, so the next attempt takes nothing from the retry budget.
-                budget_charged = True
-                last_reason = str(error)
-                ctx.note(last_reason)
-                continue
-            except UpstreamUnreachedError as error:
+            except UpstreamError as error:
+                self._record_failure(ctx, instance, error, course)
+
+    def _record_failure(
+        self, ctx: Context, instance: Instance, error: UpstreamError, course: "_Course"
+    ) -> None:
+        """Record a failed attempt and what it leaves to the next one."""
+        course.reason = str(error)
+        ctx.note(course.reason)
+        now = asyncio.get_running_loop().time()
+        match error:
+            case UpstreamHeldError():
+                course.charged = True
+                return
+            case UpstreamUnreachedError():
                 # Nothing was sent, so the next attempt is no repeat.
                 ctx.sent_attempts -= 1
-                budget_charged = True
-                last_reason = str(error)
+                course.charged = True
+                course.unreached = not error.refused
                 self._note_broken(ctx, instance, error)
-                ctx.note(last_reason)
                 ctx.excluded.add(instance.name)
-                continue
-            except UpstreamLeavingError as error:
+                return
+            case UpstreamLeavingError():
                 self._state.remove_replaced(instance)
-                last_reason = str(error)
-            except UpstreamBusyError as error:
-                self._state.note_refusal(instance, loop.time())
-                last_reason = str(error)
-            except UpstreamBrokenError as error:
-                last_reason = str(error)
+            case UpstreamBusyError():
+                self._state.note_refusal(instance, now)
+            case UpstreamBrokenError():
                 self._note_broken(ctx, instance, error)
-            ctx.note(last_reason)
-            ctx.excluded.add(instance.name)
-            budget_charged = ctx.use_reserved_retry()
+        ctx.excluded.add(instance.name)
+        course.charged = ctx.use_reserved_retry()
+        course.left_silent = course.left_silent or isinstance(error, UpstreamSilentError)
+
+    async def _wait_or_refuse(self, ctx: Context, course: "_Course") -> None:
+        """Wait before instances are tried again; raise RefusedError if that is of no use.
+
+        A silent instance that was left goes on in a moment, if it was sound; so do those that no
+        connection reached, which may have been a lost packet.
+        """
+        left_silent = course.left_silent and ctx.runs < ctx.route.max_attempts
+        if ctx.reply.started or not (left_silent or self._may_wait_for_path(ctx, course)):
+            raise self._refuse(ctx, course.reason, asyncio.get_running_loop().time())
+        await asyncio.sleep(RETRY_SECONDS * 2**course.waits)
+        course.waits += 1 if left_silent else 0
+        ctx.excluded.clear()
+
+    @staticmethod
+    def _may_wait_for_path(ctx: Context, course: "_Course") -> bool:
+        """Return whether another connection would still come in time for an answer."""
+        if not course.unreached or ctx.may_have_run:
+            return False
+        total = ctx.age + ctx.seconds_left
+        return ctx.age + RETRY_SECONDS + CONNECT_TIMEOUT_SECONDS < total * LATEST_CONNECT_SHARE
 
     def _refuse(self, ctx: Context, reason: str, now: float) -> RefusedError:
         """Return the error for a request that may be sent to no further instance."""
@@ -96,17 +144,19 @@
         usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
         return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
 
-    def _may_attempt(self, ctx: Context, now: float, charged: bool) -> bool:
-        """Return whether another attempt may be made; `charged` if its retry was taken already."""
+    def _may_attempt(self, ctx: Context, now: float, course: "_Course") -> bool:
+        """Return whether another attempt may be made, and take it from the retry budget."""
         if ctx.sent_attempts == 0:
             return True
         if ctx.may_have_run and not ctx.repeatable:
             return False
         if ctx.runs >= ctx.route.max_attempts:
             return False
-        if ctx.sent_attempts - ctx.runs >= MAX_REJECTIONS or ctx.reply.started:
+        if ctx.reply.started:
             return False
-        return charged or self._state.budgets.find(ctx.service.name).take(now)
+        if ctx.sent_attempts - ctx.runs >= MAX_REJECTIONS and not course.left_silent:
+            return False
+        return course.charged or self._state.budgets.find(ctx.service.name).take(now)
 
     def _reserve_replacement(self, ctx: Context, instance: Instance) -> bool:
         """Return whether another instance takes over from a silent one, and reserve its retry."""
@@ -117,6 +167,8 @@
         excluded = ctx.excluded | {instance.name}
         if pick_plain_instance(usable, self._state.zone, excluded, now, self._state.rng) is None:
             return False
+        if self._state.guard.holds_back(ctx):
+            return False
         return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
 
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
