A prompt is prefilled after a silent engine was left and the next one refused

What callers saw: 503 at 1.0 s; the first prefill engine had been left after a second of silence, the second one refused, and no third prefill was allowed. Change: one more attempt where a silent engine was given up, which may be that engine again. Refusals count against the retry budget as before. Evidence: test_a_prompt_is_read_though_the_other_prefill_engine_refuses failed before and passes.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -45,6 +45,8 @@
     may_have_run: bool = False
     runs: int = 0
     failed_prefills: int = 0
+    # Prefills that were given up because their engine was silent.
+    silent_prefills: int = 0
     first_byte: float | None = None
     sent_attempts: int = 0
     excluded: set[str] = field(default_factory=set)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -74,7 +74,8 @@
         self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable)
         prefills = held_bookings = 0
-        while prefills < MAX_PREFILLS and held_bookings < MAX_HELD_BOOKINGS:
+        # One more where a silent engine was given up and the next one may have refused.
+        while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
             booking = await self._book(ctx, first=prefills == 0)
             use = EngineUse(asyncio.get_running_loop().time())
             direct_prefill = DirectPrefill(booking, self._booker)
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -109,6 +109,7 @@
             self._state.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._state.note_failed_use(ctx, reader, error)
+            ctx.silent_prefills += isinstance(error, UpstreamSilentError)
             self._record_failure(ctx, reader, use.outcome, str(error))
             return None
         finally:
@@ -142,6 +143,9 @@
         if outcome in (Outcome.REFUSED, Outcome.GONE):
             budget.note_repeat(now)
             allowed = budget.allows(now)
+            if ctx.silent_prefills:
+                # The engine that was silent may go on by now.
+                ctx.excluded.clear()
         else:
             allowed = ctx.use_reserved_retry() or budget.take(now)
         if not allowed:
