Peers are ranked only for connections that need one, sixteen at most

A new connection ranked all live hosts, 300 of them in a fleet of that size, also where it was made directly. The ways are taken one by one now, and of a large fleet sixteen hosts, besides those that reached an upstream before, are ranked.

--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -8,7 +8,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from swifttrestle.errors import RelayRefusedError, UpstreamUnreachedError
 from swifttrestle.internal.event_log import log_event
@@ -71,17 +71,13 @@
         if not self.paths.is_cut(instance) and instance in self._asking:
             # Another connection already finds out which way works.
             return await self._pool.connect_directly(instance, address)
-        relays = self._choose_relays(instance)
-        if not relays:
-            return await self._pool.connect_directly(instance, address)
         self._asking.add(instance)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                connection = await connect_by_first(self._list_ways(instance, address, relays))
+                connection = await connect_by_first(self._iterate_ways(instance, address))
         except TimeoutError:
             raise UpstreamUnreachedError(
-                f"cannot connect to {instance} at {address[0]}:{address[1]}, directly or through "
-                f"{len(relays)} peers",
+                f"cannot connect to {instance} at {address[0]}:{address[1]}: no way in time",
                 refused=False,
             ) from None
         except NoWayError as error:
@@ -113,24 +109,23 @@
             for instance, cut in self.paths.cuts.items()
         }
 
+    def _iterate_ways(self, instance: str, address: Address) -> Iterator[Way]:
+        """Yield the ways to try in turn; a direct path that is cut comes last."""
+        direct = functools.partial(self._pool.connect_directly, instance, address)
+        cut = self.paths.is_cut(instance)
+        if not cut:
+            yield Way(RELAY_DELAY_SECONDS, direct)
+        for relay in self._choose_relays(instance):
+            through = functools.partial(self._connect_through, relay, instance)
+            yield Way(NEXT_RELAY_SECONDS, through)
+        if cut:
+            yield Way(NEXT_RELAY_SECONDS, direct)
+
     def _choose_relays(self, instance: str) -> list[Member]:
         known = self._fleet.instances.get(instance)
         zone = known.record.zone if known else ""
         return self.paths.choose_relays(instance, zone, self._list_members(), _now())
 
-    def _list_ways(self, instance: str, address: Address, relays: Sequence[Member]) -> list[Way]:
-        """Return the ways to try in turn; a direct path that is cut comes last."""
-        direct = functools.partial(self._pool.connect_directly, instance, address)
-        through = [functools.partial(self._connect_through, item, instance) for item in relays]
-        if self.paths.is_cut(instance):
-            return [Way(NEXT_RELAY_SECONDS, way) for way in (*through, direct)]
-        first, *others = through
-        return [
-            Way(0.0, direct),
-            Way(RELAY_DELAY_SECONDS, first),
-            *(Way(NEXT_RELAY_SECONDS, way) for way in others),
-        ]
-
     async def _connect_through(self, relay: Member, instance: str) -> UpstreamConnection:
         reached = False
         try:
--- a/src/swifttrestle/internal/policy/upstream_paths.py
+++ b/src/swifttrestle/internal/policy/upstream_paths.py
@@ -14,8 +14,12 @@
 RELAYED_TO_CUT = 2
 # Peers that are asked to relay one connection.
 MAX_RELAYS = 3
+# Peers that are ranked for one connection, besides those that reached an upstream before.
+MAX_RANKED = 16
 # Seconds for which a peer that did not reach an upstream is asked last.
 UNREACHED_SECONDS = 1.0
+# Failures of peers that are kept before outdated ones are dropped.
+MAX_RESULTS = 256
 # Seconds for which a peer that reached an upstream is asked first.
 REACHED_SECONDS = 10.0
 
@@ -76,6 +80,10 @@
 
     def note_relay(self, host: str, instance: str, reached: bool, now: float) -> None:
         """Record whether a peer reached an instance."""
+        if len(self._unreached_at) > MAX_RESULTS:
+            self._unreached_at = {
+                key: at for key, at in self._unreached_at.items() if now - at < UNREACHED_SECONDS
+            }
         if reached:
             self._reached_at[host] = now
             self._unreached_at.pop((host, instance), None)
@@ -104,4 +112,8 @@
             )
 
         peers = [item for item in members if item.host != self._local_member.host]
-        return sorted(peers, key=rank)[:MAX_RELAYS]
+        if len(peers) > MAX_RANKED:
+            reached = [item for item in peers if item.host in self._reached_at]
+            peers = self._rng.sample(peers, MAX_RANKED) + reached
+        ranked = sorted(peers, key=rank)
+        return list(dict.fromkeys(ranked))[:MAX_RELAYS]
--- a/src/swifttrestle/internal/transport/race.py
+++ b/src/swifttrestle/internal/transport/race.py
@@ -1,7 +1,8 @@
 """Tries several ways of connecting, each a little after the one before; the first one wins."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+import math
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,9 +12,9 @@
 
 @dataclass(frozen=True)
 class Way:
-    """One way of connecting; it starts `delay` seconds after the one before, or once all failed."""
+    """One way of connecting; the next one starts `seconds` later, or once all so far failed."""
 
-    delay: float
+    seconds: float
     connect: Callable[[], Coroutine[Any, Any, UpstreamConnection]]
 
 
@@ -26,16 +27,21 @@
         self.errors = tuple(errors)
 
 
-async def connect_by_first(ways: Sequence[Way]) -> UpstreamConnection:
-    """Return the connection of the way that succeeds first; raise NoWayError if none does."""
+async def connect_by_first(ways: Iterator[Way]) -> UpstreamConnection:
+    """Return the connection of the way that succeeds first; raise NoWayError if none does.
+
+    Takes the next way only when it starts.
+    """
     tasks: list[asyncio.Task[UpstreamConnection]] = []
     try:
-        for number, way in enumerate(ways):
+        for way in ways:
             tasks.append(asyncio.ensure_future(way.connect()))
-            delay = ways[number + 1].delay if number + 1 < len(ways) else None
-            winner = await _wait_for_winner(tasks, delay)
+            winner = await _wait_for_winner(tasks, way.seconds)
             if winner is not None:
                 return winner
+        winner = await _wait_for_winner(tasks, math.inf)
+        if winner is not None:
+            return winner
         raise NoWayError([_get_error(task) for task in tasks])
     finally:
         for task in tasks:
@@ -43,20 +49,24 @@
 
 
 async def _wait_for_winner(
-    tasks: Sequence["asyncio.Task[UpstreamConnection]"], delay: float | None
+    tasks: Sequence["asyncio.Task[UpstreamConnection]"], seconds: float
 ) -> UpstreamConnection | None:
-    """Return the first success; None after `delay` seconds, or once all tasks have failed."""
+    """Return the first success; None after `seconds`, or once all tasks have failed."""
     loop = asyncio.get_running_loop()
-    end = None if delay is None else loop.time() + delay
+    end = loop.time() + seconds
     while True:
         for task in tasks:
             if task.done() and not task.cancelled() and task.exception() is None:
                 return task.result()
         waiting = [task for task in tasks if not task.done()]
-        timeout = None if end is None else end - loop.time()
-        if not waiting or (timeout is not None and timeout <= 0):
+        timeout = end - loop.time()
+        if not waiting or timeout <= 0:
             return None
-        await asyncio.wait(waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            waiting,
+            timeout=None if timeout == math.inf else timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
 
 
 def _get_error(task: "asyncio.Task[UpstreamConnection]") -> UpstreamUnreachedError:
