The peer's side of relayed connections ends with both of its ends

A dial that ends after the stop began is no pair any more, and a host whose own path is cut answers NO_UPSTREAM, which is no verdict on the upstream.

--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/exchange.py
@@ -70,7 +70,9 @@
         finally:
             writer.close()
 
-    async def _serve(self, _: bytes, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, _: bytes, __: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         await self._write_copy(writer)
 
     async def _write_copy(self, writer: asyncio.StreamWriter) -> None:
--- a/src/swifttrestle/internal/coordination/peer_listener.py
+++ b/src/swifttrestle/internal/coordination/peer_listener.py
@@ -9,8 +9,8 @@
 # so that slow links can complete it.
 IO_TIMEOUT_SECONDS = 1.0
 
-# Serves one stream: the rest of its first line, and where to write.
-StreamHandler = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
+# Serves one stream: the rest of its first line, and both directions.
+StreamHandler = Callable[[bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 class PeerListener:
@@ -43,7 +43,7 @@
             word, _, argument = line.rstrip(b"\n").partition(b" ")
             handler = self._handlers.get(word)
             if handler is not None:
-                await handler(argument, writer)
+                await handler(argument, reader, writer)
         except (OSError, TimeoutError, ValueError) as error:
             log_event("stream of a peer failed", reason=repr(error))
             writer.transport.abort()
--- a/src/swifttrestle/internal/coordination/relay_server.py
+++ b/src/swifttrestle/internal/coordination/relay_server.py
@@ -1,15 +1,16 @@
 """Relays connections to upstreams for peers whose own paths to them are cut."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import UpstreamUnreachedError
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.relays import write_relay_reply
-from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.transport.dialer import Dialer
+from swifttrestle.internal.transport.dialer import UNACKNOWLEDGED_MS, Dialer, set_tcp_timeouts
 from swifttrestle.internal.transport.relay import RelayedPair
 from swifttrestle.internal.transport.upstream import UpstreamConnection
 
@@ -37,6 +38,8 @@
         self._list_members = list_members
         self._metrics = metrics
         self._pairs: set[RelayedPair] = set()
+        # Connections to upstreams that are being made.
+        self._dialing = 0
         self._stopping = False
 
     @property
@@ -59,18 +62,23 @@
         for pair in list(self._pairs):
             pair.close()
 
-    async def serve(self, argument: bytes, writer: asyncio.StreamWriter) -> None:
+    async def serve(
+        self, argument: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         """Answer one request, and relay its connection until it ends."""
         code, upstream = await self._connect(argument.decode("latin-1"), writer)
         self._metrics.count("peer_relays_total", code=code.name)
+        if upstream is not None and (reader.at_eof() or writer.transport.is_closing()):
+            # The peer has given up meanwhile.
+            upstream.close()
+            return
         writer.write(write_relay_reply(code))
         if upstream is None or upstream.transport is None:
             return
         transport = writer.transport
         assert isinstance(transport, asyncio.Transport)
-        if transport.is_closing():
-            upstream.close()
-            return
+        with contextlib.suppress(OSError):
+            set_tcp_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_MS)
         pair = RelayedPair(transport, upstream.transport)
         self._pairs.add(pair)
         try:
@@ -82,18 +90,27 @@
         self, name: str, writer: asyncio.StreamWriter
     ) -> tuple[Code, UpstreamConnection | None]:
         """Return the result, and the connection if there is one."""
-        ip = writer.get_extra_info("peername")[0]
-        if all(item.ip != ip for item in self._list_members()):
+        peer = writer.get_extra_info("peername")
+        if not peer or all(item.ip != peer[0] for item in self._list_members()):
             return Code.PEER_UNKNOWN, None
-        if self._stopping or len(self._pairs) >= MAX_RELAYED:
+        if self._stopping or len(self._pairs) + self._dialing >= MAX_RELAYED:
             return Code.STOPPING, None
         instance = self._fleet.instances.get(name)
         if instance is None or instance.leaving:
             return Code.UPSTREAM_LEAVING, None
         if self._is_cut(name):
-            return Code.UPSTREAM_BROKEN, None
+            return Code.NO_UPSTREAM, None
+        return await self._dial(instance)
+
+    async def _dial(self, instance: Instance) -> tuple[Code, UpstreamConnection | None]:
+        self._dialing += 1
         try:
             connection = await self._find_dialer().dial(instance.record.address)
         except UpstreamUnreachedError as error:
             return Code.CONNECTION_REFUSED if error.refused else Code.UPSTREAM_BROKEN, None
+        finally:
+            self._dialing -= 1
+        if self._stopping:
+            connection.close()
+            return Code.STOPPING, None
         return Code.OK, connection
--- a/src/swifttrestle/internal/transport/relay.py
+++ b/src/swifttrestle/internal/transport/relay.py
@@ -15,9 +15,6 @@
 from swifttrestle.internal.transport.dialer import UNACKNOWLEDGED_MS, set_tcp_timeouts
 from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
 
-# SO_LINGER with which a close resets the connection instead of ending it in order.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 
 class _Handshake(asyncio.Protocol):
     """Waits for a peer's reply; then the connection is an upstream's."""
@@ -102,8 +99,13 @@
 
     def __init__(self, caller: asyncio.Transport, upstream: asyncio.Transport) -> None:
         """Copy between a peer's connection and an upstream's."""
+        # Done once both connections are closed, and what was to be sent on them has left.
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._transports = (caller, upstream)
+        self._open = len(self._transports)
+        for transport in self._transports:
+            # If this process is killed, neither end takes what it got for complete.
+            _set_reset_on_close(transport, True)
         caller.set_protocol(_Side(self, upstream))
         upstream.set_protocol(_Side(self, caller))
 
@@ -112,9 +114,10 @@
         for transport in self._transports:
             reset_connection(transport)
 
-    def note_ended(self) -> None:
-        """Record that one of the connections has ended."""
-        if not self.ended.done():
+    def note_closed(self) -> None:
+        """Record that one of the connections is closed."""
+        self._open -= 1
+        if not self._open and not self.ended.done():
             self.ended.set_result(None)
 
 
@@ -142,16 +145,22 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End the other connection in the same way: in order, or by a reset."""
         if error is None:
+            _set_reset_on_close(self._other, False)
             self._other.close()
         else:
             reset_connection(self._other)
-        self._pair.note_ended()
+        self._pair.note_closed()
 
 
 def reset_connection(transport: asyncio.Transport) -> None:
     """Reset a connection, so that its other end does not take what it got for complete."""
+    _set_reset_on_close(transport, True)
+    transport.abort()
+
+
+def _set_reset_on_close(transport: asyncio.Transport, reset: bool) -> None:
+    """Choose whether the kernel resets a connection that is closed, or ends it in order."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", reset, 0))
--- a/tests/hosted/test_relayed_connections_review.py
+++ b/tests/hosted/test_relayed_connections_review.py
@@ -132,7 +132,7 @@
 
 
 def freeze(relay):
-    async def hang(argument, writer):
+    async def hang(argument, reader, writer):
         await asyncio.sleep(60)
 
     relay._gossip.listener.set_handler(RELAY_WORD, hang)
