An engine's new start ends the connections for orders as well

The connections that no peer relays stayed open to an engine that had started anew, where an order would have hung.

--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -185,7 +185,8 @@
             return
         if self.fleet.instances.get(instance.name) is instance:
             self.fleet.remove(instance.record.instance)
-        self.pool.close_idle_connections(instance.name)
+        for pool in (self.pool, self.direct_pool):
+            pool.close_idle_connections(instance.name)
         log_event("instance replaced", instance=instance.name, source="its address")
 
     def _end_incarnation(self, former: Instance) -> None:
@@ -198,7 +199,8 @@
         loop.call_later(LATE_DATA_SECONDS, self._close_connections, former)
 
     def _close_connections(self, former: Instance) -> None:
-        self.pool.abort_all(former.name)
+        for pool in (self.pool, self.direct_pool):
+            pool.abort_all(former.name)
         # The requests notice their lost connections only in later iterations of the loop.
         loop = asyncio.get_running_loop()
         loop.call_later(LATE_DATA_SECONDS, self.crash_detector.note_replaced, former)
