Relayed connections are kept, and paths checked, only while that is of use

Sound peers share the connections of a cut host: the one that reached an upstream last came first for all of them.

--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import random
 from collections.abc import Callable, Iterator, Sequence
@@ -64,7 +65,7 @@
         # The loop's time of the last check of each instance's path.
         self._checked_at: dict[str, float] = {}
         pool.connect = self.connect
-        pool.may_use_relay = self._is_member
+        pool.may_keep_relayed = self._may_keep
 
     async def connect(self, instance: str, address: Address) -> UpstreamConnection:
         """Connect to an instance; raise UpstreamUnreachedError."""
@@ -94,11 +95,11 @@
         """Check cut paths, and those to silent instances, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS * (0.8 + 0.4 * self._rng.random()))
-            self.paths.retain(self._fleet.instances)
+            self.paths.retain(self._fleet.instances, _now())
             self._checked_at = {
                 name: at for name, at in self._checked_at.items() if name in self._fleet.instances
             }
-            self._pool.close_idle_through_lost()
+            self._pool.close_unusable()
             names = [*self._list_cut(), *self._list_suspects()][:MAX_CHECKS]
             await asyncio.gather(*(self._check(name) for name in names))
 
@@ -150,10 +151,13 @@
         if cut is not None:
             seconds = round(_now() - cut.since, 2)
             log_event("upstream path restored", instance=instance, seconds=seconds)
-            self._pool.close_idle_relayed(instance)
+            self._pool.close_unusable()
 
-    def _is_member(self, host: str) -> bool:
-        return any(item.host == host for item in self._list_members())
+    def _may_keep(self, instance: str, host: str) -> bool:
+        """Return whether a connection that a peer relays is still of use."""
+        return self.paths.is_cut(instance) and any(
+            item.host == host for item in self._list_members()
+        )
 
     # Checks.
 
@@ -162,35 +166,44 @@
         return self._list_due(list(self.paths.cuts))
 
     def _list_suspects(self) -> list[str]:
-        """Return the instances whose path may be cut, and all of them once one is."""
-        if self.paths.cuts:
-            names = list(self._fleet.instances)
-        else:
-            names = [*self.paths.suspects, *self._pool.list_silent(_now(), SILENT_SECONDS)]
-        return self._list_due([name for name in names if not self.paths.is_cut(name)])
+        """Return the instances whose path may be cut, and all of them once after each new cut."""
+        names = [*self.paths.suspects, *self._pool.list_silent(_now(), SILENT_SECONDS)]
+        names += [
+            name
+            for name in self._fleet.instances
+            if self._checked_at.get(name, float("-inf")) < self.paths.last_cut_at
+        ]
+        unique = dict.fromkeys(name for name in names if not self.paths.is_cut(name))
+        return self._list_due(list(unique))
 
     def _list_due(self, names: Sequence[str]) -> list[str]:
         now = _now()
+        names = [name for name in names if self._is_used(name)]
         checked_at = {name: self._checked_at.get(name, float("-inf")) for name in names}
         due = [name for name in names if now - checked_at[name] >= RECHECK_SECONDS]
         return sorted(due, key=lambda name: checked_at[name])
 
+    def _is_used(self, name: str) -> bool:
+        """Return whether requests are sent to an instance."""
+        instance = self._fleet.instances.get(name)
+        return instance is not None and not instance.leaving
+
     async def _check(self, name: str) -> None:
         """Connect to an instance, and keep the connection for the next request."""
-        instance = self._fleet.instances.get(name)
-        if instance is None or instance.leaving:
-            return
+        instance = self._fleet.instances[name]
         self._checked_at[name] = _now()
-        try:
+        with contextlib.suppress(UpstreamUnreachedError):
             if self.paths.is_cut(name):
                 await self._check_direct(instance)
             else:
                 await self._pool.probe(name, instance.record.address)
-        except UpstreamUnreachedError as error:
-            self._pool.on_unreached(name, error)
 
     async def _check_direct(self, instance: Instance) -> None:
-        connection = await self._pool.connect_directly(instance.name, instance.record.address)
+        try:
+            connection = await self._pool.connect_directly(instance.name, instance.record.address)
+        except UpstreamUnreachedError as error:
+            self._pool.on_unreached(instance.name, error)
+            return
         self._pool.keep(instance.name, connection)
         self._note_direct(instance.name)
 
--- a/src/swifttrestle/internal/policy/upstream_paths.py
+++ b/src/swifttrestle/internal/policy/upstream_paths.py
@@ -14,14 +14,10 @@
 RELAYED_TO_CUT = 2
 # Peers that are asked to relay one connection.
 MAX_RELAYS = 3
-# Peers that are ranked for one connection, besides those that reached an upstream before.
+# Peers that are ranked for one connection in a large fleet.
 MAX_RANKED = 16
 # Seconds for which a peer that did not reach an upstream is asked last.
 UNREACHED_SECONDS = 1.0
-# Failures of peers that are kept before outdated ones are dropped.
-MAX_RESULTS = 256
-# Seconds for which a peer that reached an upstream is asked first.
-REACHED_SECONDS = 10.0
 
 
 @dataclass(frozen=True)
@@ -40,9 +36,11 @@
         self._local_member = local_member
         self._rng = rng
         self._cuts: dict[str, Cut] = {}
+        # The event loop's time of the newest cut.
+        self.last_cut_at = float("-inf")
         # The connections in a row that only a peer established, by instance.
         self._relayed: dict[str, int] = {}
-        self._reached_at: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
         self._unreached_at: dict[tuple[str, str], float] = {}
 
     @property
@@ -65,6 +63,7 @@
         if instance in self._cuts or self._relayed[instance] < RELAYED_TO_CUT:
             return False
         self._cuts[instance] = Cut(now, relay)
+        self.last_cut_at = now
         return True
 
     def note_direct(self, instance: str) -> Cut | None:
@@ -72,48 +71,48 @@
         self._relayed.pop(instance, None)
         return self._cuts.pop(instance, None)
 
-    def retain(self, instances: Collection[str]) -> None:
-        """Forget the instances that are not among these."""
+    def retain(self, instances: Collection[str], now: float) -> None:
+        """Forget the instances that are not among these, and outdated results."""
         for instance in set(self._relayed) - set(instances):
             self._relayed.pop(instance)
             self._cuts.pop(instance, None)
+        self._unreached_at = {
+            key: at for key, at in self._unreached_at.items() if now - at < UNREACHED_SECONDS
+        }
+        self._failed_at = {
+            host: at for host, at in self._failed_at.items() if now - at < UNREACHED_SECONDS
+        }
 
     def note_relay(self, host: str, instance: str, reached: bool, now: float) -> None:
         """Record whether a peer reached an instance."""
-        if len(self._unreached_at) > MAX_RESULTS:
-            self._unreached_at = {
-                key: at for key, at in self._unreached_at.items() if now - at < UNREACHED_SECONDS
-            }
         if reached:
-            self._reached_at[host] = now
+            self._failed_at.pop(host, None)
             self._unreached_at.pop((host, instance), None)
             return
+        self._failed_at[host] = now
         self._unreached_at[host, instance] = now
-        self._reached_at.pop(host, None)
 
     def choose_relays(
         self, instance: str, zone: str, members: Sequence[Member], now: float
     ) -> list[Member]:
         """Return the peers to ask for an instance in `zone`, the most promising first.
 
-        Peers that have just failed come last and those that have just succeeded first; among
-        equals, one in either end's zone saves traffic between zones.
+        Peers that have just failed come last, since they may be cut as well; among equals, one in
+        either end's zone saves traffic between zones. Sound peers share the connections.
         """
         near = {self._local_member.zone, zone}
 
         def rank(item: Member) -> tuple[bool, bool, bool, float]:
-            failed_at = self._unreached_at.get((item.host, instance), float("-inf"))
-            reached_at = self._reached_at.get(item.host, float("-inf"))
+            unreached_at = self._unreached_at.get((item.host, instance), float("-inf"))
+            failed_at = self._failed_at.get(item.host, float("-inf"))
             return (
+                now - unreached_at < UNREACHED_SECONDS,
                 now - failed_at < UNREACHED_SECONDS,
-                now - reached_at >= REACHED_SECONDS,
                 item.zone not in near,
                 self._rng.random(),
             )
 
         peers = [item for item in members if item.host != self._local_member.host]
         if len(peers) > MAX_RANKED:
-            reached = [item for item in peers if item.host in self._reached_at]
-            peers = self._rng.sample(peers, MAX_RANKED) + reached
-        ranked = sorted(peers, key=rank)
-        return list(dict.fromkeys(ranked))[:MAX_RELAYS]
+            peers = self._rng.sample(peers, MAX_RANKED)
+        return sorted(peers, key=rank)[:MAX_RELAYS]
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -26,7 +26,7 @@
 Connect = Callable[[str, Address], Awaitable[UpstreamConnection]]
 
 
-def _allow(_: str) -> bool:
+def _allow(_: str, __: str) -> bool:
     return True
 
 
@@ -52,8 +52,8 @@
         self.dialer = Dialer(unacknowledged_ms)
         # Connects to an instance at an address; raises UpstreamUnreachedError.
         self.connect: Connect = self.connect_directly
-        # Returns whether connections that a peer relays may still be used.
-        self.may_use_relay: Callable[[str], bool] = _allow
+        # Returns whether an unused connection to an instance through a peer may be kept.
+        self.may_keep_relayed: Callable[[str, str], bool] = _allow
         self._idle: dict[str, deque[UpstreamConnection]] = defaultdict(deque)
         self._in_use: dict[str, set[UpstreamConnection]] = defaultdict(set)
         self._next_drop_at = float("-inf")
@@ -79,7 +79,7 @@
             raise
         finally:
             self._discard_in_use(instance, connection)
-            if connection.usable and connection.idle_until:
+            if self._may_reuse(instance, connection, asyncio.get_running_loop().time()):
                 self._idle[instance].append(connection)
             else:
                 connection.close()
@@ -101,18 +101,21 @@
         for connection in self._idle.pop(instance, ()):
             connection.close()
 
-    def close_idle_relayed(self, instance: str) -> None:
-        """Close the idle connections to an instance that peers relay."""
-        for connection in self._idle.get(instance, ()):
-            if connection.relay:
-                connection.close()
+    def close_unusable(self) -> None:
+        """Close the idle connections that no request may use any more."""
+        now = asyncio.get_running_loop().time()
+        for instance in list(self._idle):
+            self._close_unusable(instance, now)
 
-    def close_idle_through_lost(self) -> None:
-        """Close the idle connections whose peers may no longer be used."""
-        for idle in self._idle.values():
-            for connection in idle:
-                if connection.relay and not self.may_use_relay(connection.relay):
-                    connection.close()
+    def _close_unusable(self, instance: str, now: float) -> None:
+        idle = self._idle[instance]
+        usable = deque(item for item in idle if self._may_reuse(instance, item, now))
+        for connection in set(idle) - set(usable):
+            connection.close()
+        if usable:
+            self._idle[instance] = usable
+        else:
+            del self._idle[instance]
 
     def list_silent(self, now: float, seconds: float) -> list[str]:
         """Return the instances all of whose open requests have got no byte for `seconds`."""
@@ -124,10 +127,14 @@
         ]
 
     def keep(self, instance: str, connection: UpstreamConnection) -> None:
-        """Keep an unused connection for the next request."""
+        """Keep an unused connection for the next request, unless there is another one."""
         connection.claimed = True
         now = asyncio.get_running_loop().time()
         connection.idle_until = now + DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
+        self._close_unusable(instance, now)
+        if instance in self._idle or not self._may_reuse(instance, connection, now):
+            connection.close()
+            return
         self._idle[instance].append(connection)
 
     def abort_all(self, instance: str) -> None:
@@ -163,14 +170,14 @@
         idle = self._idle[instance]
         while idle:
             connection = idle.pop()
-            if self._may_reuse(connection, now):
+            if self._may_reuse(instance, connection, now):
                 connection.idle_until = 0.0
                 return connection
             connection.close()
         return None
 
-    def _may_reuse(self, connection: UpstreamConnection, now: float) -> bool:
-        if connection.relay and not self.may_use_relay(connection.relay):
+    def _may_reuse(self, instance: str, connection: UpstreamConnection, now: float) -> bool:
+        if connection.relay and not self.may_keep_relayed(instance, connection.relay):
             return False
         return connection.usable and now < connection.idle_until
 
