Connections that are made at the same time follow the peer that one has found

A peer that stops, is cut or does not know the asking host gives no verdict, and the time limit no longer hides a direct refusal, so that a real crash counts as one. After a direct refusal peers have 0.1 s. The load of test_cut_hosts keeps its callers' connections: thousands of new ones a second recycled ports.

--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -180,7 +180,8 @@
     """A peer answered that it does not relay a connection to an instance, and why."""
 
     def __init__(self, instance: str, code: Code) -> None:
-        """Store the peer's answer; it decides whether the instance refused the connection."""
+        """Store whether the peer tried to connect, and whether the instance refused it."""
+        self.tried = code in (Code.CONNECTION_REFUSED, Code.UPSTREAM_BROKEN)
         super().__init__(
             f"the relay for {instance} answered {code.name}",
             refused=code is Code.CONNECTION_REFUSED,
--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -9,7 +9,7 @@
 import contextlib
 import functools
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Generator, Iterator, Sequence
 
 from swifttrestle.errors import RelayRefusedError, UpstreamUnreachedError
 from swifttrestle.internal.event_log import log_event
@@ -19,7 +19,7 @@
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS
 from swifttrestle.internal.transport.pool import ConnectionPool
-from swifttrestle.internal.transport.race import NoWayError, Way, connect_by_first
+from swifttrestle.internal.transport.race import NoWayError, Race, Way
 from swifttrestle.internal.transport.relay import dial_through
 from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
 
@@ -28,6 +28,8 @@
 RELAY_DELAY_SECONDS = 0.1
 # Seconds between asking one peer and the next.
 NEXT_RELAY_SECONDS = 0.05
+# Seconds after a refused direct connection in which peers must answer for themselves.
+VERDICT_SECONDS = 0.1
 # Seconds between two checks of cut paths and of silent instances.
 CHECK_SECONDS = 0.25
 # Seconds without a byte on all open requests of an instance after which its path is checked.
@@ -60,8 +62,8 @@
         self._list_members = list_members
         self._metrics = metrics
         self._rng = rng
-        # The instances to which a connection is being made with the help of peers.
-        self._asking: set[str] = set()
+        # By instance, the peer that a connection in progress will have found, or None.
+        self._asked: dict[str, asyncio.Future[Member | None]] = {}
         # The loop's time of the last check of each instance's path.
         self._checked_at: dict[str, float] = {}
         pool.connect = self.connect
@@ -69,25 +71,17 @@
 
     async def connect(self, instance: str, address: Address) -> UpstreamConnection:
         """Connect to an instance; raise UpstreamUnreachedError."""
-        if not self.paths.is_cut(instance) and instance in self._asking:
-            # Another connection already finds out which way works.
-            return await self._pool.connect_directly(instance, address)
-        self._asking.add(instance)
+        race = Race(CONNECT_TIMEOUT_SECONDS)
+        ways = self._iterate_ways(race, instance, address)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                connection = await connect_by_first(self._iterate_ways(instance, address))
-        except TimeoutError:
-            raise UpstreamUnreachedError(
-                f"cannot connect to {instance} at {address[0]}:{address[1]}: no way in time",
-                refused=False,
-            ) from None
+            connection = await race.run(ways)
         except NoWayError as error:
             raise UpstreamUnreachedError(
                 f"cannot connect to {instance} at {address[0]}:{address[1]}: {error}",
                 refused=_is_refused(error.errors),
             ) from None
         finally:
-            self._asking.discard(instance)
+            ways.close()
         self._note_way(instance, connection)
         return connection
 
@@ -110,17 +104,52 @@
             for instance, cut in self.paths.cuts.items()
         }
 
-    def _iterate_ways(self, instance: str, address: Address) -> Iterator[Way]:
+    def _iterate_ways(
+        self, race: Race, instance: str, address: Address
+    ) -> Generator[Way, None, None]:
         """Yield the ways to try in turn; a direct path that is cut comes last."""
-        direct = functools.partial(self._pool.connect_directly, instance, address)
-        cut = self.paths.is_cut(instance)
-        if not cut:
-            yield Way(RELAY_DELAY_SECONDS, direct)
+        direct = functools.partial(self._connect_directly, race, instance, address)
+        if self.paths.is_cut(instance):
+            yield from self._iterate_relays(instance)
+            yield Way(NEXT_RELAY_SECONDS, direct)
+            return
+        yield Way(RELAY_DELAY_SECONDS, direct)
+        if instance in self._asked:
+            yield Way(NEXT_RELAY_SECONDS, functools.partial(self._follow, instance))
+            return
+        self._asked[instance] = asyncio.get_running_loop().create_future()
+        try:
+            yield from self._iterate_relays(instance)
+        finally:
+            self._end_asking(instance)
+
+    def _iterate_relays(self, instance: str) -> Iterator[Way]:
         for relay in self._choose_relays(instance):
             through = functools.partial(self._connect_through, relay, instance)
             yield Way(NEXT_RELAY_SECONDS, through)
-        if cut:
-            yield Way(NEXT_RELAY_SECONDS, direct)
+
+    async def _connect_directly(
+        self, race: Race, instance: str, address: Address
+    ) -> UpstreamConnection:
+        try:
+            return await self._pool.connect_directly(instance, address)
+        except UpstreamUnreachedError as error:
+            if error.refused:
+                race.shorten(VERDICT_SECONDS)
+            raise
+
+    async def _follow(self, instance: str) -> UpstreamConnection:
+        """Connect through the peer that another connection to the instance has found."""
+        relay = await asyncio.shield(self._asked[instance])
+        if relay is None:
+            raise UpstreamUnreachedError(f"no peer reached {instance}", refused=False)
+        return await self._connect_through(relay, instance)
+
+    def _end_asking(self, instance: str) -> None:
+        """Tell the connections that follow that no peer was found, unless one was."""
+        found = self._asked.pop(instance, None)
+        if found is not None and not found.done():
+            found.set_result(None)
 
     def _choose_relays(self, instance: str) -> list[Member]:
         known = self._fleet.instances.get(instance)
@@ -135,6 +164,9 @@
         finally:
             self.paths.note_relay(relay.host, instance, reached, _now())
         connection.relay = relay.host
+        found = self._asked.get(instance)
+        if found is not None and not found.done():
+            found.set_result(relay)
         return connection
 
     def _note_way(self, instance: str, connection: UpstreamConnection) -> None:
@@ -211,9 +243,9 @@
 def _is_refused(errors: Sequence[UpstreamUnreachedError]) -> bool:
     """Return whether the instance's address refuses connections.
 
-    A refusal of this host's own connection may be the cut, so that peers decide if any answered.
+    A refusal of this host's own connection may be the cut, so that peers decide if any tried.
     """
-    verdicts = [error for error in errors if isinstance(error, RelayRefusedError)]
+    verdicts = [error for error in errors if isinstance(error, RelayRefusedError) and error.tried]
     if verdicts:
         return any(error.refused for error in verdicts)
     return any(error.refused for error in errors)
--- a/src/swifttrestle/internal/transport/race.py
+++ b/src/swifttrestle/internal/transport/race.py
@@ -27,46 +27,50 @@
         self.errors = tuple(errors)
 
 
-async def connect_by_first(ways: Iterator[Way]) -> UpstreamConnection:
-    """Return the connection of the way that succeeds first; raise NoWayError if none does.
-
-    Takes the next way only when it starts.
-    """
-    tasks: list[asyncio.Task[UpstreamConnection]] = []
-    try:
-        for way in ways:
-            tasks.append(asyncio.ensure_future(way.connect()))
-            winner = await _wait_for_winner(tasks, way.seconds)
+class Race:
+    """Tries ways in turn until one succeeds, all have failed or the time is over."""
+
+    def __init__(self, seconds: float) -> None:
+        """End after `seconds` at the latest."""
+        self._end = asyncio.get_running_loop().time() + seconds
+        self._tasks: list[asyncio.Task[UpstreamConnection]] = []
+
+    def shorten(self, seconds: float) -> None:
+        """End within `seconds` from now."""
+        self._end = min(self._end, asyncio.get_running_loop().time() + seconds)
+
+    async def run(self, ways: Iterator[Way]) -> UpstreamConnection:
+        """Return the connection of the way that succeeds first; raise NoWayError.
+
+        Takes the next way only when it starts.
+        """
+        try:
+            for way in ways:
+                self._tasks.append(asyncio.ensure_future(way.connect()))
+                winner = await self._wait_for_winner(way.seconds)
+                if winner is not None:
+                    return winner
+            winner = await self._wait_for_winner(math.inf)
             if winner is not None:
                 return winner
-        winner = await _wait_for_winner(tasks, math.inf)
-        if winner is not None:
-            return winner
-        raise NoWayError([_get_error(task) for task in tasks])
-    finally:
-        for task in tasks:
-            _give_up(task)
-
-
-async def _wait_for_winner(
-    tasks: Sequence["asyncio.Task[UpstreamConnection]"], seconds: float
-) -> UpstreamConnection | None:
-    """Return the first success; None after `seconds`, or once all tasks have failed."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while True:
-        for task in tasks:
-            if task.done() and not task.cancelled() and task.exception() is None:
-                return task.result()
-        waiting = [task for task in tasks if not task.done()]
-        timeout = end - loop.time()
-        if not waiting or timeout <= 0:
-            return None
-        await asyncio.wait(
-            waiting,
-            timeout=None if timeout == math.inf else timeout,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+            raise NoWayError([_get_error(task) for task in self._tasks if task.done()])
+        finally:
+            for task in self._tasks:
+                _give_up(task)
+
+    async def _wait_for_winner(self, seconds: float) -> UpstreamConnection | None:
+        """Return the first success; None after `seconds`, or once all tasks have failed."""
+        loop = asyncio.get_running_loop()
+        next_at = loop.time() + seconds
+        while True:
+            for task in self._tasks:
+                if task.done() and not task.cancelled() and task.exception() is None:
+                    return task.result()
+            waiting = [task for task in self._tasks if not task.done()]
+            timeout = min(next_at, self._end) - loop.time()
+            if not waiting or timeout <= 0:
+                return None
+            await asyncio.wait(waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
 
 
 def _get_error(task: "asyncio.Task[UpstreamConnection]") -> UpstreamUnreachedError:
--- a/src/swifttrestle/internal/transport/relay.py
+++ b/src/swifttrestle/internal/transport/relay.py
@@ -90,6 +90,7 @@
     try:
         return await handshake.connection
     except BaseException:
+        handshake.connection.cancel()
         transport.abort()
         raise
 
--- a/tests/hosted/test_cut_hosts.py
+++ b/tests/hosted/test_cut_hosts.py
@@ -9,7 +9,7 @@
 from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
-from tests.common.http import RawCaller, ask, write_request
+from tests.common.http import RawCaller, write_request
 from tests.hosted.sites import LONG, SHORT, address_of, build_site, count_runs, on_built
 
 # Seconds after the start of a cut from which first attempts must be served again.
@@ -51,20 +51,31 @@
 
     async def _call(self, host, until):
         loop = asyncio.get_running_loop()
+        caller = None
         while loop.time() < until:
-            kind = self._rng.choice(list(KINDS))
-            name = f"{kind}-{self._phase}-{next(self._numbers)}"
-            answer = await ask(
-                address_of(self._site, host), f"/{kind}/a", name, X_Deadline_Ms="1500",
-                **KINDS[kind],
-            )  # fmt: skip
-            self.names.append((kind, name))
-            if (answer.status, answer.whole) == (200, True):
-                assert answer.body == make_answer(kind, name)
-                self.served[host] += 1
-            else:
-                self.failed[host].append((kind, answer.status, answer.body))
+            # Kept connections: thousands of new ones a second would use up the ports.
+            caller = caller or await RawCaller.connect(address_of(self._site, host))
+            answer = await self._ask(caller, host)
+            if not answer.whole or answer.headers.get("connection") == "close":
+                caller.close()
+                caller = None
             await asyncio.sleep(0.02 * self._rng.random())
+        if caller:
+            caller.close()
+
+    async def _ask(self, caller, host):
+        kind = self._rng.choice(list(KINDS))
+        name = f"{kind}-{self._phase}-{next(self._numbers)}"
+        changes = {"X_Deadline_Ms": "1500", **KINDS[kind]}
+        caller.send(write_request(f"/{kind}/a", name, **changes))
+        answer = await caller.read_answer()
+        self.names.append((kind, name))
+        if (answer.status, answer.whole) == (200, True):
+            assert answer.body == make_answer(kind, name)
+            self.served[host] += 1
+        else:
+            self.failed[host].append((kind, answer.status, answer.body))
+        return answer
 
 
 def check_served(site, load, cut):
--- a/tests/hosted/test_relayed_connections_review.py
+++ b/tests/hosted/test_relayed_connections_review.py
@@ -449,7 +449,7 @@
         caller.close()
     await asyncio.sleep(1)
     assert not host.gateway.upstream_pool._in_use
-    assert not host.gateway._relaying.own._asking
+    assert not host.gateway._relaying.own._asked
     names = [str(task.get_coro()) for task in asyncio.all_tasks()]
     assert not [name for name in names if "connect_through" in name or "connect_directly" in name]
 
