An answer is not lost because the request's body still arrives

What callers saw: a request that was refused (404 for a removed route, 413, 431, 400) or answered while its body still arrived got a connection reset in place of the answer. Cause: the connection was closed at once after the answer; closing with unread bytes resets it, and the caller's kernel then drops what it had not read yet. Change: the answer is written first; the rest of the body is then read and dropped, for 2 s at most and up to the body limit. If its end comes, the connection goes on as after any answer. After a refusal of a connection the sending side is closed and what comes is dropped until the caller closes, for 2 s at most (bounded in time alone: a body over the limit must be read to let its 413 arrive). A planned stop counts such connections as busy, within its grace. Readers of a dropped body see it as broken, as after a disconnect.

--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -32,6 +32,9 @@
 HEADER_TOO_LARGE = 431
 # Pipelined requests that may wait behind the current one before reading from the connection pauses.
 PIPELINE_DEPTH = 1
+# Seconds for which what a caller still sends is read and dropped once its answer is written:
+# closing with unread bytes resets the connection, which may cost the caller that answer.
+LINGER_SECONDS = 2.0
 
 
 class ResponseWriter(ABC):
@@ -284,19 +287,44 @@
                 log_event("request handler failed", error=repr(error))
                 self.abort()
                 return
+            if request.body.broken:
+                self._linger()
+                return
+            # The rest of an incomplete request must not be parsed as the next one.
+            arrived = request.body.complete or await self._drop_rest(request.body)
             self.busy = False
-            if not request.body.complete or not self._keep_alive:
-                # After a response to an incomplete request, the rest of that request would be
-                # parsed as the next one.
+            if not arrived or not self._keep_alive:
                 self._close()
                 return
             if self._refusal and not self._requests:
                 self._write_refusal()
-                self._close()
+                self._linger()
                 return
             self._resume_reading()
             self._start_idle_timer()
 
+    async def _drop_rest(self, body: Body) -> bool:
+        """Drop the rest of an answered request's body; return whether its end came in time."""
+        rest = body.drop(UpstreamBrokenError("answered before its body's end", sent=True))
+        self._body = rest
+        self._resume_reading()
+        try:
+            async with asyncio.timeout(LINGER_SECONDS):
+                await rest.wait_for_end()
+        except TimeoutError:
+            return False
+        return rest.complete
+
+    def _linger(self) -> None:
+        """Close once the caller has closed too, so that it gets what was written to it."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        # A planned stop does not take the connection for an idle one.
+        self.busy = True
+        self._transport.write_eof()
+        self._resume_reading()
+        self._start_timer(LINGER_SECONDS, self._close)
+
     def _find_framing(self) -> tuple[Framing, int]:
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         codings = [value for name, value in self._headers if name.lower() == b"transfer-encoding"]
@@ -341,7 +369,7 @@
             self._body.fail(UpstreamBrokenError(f"request refused with status {status}", sent=True))
         if not self.busy and not self._requests:
             self._write_refusal()
-            self._close()
+            self._linger()
 
     def _write_refusal(self) -> None:
         self._write(write_response_head(self._refusal, (), Framing.LENGTH, 0, keep_alive=False))
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -68,6 +68,7 @@
         self.size = 0
         self._chunks: deque[bytes] = deque()
         self._dropped = 0
+        self._drops_all = False
         self._ended = False
         self._error: Exception | None = None
         self._changed = asyncio.Event()
@@ -103,6 +104,8 @@
     def feed(self, data: bytes) -> None:
         """Append received bytes."""
         self.size += len(data)
+        if self._drops_all:
+            return
         self._chunks.append(data)
         self._changed.set()
 
@@ -118,6 +121,15 @@
             self._ended = True
             self._changed.set()
 
+    def drop(self, reason: Exception) -> "Body":
+        """Break this body for its readers and drop its bytes; return one that drops the rest."""
+        self.fail(reason)
+        self._chunks.clear()
+        rest = Body(keep=False)
+        rest.size = self.size
+        rest._drops_all = True
+        return rest
+
     async def wait_for_end(self) -> None:
         """Wait until the body is complete or broken."""
         while not self._ended:
--- a/tests/hosted/test_callers.py
+++ b/tests/hosted/test_callers.py
@@ -5,12 +5,15 @@
 
 import pytest
 
+from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.state.declared import Limits
+from swifttrestle.internal.transport import caller as caller_module
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
     RequestHandler,
 )
+from swifttrestle.internal.transport.messages import Body
 from tests.common.http import RawCaller
 
 
@@ -29,6 +32,9 @@
         if request.head.target == b"/fault/":
             raise ValueError("an error in the handler")
         self.seen.append((request.head.method, request.head.target))
+        if request.head.target == b"/early/":
+            await reply.send_whole(404, (), b"early")
+            return
         try:
             if self.hold is not None:
                 await self.hold.wait()
@@ -203,3 +209,122 @@
     assert await caller.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
     caller.send(b"a")
     assert (await caller.read_answer()).body == b"a"
+
+
+EARLY = b"POST /early/ HTTP/1.1\r\nHost: x\r\n"
+GET = b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def send_in_parts(caller, data, parts=10):
+    """Send data in parts, 10 ms apart, so that the answer is written between them."""
+    size = len(data) // parts + 1
+    for start in range(0, len(data), size):
+        caller.send(data[start : start + size])
+        await asyncio.sleep(0.01)
+
+
+@with_echo
+async def test_an_answer_before_the_bodys_end_arrives_and_the_connection_goes_on(
+    handler, connections, caller
+):
+    await send_in_parts(caller, EARLY + b"Content-Length: 2000\r\n\r\n" + b"x" * 2000)
+    caller.send(GET)
+    answers = [await caller.read_answer() for _ in range(2)]
+    assert [answer.status for answer in answers] == [404, 200]
+    assert handler.seen == [(b"POST", b"/early/"), (b"GET", b"/a/")]
+
+
+@with_echo
+async def test_an_answer_is_not_delayed_by_the_rest_of_the_body(handler, connections, caller):
+    caller.send(EARLY + b"Content-Length: 2000\r\n\r\nx")
+    async with asyncio.timeout(caller_module.LINGER_SECONDS / 2):
+        assert (await caller.read_answer()).body == b"early"
+
+
+def test_a_caller_that_never_sends_the_rest_is_cut(monkeypatch):
+    monkeypatch.setattr(caller_module, "LINGER_SECONDS", 0.2)
+
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(EARLY + b"Content-Length: 2000\r\n\r\nx")
+        assert (await caller.read_answer()).status == 404
+        async with asyncio.timeout(1):
+            assert (await caller.read_answer()).status == 0
+        assert connections.count_busy() == 0
+
+    run()
+
+
+@with_echo
+async def test_the_rest_of_a_body_is_kept_to_the_body_limit(handler, connections, caller):
+    caller.send(EARLY + b"Transfer-Encoding: chunked\r\n\r\n")
+    assert (await caller.read_answer()).status == 404
+    caller.send(b"5dc\r\n" + b"x" * 1500 + b"\r\n5dc\r\n" + b"x" * 1500 + b"\r\n0\r\n\r\n")
+    caller.send(GET)
+    async with asyncio.timeout(caller_module.LINGER_SECONDS / 2):
+        assert (await caller.read_answer()).status == 0
+    assert handler.seen == [(b"POST", b"/early/")]
+
+
+@with_echo
+async def test_a_stop_leaves_an_answered_caller_the_time_to_send_the_rest(
+    handler, connections, caller
+):
+    caller.send(EARLY + b"Content-Length: 2000\r\n\r\nx")
+    while not handler.seen:
+        await asyncio.sleep(0.005)
+    connections.close_idle()
+    await send_in_parts(caller, b"x" * 1999)
+    assert (await caller.read_answer()).status == 404
+    assert (await caller.read_answer()).status == 0
+    assert connections.count_busy() == 0
+
+
+REFUSED = {
+    "400": (POST + b"Transfer-Encoding: xchunked\r\n\r\n", 400),
+    "413": (POST + b"Content-Length: 3000\r\n\r\n", 413),
+    "431": (POST + b"A: " + b"b" * 2000 + b"\r\n\r\n", 431),
+}
+
+
+@pytest.mark.parametrize(("head", "status"), REFUSED.values(), ids=REFUSED.keys())
+def test_a_refusal_arrives_though_the_body_is_slow(head, status):
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(head)
+        await send_in_parts(caller, b"x" * 3000)
+        assert (await caller.read_answer()).status == status
+        assert (await caller.read_answer()).status == 0
+        assert handler.seen == []
+
+    run()
+
+
+def test_a_refused_caller_that_does_not_close_is_cut(monkeypatch):
+    monkeypatch.setattr(caller_module, "LINGER_SECONDS", 0.2)
+
+    @with_echo
+    async def run(handler, connections, caller):
+        caller.send(REFUSED["413"][0])
+        assert (await caller.read_answer()).status == 413
+        await asyncio.sleep(0.4)
+        assert not connections.open
+
+    run()
+
+
+def test_a_dropped_body_keeps_no_bytes_and_is_not_taken_for_complete():
+    async def run():
+        body = Body()
+        body.feed(b"abc")
+        rest = body.drop(UpstreamBrokenError("dropped", sent=True))
+        rest.feed(b"x" * (1 << 20))
+        rest.end()
+        assert (body.list_kept(), rest.list_kept()) == ((), ())
+        assert (body.complete, rest.complete) == (False, True)
+        assert rest.size == 3 + (1 << 20)
+        assert not rest.above_high_water
+        with pytest.raises(UpstreamBrokenError):
+            await body.read_whole(1 << 20)
+
+    asyncio.run(run())
