A log line that cannot be encoded does not end its request

What callers saw: after a request with a number beyond 64 bits in X-Token-Usage the next request on the connection got nothing. Cause: the log line of the request could not be encoded, LineWriter.put raised, and the connection took that for a fault of the handler. Change: put never raises; a line that cannot be encoded is dropped and counted, and the next line reports it.

--- a/src/swifttrestle/internal/event_log.py
+++ b/src/swifttrestle/internal/event_log.py
@@ -1,8 +1,8 @@
 """JSON log lines on standard output, written without blocking requests.
 
-Lines go into a bounded queue that one thread drains. A line that finds the queue full is
-dropped and counted, and the next line that is queued reports the number dropped. loguru's own
-queue needs shared memory, which hosts do not offer; see docs/design/platform.md.
+Lines go into a bounded queue that one thread drains. A line that finds the queue full or cannot
+be encoded is dropped and counted, and the next line that is queued reports the number dropped.
+loguru's own queue needs shared memory, which hosts do not offer; see docs/design/platform.md.
 """
 
 import os
@@ -38,20 +38,29 @@
         threading.Thread(target=self._run, name="lines", daemon=True).start()
 
     def put(self, event: str, fields: dict[str, object]) -> None:
-        """Queue one line, or drop and count it if the queue is full."""
+        """Queue one line, or drop and count it if the queue is full or it cannot be encoded."""
         if not self._started:
             return
         if len(self._lines) >= MAX_QUEUED_LINES:
-            self.dropped += 1
-            self._unreported += 1
+            self._count_dropped()
             return
         line = {"time": round(time.time(), 3), "host": self._host, "event": event, **fields}
         if self._unreported:
             line["lines_dropped"] = self._unreported
-            self._unreported = 0
-        self._lines.append(orjson.dumps(line, default=str))
+        try:
+            encoded = orjson.dumps(line, default=str)
+        except Exception:
+            # A request must not fail because of its log line: integers over 64 bits, for example.
+            self._count_dropped()
+            return
+        self._unreported = 0
+        self._lines.append(encoded)
         self._wake.set()
 
+    def _count_dropped(self) -> None:
+        self.dropped += 1
+        self._unreported += 1
+
     def flush(self) -> None:
         """Write all queued lines."""
         if not self._lines:
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -4,6 +4,7 @@
 import threading
 
 import orjson
+import pytest
 
 from swifttrestle.internal import event_log
 from swifttrestle.internal.event_log import MAX_QUEUED_LINES, LineWriter
@@ -50,3 +51,31 @@
         writer.flush()
     line = orjson.loads((tmp_path / "out").read_bytes())
     assert (line["host"], line["event"], line["token"]) == ("host-1", "lease taken", 3)
+
+
+class Unwritable:
+    """An object that has no text."""
+
+    def __str__(self):
+        raise RuntimeError("no text")
+
+
+@pytest.mark.parametrize(
+    "value",
+    [2**64, -(2**63) - 1, "\ud800", {1: 2}, Unwritable()],
+    ids=["large", "low", "surrogate", "key", "object"],
+)
+def test_a_line_that_cannot_be_encoded_is_dropped_and_reported(tmp_path, value):
+    with (tmp_path / "out").open("wb") as out:
+        writer = LineWriter(out.fileno())
+        writer.start("h")
+        writer.put("request", {"value": value})
+        writer.put("request", {"value": value})
+        assert writer.dropped == 2
+        writer.put("later", {})
+        writer.put("last", {})
+        writer.flush()
+    lines = [orjson.loads(line) for line in (tmp_path / "out").read_bytes().splitlines()]
+    assert [line["event"] for line in lines] == ["later", "last"]
+    assert lines[0]["lines_dropped"] == 2
+    assert "lines_dropped" not in lines[1]
