An unreadable number in a request's headers counts as missing

What callers saw: a request with "²" or 5000 digits as a number in X-Prompt-Prefix or X-Token-Usage had its connection reset. Cause: isdigit accepts digits that int() does not, and int() refuses over 4300 digits; the ValueError left the parser of the headers. Change: whole numbers are ASCII digits up to 2^63 - 1; any other counts as missing, as other malformed ones did before. Deadlines were read safely already.

--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from swifttrestle.internal.checks import MAX_INT64
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
 Header = tuple[bytes, bytes]
@@ -26,6 +27,9 @@
 KEY = b"x-key"
 WORKSPACE = b"x-tenant"
 
+# Longest number that is read, leading zeros included.
+MAX_DIGITS = len(str(MAX_INT64))
+
 # Headers that only gateways may set; callers' values are dropped.
 _GATEWAY_HEADERS = frozenset(
     (STAGE, KV_SOURCE, PRIORITY, EXPECTED_INSTANCE, DEADLINE, b"x-expect-version",
@@ -66,7 +70,15 @@
 
 
 def _read_integer(value: bytes) -> int:
-    return int(value) if value.strip().isdigit() else 0
+    return _read_count(value.strip().decode("latin-1")) or 0
+
+
+def _read_count(digits: str) -> int | None:
+    """Return a whole number of at most MAX_INT64, or None."""
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_DIGITS:
+        return None
+    count = int(digits)
+    return count if count <= MAX_INT64 else None
 
 
 def _read_milliseconds(value: bytes | None) -> float | None:
@@ -80,9 +92,10 @@
 def _read_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in value.decode("latin-1").split(","):
-        name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+        name, _, digits = item.strip().partition(":")
+        tokens = _read_count(digits)
+        if name and tokens is not None:
+            parts.append(PromptPart(name, tokens))
     return tuple(parts)
 
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -16,6 +16,7 @@
 )
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.state.declared import RetrySafety, Role
+from swifttrestle.internal.state.prompt_cache import PromptPart
 from swifttrestle.platform import wire
 from swifttrestle.platform.engine import read_handle, read_report
 from swifttrestle.platform.records import read_configuration, read_upstream
@@ -214,6 +215,30 @@
     assert metadata.deadline_seconds is None or metadata.deadline_seconds == 0.0
 
 
+@pytest.mark.parametrize(
+    "number",
+    ["", "\u00b2", "-1", "+1", "1_0", "1.5", "x", "9" * 5000, str(2**63), "0" * 5000 + "1"],
+    ids=["empty", "superscript", "minus", "plus", "underscore", "point", "letter", "long", "large",
+         "zeros"],
+)  # fmt: skip
+def test_an_unreadable_number_counts_as_missing(number):
+    value = number.encode("latin-1")
+    sizes = wire.read_request_metadata([(b"X-Token-Usage", value + b"," + value)])
+    parts = wire.read_request_metadata([(b"X-Prompt-Prefix", b"a:" + value + b",b:7")])
+    assert (sizes.prompt_tokens, sizes.output_tokens) == (0, 0)
+    assert parts.parts == (PromptPart("b", 7),)
+
+
+def test_the_largest_number_is_read():
+    number = 2**63 - 1
+    value = str(number).encode()
+    metadata = wire.read_request_metadata(
+        [(b"X-Token-Usage", value + b", 007"), (b"X-Prompt-Prefix", b"a:" + value)]
+    )
+    assert (metadata.prompt_tokens, metadata.output_tokens) == (number, 7)
+    assert metadata.parts == (PromptPart("a", number),)
+
+
 def test_no_module_outside_the_adapter_uses_names_of_the_platforms_protocol():
     words = {value.decode() for name, value in vars(wire).items() if isinstance(value, bytes)}
     words |= {
