A stream of a silent engine goes on where none takes over

What callers saw (own interface): after stall_seconds without a token a stream ended, though its engine was sound and no other engine could take over, or the call may not be repeated. A stream leaves its engine if it may be repeated, is not quarantined, and another engine is usable now; otherwise after stall_seconds and 20 s (30 s by default), which is as long as the tries to resume lasted before, and is then ended without more of them. The kernel probes the engine's connection, so that a machine that is gone ends it after 10 s. A fault in the question does not end the thread of all streams. A machine that is gone was not tried, only the options of the socket.

--- a/src/swifttrestle/internal/entry/attempts.py
+++ b/src/swifttrestle/internal/entry/attempts.py
@@ -167,13 +167,25 @@
         if last_on_closed:
             self.closed_upstream_idle.set()
 
+    def can_resume(self, attempt: Attempt) -> bool:
+        """Return whether another engine can take over the rest of a response now."""
+        if self.guard.is_quarantined(attempt.call.request_id):
+            return False
+        remaining = _require_rest(attempt, [attempt.upstream])
+        return bool(self._table.candidates(remaining))
+
     def resume(self, attempt: Attempt, offset: int, failed: list[str]) -> Attempt:
         """Open the rest of a response on another engine with the same model version."""
-        requirements = replace(attempt.requirements, version=attempt.call.version)
-        remaining = excluding(requirements, failed)
-        candidates = tuple(self._table.candidates(remaining))
+        requirements = _require_rest(attempt, [])
+        candidates = tuple(self._table.candidates(_require_rest(attempt, failed)))
         target = self.select(candidates, attempt.work)
         if target is None:
             raise UpstreamLeavingError("no other engine holds this model version")
         call = replace(attempt.call, attempt=attempt.call.attempt + 1, offset=offset, kv_from=None)
         return self.open(target, call, requirements, attempt.work)
+
+
+def _require_rest(attempt: Attempt, failed: list[str]) -> UpstreamRequirements:
+    """Return what the rest of a response requires: the same model version, no failed engine."""
+    requirements = replace(attempt.requirements, version=attempt.call.version)
+    return excluding(requirements, failed)
--- a/src/swifttrestle/internal/entry/crash_guard.py
+++ b/src/swifttrestle/internal/entry/crash_guard.py
@@ -55,16 +55,24 @@
 
     def check(self, request_id: str) -> None:
         """Raise RefusedError if a request is quarantined."""
-        with self._lock:
-            fingerprint = self._fingerprints.get(request_id)
-            wait = (
-                self._quarantine.find_wait(fingerprint, self._clock.now()) if fingerprint else 0.0
-            )
+        wait = self._find_wait(request_id)
         if wait:
             self._metrics.count("quarantine_refusals_total")
             message = "upstreams crashed while they processed this request"
             raise RefusedError(Code.QUARANTINED, message, wait)
 
+    def is_quarantined(self, request_id: str) -> bool:
+        """Return whether a request is quarantined, without counting a refusal."""
+        return self._find_wait(request_id) > 0
+
+    def _find_wait(self, request_id: str) -> float:
+        """Return the seconds for which a request is still quarantined."""
+        with self._lock:
+            fingerprint = self._fingerprints.get(request_id)
+            if fingerprint is None:
+                return 0.0
+            return self._quarantine.find_wait(fingerprint, self._clock.now())
+
     def record_failure(
         self, request_id: str, upstream: str, address: str, error: UpstreamError
     ) -> None:
--- a/src/swifttrestle/internal/entry/relay.py
+++ b/src/swifttrestle/internal/entry/relay.py
@@ -59,6 +59,8 @@
         self._repeatable = repeatable
         self._done = done
         self._failed_upstreams: list[str] = []
+        # Whether the engine was silent for as long as a caller waits for its next token.
+        self._waited_out = False
         self._checker = self._make_checker()
 
     def start(self) -> None:
@@ -66,7 +68,7 @@
         stream = self._attempt.stream
         self._context.stream_relay.add(
             stream.sock, self._answer.sock, self._run(stream.first), self._finish,
-            self._context.stall_seconds,
+            self._leave_silent, self._context.stall_seconds,
         )  # fmt: skip
 
     def _make_checker(self) -> TokenChecker:
@@ -97,6 +99,17 @@
             if not data:
                 raise UpstreamBrokenError("the stream ended without a finish event", sent=True)
 
+    def _leave_silent(self, seconds: float) -> bool:
+        """Return whether to leave an engine that has sent nothing for so many seconds.
+
+        It is left if another one can take over, or if its caller has waited as long as for a resume
+        that fails.
+        """
+        self._waited_out = seconds >= self._context.stall_seconds + RESUME_TIMEOUT_SECONDS
+        return self._waited_out or (
+            self._repeatable and self._context.attempts.can_resume(self._attempt)
+        )
+
     def _finish(self, error: BaseException | None) -> None:
         """Handle the end of an attempt; runs in the stream relay's thread, so it must not block."""
         attempt = self._attempt
@@ -122,7 +135,7 @@
         attempt, guard = self._attempt, self._context.attempts.guard
         self._failed_upstreams.append(attempt.upstream)
         guard.record_failure(attempt.call.request_id, attempt.upstream, attempt.address, error)
-        if not self._repeatable:
+        if not self._repeatable or self._waited_out:
             self._fail(Code.STREAM_BROKEN if self._checker.offset else Code.ANSWER_LOST, error)
             return
         deadline = read_boottime_seconds() + RESUME_TIMEOUT_SECONDS
--- a/src/swifttrestle/internal/protocol/calls.py
+++ b/src/swifttrestle/internal/protocol/calls.py
@@ -65,6 +65,12 @@
         return orjson.dumps(value)
 
 
+# A machine that is gone is noticed after 10 s, the default of `stall_seconds`.
+PROBE_IDLE_SECONDS = 4
+PROBE_INTERVAL_SECONDS = 2
+MAX_PROBES = 3
+
+
 @dataclass(frozen=True)
 class OpenStream:
     """A streamed response that has begun: its socket and the body bytes received so far."""
@@ -93,6 +99,7 @@
         connection.timeout = first_seconds
         if connection.sock is not None:
             connection.sock.settimeout(first_seconds)
+            _probe_when_idle(connection.sock)
         connection.request(
             "POST", "/v1/stream", body=call.body(), preload_content=False,
             headers={"Content-Type": "application/json"},
@@ -110,6 +117,14 @@
         connection.close()
 
 
+def _probe_when_idle(sock: socket.socket) -> None:
+    """Have the kernel end a connection whose machine is gone; a silent engine's stays."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_PROBES)
+
+
 def cancel_stream(address: str, request_id: str, attempt: int, seconds: float) -> None:
     """Ask an engine to cancel a request.
 
--- a/src/swifttrestle/internal/transport/stream_relay.py
+++ b/src/swifttrestle/internal/transport/stream_relay.py
@@ -32,6 +32,8 @@
 
 Task = Generator[WaitFor, None, None]
 Finish = Callable[[BaseException | None], None]
+# Returns whether to leave an upstream that has sent nothing for so many seconds; must not block.
+LeaveSilent = Callable[[float], bool]
 
 
 @dataclass(eq=False)
@@ -42,6 +44,7 @@
     caller: socket.socket
     task: Task
     finish: Finish
+    leave_silent: LeaveSilent
     stall_seconds: float
     waiting_for: WaitFor = WaitFor.DATA
     progress_at: float = field(default_factory=read_boottime_seconds)
@@ -74,12 +77,16 @@
         caller: socket.socket,
         task: Task,
         finish: Finish,
+        leave_silent: LeaveSilent,
         stall_seconds: float,
     ) -> None:
-        """Add a stream, from any thread, and make its sockets non-blocking."""
+        """Add a stream, from any thread, and make its sockets non-blocking.
+
+        From `stall_seconds` without progress on, `leave_silent` is asked at each sweep.
+        """
         upstream.setblocking(False)
         caller.setblocking(False)
-        self._incoming.append(_Stream(upstream, caller, task, finish, stall_seconds))
+        self._incoming.append(_Stream(upstream, caller, task, finish, leave_silent, stall_seconds))
         os.write(self._wake_write, b"\0")
 
     def _run(self) -> None:
@@ -150,14 +157,14 @@
 
     def _sweep(self, now: float) -> None:
         for stream in list(self._streams):
-            if now - stream.progress_at < stream.stall_seconds:
+            silent_seconds = now - stream.progress_at
+            if silent_seconds < stream.stall_seconds:
                 continue
             if stream.waiting_for is WaitFor.WRITABLE:
                 self._throw(stream, CallerGoneError(f"no progress for {stream.stall_seconds:g} s"))
-            else:
+            elif _leaves_silent(stream, silent_seconds):
                 self._throw(
-                    stream,
-                    UpstreamBrokenError(f"no token for {stream.stall_seconds:g} s", sent=True),
+                    stream, UpstreamBrokenError(f"no token for {silent_seconds:.1f} s", sent=True)
                 )
 
     def _throw(self, stream: _Stream, error: Exception) -> None:
@@ -185,6 +192,15 @@
             logger.exception("finish callback of a stream failed")
 
 
+def _leaves_silent(stream: _Stream, seconds: float) -> bool:
+    try:
+        return stream.leave_silent(seconds)
+    except Exception:
+        # The thread serves all streams; this one's end is reported as for a stalled upstream.
+        logger.exception("question about a silent upstream failed")
+        return True
+
+
 def _is_closed(sock: socket.socket) -> bool:
     """Return whether the caller has disconnected; further bytes from it are discarded."""
     try:
--- a/tests/cover/test_entry_guard.py
+++ b/tests/cover/test_entry_guard.py
@@ -55,6 +55,14 @@
     assert guard.list_quarantined() == [str(FINGERPRINT)]
 
 
+def test_an_open_request_is_known_as_quarantined_once_it_crashed_upstreams(guard, closed):
+    guard.begin("r1", FINGERPRINT)
+    assert not guard.is_quarantined("r1")
+    crash(guard, closed)
+    assert guard.is_quarantined("r1")
+    assert not guard.is_quarantined("r2")
+
+
 @pytest.mark.parametrize(
     "fingerprint",
     [
