A soak seed draws the same faults in each run

Cause: the callers and the faults in progress drew from the generator that chose the next fault, so that its choice depended on timing: seed 523 drew two different lists of faults in two runs, neither with the revocation it is for. Change: kinds and times of the faults are drawn from a generator of their own. It still draws no revocation, and a later seed must.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import random
 import signal
 
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
@@ -52,6 +53,8 @@
     def __init__(self, site, rng):
         self._site = site
         self._rng = rng
+        # Faults in progress draw in an order that depends on timing; the next ones must not.
+        self._schedule = random.Random(rng.random())
         self._tasks = set()
         self._busy_hosts = set()
         self._start_times = itertools.count(FIRST_START_UNIX_MS)
@@ -85,11 +88,11 @@
             kinds += [self.request_cool_down, self.announce_leaving, self.restore_store]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
-            kind = self._rng.choice(kinds)
+            kind = self._schedule.choice(kinds)
             self.log.append(kind.__name__)
             task = asyncio.ensure_future(kind())
             self._tasks.add(task)
-            await asyncio.sleep(0.1 + self._rng.random() * 0.7)
+            await asyncio.sleep(0.1 + self._schedule.random() * 0.7)
         # Each fault ends itself; the round continues once all have.
         await asyncio.gather(*self._tasks)
 
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -39,7 +39,8 @@
         versions = defaultdict(list)
         version_watcher = asyncio.ensure_future(watch_versions(site, versions))
         caller_set = CallerSet(site, rng, callers)
-        faults = Faults(site, rng)
+        # Callers draw in an order that depends on timing.
+        faults = Faults(site, random.Random(f"faults of {seed}"))
         planned = seed % 3 == 0
         caller_set.start()
         await faults.run(seconds, planned)
