The soak cuts hosts from all upstreams

Change: cut_host cuts some hosts, never all, for 1 to 5 s: open connections hang, are reset, or live on; new ones hang or are refused. It is drawn in rounds with all faults only, since a reset loses requests that may not be repeated. Each order to an engine must come on a connection that the lease's holder dialed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import random
 import signal
 
+from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, script
@@ -44,6 +45,8 @@
 # Restores of the store: maximum age of the copy, maximum outage, and the time in which the
 # operator and the upstreams repeat their writes.
 MAX_COPY_AGE_SECONDS, MAX_OUTAGE_SECONDS, REWRITE_SECONDS = 5.0, 2.0, 2.0
+# Duration of a host's cut: the minimum, and what may be added.
+CUT_SECONDS, MORE_CUT_SECONDS = 1.0, 4.0
 FAILURE_STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -86,6 +89,8 @@
             ]
             kinds += [self.revoke, self.reclaim, self.kill_holder, self.lose_duty_answers]
             kinds += [self.request_cool_down, self.announce_leaving, self.restore_store]
+            # A cut loses requests that may not be repeated, which planned work may not.
+            kinds += [self.cut_host]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
             kind = self._schedule.choice(kinds)
@@ -162,6 +167,20 @@
     async def reset_proxy(self):
         self._rng.choice(list(self._site.proxies.values())).reset()
 
+    async def cut_host(self):
+        """Cut some hosts, but never all, from all upstreams."""
+        cuts = self._site.cuts
+        free = sorted(set(self._site.hosts) - cuts.hosts)
+        if len(free) < 2:
+            return
+        names = self._rng.sample(free, self._rng.randint(1, len(free) - 1))
+        form = self._rng.choice(list(Cut))
+        for name in names:
+            cuts.start(name, form)
+        await asyncio.sleep(CUT_SECONDS + self._rng.random() * MORE_CUT_SECONDS)
+        for name in names:
+            cuts.end(name)
+
     async def stop_store(self):
         self._site.store.faults.down = True
         self._site.store.notify_watches()
--- /dev/null
+++ b/tests/soak/gateway.py
@@ -0,0 +1,83 @@
+"""Starts a gateway whose dialer lists its connections to upstreams and can be cut.
+
+The proxies can't refuse the connections of one host alone, and peers are asked to relay only those
+that are not established.
+"""
+
+import asyncio
+import contextlib
+import os
+import runpy
+import time
+from pathlib import Path
+
+import swifttrestle.gateway
+from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS, Dialer
+from swifttrestle_standins.hosted.cuts import Cut
+
+PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "gateway.py"
+# The file that names the cut while there is one, and the file in which the dialer lists the ends
+# of its connections (its own port and the upstream's) with their times.
+CUT_FILE, DIALED_FILE = "SOAK_CUT_FILE", "SOAK_DIALED_FILE"
+
+
+class CuttableDialer(Dialer):
+    """Lists its connections; establishes none while its file names a cut."""
+
+    def __init__(self, cut_file, dialed_file):
+        super().__init__()
+        self._cut_file = cut_file
+        self._dialed = os.open(dialed_file, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    async def dial(self, address):
+        cut = self._read_cut()
+        if cut is Cut.HANG:
+            await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
+        if cut is not None:
+            raise self._make_error(address, cut)
+        connection = await super().dial(address)
+        local = connection.transport.get_extra_info("sockname")
+        if local is not None:
+            os.write(self._dialed, b"%d %d %f\n" % (local[1], address[1], time.monotonic()))
+        cut = self._read_cut()
+        if cut is not None:
+            connection.close()
+            raise self._make_error(address, cut)
+        return connection
+
+    def _make_error(self, address, cut):
+        return UpstreamUnreachedError(
+            f"cannot connect to {address}: cut", refused=cut is not Cut.HANG
+        )
+
+    def _read_cut(self):
+        # There is no file, or it is being written.
+        with contextlib.suppress(OSError, KeyError):
+            return Cut[self._cut_file.read_text()]
+        return None
+
+
+class CuttableGateway(swifttrestle.gateway.Gateway):
+    """A gateway whose paths to upstreams can be cut, also those that no peer relays."""
+
+    def __init__(self, settings):
+        super().__init__(settings)
+        files = [Path(os.environ[name]) for name in (CUT_FILE, DIALED_FILE)]
+        for pool in (self._state.pool, self._state.direct_pool):
+            pool.dialer = CuttableDialer(*files)
+
+
+def read_dialed(file):
+    """Return the time of the last connection with each pair of ends."""
+    try:
+        lines = file.read_text().splitlines()
+    except FileNotFoundError:
+        return {}
+    fields = [line.split() for line in lines]
+    return {(int(local), int(remote)): float(at) for local, remote, at in fields}
+
+
+if __name__ == "__main__":
+    swifttrestle.gateway.Gateway = CuttableGateway
+    runpy.run_path(str(PROGRAM))
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -12,10 +12,12 @@
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from swifttrestle_standins.loopback import pick_ip, pick_port
 from tests.hosted.sites import declare_routes
+from tests.soak.cuts import HostCuts
+from tests.soak.gateway import CUT_FILE, DIALED_FILE
 from tests.soak.proxy import Proxy
 
 ZONES = ("hall-a", "hall-b", "hall-c")
-PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "gateway.py"
+PROGRAM = Path(__file__).resolve().parent / "gateway.py"
 GRACE_SECONDS = 4
 METRICS_PORT = 9464
 # Downtime of an upstream after a crash, and the increment of its reported start time.
@@ -40,6 +42,8 @@
         self.process = None
         self.starts = 0
         self._file = folder / f"{name}.json"
+        self.cut_file = folder / f"{name}.cut"
+        self.dialed_file = folder / f"{name}.dialed"
         self._log = folder / f"{name}.log"
         self._file.write_text(json.dumps(settings))
 
@@ -49,7 +53,12 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(PROGRAM),
-                env={**os.environ, "SWIFTTRESTLE_BOOT": str(self._file)},
+                env={
+                    **os.environ,
+                    "SWIFTTRESTLE_BOOT": str(self._file),
+                    CUT_FILE: str(self.cut_file),
+                    DIALED_FILE: str(self.dialed_file),
+                },
                 stdout=log,
                 stderr=log,
             )
@@ -82,10 +91,12 @@
         self.folder = folder
         self.proxies = {}
         self.hosts = {}
+        self.cuts = HostCuts(self.hosts)
 
     async def _serve(self, name, handler):
         address = await super()._serve(name, handler)
-        proxy = Proxy(split_address(address))
+        is_upstream = isinstance(handler, StandInUpstream)
+        proxy = Proxy(split_address(address), self.cuts if is_upstream else None)
         self.proxies[name] = proxy
         return await proxy.open()
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -116,6 +116,14 @@
             yield f"token {token} used by {sorted(names)}"
 
 
+def check_order_origins(site):
+    """Check that each order came on a connection that the holder of the lease dialed itself."""
+    for name, proxy in site.proxies.items():
+        for host, holder in proxy.orders:
+            if host != holder:
+                yield f"{name}: order of {holder} came from {host}"
+
+
 def check_versions(versions):
     """Check `versions`: for each incarnation of a process, its reported versions in order."""
     for incarnation, shown in versions.items():
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -50,6 +50,7 @@
         findings += promises.check_answers(caller_set.observations)
         findings += promises.check_runs(caller_set.observations, runs)
         findings += promises.check_orders(site)
+        findings += promises.check_order_origins(site)
         findings += promises.check_versions(versions)
         findings += promises.check_crashes(site.crash_times)
         findings += promises.check_keys(
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -56,6 +56,15 @@
     assert len(list(promises.check_planned([seen], Counter({seen.name: runs})))) == found
 
 
+@pytest.mark.parametrize(
+    ("orders", "found"),
+    [([("g0", "g0")], 0), ([("g0", "g0"), ("g1", "g0")], 1), ([(None, "g0")], 1)],
+)
+def test_an_order_from_another_host_than_the_holder_is_found(orders, found):
+    site = SimpleNamespace(proxies={"e0": SimpleNamespace(orders=orders)})
+    assert len(list(promises.check_order_origins(site))) == found
+
+
 @pytest.mark.parametrize(
     ("orders", "found"),
     [
