The soak has sound upstreams send nothing for a second and go on

An upstream is not silenced while it announces a limit, since hosts can't know what it did not send.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,9 @@
 CALLER_TIMEOUT_SECONDS = 4.0
 EVENTS = 4
 STREAMS = {"verdict": LONG, "chat": SHORT}
+# Time after which a request may be ended: the lower one of the caller's deadline and the shortest
+# timeout of the routes.
+DEADLINE_SECONDS = {"verdict": 1.8, "chat": 1.8, "goal": 1.5, "card": 1.5}
 # Kinds of requests that may run only once.
 RUN_ONCE_KINDS = ("chat", "goal")
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,8 +45,9 @@
 # Restores of the store: maximum age of the copy, maximum outage, and the time in which the
 # operator and the upstreams repeat their writes.
 MAX_COPY_AGE_SECONDS, MAX_OUTAGE_SECONDS, REWRITE_SECONDS = 5.0, 2.0, 2.0
-# Duration of a host's cut: the minimum, and what may be added.
+# Durations of a host's cut and of an upstream's silence: the minimum, and what may be added.
 CUT_SECONDS, MORE_CUT_SECONDS = 1.0, 4.0
+SILENCE_SECONDS, MORE_SILENCE_SECONDS = 1.0, 0.5
 FAILURE_STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -71,6 +72,7 @@
 
     async def run(self, seconds, planned):
         kinds = [self.stop, self.reload, self.change_configuration, self.announce_limit]
+        kinds += [self.silence_upstream]
         if not planned:
             kinds += [
                 self.kill,
@@ -181,6 +183,20 @@
         for name in names:
             cuts.end(name)
 
+    async def silence_upstream(self):
+        """Have a sound upstream send nothing and then go on."""
+        upstream = self._rng.choice(self._site.initial_upstreams)
+        # Hosts can't know in time of a limit that a silent upstream does not send.
+        if self._is_silent(upstream) or upstream.extra_headers:
+            return
+        proxy = self._site.proxies[upstream.instance]
+        proxy.set_mode(ProxyMode.HOLD_ANSWERS)
+        await asyncio.sleep(SILENCE_SECONDS + self._rng.random() * MORE_SILENCE_SECONDS)
+        proxy.set_mode(ProxyMode.PASS)
+
+    def _is_silent(self, upstream):
+        return self._site.proxies[upstream.instance].mode is not ProxyMode.PASS
+
     async def stop_store(self):
         self._site.store.faults.down = True
         self._site.store.notify_watches()
@@ -273,7 +289,7 @@
     async def announce_limit(self):
         """Announce a rate limit in an upstream's responses until after hosts must know of it."""
         upstream = self._rng.choice(self._site.initial_upstreams)
-        if upstream.extra_headers:
+        if upstream.extra_headers or self._is_silent(upstream):
             return
         rate = self._rng.choice(LIMITS_PER_SECOND)
         loop = asyncio.get_running_loop()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from bench.limits import allow, count_worst
-from tests.soak.callers import RUN_ONCE_KINDS, expected_body
+from tests.soak.callers import DEADLINE_SECONDS, RUN_ONCE_KINDS, expected_body
 from tests.soak.processes import OTHER_KEY
 
 # Number of crashes that quarantines a request, the seconds until all hosts must know of them, and
@@ -70,6 +70,21 @@
             yield f"{item.name}: ran, and its connection to {item.host} ended without an answer"
 
 
+def check_whole(observations):
+    """Check that each request got a whole answer or a refusal; for planned work only.
+
+    A silent upstream excuses nothing, but a stream may end at its deadline.
+    """
+    for item in observations:
+        seconds = item.ended - item.began
+        if item.answer is None:
+            yield f"{item.name}: no answer from {item.host} in {seconds:.2f} s"
+        elif item.answer.status == 0:
+            yield f"{item.name}: {item.host} neither answered nor refused, after {seconds:.2f} s"
+        elif not item.answer.whole and seconds < DEADLINE_SECONDS[item.kind]:
+            yield f"{item.name}: {item.host} cut its answer after {seconds:.2f} s"
+
+
 def check_keys(observations, runs, removed, bound, added):
     """Check that revoked keys are not served and that valid keys are not refused.
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -56,6 +56,27 @@
     assert len(list(promises.check_planned([seen], Counter({seen.name: runs})))) == found
 
 
+@pytest.mark.parametrize(
+    ("kind", "status", "whole", "seconds", "found"),
+    [
+        ("chat", 200, True, 1.0, 0),
+        ("chat", 200, False, 1.7, 1),
+        # Its deadline may end it.
+        ("chat", 200, False, 1.9, 0),
+        ("goal", 200, False, 1.4, 1),
+        ("goal", 503, True, 0.1, 0),
+        ("goal", 502, True, 0.1, 0),
+        ("goal", 0, False, 0.1, 1),
+        ("goal", 0, False, 1.9, 1),
+        ("goal", None, False, 4.0, 1),
+    ],
+)
+def test_a_cut_answer_and_a_request_without_one_are_found(kind, status, whole, seconds, found):
+    answer = None if status is None else Answer(status, whole=whole)
+    seen = Observation(f"{kind}-1", kind, "g0", answer, 5.0, 5.0 + seconds)
+    assert len(list(promises.check_whole([seen]))) == found
+
+
 @pytest.mark.parametrize(
     ("orders", "found"),
     [([("g0", "g0")], 0), ([("g0", "g0"), ("g1", "g0")], 1), ([(None, "g0")], 1)],
