--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -6,10 +6,13 @@
 
 from tests.soak.rounds import run_round
 
-# One seed of planned work, two with all faults, and two regression tests:
+# One seed of planned work, two with all faults, two regression tests, and one that cuts a host and
+# silences an upstream, beside a revoked key and reclaimed engines:
 # 523: a new key is refused before its version must be in force, which is allowed.
 # 535: an engine is ordered, and must not be listed while it boots.
-SEEDS = (3, 1, 2, 523, 535)
+SEEDS = (3, 1, 2, 523, 535, 328)
+# Faults that a seed must draw.
+DRAWN = {328: ("cut_host", "silence_upstream", "revoke", "reclaim")}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -17,3 +20,4 @@
     outcome = asyncio.run(run_round(seed, tmp_path, hosts=3, seconds=4.0, callers=8))
     assert outcome.findings == []
     assert outcome.served > 0
+    assert set(DRAWN.get(seed, ())) <= set(outcome.faults)
