The soak finds answers that planned work loses behind a 502

Cause: a request whose silent upstream was given up for others that accept nothing got 502: check_whole took that for an answer, and it is no refusal. Change: in rounds of planned work 502 is a finding at any time, 504 before the request's deadline; hosts give up some ms before it (1491.6 ms of 1500 seen). Measured: test_promises.py: 57 passed.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,8 @@
 LIMIT_KNOWN_SECONDS = 3.0
 # Seconds until a version must be in force at all hosts.
 IN_FORCE_SECONDS = 2.0
+# Seconds before a deadline at which a host may give up a request.
+EARLY_SECONDS = 0.05
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -73,16 +75,19 @@
 def check_whole(observations):
     """Check that each request got a whole answer or a refusal; for planned work only.
 
-    A silent upstream excuses nothing, but a stream may end at its deadline.
+    A silent upstream excuses nothing, but a deadline ends a request that it makes too late.
     """
     for item in observations:
         seconds = item.ended - item.began
+        in_time = seconds < DEADLINE_SECONDS[item.kind] - EARLY_SECONDS
         if item.answer is None:
             yield f"{item.name}: no answer from {item.host} in {seconds:.2f} s"
-        elif item.answer.status == 0:
-            yield f"{item.name}: {item.host} neither answered nor refused, after {seconds:.2f} s"
-        elif not item.answer.whole and seconds < DEADLINE_SECONDS[item.kind]:
+        elif item.answer.status in (0, 502):
+            yield f"{item.name}: {item.host} lost its answer after {seconds:.2f} s"
+        elif in_time and not item.answer.whole:
             yield f"{item.name}: {item.host} cut its answer after {seconds:.2f} s"
+        elif in_time and item.answer.status == 504:
+            yield f"{item.name}: {item.host} called it late after {seconds:.2f} s"
 
 
 def check_keys(observations, runs, removed, bound, added):
