--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import signal
+from collections import defaultdict
 
 from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
@@ -67,6 +68,8 @@
         self._end = 0.0
         self.log = []
         self.findings = []
+        # The times at which stopped processes had exited, by host.
+        self.exits = defaultdict(list)
         # The limits that upstreams announced, with their times.
         self.limits = []
 
@@ -125,6 +128,7 @@
         except TimeoutError:
             self.findings.append(f"{host.name} did not stop within its grace of {GRACE_SECONDS} s")
             await host.kill()
+        self.exits[host.name].append(asyncio.get_running_loop().time())
         await host.start()
         self._busy_hosts.discard(host.name)
 
