--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 import itertools
+import random
 import signal
+from collections import defaultdict
 
+from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, script
@@ -43,6 +46,9 @@
 # Restores of the store: maximum age of the copy, maximum outage, and the time in which the
 # operator and the upstreams repeat their writes.
 MAX_COPY_AGE_SECONDS, MAX_OUTAGE_SECONDS, REWRITE_SECONDS = 5.0, 2.0, 2.0
+# Durations of a host's cut and of an upstream's silence: the minimum, and what may be added.
+CUT_SECONDS, MORE_CUT_SECONDS = 1.0, 4.0
+SILENCE_SECONDS, MORE_SILENCE_SECONDS = 1.0, 0.5
 FAILURE_STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -52,6 +58,8 @@
     def __init__(self, site, rng):
         self._site = site
         self._rng = rng
+        # Faults in progress draw in an order that depends on timing; the next ones must not.
+        self._schedule = random.Random(rng.random())
         self._tasks = set()
         self._busy_hosts = set()
         self._start_times = itertools.count(FIRST_START_UNIX_MS)
@@ -60,11 +68,14 @@
         self._end = 0.0
         self.log = []
         self.findings = []
+        # The times at which stopped processes had exited, by host.
+        self.exits = defaultdict(list)
         # The limits that upstreams announced, with their times.
         self.limits = []
 
     async def run(self, seconds, planned):
         kinds = [self.stop, self.reload, self.change_configuration, self.announce_limit]
+        kinds += [self.silence_upstream]
         if not planned:
             kinds += [
                 self.kill,
@@ -83,13 +94,15 @@
             ]
             kinds += [self.revoke, self.reclaim, self.kill_holder, self.lose_duty_answers]
             kinds += [self.request_cool_down, self.announce_leaving, self.restore_store]
+            # A cut loses requests that may not be repeated, which planned work may not.
+            kinds += [self.cut_host]
         self._end = end = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end:
-            kind = self._rng.choice(kinds)
+            kind = self._schedule.choice(kinds)
             self.log.append(kind.__name__)
             task = asyncio.ensure_future(kind())
             self._tasks.add(task)
-            await asyncio.sleep(0.1 + self._rng.random() * 0.7)
+            await asyncio.sleep(0.1 + self._schedule.random() * 0.7)
         # Each fault ends itself; the round continues once all have.
         await asyncio.gather(*self._tasks)
 
@@ -115,6 +128,7 @@
         except TimeoutError:
             self.findings.append(f"{host.name} did not stop within its grace of {GRACE_SECONDS} s")
             await host.kill()
+        self.exits[host.name].append(asyncio.get_running_loop().time())
         await host.start()
         self._busy_hosts.discard(host.name)
 
@@ -159,6 +173,34 @@
     async def reset_proxy(self):
         self._rng.choice(list(self._site.proxies.values())).reset()
 
+    async def cut_host(self):
+        """Cut some hosts, but never all, from all upstreams."""
+        cuts = self._site.cuts
+        free = sorted(set(self._site.hosts) - cuts.hosts)
+        if len(free) < 2:
+            return
+        names = self._rng.sample(free, self._rng.randint(1, len(free) - 1))
+        form = self._rng.choice(list(Cut))
+        for name in names:
+            cuts.start(name, form)
+        await asyncio.sleep(CUT_SECONDS + self._rng.random() * MORE_CUT_SECONDS)
+        for name in names:
+            cuts.end(name)
+
+    async def silence_upstream(self):
+        """Have a sound upstream send nothing and then go on."""
+        upstream = self._rng.choice(self._site.initial_upstreams)
+        # Hosts can't know in time of a limit that a silent upstream does not send.
+        if self._is_silent(upstream) or upstream.extra_headers:
+            return
+        proxy = self._site.proxies[upstream.instance]
+        proxy.set_mode(ProxyMode.HOLD_ANSWERS)
+        await asyncio.sleep(SILENCE_SECONDS + self._rng.random() * MORE_SILENCE_SECONDS)
+        proxy.set_mode(ProxyMode.PASS)
+
+    def _is_silent(self, upstream):
+        return self._site.proxies[upstream.instance].mode is not ProxyMode.PASS
+
     async def stop_store(self):
         self._site.store.faults.down = True
         self._site.store.notify_watches()
@@ -251,7 +293,7 @@
     async def announce_limit(self):
         """Announce a rate limit in an upstream's responses until after hosts must know of it."""
         upstream = self._rng.choice(self._site.initial_upstreams)
-        if upstream.extra_headers:
+        if upstream.extra_headers or self._is_silent(upstream):
             return
         rate = self._rng.choice(LIMITS_PER_SECOND)
         loop = asyncio.get_running_loop()
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -39,7 +39,8 @@
         versions = defaultdict(list)
         version_watcher = asyncio.ensure_future(watch_versions(site, versions))
         caller_set = CallerSet(site, rng, callers)
-        faults = Faults(site, rng)
+        # Callers draw in an order that depends on timing.
+        faults = Faults(site, random.Random(f"faults of {seed}"))
         planned = seed % 3 == 0
         caller_set.start()
         await faults.run(seconds, planned)
@@ -49,6 +50,7 @@
         findings += promises.check_answers(caller_set.observations)
         findings += promises.check_runs(caller_set.observations, runs)
         findings += promises.check_orders(site)
+        findings += promises.check_order_origins(site)
         findings += promises.check_versions(versions)
         findings += promises.check_crashes(site.crash_times)
         findings += promises.check_keys(
@@ -58,6 +60,7 @@
         findings += promises.check_duties(site)
         if planned:
             findings += promises.check_planned(caller_set.observations, runs)
+            findings += promises.check_whole(caller_set.observations, runs, faults.exits)
             findings += promises.check_limits(faults.limits)
         served = sum(
             1 for item in caller_set.observations if item.answer and item.answer.status == 200
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -56,6 +56,58 @@
     assert len(list(promises.check_planned([seen], Counter({seen.name: runs})))) == found
 
 
+@pytest.mark.parametrize(
+    ("kind", "status", "whole", "seconds", "found"),
+    [
+        ("chat", 200, True, 1.0, 0),
+        ("chat", 200, False, 1.7, 1),
+        # Its deadline may end it.
+        ("chat", 200, False, 1.9, 0),
+        ("goal", 200, False, 1.4, 1),
+        ("goal", 503, True, 0.1, 0),
+        ("goal", 502, True, 0.1, 1),
+        ("goal", 502, True, 1.6, 1),
+        ("goal", 504, True, 1.4, 1),
+        ("goal", 504, True, 1.5, 0),
+        ("goal", 0, False, 0.1, 1),
+        ("goal", 0, False, 1.9, 1),
+        ("goal", None, False, 4.0, 1),
+    ],
+)
+def test_a_cut_answer_and_a_request_without_one_are_found(kind, status, whole, seconds, found):
+    answer = None if status is None else Answer(status, whole=whole)
+    seen = Observation(f"{kind}-1", kind, "g0", answer, 5.0, 5.0 + seconds)
+    assert len(list(promises.check_whole([seen], Counter(), {}))) == found
+
+
+@pytest.mark.parametrize(
+    ("host", "at", "status", "runs", "found"),
+    [
+        ("g0", 6.1, 0, 0, 0),
+        ("g0", 6.1, 0, 1, 1),
+        ("g0", 6.1, 502, 0, 1),
+        # It was sent before the exit, or after it.
+        ("g0", 6.3, 0, 0, 1),
+        ("g0", 5.7, 0, 0, 1),
+        ("g1", 6.1, 0, 0, 1),
+    ],
+)
+def test_only_what_was_sent_while_its_host_exited_may_be_lost(host, at, status, runs, found):
+    answer = Answer(status, whole=status != 0)
+    seen = Observation("goal-1", "goal", "g0", answer, 6.0, 6.01)
+    ran = Counter({"goal-1": runs})
+    assert len(list(promises.check_whole([seen], ran, {host: [at]}))) == found
+
+
+@pytest.mark.parametrize(
+    ("orders", "found"),
+    [([("g0", "g0")], 0), ([("g0", "g0"), ("g1", "g0")], 1), ([(None, "g0")], 1)],
+)
+def test_an_order_from_another_host_than_the_holder_is_found(orders, found):
+    site = SimpleNamespace(proxies={"e0": SimpleNamespace(orders=orders)})
+    assert len(list(promises.check_order_origins(site))) == found
+
+
 @pytest.mark.parametrize(
     ("orders", "found"),
     [
