A holder of the duties that is cut from all engines leaves them to another host

What was seen in the soak: a cut holder went on ordering capacity, gave up the engines that decode, and could not order the new ones to; all hosts refused streams for 1 to 4 s. Cause: it planned by what it could do itself; orders do not go through peers. Change: it withdraws as a host does that does not reach the store, and another one takes the lease. A path counts as cut only if a peer reached the upstream, so that there is such a host.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -176,6 +176,7 @@
             self._median_clock,
             self._get_configuration,
             self._skipped_entries,
+            self._relaying.own.reaches_engines,
         )
         self._handler = GatewayHandler(
             self._state,
--- a/src/swifttrestle/internal/coordination/duties.py
+++ b/src/swifttrestle/internal/coordination/duties.py
@@ -41,8 +41,12 @@
         clock: MedianClock,
         find_configuration: Callable[[], Configuration | None],
         skipped: SkippedEntries,
+        reaches_engines: Callable[[], bool],
     ) -> None:
-        """Create the duties; `list_tasks` returns the coroutines that run them."""
+        """Create the duties; `list_tasks` returns the coroutines that run them.
+
+        `reaches_engines` returns whether this host can send orders to any engine.
+        """
         self._host = settings.host
         self._gossip = gossip
         bounds, duty_settings = settings.bounds, settings.duties
@@ -86,6 +90,7 @@
             lambda: discovery.store_unreachable,
             lambda: discovery.store_recoveries,
             self.capacity.is_settling,
+            reaches_engines,
         )
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -97,6 +97,12 @@
             names = [*self._list_cut(), *self._list_suspects()][:MAX_CHECKS]
             await asyncio.gather(*(self._check(name) for name in names))
 
+    def reaches_engines(self) -> bool:
+        """Return whether this host itself reaches an engine, as far as is known."""
+        cuts = self.paths.cuts
+        engines = [name for name in self._fleet.instances if self._fleet.is_engine(name)]
+        return not engines or any(name not in cuts for name in engines)
+
     def describe(self, now: float) -> dict[str, dict[str, object]]:
         """Return the cut paths by instance, for the state dump."""
         return {
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/roles.py
@@ -69,11 +69,14 @@
         is_store_unreachable: Callable[[], bool],
         count_store_recoveries: Callable[[], int],
         is_settling: Callable[[str], bool] = lambda _: False,
+        reaches_engines: Callable[[], bool] = lambda: True,
     ) -> None:
         """Set up; `gossip` knows the candidates for the lease.
 
-        `is_settling` returns whether a service's engines are still starting or not yet all listed.
+        `is_settling` returns whether a service's engines are still starting or not yet all listed,
+        `reaches_engines` whether this host can send orders to any of them.
         """
+        self._reaches_engines = reaches_engines
         self._is_settling = is_settling
         self._is_store_unreachable = is_store_unreachable
         self._count_store_recoveries = count_store_recoveries
@@ -116,6 +119,9 @@
         if self._candidates.holds_duty_lease and self._is_store_unreachable():
             # Orders cannot be recorded, and this host's list of engines is outdated.
             raise PlatformUnavailableError("the store is unreachable; no roles are planned")
+        if not self._reaches_engines():
+            # Orders do not go through peers, and other hosts reach the engines.
+            raise PlatformUnavailableError("this host reaches no engine; another one plans")
         may_reclaim = self._lease.may_reclaim() and not self._candidates.leaving
         if not may_reclaim and not self._candidates.is_candidate():
             await self._stand_by()
--- a/tests/hosted/test_cut_hosts.py
+++ b/tests/hosted/test_cut_hosts.py
@@ -149,3 +149,26 @@
         caller.close()
 
     run()
+
+
+def find_holder(site):
+    """Return the host that holds the duty lease, or None."""
+    holders = [
+        name
+        for name, running in site.gateways.items()
+        if running.gateway._gossip.candidates.holds_duty_lease
+    ]
+    return holders[0] if len(holders) == 1 else None
+
+
+@on_built(build_fleet)
+async def test_a_holder_of_the_duties_that_is_cut_from_all_engines_leaves_them_to_another(site):
+    first = await wait_until(lambda: find_holder(site), "a holder")
+    host = site.gateways[first]
+    host.paths.start_cut(Cut.REFUSE)
+    load = Load(site, random.Random(1), "cut")
+    calls = asyncio.ensure_future(load.run(2.0))
+    await wait_until(lambda: find_holder(site) not in (None, first), "another holder")
+    await calls
+    host.paths.heal()
+    await wait_until(host.gateway._relaying.own.reaches_engines, "healed")
