--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/exchange.py
@@ -12,7 +12,7 @@
 # Seconds to wait for this host's own watch before a newer configuration is fetched from a peer.
 CONFIG_WAIT_SECONDS = 0.15
 # Timeout in seconds of a whole fetch, so that a peer that sends single bytes does not keep this
-# host from trying another one.
+# host from trying another one. The largest version, uncompressed, takes 6.7 s over 5 Mbit/s.
 FETCH_TIMEOUT_SECONDS = 10.0
 # Bytes read from or written to a stream at a time.
 CHUNK_BYTES = 64 * 1024
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -27,11 +27,12 @@
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import ForwardingHeaders
 
-# Timeout of an attempt that may be repeated, as a share of the time to the deadline.
+# Timeout of an attempt that may be repeated, as a share of the time to the deadline. Below one
+# half, so that a second attempt still has time.
 FIRST_ATTEMPT_SHARE = 0.45
-# Retry-After where the request did not run.
+# Retry-After where the request did not run. About one request's work.
 RETRY_AFTER_SECONDS = 0.1
-# Maximum rejections of one request.
+# Maximum rejections of one request. They show that the service is full.
 MAX_REJECTIONS = 2
 ONE_REQUEST = OpenWork(0, 1)
 # Seconds until instances that failed are tried again; doubles where they were sent the request.
