A connection that follows one that has just ended fails as unreached

The follower holds the forerunner's result itself now. test_a_connection_that_follows_one_that_has_just_ended_fails_as_unreached.

--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -120,8 +120,9 @@
             yield Way(NEXT_RELAY_SECONDS, direct)
             return
         yield Way(RELAY_DELAY_SECONDS, direct)
-        if instance in self._asked:
-            yield Way(NEXT_RELAY_SECONDS, functools.partial(self._follow, instance))
+        asked = self._asked.get(instance)
+        if asked is not None:
+            yield Way(NEXT_RELAY_SECONDS, functools.partial(self._follow, asked, instance))
             return
         self._asked[instance] = asyncio.get_running_loop().create_future()
         try:
@@ -144,9 +145,11 @@
                 race.shorten(VERDICT_SECONDS)
             raise
 
-    async def _follow(self, instance: str) -> UpstreamConnection:
-        """Connect through the peer that another connection to the instance has found."""
-        relay = await asyncio.shield(self._asked[instance])
+    async def _follow(
+        self, asked: "asyncio.Future[Member | None]", instance: str
+    ) -> UpstreamConnection:
+        """Connect through the peer that another connection to the instance finds."""
+        relay = await asyncio.shield(asked)
         if relay is None:
             raise UpstreamUnreachedError(f"no peer reached {instance}", refused=False)
         return await self._connect_through(relay, instance)
--- a/tests/hosted/test_relayed_connections.py
+++ b/tests/hosted/test_relayed_connections.py
@@ -210,3 +210,15 @@
     writer.close()
     for item in (listener, relay_listener):
         item.close()
+
+
+@on_built(build_pair)
+async def test_a_connection_that_follows_one_that_has_just_ended_fails_as_unreached(site):
+    # The forerunner ends between the choice of the way and its first step.
+    own = site.gateways["g0"].gateway._relaying.own
+    asked = asyncio.get_running_loop().create_future()
+    own._asked["s0"] = asked
+    following = asyncio.ensure_future(own._follow(asked, "s0"))
+    own._end_asking("s0")
+    with pytest.raises(UpstreamUnreachedError):
+        await following
