An event of a token stream with a line break in it is no event

A byte between the two newlines that end an event joined it with the next one: whole and without a fault after 2 tokens of 3, own interface. The comparison of an event's first bytes did not look further; an event is one line. test_a_stream_with_inserted_bytes_is_not_taken_for_a_complete_answer, listed until now, failed on the drawn case noise=b"\x00" at=272 and passes.

--- a/src/swifttrestle/internal/protocol/tokens.py
+++ b/src/swifttrestle/internal/protocol/tokens.py
@@ -63,7 +63,8 @@
                 raise CrossedAnswerError("event after the last token", sent=True)
             self.whole = True
             return
-        if event.startswith(b"%s%d," % (self._prefix, self.offset)):
+        # A line break inside would join this event with the next one.
+        if event.startswith(b"%s%d," % (self._prefix, self.offset)) and b"\n" not in event:
             # The finish reason is at the end of an event, after the text of the token.
             if b'"finish_reason":"' in event[-40:]:
                 self.finished = True
