--- a/tests/hosted/test_duties.py
+++ b/tests/hosted/test_duties.py
@@ -62,6 +62,11 @@
     return total
 
 
+async def wait_for_window():
+    """Wait until a window of usage has just begun, so that the next requests share it."""
+    await asyncio.sleep(WINDOW_SECONDS - time.time() % WINDOW_SECONDS + 0.05)
+
+
 async def wait_for_usage(site, wanted):
     await wait_until(lambda: sum_reported(site) == wanted, f"usage {wanted}")
 
@@ -238,6 +243,7 @@
 @on_duty_site(engines=3)
 async def test_operators_see_engines_need_price_and_usage_of_each_window(site):
     await wait_until(lambda: count_engines_by_kind(site) == (3, 9), "settled")
+    await wait_for_window()
     await send(site, 2)
     await wait_for_usage(site, {"club": 2})
     await asyncio.sleep(1.0)
