A stream whose engine is gone without a word goes on elsewhere again

What callers would have seen: since a stream whose engine's host had died ended with its connection, after four seconds, though another engine was sound. Cause: an edit that missed its place; the limit asked by a call with an argument too few, whose TypeError the event loop only logs, so that it was never reached. Neither mypy nor a test saw it: partial() is not checked, and no test had an engine that is gone in the middle of a stream without its list knowing. Evidence: test_a_stream_goes_on_elsewhere_where_its_engine_is_gone_without_a_word failed before (reset after event 2) and passes. Found on reading.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -370,8 +370,11 @@
         fetch_from: tuple[str, int] | None,
         attempt: int,
     ) -> None:
-        may_give_up = functools.partial(self._reserve_replacement, ctx, decoder)
-        relay.silence = SilenceLimit(self._max_event_gap(ctx), may_give_up, ctx.withdraw_retry)
+        relay.silence = SilenceLimit(
+            self._max_event_gap(ctx),
+            functools.partial(self._reserve_resumption, ctx, decoder),
+            ctx.withdraw_retry,
+        )
         forwarding = ForwardingHeaders(
             decoder.record.instance,
             ctx.seconds_left,
--- a/tests/hosted/test_silent_upstreams.py
+++ b/tests/hosted/test_silent_upstreams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from swifttrestle_standins.hosted.site import make_route
+from swifttrestle_standins.hosted.site import make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, address_of, build_site, on_built, wait_in_force
@@ -80,6 +80,32 @@
     run()
 
 
+def test_a_stream_goes_on_elsewhere_where_its_engine_is_gone_without_a_word():
+    @on_built(lambda: build_silent_site(engines=("prefill", "decode", "decode")))
+    async def run(site):
+        for name in ("e1", "e2"):
+            site.upstreams[name].events = 8
+            site.upstreams[name].seconds = 0.1
+        asking = asyncio.ensure_future(
+            ask(address_of(site), "/verdict/a", "v1", X_Token_Usage=SHORT)
+        )
+        runner = await wait_until(
+            lambda: next((e for e in site.upstreams.values() if e.runs["v1"]), None), "a run"
+        )
+        await asyncio.sleep(0.25)
+        began = asyncio.get_running_loop().time()
+        held = site._blackhole(runner)
+        answer = await asking
+        seconds = asyncio.get_running_loop().time() - began
+        for item in held:
+            item.close()
+        assert (answer.status, answer.whole, answer.body) == (200, True, make_stream("v1", 8))
+        # Callers give up a stream after a gap of 2 s; what is left takes 0.8 s.
+        assert seconds < 2.0 + 0.8
+
+    run()
+
+
 PLAIN = {
     "no other upstream": {},
     "no attempt left": {"plain": 2, "attempts": 1},
