--- a/src/swifttrestle/internal/transport/race.py
+++ b/src/swifttrestle/internal/transport/race.py
@@ -50,6 +50,8 @@
                 winner = await self._wait_for_winner(way.seconds)
                 if winner is not None:
                     return winner
+                if asyncio.get_running_loop().time() >= self._end:
+                    break
             winner = await self._wait_for_winner(math.inf)
             if winner is not None:
                 return winner
