--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -82,7 +82,7 @@
                 self._record_failure(ctx, instance, error, course)
 
     def _record_failure(
-        self, ctx: Context, instance: Instance, error: UpstreamError, course: "_Course"
+        self, ctx: Context, instance: Instance, error: UpstreamError, course: _Course
     ) -> None:
         """Record a failed attempt and what it leaves to the next one."""
         course.reason = str(error)
@@ -110,7 +110,7 @@
         course.charged = ctx.use_reserved_retry()
         course.left_silent = course.left_silent or isinstance(error, UpstreamSilentError)
 
-    async def _wait_or_refuse(self, ctx: Context, course: "_Course") -> None:
+    async def _wait_or_refuse(self, ctx: Context, course: _Course) -> None:
         """Wait before instances are tried again; raise RefusedError if that is of no use.
 
         A silent instance that was left goes on in a moment, if it was sound; so do those that no
@@ -124,7 +124,7 @@
         ctx.excluded.clear()
 
     @staticmethod
-    def _may_wait_for_path(ctx: Context, course: "_Course") -> bool:
+    def _may_wait_for_path(ctx: Context, course: _Course) -> bool:
         """Return whether another connection would still come in time for an answer."""
         if not course.unreached or ctx.may_have_run:
             return False
@@ -145,7 +145,7 @@
         usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
         return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
 
-    def _may_attempt(self, ctx: Context, now: float, course: "_Course") -> bool:
+    def _may_attempt(self, ctx: Context, now: float, course: _Course) -> bool:
         """Return whether another attempt may be made, and take it from the retry budget."""
         if ctx.sent_attempts == 0:
             return True
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -110,7 +110,8 @@
             self._state.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._state.note_failed_use(ctx, reader, error)
-            ctx.silent_prefills += isinstance(error, UpstreamSilentError)
+            if isinstance(error, UpstreamSilentError):
+                ctx.silent_prefills += 1
             self._record_failure(ctx, reader, use.outcome, str(error))
             return None
         finally:
