The takeover from a silent upstream is reserved in one place

Plain services, decode engines and prefill engines each listed the usable instances, left out the silent one and took the retry, in three copies; the check for a run that the route still allows stood in two more. The shared state does it for all three now, by a question that each of them passes.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -77,6 +77,11 @@
         """Whether the request may run more than once."""
         return self.route.repeat is RetrySafety.IDEMPOTENT
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether its route allows a run besides the present one."""
+        return self.repeatable and self.runs + 1 < self.route.max_attempts
+
     @property
     def seconds_left(self) -> float:
         """Seconds to the deadline."""
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import math
+from collections.abc import Collection
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
@@ -348,18 +349,18 @@
 
     def _reserve_replacement(self, ctx: Context, decoder: Instance, attempt: int) -> bool:
         """Return whether another engine takes over from a silent one, and reserve its retry."""
-        if not ctx.repeatable or ctx.runs + 1 >= ctx.route.max_attempts:
-            return False
-        if attempt + 1 >= MAX_DECODE_ATTEMPTS:
-            return False
-        now = _now()
-        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent)
-        excluded = ctx.excluded | {decoder.name}
-        if pick_decode_engine(engines, self._state.zone, excluded, now, urgent=ctx.urgent) is None:
+        if not ctx.may_run_again or attempt + 1 >= MAX_DECODE_ATTEMPTS:
             return False
         if self._state.guard.holds_back(ctx):
             return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
+        has_other = functools.partial(self._has_other_decoder, ctx)
+        return self._state.reserve_takeover(ctx, decoder, has_other)
+
+    def _has_other_decoder(
+        self, ctx: Context, usable: list[Instance], excluded: Collection[str]
+    ) -> bool:
+        zone, now = self._state.zone, _now()
+        return pick_decode_engine(usable, zone, excluded, now, urgent=ctx.urgent) is not None
 
     async def _attempt_decode(
         self,
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 from collections import deque
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator, Callable, Collection
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
@@ -135,6 +135,23 @@
         usable = [item for item in listed if not self.ejector.is_ejected(item.name, now)]
         return usable or listed
 
+    def reserve_takeover(
+        self,
+        ctx: Context,
+        silent: Instance,
+        has_other: Callable[[list[Instance], Collection[str]], bool],
+    ) -> bool:
+        """Return whether another instance takes over from a silent one, and reserve its retry.
+
+        `has_other` returns whether one of the usable instances, without those of the given names,
+        can take the request.
+        """
+        now = asyncio.get_running_loop().time()
+        usable = self.list_usable(ctx.service.name, now, ctx.urgent)
+        if not has_other(usable, ctx.excluded | {silent.name}):
+            return False
+        return ctx.reserve_retry(self.budgets.find(ctx.service.name))
+
     def _count_unreached(self, instance: str, error: UpstreamUnreachedError) -> None:
         result = "refused" if error.refused else "timeout"
         self.metrics.count("upstream_connects_failed_total", instance=instance, result=result)
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from swifttrestle.codes import Code
@@ -161,26 +162,23 @@
 
     def _reserve_replacement(self, ctx: Context, instance: Instance) -> bool:
         """Return whether another instance takes over from a silent one, and reserve its retry."""
-        if not ctx.repeatable or ctx.runs + 1 >= ctx.route.max_attempts:
+        if not ctx.may_run_again or self._state.guard.holds_back(ctx):
             return False
+        return self._state.reserve_takeover(ctx, instance, self._has_other)
+
+    def _has_other(self, usable: list[Instance], excluded: Collection[str]) -> bool:
         now = asyncio.get_running_loop().time()
-        usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
-        excluded = ctx.excluded | {instance.name}
-        if pick_plain_instance(usable, self._state.zone, excluded, now, self._state.rng) is None:
-            return False
-        if self._state.guard.holds_back(ctx):
-            return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
+        zone, rng = self._state.zone, self._state.rng
+        return pick_plain_instance(usable, zone, excluded, now, rng) is not None
 
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
-        is_last = ctx.runs + 1 >= ctx.route.max_attempts or not ctx.repeatable
         silence = SilenceLimit(
             ctx.seconds_left * FIRST_ATTEMPT_SHARE,
             functools.partial(self._reserve_replacement, ctx, instance),
             ctx.withdraw_retry,
         )
         now = asyncio.get_running_loop().time()
-        may_retry = not is_last and self._state.budgets.find(ctx.service.name).allows(now)
+        may_retry = ctx.may_run_again and self._state.budgets.find(ctx.service.name).allows(now)
         plan = AttemptPlan(
             instance,
             ForwardingHeaders(instance.record.instance, ctx.seconds_left),
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from swifttrestle.codes import Code
@@ -18,6 +19,7 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.state.bookings import Booking, Outcome, Stage
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle.internal.transport.pool import call_once
@@ -157,16 +159,8 @@
         """Return whether another engine takes over from a silent one, and reserve its retry."""
         if ctx.failed_prefills + 1 >= MAX_PREFILLS:
             return False
-        now = asyncio.get_running_loop().time()
-        excluded = ctx.excluded | {reader.name}
-        others = [
-            item
-            for item in self._state.list_usable(ctx.service.name, now, ctx.urgent)
-            if item.role is reader.role and item.name not in excluded
-        ]
-        if not others:
-            return False
-        return ctx.reserve_retry(self._state.budgets.find(ctx.service.name))
+        has_other = functools.partial(_has_other_of_role, reader.role)
+        return self._state.reserve_takeover(ctx, reader, has_other)
 
     async def _request_prefill(
         self, ctx: Context, booking: Booking, silence: SilenceLimit
@@ -224,6 +218,10 @@
                 log_event("handle not freed", engine=reader.name, reason=str(error))
 
 
+def _has_other_of_role(role: Role, usable: list[Instance], excluded: Collection[str]) -> bool:
+    return any(item.role is role and item.name not in excluded for item in usable)
+
+
 def find_source_address(booking: Booking) -> tuple[str, int] | None:
     """Return the address to fetch KV cache from; None if there is nothing to fetch."""
     source = booking.source
