Keepalive is set by one function

The gateway's dialer and the own interface's streams each set the same four socket options; each keeps its own times.

--- a/src/swifttrestle/internal/protocol/calls.py
+++ b/src/swifttrestle/internal/protocol/calls.py
@@ -19,6 +19,7 @@
     UpstreamLeavingError,
 )
 from swifttrestle.internal.checks import parse_address
+from swifttrestle.internal.transport.keepalive import set_keepalive
 
 READ_BYTES = 65536
 # Largest accepted response body of a plain service, in bytes.
@@ -30,6 +31,10 @@
 MAX_RETRY_AFTER_SECONDS = 60.0
 # Bytes of a refusal's body that are read.
 MAX_REFUSAL_BYTES = 4096
+# A machine that is gone is noticed after 10 s, the default of `stall_seconds`.
+PROBE_IDLE_SECONDS = 4
+PROBE_INTERVAL_SECONDS = 2
+MAX_PROBES = 3
 
 
 @dataclass(frozen=True)
@@ -65,12 +70,6 @@
         return orjson.dumps(value)
 
 
-# A machine that is gone is noticed after 10 s, the default of `stall_seconds`.
-PROBE_IDLE_SECONDS = 4
-PROBE_INTERVAL_SECONDS = 2
-MAX_PROBES = 3
-
-
 @dataclass(frozen=True)
 class OpenStream:
     """A streamed response that has begun: its socket and the body bytes received so far."""
@@ -119,10 +118,7 @@
 
 def _probe_when_idle(sock: socket.socket) -> None:
     """Have the kernel end a connection whose machine is gone; a silent engine's stays."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_PROBES)
+    set_keepalive(sock, PROBE_IDLE_SECONDS, PROBE_INTERVAL_SECONDS, MAX_PROBES)
 
 
 def cancel_stream(address: str, request_id: str, attempt: int, seconds: float) -> None:
--- a/src/swifttrestle/internal/transport/dialer.py
+++ b/src/swifttrestle/internal/transport/dialer.py
@@ -5,6 +5,7 @@
 import socket
 
 from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.transport.keepalive import set_keepalive
 from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
 
 # Connection timeout, shorter than TCP's first SYN retransmission, so that another upstream is tried
@@ -48,8 +49,5 @@
 
 def set_tcp_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
     """Have the kernel break a connection whose other end no longer responds."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    set_keepalive(sock, KEEPALIVE_SECONDS, KEEPALIVE_SECONDS, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
