--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -56,7 +56,6 @@
         self.sent = False
         self._sent_at = 0.0
         self._exchanges = 0
-        self._received = False
         self.reusable = True
         self.idle_until = 0.0
         # The peer that relays this connection; empty if it is direct.
@@ -76,7 +75,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request awaits them."""
-        self._received = True
         self._received_at = asyncio.get_running_loop().time()
         if self._head is None and self._body is None:
             self._fail(UpstreamBrokenError("bytes received without a request", sent=True))
@@ -177,7 +175,6 @@
         self.sent = True
         self._sent_at = asyncio.get_running_loop().time()
         self._exchanges += 1
-        self._received = False
         self._transport.write(
             write_request_head(
                 request.method, request.target, request.headers, request.framing, request.length
@@ -211,8 +208,9 @@
 
     def is_silent(self) -> bool:
         """Return whether this connection was reused and nothing was received since then."""
+        received = self._received_at > self._sent_at
         waited = asyncio.get_running_loop().time() - self._sent_at
-        return self._exchanges > 1 and not self._received and waited >= SILENT_SECONDS
+        return self._exchanges > 1 and not received and waited >= SILENT_SECONDS
 
     def count_silent_seconds(self, now: float) -> float:
         """Return for how long nothing was received since the request was sent."""
