Tests: one maker of expected streams, one error of a cut, the product's own reset

make_stream stood in three test files, the error of a cut connection in the site's dialer and the soak's, and a reset by SO_LINGER beside reset_connection.

--- a/src/swifttrestle_standins/hosted/cuts.py
+++ b/src/swifttrestle_standins/hosted/cuts.py
@@ -61,6 +61,11 @@
             self._inner.resume_reading()
 
 
+def make_cut_error(address: Address, cut: Cut) -> UpstreamUnreachedError:
+    """Return the error of a connection that a cut prevents."""
+    return UpstreamUnreachedError(f"cannot connect to {address}: cut", refused=cut is not Cut.HANG)
+
+
 class CuttableDialer(Dialer):
     """Opens direct connections that can be cut, all at once."""
 
@@ -75,9 +80,7 @@
         if self.cut is Cut.HANG:
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
         if self.cut is not None:
-            raise UpstreamUnreachedError(
-                f"cannot connect to {address}: cut", refused=self.cut is not Cut.HANG
-            )
+            raise make_cut_error(address, self.cut)
         connection = await super().dial(address)
         inner = connection.transport
         assert isinstance(inner, asyncio.Transport)
--- a/tests/hosted/sites.py
+++ b/tests/hosted/sites.py
@@ -4,7 +4,7 @@
 import functools
 
 from swifttrestle_standins.hosted.site import Site, make_model_service, make_route, wait_until
-from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
+from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream, make_event
 
 # Values of X-Token-Usage (prompt tokens, output tokens): a long prompt, which is prefilled by
 # another engine, and a short one.
@@ -75,6 +75,11 @@
     return signature.replace(parameters=list(signature.parameters.values())[1:])
 
 
+def make_stream(name, events=4):
+    """Return the events of the stand-in engines' response to the request `name`."""
+    return b"".join(make_event(name, number) for number in range(1, events + 1))
+
+
 def address_of(site, gateway="g0"):
     """Return the address of a gateway for callers."""
     return site.gateways[gateway].settings.callers
--- a/tests/hosted/test_relayed_connections.py
+++ b/tests/hosted/test_relayed_connections.py
@@ -1,14 +1,12 @@
 """Connections that a peer relays: who may ask, how they end, and what never takes this way."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RelayRefusedError, UpstreamUnreachedError
-from swifttrestle.internal.transport.relay import RelayedPair, dial_through
+from swifttrestle.internal.transport.relay import RelayedPair, dial_through, reset_connection
 from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
@@ -197,10 +195,7 @@
     upstream_end.write(b"part")
     assert await reader.readexactly(4) == b"part"
     if reset:
-        linger = struct.pack("ii", 1, 0)
-        sock = upstream_end.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        upstream_end.transport.abort()
+        reset_connection(upstream_end.transport)
         with pytest.raises(seen):
             await reader.read()
     else:
--- a/tests/hosted/test_requests.py
+++ b/tests/hosted/test_requests.py
@@ -5,13 +5,9 @@
 import pytest
 
 from swifttrestle_standins.hosted.site import wait_until
-from swifttrestle_standins.hosted.upstreams import make_content, make_event
+from swifttrestle_standins.hosted.upstreams import make_content
 from tests.common.http import RawCaller, ask, write_request
-from tests.hosted.sites import LONG, SHORT, address_of, count_runs, on_site, script
-
-
-def make_stream(name, events=4):
-    return b"".join(make_event(name, number) for number in range(1, events + 1))
+from tests.hosted.sites import LONG, SHORT, address_of, count_runs, make_stream, on_site, script
 
 
 @on_site()
--- a/tests/hosted/test_silent_upstreams.py
+++ b/tests/hosted/test_silent_upstreams.py
@@ -5,17 +5,21 @@
 import pytest
 
 from swifttrestle_standins.hosted.site import make_route, wait_until
-from swifttrestle_standins.hosted.upstreams import make_content, make_event
+from swifttrestle_standins.hosted.upstreams import make_content
 from tests.common.http import ask
-from tests.hosted.sites import LONG, SHORT, address_of, build_site, on_built, wait_in_force
+from tests.hosted.sites import (
+    LONG,
+    SHORT,
+    address_of,
+    build_site,
+    make_stream,
+    on_built,
+    wait_in_force,
+)
 
 NO_RETRIES = {"budgetRatio": 0, "budgetExtra": 0}
 
 
-def make_stream(name, events=4):
-    return b"".join(make_event(name, number) for number in range(1, events + 1))
-
-
 async def build_silent_site(engines=("prefill", "decode"), plain=1, attempts=2, bounds=None):
     """Start a site whose routes leave time for a pause, and whose retries are bounded."""
     site = await build_site(gateways=0, engines=engines, plain=plain)
--- a/tests/hosted/test_upstreams_given_up_too_soon.py
+++ b/tests/hosted/test_upstreams_given_up_too_soon.py
@@ -21,10 +21,9 @@
     StandInEngine,
     StandInUpstream,
     make_content,
-    make_event,
 )
 from tests.common.http import ask
-from tests.hosted.sites import LONG, SHORT, address_of, build_site, on_built
+from tests.hosted.sites import LONG, SHORT, address_of, build_site, make_stream, on_built
 
 SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
 # A socket filter of one instruction, "return 0": the kernel drops all segments unacknowledged.
@@ -34,10 +33,6 @@
 SILENT_SECONDS = 1.3
 
 
-def make_stream(name, events=4):
-    return b"".join(make_event(name, number) for number in range(1, events + 1))
-
-
 async def build_silent_site(
     engines=("prefill", "decode", "decode"), plain=2, attempts=2, bounds=None, stream_ms=8000
 ):
--- a/tests/soak/gateway.py
+++ b/tests/soak/gateway.py
@@ -12,9 +12,8 @@
 from pathlib import Path
 
 import swifttrestle.gateway
-from swifttrestle.errors import UpstreamUnreachedError
 from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS, Dialer
-from swifttrestle_standins.hosted.cuts import Cut
+from swifttrestle_standins.hosted.cuts import Cut, make_cut_error
 
 PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "gateway.py"
 # The file that names the cut while there is one, and the file in which the dialer lists the ends
@@ -35,7 +34,7 @@
         if cut is Cut.HANG:
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
         if cut is not None:
-            raise self._make_error(address, cut)
+            raise make_cut_error(address, cut)
         connection = await super().dial(address)
         local = connection.transport.get_extra_info("sockname")
         if local is not None:
@@ -43,14 +42,9 @@
         cut = self._read_cut()
         if cut is not None:
             connection.close()
-            raise self._make_error(address, cut)
+            raise make_cut_error(address, cut)
         return connection
 
-    def _make_error(self, address, cut):
-        return UpstreamUnreachedError(
-            f"cannot connect to {address}: cut", refused=cut is not Cut.HANG
-        )
-
     def _read_cut(self):
         # There is no file, or it is being written.
         with contextlib.suppress(OSError, KeyError):
