A background task that a host can do without runs again after it failed

Callers of a host that was cut from its upstreams saw their new connections reset, or refused: the host had ended.

Ruled out: resets of our own (no object exists before the connection is taken up), a full queue of the kernel (it drops), used-up ports (another error).

Checks of paths, the expiry of conditions and the queries for cached parts run again after a second now; they keep no authority.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +34,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
+from swifttrestle.internal.restarting import run_restarting
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
@@ -225,9 +226,9 @@
         self._start(self._gossip.run())
         self._start(self._gossip.register(self._store, self._skipped_entries))
         self._start(self._booker.run())
-        self._start(self._state.conditions.run())
-        self._start(self._relaying.own.run())
-        self._start(self._prompt_cache_loader.run())
+        self._start_restarting("upstream conditions", self._state.conditions.run)
+        self._start_restarting("path checks", self._relaying.own.run)
+        self._start_restarting("prompt cache queries", self._prompt_cache_loader.run)
         self._start(self._quarantine_store.run())
         self._start(self._quarantine_relay.run())
         self._start(self._freshness_monitor.run())
@@ -320,6 +321,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._handle_task_end)
 
+    def _start_restarting(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._start(run_restarting(name, run, self._metrics))
+
     def _handle_task_end(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -231,7 +231,10 @@
 
     async def _check(self, name: str) -> None:
         """Connect to an instance, and keep the connection for the next request."""
-        instance = self._fleet.instances[name]
+        instance = self._fleet.instances.get(name)
+        if instance is None:
+            # It has left since it was chosen.
+            return
         self._checked_at[name] = _now()
         with contextlib.suppress(UpstreamUnreachedError):
             if self.paths.is_cut(name):
