A request at a cut host is tried again while its peers have not answered, if there is time

Cause: after its own refused connection a host gives peers 0.1 s, then takes the upstream for ended; streams never waited at all.

Change: such a refusal is unconfirmed: it weighs as a timeout, and a request that no upstream got is tried again; a connection that a peer makes late is kept and shows the path.

--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -168,12 +168,21 @@
 
 
 class UpstreamUnreachedError(UpstreamBrokenError):
-    """No connection was established; `refused` is False after a timeout."""
+    """No connection was established; `refused` is False after a timeout.
 
-    def __init__(self, message: str, refused: bool) -> None:
+    `unconfirmed` is whether this host alone was refused, and its peers have not answered yet.
+    """
+
+    def __init__(self, message: str, refused: bool, unconfirmed: bool = False) -> None:
         """Store whether the connection was refused; no byte of the request was sent."""
         super().__init__(message, sent=False)
         self.refused = refused
+        self.unconfirmed = unconfirmed
+
+    @property
+    def may_be_path(self) -> bool:
+        """Whether the upstream may be sound, and reached a little later."""
+        return not self.refused or self.unconfirmed
 
 
 class RelayRefusedError(UpstreamUnreachedError):
--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -19,7 +19,7 @@
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS
 from swifttrestle.internal.transport.pool import ConnectionPool
-from swifttrestle.internal.transport.race import NoWayError, Race, Way
+from swifttrestle.internal.transport.race import LateWays, NoWayError, Race, Way
 from swifttrestle.internal.transport.relay import dial_through
 from swifttrestle.internal.transport.upstream import Address, UpstreamConnection
 
@@ -30,6 +30,10 @@
 NEXT_RELAY_SECONDS = 0.05
 # Seconds after a refused direct connection in which peers must answer for themselves.
 VERDICT_SECONDS = 0.1
+# Seconds for which peers may still connect after a connection was given up, and the maximum number
+# of such attempts. On a busy host a peer's answer takes longer than a request may wait for it.
+LATE_SECONDS = 0.7
+MAX_LATE = 16
 # Seconds between two checks of cut paths and of silent instances.
 CHECK_SECONDS = 0.25
 # Seconds without a byte on all open requests of an instance after which its path is checked.
@@ -64,6 +68,7 @@
         self._rng = rng
         # By instance, the peer that a connection in progress will have found, or None.
         self._asked: dict[str, asyncio.Future[Member | None]] = {}
+        self._late_ways = LateWays(LATE_SECONDS, MAX_LATE)
         # The loop's time of the last check of each instance's path.
         self._checked_at: dict[str, float] = {}
         pool.connect = self.connect
@@ -71,7 +76,8 @@
 
     async def connect(self, instance: str, address: Address) -> UpstreamConnection:
         """Connect to an instance; raise UpstreamUnreachedError."""
-        race = Race(CONNECT_TIMEOUT_SECONDS)
+        keep = functools.partial(self._keep_late, instance)
+        race = Race(CONNECT_TIMEOUT_SECONDS, lambda way: self._late_ways.add(way, keep))
         ways = self._iterate_ways(race, instance, address)
         try:
             connection = await race.run(ways)
@@ -79,6 +85,7 @@
             raise UpstreamUnreachedError(
                 f"cannot connect to {instance} at {address[0]}:{address[1]}: {error}",
                 refused=_is_refused(error.errors),
+                unconfirmed=_is_unconfirmed(error),
             ) from None
         finally:
             ways.close()
@@ -151,7 +158,9 @@
         """Connect through the peer that another connection to the instance finds."""
         relay = await asyncio.shield(asked)
         if relay is None:
-            raise UpstreamUnreachedError(f"no peer reached {instance}", refused=False)
+            raise UpstreamUnreachedError(
+                f"no peer reached {instance}", refused=False, unconfirmed=True
+            )
         return await self._connect_through(relay, instance)
 
     def _end_asking(self, instance: str) -> None:
@@ -178,6 +187,11 @@
             found.set_result(relay)
         return connection
 
+    def _keep_late(self, instance: str, connection: UpstreamConnection) -> None:
+        """Use a connection that came too late for its request."""
+        self._note_way(instance, connection)
+        self._pool.keep(instance, connection)
+
     def _note_way(self, instance: str, connection: UpstreamConnection) -> None:
         if not connection.relay:
             self._note_direct(instance)
@@ -257,10 +271,19 @@
 
     A refusal of this host's own connection may be the cut, so that peers decide if any tried.
     """
-    verdicts = [error for error in errors if isinstance(error, RelayRefusedError) and error.tried]
-    if verdicts:
-        return any(error.refused for error in verdicts)
-    return any(error.refused for error in errors)
+    verdicts = _list_verdicts(errors)
+    return any(error.refused for error in verdicts or errors)
+
+
+def _is_unconfirmed(error: NoWayError) -> bool:
+    """Return whether no peer has tried yet, and one may still do."""
+    undecided = error.undecided or any(item.unconfirmed for item in error.errors)
+    return undecided and not _list_verdicts(error.errors)
+
+
+def _list_verdicts(errors: Sequence[UpstreamUnreachedError]) -> list[UpstreamUnreachedError]:
+    """Return the answers of peers that tried to connect."""
+    return [error for error in errors if isinstance(error, RelayRefusedError) and error.tried]
 
 
 def _now() -> float:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -10,6 +10,7 @@
     RefusedError,
     UpstreamBrokenError,
     UpstreamBusyError,
+    UpstreamError,
     UpstreamHeldError,
     UpstreamLeavingError,
     UpstreamUnreachedError,
@@ -20,6 +21,7 @@
 from swifttrestle.internal.forward.engine_finder import RETRY_WAIT_SHARE, is_short_prompt
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
+from swifttrestle.internal.forward.path_waiting import RETRY_SECONDS, waits_for_path
 from swifttrestle.internal.forward.prefill import (
     MAX_PREFILLS,
     DirectPrefill,
@@ -82,6 +84,7 @@
             use = EngineUse(asyncio.get_running_loop().time())
             direct_prefill = DirectPrefill(booking, self._booker)
             ctx.on_first_byte = direct_prefill.end
+            unreached = False
             try:
                 handle = await self._prefill(ctx, booking)
                 if handle is not None or booking.direct:
@@ -91,10 +94,15 @@
             except UpstreamHeldError as error:
                 ctx.note(str(error))
                 held_bookings += 1
+            except UpstreamUnreachedError as error:
+                ctx.note(str(error))
+                unreached = True
             finally:
                 direct_prefill.cancel()
                 seconds = asyncio.get_running_loop().time() - use.started_at
                 self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
+            if unreached:
+                await asyncio.sleep(RETRY_SECONDS)
         raise ctx.refuse(
             Code.NO_UPSTREAM, "no engine prefilled the prompt", MIN_RETRY_AFTER_SECONDS
         )
@@ -102,7 +110,8 @@
     async def _prefill(self, ctx: Context, booking: Booking) -> KvHandle | None:
         """Have the prompt prefilled by another engine if one is booked.
 
-        Raises UpstreamHeldError if a booked engine accepts no requests at the moment.
+        Raises UpstreamHeldError if a booked engine accepts no requests at the moment, and
+        UpstreamUnreachedError if another one may be booked once a path is found.
         """
         if booking.direct:
             await self._state.permits.reserve(ctx, booking.decoder)
@@ -228,14 +237,13 @@
                 except UpstreamHeldError as error:
                     # Nothing was sent, so the next engine does not count as a repeat.
                     ctx.note(str(error))
-                    decoder = await self._replace_held(ctx, relay, str(error))
+                    decoder = await self._replace_held(ctx, relay, error)
                     continue
                 except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
                     outcome = self._state.note_failed_use(ctx, decoder, error)
                     if decoder is booking.decoder:
                         use.outcome = outcome
-                    reason = str(error)
-                    sent = not isinstance(error, UpstreamUnreachedError)
+                    reason, failure = str(error), error
                     if isinstance(error, UpstreamBrokenError) and error.sent:
                         ctx.runs += 1
                         # The failed attempt has consumed the handle.
@@ -243,9 +251,9 @@
                         source, handle = "", None
                 ctx.note(f"decoder {decoder.name} failed: {reason}")
                 ctx.excluded.add(decoder.name)
-                if not sent:
+                if isinstance(failure, UpstreamUnreachedError):
                     # Nothing reached an engine, so the next one is no repeat.
-                    decoder = await self._replace_held(ctx, relay, reason)
+                    decoder = await self._replace_held(ctx, relay, failure)
                     continue
                 decoder = await self._replace_decoder(ctx, relay, reason, attempt)
                 attempt += 1
@@ -301,19 +309,23 @@
             # Engines that failed or refused may have recovered.
             ctx.excluded.clear()
 
-    async def _replace_held(self, ctx: Context, relay: EventRelay, reason: str) -> Instance:
-        """Return an engine in place of one that accepts no requests; raise RefusedError.
+    async def _replace_held(
+        self, ctx: Context, relay: EventRelay, failure: UpstreamError
+    ) -> Instance:
+        """Return an engine in place of one that got no request; raise RefusedError.
 
-        An answer that has begun waits for one as after a refusal.
+        An answer that has begun waits for one as after a refusal, and one that has not while a
+        path to it may be found in time.
         """
         give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
         while True:
             try:
-                return self._pick_decode_engine(ctx, reason, _now())
+                return self._pick_decode_engine(ctx, str(failure), _now())
             except RefusedError:
-                if _now() + FIRST_RESUME_SECONDS >= give_up_at:
+                waits = _now() + FIRST_RESUME_SECONDS < give_up_at
+                if not waits and not waits_for_path(ctx, failure):
                     raise
-            await asyncio.sleep(FIRST_RESUME_SECONDS)
+            await asyncio.sleep(FIRST_RESUME_SECONDS if waits else RETRY_SECONDS)
             ctx.excluded.clear()
 
     def _find_replacement(
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -264,4 +264,4 @@
     """Return the number of failures that an error counts for in ejection."""
     if not isinstance(error, UpstreamUnreachedError):
         return 1
-    return REFUSED_CONNECTION_WEIGHT if error.refused else CONNECT_TIMEOUT_WEIGHT
+    return CONNECT_TIMEOUT_WEIGHT if error.may_be_path else REFUSED_CONNECTION_WEIGHT
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -21,10 +21,10 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
+from swifttrestle.internal.forward.path_waiting import RETRY_SECONDS, may_connect_later
 from swifttrestle.internal.policy.placement import pick_plain_instance
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
-from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import ForwardingHeaders
 
@@ -36,10 +36,6 @@
 # Maximum rejections of one request. They show that the service is full.
 MAX_REJECTIONS = 2
 ONE_REQUEST = OpenWork(0, 1)
-# Seconds until instances that failed are tried again; doubles where they were sent the request.
-RETRY_SECONDS = 0.1
-# Share of a request's time by which its connection must be made; the rest is for the answer.
-LATEST_CONNECT_SHARE = 0.8
 
 
 @dataclass
@@ -48,7 +44,7 @@
 
     `charged` is whether the next attempt has been taken from the retry budget or needs none,
     `left_silent` whether a silent instance was given up, and `unreached` whether the last
-    connection timed out.
+    connection may be made a little later.
     """
 
     reason: str
@@ -97,7 +93,7 @@
                 # Nothing was sent, so the next attempt is no repeat.
                 ctx.sent_attempts -= 1
                 course.charged = True
-                course.unreached = not error.refused
+                course.unreached = error.may_be_path
                 self._note_broken(ctx, instance, error)
                 ctx.excluded.add(instance.name)
                 return
@@ -118,20 +114,13 @@
         connection reached, which may have been a lost packet.
         """
         left_silent = course.left_silent and ctx.runs < ctx.route.max_attempts
-        if ctx.reply.started or not (left_silent or self._may_wait_for_path(ctx, course)):
+        waits_for_path = course.unreached and may_connect_later(ctx)
+        if ctx.reply.started or not (left_silent or waits_for_path):
             raise self._refuse(ctx, course.reason, asyncio.get_running_loop().time())
         await asyncio.sleep(RETRY_SECONDS * 2**course.waits)
         course.waits += 1 if left_silent else 0
         ctx.excluded.clear()
 
-    @staticmethod
-    def _may_wait_for_path(ctx: Context, course: _Course) -> bool:
-        """Return whether another connection would still come in time for an answer."""
-        if not course.unreached or ctx.may_have_run:
-            return False
-        total = ctx.age + ctx.seconds_left
-        return ctx.age + RETRY_SECONDS + CONNECT_TIMEOUT_SECONDS < total * LATEST_CONNECT_SHARE
-
     def _refuse(self, ctx: Context, reason: str, now: float) -> RefusedError:
         """Return the error for a request that may be sent to no further instance."""
         wait_seconds = self._state.find_wait_seconds(
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -18,6 +18,7 @@
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.gateway_state import GatewayState
+from swifttrestle.internal.forward.path_waiting import waits_for_path
 from swifttrestle.internal.state.bookings import Booking, Outcome, Stage
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
@@ -90,8 +91,9 @@
     async def prefill(self, ctx: Context, booking: Booking) -> KvHandle | None:
         """Have the prompt prefilled; return None if the engine refused or failed.
 
-        Raises RefusedError if no other engine may be tried, and UpstreamHeldError if either of the
-        booked engines accepts no requests at the moment.
+        Raises RefusedError if no other engine may be tried, UpstreamHeldError if either of the
+        booked engines accepts no requests at the moment, and UpstreamUnreachedError if a path to
+        the engine may be found a little later.
         """
         reader, loop = booking.reader, asyncio.get_running_loop()
         use = EngineUse(loop.time())
@@ -112,6 +114,8 @@
             self._state.ejector.note_success(reader.name, loop.time())
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._state.note_failed_use(ctx, reader, error)
+            if waits_for_path(ctx, error):
+                raise
             if isinstance(error, UpstreamSilentError):
                 ctx.silent_prefills += 1
             self._record_failure(ctx, reader, use.outcome, str(error))
--- a/src/swifttrestle/internal/transport/race.py
+++ b/src/swifttrestle/internal/transport/race.py
@@ -19,20 +19,63 @@
 
 
 class NoWayError(Exception):
-    """All ways have failed; `errors` has their errors in order."""
+    """No way succeeded; `errors` has the errors of the failed ones in order.
 
-    def __init__(self, errors: Sequence[UpstreamUnreachedError]) -> None:
+    `undecided` is whether any still tried when the time was over.
+    """
+
+    def __init__(self, errors: Sequence[UpstreamUnreachedError], undecided: bool) -> None:
         """Store the errors."""
         super().__init__("; ".join(str(error) for error in errors))
         self.errors = tuple(errors)
+        self.undecided = undecided
+
+
+class LateWays:
+    """Ways that go on for a while after their race is lost, so that slow ones are found too."""
+
+    def __init__(self, seconds: float, maximum: int) -> None:
+        """Cancel a way after `seconds`; let `maximum` go on at once."""
+        self._seconds = seconds
+        self._maximum = maximum
+        self._tasks: set[asyncio.Task[UpstreamConnection]] = set()
+
+    def add(
+        self,
+        task: "asyncio.Task[UpstreamConnection]",
+        keep: Callable[[UpstreamConnection], None],
+    ) -> bool:
+        """Let a way go on, and pass its connection to `keep`; return whether there is room."""
+        if len(self._tasks) >= self._maximum:
+            return False
+        self._tasks.add(task)
+        timer = asyncio.get_running_loop().call_later(self._seconds, task.cancel)
+
+        def end(task: "asyncio.Task[UpstreamConnection]") -> None:
+            timer.cancel()
+            self._tasks.discard(task)
+            if not task.cancelled() and task.exception() is None:
+                keep(task.result())
+
+        task.add_done_callback(end)
+        return True
 
 
 class Race:
     """Tries ways in turn until one succeeds, all have failed or the time is over."""
 
-    def __init__(self, seconds: float) -> None:
-        """End after `seconds` at the latest."""
+    def __init__(
+        self,
+        seconds: float,
+        let_go_on: Callable[["asyncio.Task[UpstreamConnection]"], bool] = lambda _: False,
+    ) -> None:
+        """End after `seconds` at the latest.
+
+        `let_go_on` is called with each way that still tries when the race is lost, and returns
+        whether it takes the way over; the others are cancelled.
+        """
         self._end = asyncio.get_running_loop().time() + seconds
+        self._let_go_on = let_go_on
         self._tasks: list[asyncio.Task[UpstreamConnection]] = []
 
     def shorten(self, seconds: float) -> None:
@@ -55,7 +98,10 @@
             winner = await self._wait_for_winner(math.inf)
             if winner is not None:
                 return winner
-            raise NoWayError([_get_error(task) for task in self._tasks if task.done()])
+            errors = [_get_error(task) for task in self._tasks if task.done()]
+            undecided = len(errors) < len(self._tasks)
+            self._tasks = [task for task in self._tasks if task.done() or not self._let_go_on(task)]
+            raise NoWayError(errors, undecided)
         finally:
             for task in self._tasks:
                 _give_up(task)
