An attempt to connect through a peer that is given up leaves no error behind

Cause: an attempt cancelled after its connection was made and before its handshake was awaited; the connection's end then set an error that nobody waits for. The handshake is cancelled with the attempt now.

--- a/src/swifttrestle/internal/transport/relay.py
+++ b/src/swifttrestle/internal/transport/relay.py
@@ -77,10 +77,13 @@
     Raises UpstreamUnreachedError, whose `refused` is true if the instance refused the peer.
     """
     loop = asyncio.get_running_loop()
+    handshake = _Handshake(instance)
     try:
-        transport, handshake = await loop.create_connection(
-            lambda: _Handshake(instance), *relay, local_addr=(ip, 0)
-        )
+        transport, _ = await loop.create_connection(lambda: handshake, *relay, local_addr=(ip, 0))
+    except asyncio.CancelledError:
+        # The connection may be made already; nobody waits for its error.
+        handshake.connection.cancel()
+        raise
     except OSError as error:
         raise UpstreamUnreachedError(
             f"cannot connect to the relay {relay[0]}: {error!r}", refused=False
--- a/tests/hosted/test_relayed_connection_failures.py
+++ b/tests/hosted/test_relayed_connection_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import signal
 import socket
 import sys
@@ -508,3 +509,22 @@
     assert len(await asyncio.wait_for(done, 20)) == size - 1
     for item in (server, relay):
         item.close()
+
+
+@on_built(build_pair)
+async def test_an_attempt_that_is_given_up_leaves_no_error_that_nobody_waits_for(site):
+    # Given up after the connection is made and before its handshake is awaited.
+    loop = asyncio.get_running_loop()
+    reported = []
+    loop.set_exception_handler(lambda _, context: reported.append(context["message"]))
+    ip = site.gateways["g0"].settings.ip
+    for steps in range(12):
+        asking = asyncio.ensure_future(dial_through(ip, relay_of(site, "g1"), "s0"))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        asking.cancel()
+        await asyncio.wait((asking,))
+        del asking
+    await asyncio.sleep(0.1)
+    gc.collect()
+    assert reported == []
