An event of a resumable stream counts as delivered once its data have come

Looked for after the joined events of the own interface: on the gateway a byte more, a newline after an event's id, made an event of the id alone. It was taken for delivered; when the stream was cut right there, the next engine continued after it, and the caller never got that piece.

The id counts with the data of the same event.

--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -10,6 +10,7 @@
 
 _END_OF_EVENT = b"\n\n"
 _ID_FIELD = b"id:"
+_DATA_FIELD = b"data:"
 
 
 class EventRelay:
@@ -70,7 +71,12 @@
         self.resumes = 0
 
     def _record_ids(self, complete_events: bytes) -> None:
-        for line in complete_events.split(b"\n"):
-            if line.startswith(_ID_FIELD):
-                self.last_event = line[len(_ID_FIELD) :].strip()
-                self.events += 1
+        for event in complete_events.split(_END_OF_EVENT):
+            lines = event.split(b"\n")
+            # An id whose data has not come names an event that the caller has not got.
+            if not any(line.startswith(_DATA_FIELD) for line in lines):
+                continue
+            for line in lines:
+                if line.startswith(_ID_FIELD):
+                    self.last_event = line[len(_ID_FIELD) :].strip()
+                    self.events += 1
