The beginning of a peer's request is not taken for a whole one

Looked for after the joined events: the first line of a peer's stream was served without its end, so that `relay s1` of a request for s12 connected to another upstream. The connection had ended by then and nothing was sent on it. A line without its end is dropped; the test had one relay before, none now.

--- a/src/swifttrestle/internal/coordination/peer_listener.py
+++ b/src/swifttrestle/internal/coordination/peer_listener.py
@@ -40,6 +40,9 @@
         try:
             async with asyncio.timeout(IO_TIMEOUT_SECONDS):
                 line = await reader.readline()
+            if not line.endswith(b"\n"):
+                # The beginning of a name may be another one.
+                return
             word, _, argument = line.rstrip(b"\n").partition(b" ")
             handler = self._handlers.get(word)
             if handler is not None:
--- a/tests/hosted/test_relayed_connections.py
+++ b/tests/hosted/test_relayed_connections.py
@@ -217,3 +217,15 @@
     own._end_asking("s0")
     with pytest.raises(UpstreamUnreachedError):
         await following
+
+
+@on_built(build_pair)
+async def test_the_beginning_of_a_request_for_a_relay_is_not_taken_for_a_whole_one(site):
+    # The rest of the instance's name is lost with the connection.
+    source = (site.gateways["g0"].settings.ip, 0)
+    reader, writer = await asyncio.open_connection(*relay_of(site, "g1"), local_addr=source)
+    writer.write(b"relay s0")
+    writer.write_eof()
+    assert await reader.read() == b""
+    writer.close()
+    assert site.gateways["g1"].gateway._state.metrics.total("peer_relays_total") == 0
