A host listens before its own connections could take its ports

Seen once beside 18 busy processes: `address already in use` as a host of the test site bound the port that was picked for it. Cause: hosts fetch configurations and relay from their own address, which binds a port of the kernel's choice, and did so before they listened for callers; the stand-ins picked their ports from the same range. A host whose platform gives it a port of that range could have failed to start the same way.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -220,6 +220,8 @@
     async def run(self) -> None:
         """Serve until a graceful shutdown has ended."""
         settings = self._settings
+        # Before any connection from this host's address, which might get one of these ports.
+        await self._open_listeners()
         await self._gossip.start([seed[0] for seed in settings.seeds])
         self._start(self._configuration.run())
         self._start(self._discovery.run())
@@ -235,12 +237,6 @@
         for task in self._duties.list_tasks():
             self._start(task)
         self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
-        await self._listeners.open_for_callers(settings.callers, self._handler)
-        readiness_handler = PageHandler({READY_PATH: self._operator_pages.make_readiness_page})
-        await self._listeners.open(settings.readiness, readiness_handler)
-        operator_handler = self._operator_pages.make_handler()
-        await self._listeners.open((settings.ip, self._metrics_port), operator_handler)
-        self._listeners.complete = True
         log_event("started", ip=settings.ip, zone=settings.zone)
         try:
             await self._stopping.wait()
@@ -248,6 +244,15 @@
         finally:
             self._close()
 
+    async def _open_listeners(self) -> None:
+        settings = self._settings
+        await self._listeners.open_for_callers(settings.callers, self._handler)
+        readiness_handler = PageHandler({READY_PATH: self._operator_pages.make_readiness_page})
+        await self._listeners.open(settings.readiness, readiness_handler)
+        operator_handler = self._operator_pages.make_handler()
+        await self._listeners.open((settings.ip, self._metrics_port), operator_handler)
+        self._listeners.complete = True
+
     @property
     def config_version(self) -> int:
         """The configuration version in force, or 0 if there is none."""
--- a/tests/cover/test_loopback.py
+++ b/tests/cover/test_loopback.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from pathlib import Path
 
 from swifttrestle_standins.fleet import Fleet
 from swifttrestle_standins.loopback import pick_ip, pick_port
@@ -37,3 +38,9 @@
     # Several ports of one host are picked before any of them is bound.
     ports = [pick_port(pick_ip(number % 3)) for number in range(2000)]
     assert len(set(ports)) == len(ports)
+
+
+def test_no_port_is_picked_that_an_outgoing_connection_may_get():
+    # Hosts connect from their own addresses, also while they start.
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    assert all(pick_port(pick_ip(0)) < first for _ in range(200))
