A prompt whose engine is not reached goes to another engine before the same one

It goes to another one at once again, and waits only where there is none; no test shows the difference (an engine that fails twice is left out anyway).

An unexpected error of a late connection is logged (`late connection failed`).

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -28,6 +28,7 @@
     EngineUse,
     PromptPrefiller,
     find_source_address,
+    has_other_of_role,
 )
 from swifttrestle.internal.policy.placement import pick_decode_engine
 from swifttrestle.internal.policy.waiting import (
@@ -102,11 +103,19 @@
                 seconds = asyncio.get_running_loop().time() - use.started_at
                 self._booker.end(booking, Stage.DECODE, use.outcome, seconds)
             if unreached:
-                await asyncio.sleep(RETRY_SECONDS)
+                await self._wait_for_path(ctx, booking.reader)
         raise ctx.refuse(
             Code.NO_UPSTREAM, "no engine prefilled the prompt", MIN_RETRY_AFTER_SECONDS
         )
 
+    async def _wait_for_path(self, ctx: Context, unreached: Instance) -> None:
+        """Wait before engines are tried again, unless there is another one than those tried."""
+        usable = self._state.list_usable(ctx.service.name, _now(), ctx.urgent)
+        if has_other_of_role(unreached.role, usable, ctx.excluded):
+            return
+        await asyncio.sleep(RETRY_SECONDS)
+        ctx.excluded.clear()
+
     async def _prefill(self, ctx: Context, booking: Booking) -> KvHandle | None:
         """Have the prompt prefilled by another engine if one is booked.
 
--- a/src/swifttrestle/internal/forward/path_waiting.py
+++ b/src/swifttrestle/internal/forward/path_waiting.py
@@ -8,7 +8,6 @@
 RETRY_SECONDS = 0.1
 # Share of a request's time by which its connection must be made; the rest is for the answer.
 LATEST_CONNECT_SHARE = 0.8
-
 # Age in seconds up to which a stream waits for a path: the time in which a host finds its paths.
 # Its caller is better served by another host then.
 MAX_STREAM_WAIT_SECONDS = 1.0
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -115,6 +115,8 @@
         except (UpstreamLeavingError, UpstreamBusyError, UpstreamBrokenError) as error:
             use.outcome = self._state.note_failed_use(ctx, reader, error)
             if waits_for_path(ctx, error):
+                # Nothing was sent, so the next engine is no repeat.
+                ctx.excluded.add(reader.name)
                 raise
             if isinstance(error, UpstreamSilentError):
                 ctx.silent_prefills += 1
@@ -163,7 +165,7 @@
         """Return whether another engine takes over from a silent one, and reserve its retry."""
         if ctx.failed_prefills + 1 >= MAX_PREFILLS:
             return False
-        has_other = functools.partial(_has_other_of_role, reader.role)
+        has_other = functools.partial(has_other_of_role, reader.role)
         return self._state.reserve_takeover(ctx, reader, has_other)
 
     async def _request_prefill(
@@ -222,7 +224,8 @@
                 log_event("handle not freed", engine=reader.name, reason=str(error))
 
 
-def _has_other_of_role(role: Role, usable: list[Instance], excluded: Collection[str]) -> bool:
+def has_other_of_role(role: Role, usable: list[Instance], excluded: Collection[str]) -> bool:
+    """Return whether one of the usable engines has a role and is not excluded."""
     return any(item.role is role and item.name not in excluded for item in usable)
 
 
--- a/src/swifttrestle/internal/policy/rate_limits.py
+++ b/src/swifttrestle/internal/policy/rate_limits.py
@@ -27,8 +27,6 @@
 ASK_ATTEMPTS = 2
 # Seconds for which an owner that did not reply is not asked.
 OWNER_SUSPEND_SECONDS = 1.0
-
-
 # Seconds of a limit that an owner may be in debt for what others have granted. Longer than hosts
 # are late; what was granted earlier burdens no upstream any more.
 MAX_DEBT_SECONDS = 1.0
--- a/src/swifttrestle/internal/transport/race.py
+++ b/src/swifttrestle/internal/transport/race.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.transport.upstream import UpstreamConnection
 
 
@@ -54,8 +55,13 @@
         def end(task: "asyncio.Task[UpstreamConnection]") -> None:
             timer.cancel()
             self._tasks.discard(task)
-            if not task.cancelled() and task.exception() is None:
+            if task.cancelled():
+                return
+            error = task.exception()
+            if error is None:
                 keep(task.result())
+            elif not isinstance(error, UpstreamUnreachedError):
+                log_event("late connection failed", error=repr(error))
 
         task.add_done_callback(end)
         return True
