A refusal that no peer has confirmed yet is no crash of an upstream

Cause: the detector took any refusal for an end, and on a path that is known to be cut the host's own refusal still shortened the wait for peers.

The detector connects again, five times at most, while no peer has answered.

--- a/src/swifttrestle/internal/coordination/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/relayed_paths.py
@@ -82,10 +82,11 @@
         try:
             connection = await race.run(ways)
         except NoWayError as error:
+            refused = _is_refused(error.errors)
             raise UpstreamUnreachedError(
                 f"cannot connect to {instance} at {address[0]}:{address[1]}: {error}",
-                refused=_is_refused(error.errors),
-                unconfirmed=_is_unconfirmed(error),
+                refused,
+                unconfirmed=refused and _is_unconfirmed(error),
             ) from None
         finally:
             ways.close()
@@ -148,7 +149,8 @@
         try:
             return await self._pool.connect_directly(instance, address)
         except UpstreamUnreachedError as error:
-            if error.refused:
+            # On a cut path the refusal says nothing of the upstream.
+            if error.refused and not self.paths.is_cut(instance):
                 race.shorten(VERDICT_SECONDS)
             raise
 
--- a/src/swifttrestle/internal/forward/crash_detection.py
+++ b/src/swifttrestle/internal/forward/crash_detection.py
@@ -16,6 +16,9 @@
 from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.transport.pool import ConnectionPool
 
+# Connections of a probe of which no peer has confirmed that they are refused. Half a second, in
+# which a host finds a peer's path.
+MAX_PROBES = 5
 # Seconds for which a failed request may still turn out to have been open at a crash. An upstream
 # that stops responding is reported by the discovery list only after several missed heartbeats:
 # three of 1.2 s, and up to a second until this host learns of it.
@@ -120,15 +123,31 @@
     async def _probe(self, instance: Instance) -> None:
         await asyncio.sleep(PROBE_DELAY_SECONDS)
         started_at = _now()
-        try:
-            await self._pool.probe(instance.name, instance.record.address)
-        except UpstreamUnreachedError as error:
-            # A timeout alone may be a network fault: it counts as a crash only if the discovery
-            # list lacks the upstream as well.
-            if (error.refused or instance.gone) and not instance.record.leaving:
-                self._report_crash(instance, "its address", include_timeouts=instance.gone)
+        error = await self._connect(instance)
+        if error is None:
+            self._record_alive(instance, started_at)
             return
-        self._record_alive(instance, started_at)
+        # A timeout alone may be a network fault: it counts as a crash only if the discovery list
+        # lacks the upstream as well.
+        if (error.refused or instance.gone) and not instance.record.leaving:
+            self._report_crash(instance, "its address", include_timeouts=instance.gone)
+
+    async def _connect(self, instance: Instance) -> UpstreamUnreachedError | None:
+        """Return the error of a connection to an upstream; None if it was made.
+
+        Tries again while this host alone was refused, which may be its own path.
+        """
+        failure: UpstreamUnreachedError | None = None
+        for _ in range(MAX_PROBES):
+            try:
+                await self._pool.probe(instance.name, instance.record.address)
+            except UpstreamUnreachedError as error:
+                failure = error
+                if not error.unconfirmed:
+                    break
+            else:
+                return None
+        return failure
 
     def _record_alive(self, instance: Instance, at: float) -> None:
         """Mark the failures before a successful probe as `port_open`.
--- a/tests/hosted/test_slow_relays.py
+++ b/tests/hosted/test_slow_relays.py
@@ -8,6 +8,7 @@
 import pytest
 
 from swifttrestle_standins.hosted.cuts import Cut
+from swifttrestle_standins.hosted.site import wait_until
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, address_of, on_built
 from tests.hosted.test_relayed_connection_failures import delay_dials
@@ -62,3 +63,19 @@
     async with asyncio.timeout(3.0):
         while not paths.is_cut("s0"):
             await ask(address_of(site), "/goal/a", "g", X_Deadline_Ms="300")
+
+
+@on_built(build_pair)
+async def test_a_cut_host_takes_no_upstream_for_crashed_though_its_peer_is_slow(site):
+    host, upstream = site.gateways["g0"], site.upstreams["s0"]
+    delay_dials(site.gateways["g1"], SLOW_SECONDS)
+    upstream.seconds = 0.2
+    crashes = []
+    host.gateway._state.crash_detector._on_crash = lambda item, _: crashes.append(item.name)
+    calls = [ask(address_of(site), "/card/a", f"c{n}", method="GET") for n in range(8)]
+    asking = asyncio.gather(*calls)
+    await wait_until(lambda: upstream.runs, "running")
+    host.paths.start_cut(Cut.RESET)
+    await asking
+    await asyncio.sleep(1.0)
+    assert not crashes
