--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -7,11 +7,10 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
 
 from swifttrestle.errors import InvalidSettingError
+from swifttrestle.internal.background_tasks import BackgroundTasks
 from swifttrestle.internal.boottime_loop import run_in_loop
 from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
 from swifttrestle.internal.coordination.discovery import RESTORE_SPREAD_SECONDS, Discovery
@@ -34,7 +33,6 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
-from swifttrestle.internal.restarting import run_restarting
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
@@ -204,7 +202,7 @@
         # Whether the newest configuration version of the peers has been in force here.
         self._caught_up = False
         self._stopping = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(self._metrics, self._stopping.set)
         self._operator_pages = OperatorPages(
             settings.host,
             self.is_ready,
@@ -223,20 +221,20 @@
         # Before any connection from this host's address, which might get one of these ports.
         await self._open_listeners()
         await self._gossip.start([seed[0] for seed in settings.seeds])
-        self._start(self._configuration.run())
-        self._start(self._discovery.run())
-        self._start(self._gossip.run())
-        self._start(self._gossip.register(self._store, self._skipped_entries))
-        self._start(self._booker.run())
-        self._start_restarting("upstream conditions", self._state.conditions.run)
-        self._start_restarting("path checks", self._relaying.own.run)
-        self._start_restarting("prompt cache queries", self._prompt_cache_loader.run)
-        self._start(self._quarantine_store.run())
-        self._start(self._quarantine_relay.run())
-        self._start(self._freshness_monitor.run())
+        self._tasks.start(self._configuration.run())
+        self._tasks.start(self._discovery.run())
+        self._tasks.start(self._gossip.run())
+        self._tasks.start(self._gossip.register(self._store, self._skipped_entries))
+        self._tasks.start(self._booker.run())
+        self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
+        self._tasks.start_restarting("path checks", self._relaying.own.run)
+        self._tasks.start_restarting("prompt cache queries", self._prompt_cache_loader.run)
+        self._tasks.start(self._quarantine_store.run())
+        self._tasks.start(self._quarantine_relay.run())
+        self._tasks.start(self._freshness_monitor.run())
         for task in self._duties.list_tasks():
-            self._start(task)
-        self._start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
+            self._tasks.start(task)
+        self._tasks.start(watch_settings_file(Path(os.environ.get(PATH_VARIABLE, "")), self.reload))
         log_event("started", ip=settings.ip, zone=settings.zone)
         try:
             await self._stopping.wait()
@@ -300,8 +298,7 @@
         self._stopping.set()
 
     def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._listeners.close()
         self._relaying.server.close()
         self._gossip.close()
@@ -321,22 +318,6 @@
         seconds = round(loop.time() - started_at, 2)
         log_event("stopped", cut=self._listeners.count_busy(), seconds=seconds)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _start_restarting(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        self._start(run_restarting(name, run, self._metrics))
-
-    def _handle_task_end(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            # Without the failed task the gateway would run on with stale state, so it stops.
-            log_event("task failed", error=repr(task.exception()))
-            WRITER.flush()
-            self._stopping.set()
-
     def _serve_queues(self) -> None:
         self._booker.serve_queues()
 
@@ -367,7 +348,7 @@
         delay = self._rng.random() * RESTORE_SPREAD_SECONDS
         asyncio.get_running_loop().call_later(delay, self._configuration.reload_after_restore)
         self._quarantine_store.note_change()
-        self._start(self._gossip.restore_registration(self._store))
+        self._tasks.start(self._gossip.restore_registration(self._store))
 
     def _get_configuration(self) -> Configuration | None:
         table = self._configuration.table
--- a/tests/hosted/test_failing_tasks.py
+++ b/tests/hosted/test_failing_tasks.py
@@ -3,7 +3,7 @@
 Guards against a host that ended, and refused or reset its callers' new connections.
 """
 
-from swifttrestle.internal import restarting
+from swifttrestle.internal import background_tasks
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import make_content
 from tests.common.http import ask
@@ -33,7 +33,7 @@
 @on_site()
 async def test_a_host_whose_path_checks_failed_once_goes_on_serving_and_checking(site, monkeypatch):
     gateway = site.gateways["g0"].gateway
-    monkeypatch.setattr(restarting, "RESTART_SECONDS", 0.05)
+    monkeypatch.setattr(background_tasks, "RESTART_SECONDS", 0.05)
     paths = gateway._relaying.own.paths
     paths.retain = failing = Failing(paths.retain)
     await wait_until(lambda: failing.calls > 1, "checked again")
