--- a/src/swifttrestle/internal/forward/rate_limiter.py
+++ b/src/swifttrestle/internal/forward/rate_limiter.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from swifttrestle.errors import UpstreamHeldError
+from swifttrestle.internal.eviction import make_room
 from swifttrestle.internal.forward.conditions import UpstreamConditionTable
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.owner_queries import LATE_REPLY_SECONDS, OwnerQueries
@@ -255,8 +256,7 @@
                     seconds = self._grant(start, request.urgent)
                 case TrialRequest():
                     seconds = self._allow_trial(start)
-            if len(self._results) >= MAX_RESULTS:
-                del self._results[next(iter(self._results))]
+            make_room(self._results, result_key, MAX_RESULTS)
             self._results[result_key] = seconds
         rate_limit = self._conditions.find_rate_limit(start)
         self._send(ip, PermitReply(request.number, start, seconds, rate_limit))
--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from swifttrestle.internal.eviction import make_room
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
 from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 
@@ -140,9 +141,8 @@
         A request that crashes every upstream never gets one.
         """
         self._answered_at.pop(fingerprint, None)
+        make_room(self._answered_at, fingerprint, MAX_CLEARANCES)
         self._answered_at[fingerprint] = at
-        if len(self._answered_at) > MAX_CLEARANCES:
-            del self._answered_at[next(iter(self._answered_at))]
         history = self._histories.get(fingerprint)
         if history is None:
             return False
--- a/src/swifttrestle/internal/state/permit_buckets.py
+++ b/src/swifttrestle/internal/state/permit_buckets.py
@@ -1,7 +1,6 @@
 """The permits and trials that this host has granted as an owner, and what other owners have."""
 
-from typing import Any
-
+from swifttrestle.internal.eviction import make_room
 from swifttrestle.internal.policy.rate_limits import (
     MIN_REQUESTS_PER_SECOND,
     TokenBucket,
@@ -72,7 +71,7 @@
         seconds = bucket.take(rate, urgent, now, max_retry_seconds)
         if seconds == 0:
             granted = self.count_granted(start) + 1
-            _drop_oldest(self._granted, start)
+            make_room(self._granted, start, MAX_BUCKETS)
             self._granted[start] = granted
         return seconds
 
@@ -81,7 +80,7 @@
         bucket = buckets.get(start)
         if bucket is None:
             # Those of stopped upstreams are not removed otherwise.
-            _drop_oldest(buckets, start)
+            make_room(buckets, start, MAX_BUCKETS)
             bucket = buckets[start] = TokenBucket(now)
         return bucket
 
@@ -103,15 +102,9 @@
 
     def note(self, key: str, now: float) -> None:
         """Record a trial."""
-        _drop_oldest(self._tried_at, key)
+        make_room(self._tried_at, key, MAX_BUCKETS)
         self._tried_at[key] = now
 
 
-def _drop_oldest(items: dict[str, Any], key: str) -> None:
-    """Make room for a key."""
-    if key not in items and len(items) >= MAX_BUCKETS:
-        del items[next(iter(items))]
-
-
 def _raise_to_minimum(rate: float) -> float:
     return max(rate, MIN_REQUESTS_PER_SECOND)
