The log and a counter say how a stream ended

It did not tell an answer that ends with its connection from a framed one, nor whether the last event was whole, so the hypotheses could not be told apart.

A counter gateway_streams_ended_total{framing,end} and a step of the request line say both now. The scan for the ends of events, which only resumable streams had, is one piece that both kinds use; what goes to callers is the same, but for lines that end in CRLF, whose events a resumable stream now passes on as they come (they were held back to its end and then counted as broken).

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -77,7 +77,7 @@
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError if it cannot be served."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
-        relay = EventRelay(ctx.route.resumable)
+        relay = EventRelay(ctx.route.resumable, self._state.metrics)
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
         while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -4,14 +4,20 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.protocol.event_stream import EventScanner, split_events
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import strip_answer_headers
 
-_END_OF_EVENT = b"\n\n"
 _ID_FIELD = b"id:"
 _DATA_FIELD = b"data:"
 
+# How a stream ended, for its log line and its counter.
+WHOLE = "after an event"
+INSIDE_EVENT = "inside an event"
+WITHOUT_EVENT = "without an event"
+
 
 class EventRelay:
     """Relays the events of one answer, from several upstreams in turn if it is resumable.
@@ -20,9 +26,10 @@
     after the last one. The answer keeps the head from its first upstream.
     """
 
-    def __init__(self, resumable: bool) -> None:
+    def __init__(self, resumable: bool, metrics: Metrics) -> None:
         """Start without events."""
         self._resumable = resumable
+        self._metrics = metrics
         # When a resumable stream without data counts as broken; None if never.
         self.silence: SilenceLimit | None = None
         self.last_event: bytes | None = None
@@ -41,29 +48,41 @@
             await ctx.reply.start(
                 head.status, strip_answer_headers(head.headers), Framing.CHUNKED, 0
             )
+        scanner = EventScanner()
         if self._resumable:
-            await self._relay_complete_events(ctx, body)
+            await self._relay_complete_events(ctx, body, scanner)
         else:
             async for chunk in body.chunks():
+                scanner.feed(chunk)
                 ctx.note_first_byte()
                 await ctx.reply.send(chunk)
+        self._note_end(ctx, head, scanner)
+        if self._resumable and scanner.incomplete_bytes:
+            raise UpstreamBrokenError(
+                f"the stream ended with {scanner.incomplete_bytes} bytes of an incomplete event",
+                sent=True,
+            )
         await ctx.reply.end()
 
-    async def _relay_complete_events(self, ctx: Context, body: Body) -> None:
-        pending = b""
+    async def _relay_complete_events(self, ctx: Context, body: Body, scanner: EventScanner) -> None:
         async for chunk in body.chunks(self.silence):
-            pending += chunk
-            end = pending.rfind(_END_OF_EVENT)
-            if end >= 0:
-                complete_events = pending[: end + len(_END_OF_EVENT)]
-                pending = pending[end + len(_END_OF_EVENT) :]
+            complete_events = scanner.feed(chunk)
+            if complete_events:
                 self._record_ids(complete_events)
                 ctx.note_first_byte()
                 self._note_progress()
                 await ctx.reply.send(complete_events)
-        if pending:
-            raise UpstreamBrokenError(
-                f"the stream ended with {len(pending)} bytes of an incomplete event", sent=True
+
+    def _note_end(self, ctx: Context, head: ResponseHead, scanner: EventScanner) -> None:
+        """Record how a stream ended whose framing shows no break."""
+        end = _describe_end(scanner)
+        self._metrics.count(
+            "gateway_streams_ended_total", framing=head.framing.value, end=end.replace(" ", "_")
+        )
+        if head.framing is Framing.CLOSE or end != WHOLE:
+            ctx.note(
+                f"stream ended by {head.framing.value}: {end}, "
+                f"{scanner.incomplete_bytes} bytes of an incomplete event"
             )
 
     def _note_progress(self) -> None:
@@ -71,7 +90,7 @@
         self.resumes = 0
 
     def _record_ids(self, complete_events: bytes) -> None:
-        for event in complete_events.split(_END_OF_EVENT):
+        for event in split_events(complete_events):
             lines = event.split(b"\n")
             # An id whose data has not come names an event that the caller has not got.
             if not any(line.startswith(_DATA_FIELD) for line in lines):
@@ -80,3 +99,9 @@
                 if line.startswith(_ID_FIELD):
                     self.last_event = line[len(_ID_FIELD) :].strip()
                     self.events += 1
+
+
+def _describe_end(scanner: EventScanner) -> str:
+    if scanner.incomplete_bytes:
+        return INSIDE_EVENT
+    return WHOLE if scanner.any_complete else WITHOUT_EVENT
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -174,7 +174,9 @@
             silence,
             retry_failure=may_retry,
         )
-        relay = EventRelay(ctx.route.resumable) if ctx.route.streaming else None
+        relay = None
+        if ctx.route.streaming:
+            relay = EventRelay(ctx.route.resumable, self._state.metrics)
         instance.own = instance.own.plus(ONE_REQUEST)
         self._state.ejector.note_use(instance.name, now)
         try:
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -9,6 +9,7 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.events import EventRelay
+from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
 from swifttrestle_standins.hosted.upstreams import make_event
 
@@ -38,7 +39,7 @@
 
 async def relay_cut_stream(data):
     """Relay a stream that is cut after `data`; return what the caller got, and the last event."""
-    ctx, relay, body = FakeContext(), EventRelay(True), Body(keep=False)
+    ctx, relay, body = FakeContext(), EventRelay(True, Metrics()), Body(keep=False)
     body.feed(data)
     body.fail(UpstreamBrokenError("cut", sent=True))
     with pytest.raises(UpstreamBrokenError):
