Failing tests: a stream that its engine broke off counts as complete

The stand-ins' engines can end an answer with its connection now, and end a stream in order inside an event or before the first one.

--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -4,7 +4,7 @@
 import functools
 import socket
 from collections import defaultdict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -16,6 +16,7 @@
     ConnectionSet,
     RequestHandler,
 )
+from swifttrestle.internal.transport.messages import Framing, Header, write_response_head
 from swifttrestle.platform.settings import HostSettings, read_host_settings
 from swifttrestle_standins.hosted.cuts import CuttableDialer
 from swifttrestle_standins.hosted.duties import StandInDuties
@@ -58,6 +59,18 @@
         """Send nothing any more, without closing the connection."""
         self._silenced = True
 
+    async def start(
+        self, status: int, headers: Sequence[Header], framing: Framing, length: int
+    ) -> None:
+        """Send the head of a response; with framing CLOSE, its body ends with the connection."""
+        if framing is not Framing.CLOSE:
+            await super().start(status, headers, framing, length)
+            return
+        self.started = True
+        self._framing = framing
+        self._write(write_response_head(status, headers, framing, length, keep_alive=True))
+        self._keep_alive = False
+
     def _write(self, data: bytes) -> None:
         if not self._silenced:
             super()._write(data)
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -26,7 +26,8 @@
     """Faults of the next requests, one step per request; without steps, requests succeed.
 
     Steps: busy, reset, reset-after, silent, crossed, unsigned, fail, cut (in a stream, after
-    its second event), pause (in a stream, after its second event).
+    its second event), pause (in a stream, after its second event), end-inside and end-empty (a
+    stream that ends in order inside its third event, or before its first one).
     """
 
     steps: deque[str] = field(default_factory=deque)
@@ -209,6 +210,8 @@
         self.leaves_ms = 0
         # Number of events in a stream.
         self.events = 4
+        # CHUNKED, or CLOSE for streams that end with their connection.
+        self.framing = Framing.CHUNKED
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
         # Cached prompt parts of model "m": number of tokens by the part's id.
@@ -309,12 +312,18 @@
             SIGNATURE,
             (b"Content-Type", b"text/event-stream"),
         ]
-        await reply.start(200, head, Framing.CHUNKED, 0)
+        await reply.start(200, head, self.framing, 0)
+        if step == "end-empty":
+            await reply.end()
+            return
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            if step == "cut" and number == first + 2:
+            if step in ("cut", "end-inside") and number == first + 2:
                 await reply.send(make_event(name, number)[:5])
-                reply.abort()
+                if step == "cut":
+                    reply.abort()
+                else:
+                    await reply.end()
                 return
             if step == "pause" and number == first + 2:
                 await asyncio.sleep(self.pause_seconds)
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -1,9 +1,11 @@
 """A resumed stream continues after the last event that its caller has got as a whole.
 
-Guards against a byte more that makes two events of one, or one of two.
+Guards against a byte more that makes two events of one, or one of two, and against a stream that
+counts as complete although it was broken off.
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -14,7 +16,10 @@
 from swifttrestle_standins.hosted.upstreams import make_event
 
 STREAM = b"".join(make_event("x", number) for number in range(1, 4))
-HEAD = ResponseHead(200, (), Framing.CHUNKED, 0, False, None)
+EVENT_STREAM = ((b"Content-Type", b"text/event-stream"),)
+HEAD = ResponseHead(200, EVENT_STREAM, Framing.CHUNKED, 0, False, None)
+UNFRAMED = ResponseHead(200, EVENT_STREAM, Framing.CLOSE, 0, True, None)
+EVENT_ENDS = [at + 2 for at in range(len(STREAM)) if STREAM.startswith(b"\n\n", at)]
 
 
 class FakeContext:
@@ -23,10 +28,14 @@
     def __init__(self):
         self.reply = self
         self.sent = b""
+        self.ended = False
 
     def note_first_byte(self):
         pass
 
+    def note(self, _):
+        pass
+
     async def start(self, *_):
         pass
 
@@ -34,7 +43,7 @@
         self.sent += data
 
     async def end(self):
-        pass
+        self.ended = True
 
 
 async def relay_cut_stream(data):
@@ -61,3 +70,31 @@
                     assert b"data: x %d\n" % number in clean, (at, cut, sent, last)
 
     asyncio.run(run())
+
+
+async def relay_ended_stream(resumable, head, data):
+    """Relay a stream whose connection ends in order after `data`; return whether it is complete."""
+    ctx, relay, body = FakeContext(), EventRelay(resumable, Metrics()), Body(keep=False)
+    body.feed(data)
+    body.end()
+    with contextlib.suppress(UpstreamBrokenError):
+        await relay.relay(ctx, head, body)
+    return ctx.ended
+
+
+@pytest.mark.parametrize("head", [HEAD, UNFRAMED], ids=["chunked", "unframed"])
+@pytest.mark.parametrize("resumable", [False, True], ids=["plain", "resumable"])
+@pytest.mark.parametrize("newline", [b"\n", b"\r\n"], ids=["LF", "CRLF"])
+def test_a_stream_that_ends_inside_an_event_is_not_complete(head, resumable, newline):
+    async def run():
+        for end in range(1, len(STREAM) + 1):
+            data = STREAM[:end].replace(b"\n", newline)
+            complete = await relay_ended_stream(resumable, head, data)
+            assert complete == (end in EVENT_ENDS), data
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["plain", "resumable"])
+def test_an_unframed_stream_without_any_event_is_not_complete(resumable):
+    assert not asyncio.run(relay_ended_stream(resumable, UNFRAMED, b""))
