A stream that ends inside an event, or unframed without one, is not complete

Cause: the host took the orderly end of a connection, or of a frame, for the end of the answer. An answer may have neither a length nor chunks, and a dying process's connections end in order. The framing then says nothing, and only the events show the break. Streams that may not be resumed were passed on without a look at them, and the host's own last chunk declared them complete. Class: an end is taken for a completion.

Change: the ends of both kinds of streams are checked alike. One that ends inside an event is broken off in any framing; one that ends with its connection before any event is too. A resumable stream goes on at another engine, the other one is cut for its caller. Answers of a streaming route that name another type than events are passed on as before.

What remains: an unframed stream that ends between two events cannot be told from a whole one.

--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -6,12 +6,13 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.event_stream import EventScanner, split_events
-from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
+from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, find_header
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import strip_answer_headers
 
 _ID_FIELD = b"id:"
 _DATA_FIELD = b"data:"
+_EVENT_STREAM = b"text/event-stream"
 
 # How a stream ended, for its log line and its counter.
 WHOLE = "after an event"
@@ -57,11 +58,8 @@
                 ctx.note_first_byte()
                 await ctx.reply.send(chunk)
         self._note_end(ctx, head, scanner)
-        if self._resumable and scanner.incomplete_bytes:
-            raise UpstreamBrokenError(
-                f"the stream ended with {scanner.incomplete_bytes} bytes of an incomplete event",
-                sent=True,
-            )
+        if self._resumable or _is_event_stream(head):
+            self._check_end(head, scanner)
         await ctx.reply.end()
 
     async def _relay_complete_events(self, ctx: Context, body: Body, scanner: EventScanner) -> None:
@@ -73,6 +71,19 @@
                 self._note_progress()
                 await ctx.reply.send(complete_events)
 
+    def _check_end(self, head: ResponseHead, scanner: EventScanner) -> None:
+        """Raise UpstreamBrokenError if a stream was broken off although its connection ended.
+
+        An upstream that dies may close its connections in order.
+        """
+        if scanner.incomplete_bytes:
+            raise UpstreamBrokenError(
+                f"the stream ended with {scanner.incomplete_bytes} bytes of an incomplete event",
+                sent=True,
+            )
+        if head.framing is Framing.CLOSE and not scanner.any_complete:
+            raise UpstreamBrokenError("the stream ended without an event", sent=True)
+
     def _note_end(self, ctx: Context, head: ResponseHead, scanner: EventScanner) -> None:
         """Record how a stream ended whose framing shows no break."""
         end = _describe_end(scanner)
@@ -101,6 +112,12 @@
                     self.events += 1
 
 
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether an answer consists of events; one without a type does."""
+    content_type = find_header(head.headers, b"content-type").lower()
+    return not content_type or content_type.startswith(_EVENT_STREAM)
+
+
 def _describe_end(scanner: EventScanner) -> str:
     if scanner.incomplete_bytes:
         return INSIDE_EVENT
