The log and a counter say at which software versions a stream ran

The version in an upstream's record was checked and dropped, and the request line of a stream that a caller took up was that of a new one, so that the log could not tell a host that continued a stream elsewhere from a caller that took it up.

Records keep the version, also in the datagrams by which hosts pass the list on (hosts of the former build skip these and read the list themselves); the steps of a request name it behind each decode engine, the request line of a taken-up stream has the stream and its last event, and gateway_streams_continued_total{build} counts what a stream went on at. No decision changes.

tests/cover and test_requests, test_rosters pass.

--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -136,7 +136,7 @@
         if head.status >= FIRST_ERROR_STATUS and plan.retry_failure:
             raise FailedByUpstreamError(f"status {head.status} from {instance.name}", sent=True)
         if relay is not None and head.status < 300:
-            await relay.relay(ctx, head, body)
+            await relay.relay(ctx, head, body, instance.record.build)
         elif head.framing is Framing.LENGTH and head.length > MAX_BUFFERED_ANSWER_BYTES:
             await _stream_answer(ctx, head, body)
         else:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -161,7 +161,8 @@
         ctx.note(
             f"reader {booked.reader.name} wait={booked.wait * 1000:.0f}ms unread={booked.tokens} "
             f"from {booked.source.name if booked.source else 'none'} "
-            f"decoder {booked.decoder.name} open={booked.decoder.total.requests} "
+            f"decoder {booked.decoder.name} ({booked.decoder.record.build}) "
+            f"open={booked.decoder.total.requests} "
             f"by {booked.reference.host if booked.reference else 'this host'}"
         )
         return booked
@@ -349,7 +350,10 @@
         reserved = ctx.use_reserved_retry()
         if not reserved and not self._state.budgets.find(ctx.service.name).take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
-        ctx.note(f"decoder {decoder.name} after event {relay.last_event!r}")
+        ctx.note(
+            f"decoder {decoder.name} ({decoder.record.build}) after event {relay.last_event!r} "
+            f"of {relay.build}"
+        )
         return decoder
 
     @staticmethod
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -36,13 +36,18 @@
         self.last_event: bytes | None = None
         self.events = 0
         self.started = False
+        # The software version that brought the first event; None if none has come.
+        self.build: str | None = None
         # The event loop's time of the last bytes that went to the caller.
         self.progress_at = float("-inf")
         # Attempts to continue the answer since then.
         self.resumes = 0
 
-    async def relay(self, ctx: Context, head: ResponseHead, body: Body) -> None:
-        """Relay one upstream's stream to its end; raise UpstreamBrokenError if it is cut."""
+    async def relay(self, ctx: Context, head: ResponseHead, body: Body, build: str = "") -> None:
+        """Relay the stream of an upstream of version `build` to its end.
+
+        Raises UpstreamBrokenError if it is cut.
+        """
         if not self.started:
             self.started = True
             self._note_progress()
@@ -51,7 +56,7 @@
             )
         scanner = EventScanner()
         if self._resumable:
-            await self._relay_complete_events(ctx, body, scanner)
+            await self._relay_complete_events(ctx, body, scanner, build)
         else:
             async for chunk in body.chunks():
                 scanner.feed(chunk)
@@ -62,15 +67,30 @@
             self._check_end(head, scanner)
         await ctx.reply.end()
 
-    async def _relay_complete_events(self, ctx: Context, body: Body, scanner: EventScanner) -> None:
+    async def _relay_complete_events(
+        self, ctx: Context, body: Body, scanner: EventScanner, build: str
+    ) -> None:
         async for chunk in body.chunks(self.silence):
+            first = not scanner.any_complete
             complete_events = scanner.feed(chunk)
             if complete_events:
+                if first:
+                    self._note_build(ctx, build)
                 self._record_ids(complete_events)
                 ctx.note_first_byte()
                 self._note_progress()
                 await ctx.reply.send(complete_events)
 
+    def _note_build(self, ctx: Context, build: str) -> None:
+        """Record which software version an upstream's first event comes from."""
+        if self.build is not None:
+            known = "same" if self.build == build else "other"
+            self._metrics.count("gateway_streams_continued_total", build=known)
+            return
+        self.build = build
+        if ctx.request_metadata.resumed_stream:
+            self._metrics.count("gateway_streams_continued_total", build="unknown")
+
     def _check_end(self, head: ResponseHead, scanner: EventScanner) -> None:
         """Raise UpstreamBrokenError if a stream was broken off although its connection ended.
 
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -249,10 +249,22 @@
             else None,
             ms=round((now - request.received) * 1000, 1),
             steps=_list_steps(ctx),
+            **_make_resumption_fields(ctx),
             **_make_fingerprint_field(ctx, code),
         )
 
 
+def _make_resumption_fields(ctx: Context | None) -> dict[str, str]:
+    """Return the log fields with the stream that a caller takes up, and its last event there."""
+    if ctx is None or not ctx.request_metadata.resumed_stream:
+        return {}
+    metadata = ctx.request_metadata
+    return {
+        "stream": metadata.resumed_stream.decode("latin-1"),
+        "after_event": metadata.last_event.decode("latin-1"),
+    }
+
+
 def _make_fingerprint_field(ctx: Context | None, code: Code) -> dict[str, str]:
     """Return the log field with the request's fingerprint if it may have failed at an upstream."""
     if ctx is None:
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -87,6 +87,7 @@
             item.born,
             item.reclaimable,
             item.leaves_in,
+            item.build,
         )
         for item in changes.records
     ]
@@ -146,7 +147,7 @@
     match values:
         case [
             str(instance), str(service), [str(host), int(port)], str(zone), int(slots),
-            bool(leaving), str(role), int(born), bool(reclaimable), leaves_in,
+            bool(leaving), str(role), int(born), bool(reclaimable), leaves_in, str(build),
         ]:  # fmt: skip
             return UpstreamRecord(
                 check_text(instance),
@@ -159,5 +160,6 @@
                 born,
                 reclaimable,
                 None if leaves_in is None else check_number(leaves_in, 0, MAX_INT64),
+                build,
             )
     raise ValueError(f"{values!r:.80} is not an upstream record")
--- a/src/swifttrestle/internal/state/declared.py
+++ b/src/swifttrestle/internal/state/declared.py
@@ -145,6 +145,8 @@
     reclaimable: bool = False
     # Seconds until its end, as reported when it began to drain; None if not reported.
     leaves_in: float | None = None
+    # The version of its software; empty if not reported.
+    build: str = ""
 
     @property
     def start(self) -> str:
--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -54,7 +54,6 @@
     """
     fields = _Fields(f"record of {instance}", spec)
     fields.read_optional("seq", lambda value: check_integer(value, 0, MAX_INT64))
-    fields.read_optional("version", check_text)
     fields.read_optional("coldRemainingMs", lambda value: check_number(value, 0, MAX_INT64))
     fields.read_optional("models", _check_list)
     return UpstreamRecord(
@@ -72,6 +71,7 @@
         leaves_in=_to_seconds(
             fields.read_optional("leaves_ms", lambda value: check_number(value, 0, MAX_INT64))
         ),
+        build=fields.read_optional("version", check_text) or "",
     )
 
 
--- a/src/swifttrestle/platform/wire.py
+++ b/src/swifttrestle/platform/wire.py
@@ -13,6 +13,8 @@
 ANSWER_SIGNATURE = b"x-server-signature"
 NOT_RUN = b"x-not-executed"
 EVENT_ID = b"last-event-id"
+# The request id of the attempt that brought the first event of the stream that a caller takes up.
+RESUMED_STREAM = b"resumes"
 DEADLINE = b"x-deadline-ms"
 EXPECTED_INSTANCE = b"x-expect-instance"
 INSTANCE = b"x-instance-id"
@@ -45,7 +47,11 @@
 
 @dataclass(frozen=True)
 class RequestMetadata:
-    """Metadata from a request's headers; without a valid deadline, `deadline_seconds` is None."""
+    """Metadata from a request's headers; without a valid deadline, `deadline_seconds` is None.
+
+    A caller that takes up a stream names the last event that it has got, and as `resumed_stream`
+    the id of the request that brought its first one; both are empty for a new stream.
+    """
 
     request_id: bytes
     deadline_seconds: float | None
@@ -53,6 +59,13 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple[PromptPart, ...]
+    last_event: bytes = b""
+    resumed_stream: bytes = b""
+
+    @property
+    def stream(self) -> bytes:
+        """The id of the stream that the request begins or takes up."""
+        return self.resumed_stream or self.request_id
 
 
 def read_request_metadata(headers: Sequence[Header]) -> RequestMetadata:
@@ -66,6 +79,8 @@
         prompt_tokens=_read_integer(sizes[0]),
         output_tokens=_read_integer(sizes[1]) if len(sizes) > 1 else 0,
         parts=_read_parts(found.get(PROMPT_PARTS, b"")),
+        last_event=found.get(EVENT_ID, b""),
+        resumed_stream=found.get(RESUMED_STREAM, b"") if EVENT_ID in found else b"",
     )
 
 
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -13,6 +13,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
+from swifttrestle.platform.wire import RequestMetadata
 from swifttrestle_standins.hosted.upstreams import make_event
 
 STREAM = b"".join(make_event("x", number) for number in range(1, 4))
@@ -27,6 +28,7 @@
 
     def __init__(self):
         self.reply = self
+        self.request_metadata = RequestMetadata(b"x", None, "m", 0, 0, ())
         self.sent = b""
         self.ended = False
 
