--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -86,6 +86,8 @@
         self.slots = slots
         # Time of its start in Unix milliseconds; 0 if it does not report it.
         self.born = 0
+        # The version of its software; empty if it does not report it.
+        self.build = ""
         self.script = Script()
         # Duration of a run, or of each event of a stream, in seconds.
         self.seconds = 0.005
@@ -119,6 +121,7 @@
             "slots": self.slots,
             "state": state,
             "seq": 1,
+            **({"version": self.build} if self.build else {}),
         }
 
     def build_born_field(self) -> dict[str, int]:
