A stream goes on only at the software version that began it

Cause: the version in an upstream's record was checked and dropped. A host continued a broken stream at any decode engine, and a caller that took a stream up, at whichever host, was a new request to it. Class: what was begun is continued by a replacement that is chosen as if nothing had begun.

Change: the first event of a resumable stream fixes its version for the rest of the answer. Before that event goes out, the host notes stream and version and tells two peers, found by consistent hashing of the stream's id. A host at which a caller takes a stream up (Last-Event-Id, with Resumes) looks there, asks four peers next on the ring for 0.2 s at most, and continues at that version alone. Where no host knows the stream, it goes on only if the service had no second version in the last two minutes, by a peer's word too; else it is refused at once as not run (1022).

--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -38,6 +38,7 @@
     QUARANTINED = 1019
     KEY_UNCONFIRMED = 1020
     UPSTREAMS_HELD = 1021
+    STREAM_VERSION_GONE = 1022
     ANSWER_LOST = 2001
     ANSWER_LATE = 2002
     STREAM_BROKEN = 3001
@@ -117,6 +118,11 @@
         _NOT_RUN,
         "No upstream of the service accepts requests now (cool-down or limit); see Retry-After.",
     ),
+    Code.STREAM_VERSION_GONE: CodeEntry(
+        503,
+        _NOT_RUN,
+        "No upstream of the software version that began the stream is known; see Retry-After.",
+    ),
     Code.ANSWER_LOST: CodeEntry(
         502, _MAY_HAVE_RUN, "The connection was lost after a byte may have been sent."
     ),
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -29,6 +29,7 @@
 from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.forward.rate_limiter import DistributedRateLimiter
 from swifttrestle.internal.forward.scheduled_booking import NUMBER_BITS, ScheduledBooker
+from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
 from swifttrestle.internal.listeners import Listeners
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
@@ -194,6 +195,13 @@
             rng.getrandbits(NUMBER_BITS),
         )
         self._state.guard.request_trial = permits.request_trial
+        self._state.streams = self._streams = SharedStreamDirectory(
+            socket,
+            settings.host,
+            self._fleet,
+            self._gossip.list_members,
+            rng.getrandbits(NUMBER_BITS),
+        )
         self._state.conditions.on_capacity = self._serve_queues
         self._prompt_cache_loader = PromptCacheLoader(
             settings.zone, self._fleet, self._state.pool, self._booker.schedules_engines, rng
@@ -227,6 +235,7 @@
         self._tasks.start(self._gossip.register(self._store, self._skipped_entries))
         self._tasks.start(self._booker.run())
         self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
+        self._tasks.start_restarting("stream versions", self._streams.run)
         self._tasks.start_restarting("path checks", self._relaying.own.run)
         self._tasks.start_restarting("prompt cache queries", self._prompt_cache_loader.run)
         self._tasks.start(self._quarantine_store.run())
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -50,6 +50,8 @@
     first_byte: float | None = None
     sent_attempts: int = 0
     excluded: set[str] = field(default_factory=set)
+    # The software version at which the answer must go on; None while any one may begin it.
+    build: str | None = None
     steps: list[str] = field(default_factory=list)
     # Expiry of rate limit permits in the loop's time, by instance.
     permits: dict[str, float] = field(default_factory=dict)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -18,6 +18,7 @@
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.continuation import find_build
 from swifttrestle.internal.forward.engine_finder import RETRY_WAIT_SHARE, is_short_prompt
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
@@ -77,7 +78,8 @@
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError if it cannot be served."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
-        relay = EventRelay(ctx.route.resumable, self._state.metrics)
+        relay = EventRelay(ctx.route.resumable, self._state.metrics, self._state.streams)
+        await find_build(ctx, self._state)
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
         while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
@@ -277,17 +279,19 @@
         It was chosen before the prefill, which may take seconds.
         """
         now = asyncio.get_running_loop().time()
-        if decoder.takes_work(Role.DECODE, now):
+        fits = ctx.build in (None, decoder.record.build)
+        if fits and decoder.takes_work(Role.DECODE, now):
             return decoder
-        ctx.note(f"decoder {decoder.name} is draining or changing its role")
-        ctx.excluded.add(decoder.name)
+        if fits:
+            ctx.note(f"decoder {decoder.name} is draining or changing its role")
+            ctx.excluded.add(decoder.name)
         return self._pick_decode_engine(
             ctx, f"decode engine {decoder.name} is no longer available", now
         )
 
     def _pick_decode_engine(self, ctx: Context, reason: str, now: float) -> Instance:
         """Return a decode engine; raise RefusedError if there is none."""
-        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent)
+        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
         decoder = pick_decode_engine(
             engines, self._state.zone, ctx.excluded, now, urgent=ctx.urgent
         )
@@ -352,7 +356,7 @@
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
         ctx.note(
             f"decoder {decoder.name} ({decoder.record.build}) after event {relay.last_event!r} "
-            f"of {relay.build}"
+            f"of {ctx.build}"
         )
         return decoder
 
@@ -385,7 +389,8 @@
         self, ctx: Context, usable: list[Instance], excluded: Collection[str]
     ) -> bool:
         zone, now = self._state.zone, _now()
-        return pick_decode_engine(usable, zone, excluded, now, urgent=ctx.urgent) is not None
+        fitting = [item for item in usable if ctx.build in (None, item.record.build)]
+        return pick_decode_engine(fitting, zone, excluded, now, urgent=ctx.urgent) is not None
 
     async def _attempt_decode(
         self,
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -4,6 +4,7 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.stream_directory import StreamDirectory
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.event_stream import EventScanner, split_events
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, find_header
@@ -27,17 +28,16 @@
     after the last one. The answer keeps the head from its first upstream.
     """
 
-    def __init__(self, resumable: bool, metrics: Metrics) -> None:
-        """Start without events."""
+    def __init__(self, resumable: bool, metrics: Metrics, streams: StreamDirectory) -> None:
+        """Start without events; record in `streams` where a resumable stream begins."""
         self._resumable = resumable
         self._metrics = metrics
+        self._streams = streams
         # When a resumable stream without data counts as broken; None if never.
         self.silence: SilenceLimit | None = None
         self.last_event: bytes | None = None
         self.events = 0
         self.started = False
-        # The software version that brought the first event; None if none has come.
-        self.build: str | None = None
         # The event loop's time of the last bytes that went to the caller.
         self.progress_at = float("-inf")
         # Attempts to continue the answer since then.
@@ -83,13 +83,16 @@
 
     def _note_build(self, ctx: Context, build: str) -> None:
         """Record which software version an upstream's first event comes from."""
-        if self.build is not None:
-            known = "same" if self.build == build else "other"
+        metadata = ctx.request_metadata
+        if ctx.build is not None:
+            known = "same" if ctx.build == build else "other"
             self._metrics.count("gateway_streams_continued_total", build=known)
-            return
-        self.build = build
-        if ctx.request_metadata.resumed_stream:
+        elif metadata.last_event:
             self._metrics.count("gateway_streams_continued_total", build="unknown")
+        if ctx.build is None:
+            ctx.build = build
+        if metadata.stream:
+            self._streams.note_begun(metadata.stream, ctx.build)
 
     def _check_end(self, head: ResponseHead, scanner: EventScanner) -> None:
         """Raise UpstreamBrokenError if a stream was broken off although its connection ended.
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -20,6 +20,7 @@
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.forward.rate_limiter import NoRateLimits, RateLimiter
 from swifttrestle.internal.forward.reachability import ReachabilityProber
+from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory, StreamDirectory
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.ejection import (
     CONNECT_TIMEOUT_WEIGHT,
@@ -104,6 +105,7 @@
             pool.on_answer = self.conditions.record_answer
             pool.on_unreached = self._count_unreached
         self.permits: RateLimiter = NoRateLimits()
+        self.streams: StreamDirectory = LocalStreamDirectory(fleet)
         fleet.on_replaced = self._end_incarnation
         fleet.on_removed = self.crash_detector.note_unlisted
 
@@ -122,15 +124,19 @@
             self.conditions.note_sent(instance)
             yield
 
-    def list_usable(self, service: str, now: float, urgent: bool = False) -> list[Instance]:
+    def list_usable(
+        self, service: str, now: float, urgent: bool = False, build: str | None = None
+    ) -> list[Instance]:
         """Return a service's instances that accept requests and are not ejected.
 
-        If all that accept requests are ejected, returns these instead.
+        With `build`, only those of that software version. If all that accept requests are ejected,
+        returns these instead.
         """
         listed = [
             item
             for item in self.fleet.list_service(service)
-            if not self.conditions.find_wait_seconds(item, now, urgent)
+            if build in (None, item.record.build)
+            and not self.conditions.find_wait_seconds(item, now, urgent)
         ]
         usable = [item for item in listed if not self.ejector.is_ejected(item.name, now)]
         return usable or listed
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -19,6 +19,7 @@
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.continuation import find_build
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.path_waiting import RETRY_SECONDS, may_connect_later
@@ -65,6 +66,7 @@
         """Serve one request; raise RefusedError if it cannot be served."""
         loop = asyncio.get_running_loop()
         self._state.budgets.find(ctx.service.name).note_request(loop.time())
+        await find_build(ctx, self._state)
         course = _Course(f"service {ctx.service.name} has no available instance")
         while True:
             instance = self._choose(ctx, loop.time())
@@ -132,7 +134,7 @@
         return ctx.refuse(Code.NO_UPSTREAM, reason, RETRY_AFTER_SECONDS)
 
     def _choose(self, ctx: Context, now: float) -> Instance | None:
-        usable = self._state.list_usable(ctx.service.name, now, ctx.urgent)
+        usable = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
         return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
 
     def _may_attempt(self, ctx: Context, now: float, course: _Course) -> bool:
@@ -176,7 +178,7 @@
         )
         relay = None
         if ctx.route.streaming:
-            relay = EventRelay(ctx.route.resumable, self._state.metrics)
+            relay = EventRelay(ctx.route.resumable, self._state.metrics, self._state.streams)
         instance.own = instance.own.plus(ONE_REQUEST)
         self._state.ejector.note_use(instance.name, now)
         try:
--- /dev/null
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -0,0 +1,190 @@
+"""Finds the software version that began a stream, which this host or a peer knows."""
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from swifttrestle.internal.policy.hash_ring import HASH_BYTES, HashRing
+from swifttrestle.internal.policy.stream_builds import (
+    ASKED_HOSTS,
+    KEEPERS,
+    Continuation,
+    StreamKnowledge,
+    choose_continuation,
+)
+from swifttrestle.internal.protocol.stream_builds import (
+    MAX_STREAM_BYTES,
+    Message,
+    StreamNote,
+    StreamQuery,
+    StreamReply,
+    pack_message,
+    unpack_message,
+)
+from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.members import Member
+from swifttrestle.internal.state.stream_builds import StreamBuilds
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
+
+# Seconds between two queries to a peer that has not replied, and the number of queries.
+QUERY_SECONDS = 0.05
+QUERIES = 4
+# Seconds between two looks at the versions that services have.
+OBSERVE_SECONDS = 1.0
+
+
+@dataclass
+class _Query:
+    """A query in progress; `waiting` are the IPs of the peers that have not replied."""
+
+    waiting: set[str]
+    replies: list[StreamKnowledge] = field(default_factory=list)
+    answered: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class StreamDirectory(ABC):
+    """Knows the software versions that began streams."""
+
+    @abstractmethod
+    def note_begun(self, stream: bytes, build: str) -> None:
+        """Record the version that began a stream, or continues it."""
+
+    @abstractmethod
+    async def find_continuation(self, stream: bytes, service: str) -> Continuation:
+        """Return where a stream of a service may go on; an empty `stream` is an unknown one."""
+
+
+class LocalStreamDirectory(StreamDirectory):
+    """Knows the streams of this host: for hosts without peers."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Observe the versions of the services in `fleet`."""
+        self._fleet = fleet
+        self._builds = StreamBuilds()
+
+    def note_begun(self, stream: bytes, build: str) -> None:
+        """Record the version that began a stream, or continues it."""
+        self._builds.note_stream(stream, build, _now())
+
+    async def find_continuation(self, stream: bytes, service: str) -> Continuation:
+        """Return where a stream of a service may go on."""
+        return choose_continuation(self._look_up(stream, service), (), has_peers=False)
+
+    async def run(self) -> None:
+        """Observe which versions services have, until cancelled."""
+        while True:
+            for service in self._fleet.list_services():
+                self._observe(service)
+            self._builds.expire(_now())
+            await asyncio.sleep(OBSERVE_SECONDS)
+
+    def _look_up(self, stream: bytes, service: str) -> StreamKnowledge:
+        self._observe(service)
+        now = _now()
+        return StreamKnowledge(
+            self._builds.find(stream, now), self._builds.has_several(service, now)
+        )
+
+    def _observe(self, service: str) -> None:
+        self._builds.note_builds(service, self._fleet.list_builds(service), _now())
+
+
+class SharedStreamDirectory(LocalStreamDirectory):
+    """Knows the streams of all hosts: each is kept by some peers, which are asked for it."""
+
+    def __init__(
+        self,
+        socket: PeerSocket,
+        host: str,
+        fleet: Fleet,
+        list_members: Callable[[], Sequence[Member]],
+        first_number: int,
+    ) -> None:
+        """Use `socket`; number the queries from `first_number` on."""
+        super().__init__(fleet)
+        self._socket = socket
+        self._host = host
+        self._list_members = list_members
+        self._numbers = itertools.count(first_number)
+        self._queries: dict[int, _Query] = {}
+        self._ring = HashRing(())
+        self._ring_members: Sequence[Member] = ()
+        socket.set_receiver(DatagramKind.STREAM, self._receive)
+
+    def note_begun(self, stream: bytes, build: str) -> None:
+        """Record the version that began a stream, or continues it, here and at its keepers."""
+        super().note_begun(stream, build)
+        if len(stream) > MAX_STREAM_BYTES:
+            return
+        for peer in self._list_peers(stream)[:KEEPERS]:
+            self._send(peer.ip, StreamNote(stream, build))
+
+    async def find_continuation(self, stream: bytes, service: str) -> Continuation:
+        """Return where a stream of a service may go on."""
+        own = self._look_up(stream, service)
+        peers = [] if own.build is not None else self._list_peers(stream)
+        replies = await self._ask(peers, stream[:MAX_STREAM_BYTES], service) if peers else []
+        return choose_continuation(own, replies, bool(peers))
+
+    async def _ask(
+        self, peers: Sequence[Member], stream: bytes, service: str
+    ) -> list[StreamKnowledge]:
+        """Return the replies of peers, up to the first one that knows the stream's version."""
+        number, query = next(self._numbers), _Query({peer.ip for peer in peers})
+        self._queries[number] = query
+        try:
+            for _ in range(QUERIES):
+                for ip in query.waiting:
+                    self._send(ip, StreamQuery(number, stream, service))
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(QUERY_SECONDS):
+                        await query.answered.wait()
+                if query.answered.is_set():
+                    break
+        finally:
+            del self._queries[number]
+        return query.replies
+
+    def _list_peers(self, stream: bytes) -> list[Member]:
+        """Return the peers that keep a stream, the first ones first, and those next to them."""
+        members = self._list_members()
+        if members is not self._ring_members:
+            self._ring_members = members
+            self._ring = HashRing(members)
+        position = hashlib.blake2b(stream, digest_size=HASH_BYTES).digest()
+        successors = self._ring.find_successors(position, ASKED_HOSTS + 1)
+        return [item for item in successors if item.host != self._host][:ASKED_HOSTS]
+
+    def _send(self, ip: str, message: Message) -> None:
+        self._socket.send(ip, DatagramKind.STREAM, pack_message(message))
+
+    # Called by the socket.
+
+    def _receive(self, data: bytes, ip: str) -> None:
+        """Handle a peer's message; raise FrameError for a malformed one."""
+        message = unpack_message(data)
+        match message:
+            case StreamNote(stream, build):
+                self._builds.note_stream(stream, build, _now())
+            case StreamQuery(number, stream, service):
+                known = self._look_up(stream, service)
+                self._send(ip, StreamReply(number, known.build, known.several))
+            case StreamReply():
+                self._take_reply(message, ip)
+
+    def _take_reply(self, reply: StreamReply, ip: str) -> None:
+        query = self._queries.get(reply.number)
+        if query is None or ip not in query.waiting:
+            return
+        query.waiting.discard(ip)
+        query.replies.append(StreamKnowledge(reply.build, reply.several))
+        if reply.build is not None or not query.waiting:
+            query.answered.set()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/policy/hash_ring.py
+++ b/src/swifttrestle/internal/policy/hash_ring.py
@@ -1,5 +1,7 @@
 """Assigns requests by consistent hashing to hosts that collect reports of crashes during them.
 
+Streams are assigned to the hosts that keep their software versions in the same way.
+
 Without these owners, each host with a request open at a crashed upstream would have to notify all
 other hosts. With 790 hosts some 50 requests, each from another host, are open at an engine that
 crashes: that would be 40,000 datagrams, and is a hundred with two owners for each request.
@@ -17,6 +19,8 @@
 
 # Owners of each request: the loss of one is tolerated.
 OWNERS_PER_REQUEST = 2
+# Size of the hashes that places on the ring have.
+HASH_BYTES = FINGERPRINT_HALF_BYTES
 
 
 class HashRing:
@@ -34,10 +38,14 @@
 
     def find(self, fingerprint: RequestFingerprint) -> list[Member]:
         """Return the owners of a request."""
-        first = bisect_right(self._hashes, fingerprint.body)
-        count = min(OWNERS_PER_REQUEST, len(self._members))
+        return self.find_successors(fingerprint.body, OWNERS_PER_REQUEST)
+
+    def find_successors(self, position: bytes, maximum: int) -> list[Member]:
+        """Return the hosts that follow a hash of HASH_BYTES on the ring, `maximum` at most."""
+        first = bisect_right(self._hashes, position)
+        count = min(maximum, len(self._members))
         return [self._members[(first + step) % len(self._members)] for step in range(count)]
 
 
 def _hash_host(host: str) -> bytes:
-    return hashlib.blake2b(host.encode(), digest_size=FINGERPRINT_HALF_BYTES).digest()
+    return hashlib.blake2b(host.encode(), digest_size=HASH_BYTES).digest()
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -137,6 +137,14 @@
             return []
         return [item for item in self._services[service].values() if not item.record.leaving]
 
+    def list_services(self) -> list[str]:
+        """Return the services that have had instances."""
+        return list(self._services)
+
+    def list_builds(self, service: str) -> set[str]:
+        """Return the software versions of a service's instances, draining ones included."""
+        return {item.record.build for item in self._services.get(service, {}).values()}
+
     def list_leaving(self, service: str) -> set[str]:
         """Return the names of a service's instances that are draining."""
         return {name for name, item in self._services[service].items() if item.record.leaving}
--- /dev/null
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -0,0 +1,56 @@
+"""The software versions that began streams, and those that services had lately."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from swifttrestle.internal.eviction import make_room
+
+# Seconds for which a stream, or a version that a service has no more, is remembered: longer than
+# callers take streams up.
+MEMORY_SECONDS = 120.0
+# Some megabytes; the oldest streams are forgotten.
+MAX_STREAMS = 20_000
+
+
+class StreamBuilds:
+    """Versions by stream and by service; times are seconds of the event loop's clock."""
+
+    def __init__(self) -> None:
+        """Start without knowledge."""
+        # The version and the time at which it was noted, by stream, in the order of these times.
+        self._streams: dict[bytes, tuple[str, float]] = {}
+        # The time at which each version was last seen, by service.
+        self._seen: dict[str, dict[str, float]] = defaultdict(dict)
+
+    def note_stream(self, stream: bytes, build: str, now: float) -> None:
+        """Record the version that began a stream, or continues it."""
+        self._streams.pop(stream, None)
+        make_room(self._streams, stream, MAX_STREAMS)
+        self._streams[stream] = build, now
+
+    def find(self, stream: bytes, now: float) -> str | None:
+        """Return the version that began a stream, or None if it is not known."""
+        build, noted_at = self._streams.get(stream, (None, now))
+        return build if now - noted_at < MEMORY_SECONDS else None
+
+    def note_builds(self, service: str, builds: Iterable[str], now: float) -> None:
+        """Record that a service has upstreams of these versions."""
+        self._seen[service].update(dict.fromkeys(builds, now))
+
+    def has_several(self, service: str, now: float) -> bool:
+        """Return whether a service had upstreams of several versions lately."""
+        recent = [at for at in self._seen.get(service, {}).values() if now - at < MEMORY_SECONDS]
+        return len(recent) > 1
+
+    def expire(self, now: float) -> None:
+        """Forget what is older than MEMORY_SECONDS."""
+        for stream, (_, noted_at) in list(self._streams.items()):
+            if now - noted_at < MEMORY_SECONDS:
+                break
+            del self._streams[stream]
+        for service, seen in list(self._seen.items()):
+            recent = {build: at for build, at in seen.items() if now - at < MEMORY_SECONDS}
+            if recent:
+                self._seen[service] = recent
+            else:
+                del self._seen[service]
--- a/src/swifttrestle/internal/transport/datagrams.py
+++ b/src/swifttrestle/internal/transport/datagrams.py
@@ -21,6 +21,7 @@
     FRESHNESS = 6
     USAGE = 7
     PERMIT = 8
+    STREAM = 9
 
 
 class PeerSocket(asyncio.DatagramProtocol):
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -11,7 +11,9 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.forward.events import EventRelay
+from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory
 from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
 from swifttrestle.platform.wire import RequestMetadata
 from swifttrestle_standins.hosted.upstreams import make_event
@@ -28,6 +30,7 @@
 
     def __init__(self):
         self.reply = self
+        self.build = None
         self.request_metadata = RequestMetadata(b"x", None, "m", 0, 0, ())
         self.sent = b""
         self.ended = False
@@ -48,9 +51,13 @@
         self.ended = True
 
 
+def make_relay(resumable):
+    return EventRelay(resumable, Metrics(), LocalStreamDirectory(Fleet()))
+
+
 async def relay_cut_stream(data):
     """Relay a stream that is cut after `data`; return what the caller got, and the last event."""
-    ctx, relay, body = FakeContext(), EventRelay(True, Metrics()), Body(keep=False)
+    ctx, relay, body = FakeContext(), make_relay(True), Body(keep=False)
     body.feed(data)
     body.fail(UpstreamBrokenError("cut", sent=True))
     with pytest.raises(UpstreamBrokenError):
@@ -76,7 +83,7 @@
 
 async def relay_ended_stream(resumable, head, data):
     """Relay a stream whose connection ends in order after `data`; return whether it is complete."""
-    ctx, relay, body = FakeContext(), EventRelay(resumable, Metrics()), Body(keep=False)
+    ctx, relay, body = FakeContext(), make_relay(resumable), Body(keep=False)
     body.feed(data)
     body.end()
     with contextlib.suppress(UpstreamBrokenError):
