Role changes leave each software version a decode engine

An engine that starts to decode is taken from the version with the fewest decode engines, and one that stops from the version with the most. Where there is one version nothing changes. The number of decode engines is as before: with more versions than decode engines some have none.

Evidence: the four cases of test_role_changes_keep_a_decode_engine_of_each_software_version failed before and pass now; test_gateway_policies and test_role_delay pass.

--- a/src/swifttrestle/internal/policy/role_split.py
+++ b/src/swifttrestle/internal/policy/role_split.py
@@ -132,23 +132,38 @@
         f"{demand.read_tokens:.0f} tokens/s and {demand.decode_slots:.0f} slots offered"
     )
     if len(decoders) > wanted:
-        return _choose_engine(decoders, pending, Role.PREFILL, reason, urgent=unknown)
+        return _choose_engine(decoders, decoders, pending, Role.PREFILL, reason, urgent=unknown)
     if len(decoders) < wanted and len(prefill_engines) > 1:
         urgent = unknown or len(decoders) < find_min_decoders(len(engines))
-        return _choose_engine(prefill_engines, pending, Role.DECODE, reason, urgent=urgent)
+        return _choose_engine(
+            prefill_engines, decoders, pending, Role.DECODE, reason, urgent=urgent
+        )
     return None
 
 
 def _choose_engine(
-    group: Sequence[Instance], excluded: Collection[str], role: Role, reason: str, urgent: bool
+    group: Sequence[Instance],
+    decoders: Sequence[Instance],
+    excluded: Collection[str],
+    role: Role,
+    reason: str,
+    urgent: bool,
 ) -> RoleChange | None:
     allowed = [item for item in group if item.name not in excluded]
     if not allowed:
         return None
+    # A broken stream continues only at a decode engine of its software version.
+    decode_builds = [item.record.build for item in decoders]
+    preference = 1 if role is Role.PREFILL else -1
     # Takes the engine from the zone that has most of its role, to keep zones balanced.
     zones = [item.record.zone for item in group]
     chosen = max(
         allowed,
-        key=lambda item: (zones.count(item.record.zone), -item.total.requests, item.name),
+        key=lambda item: (
+            preference * decode_builds.count(item.record.build),
+            zones.count(item.record.zone),
+            -item.total.requests,
+            item.name,
+        ),
     )
     return RoleChange(chosen, role, reason, urgent)
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -45,6 +46,14 @@
     return Instance(record, **state)
 
 
+def make_versions(role, builds):
+    """Return engines of a role, one of each of these software versions."""
+    engines = [make_instance(f"{role.value}{n}", role) for n in range(len(builds))]
+    for engine, build in zip(engines, builds, strict=True):
+        engine.record = replace(engine.record, build=build)
+    return engines
+
+
 def make_engines(prefill, decode):
     prefill_engines = [make_instance(f"p{n}", Role.PREFILL, "ab"[n % 2]) for n in range(prefill)]
     return prefill_engines + [
@@ -123,6 +132,25 @@
     assert change is None or change.engine.name not in broken
 
 
+@pytest.mark.parametrize(
+    ("prefill", "decode", "demand", "changed"),
+    [
+        # The version that has no decode engine gets one.
+        (["v1", "v2", "v1", "v1"], ["v1"], Demand(1_000, 17), "v2"),
+        (["v1", "v1", "v1", "v2"], ["v2"], Demand(1_000, 17), "v1"),
+        # The only decode engine of a version keeps its role.
+        (["v1"], ["v1", "v1", "v2"], Demand(1_500_000, 2), "v1"),
+        (["v1"], ["v2", "v2", "v1"], Demand(1_500_000, 2), "v2"),
+    ],
+)
+def test_role_changes_keep_a_decode_engine_of_each_software_version(
+    prefill, decode, demand, changed
+):
+    decoders = make_versions(Role.DECODE, decode)
+    change = plan_change([*make_versions(Role.PREFILL, prefill), *decoders], {}, demand)
+    assert change.engine.record.build == changed
+
+
 def test_the_last_prefill_engine_keeps_its_role():
     engines = make_engines(1, 0)
     assert plan_change(engines, {}, Demand(10, 100)) is None
