A stream that a caller takes up goes on at the service that began it

A host notes service and version of a stream together now, and a taken-up stream goes on at both, if its route still leads there; where no host knows the stream and the route leads to several services, it is refused as not run.

Evidence: test_a_stream_that_its_caller_takes_up_goes_on_at_its_service failed three times of three before (8 streams each), and passes; test_software_versions, test_event_relay, test_requests, test_silent_upstreams, test_workspaces pass (143).

--- a/src/swifttrestle/internal/forward/continuation.py
+++ b/src/swifttrestle/internal/forward/continuation.py
@@ -1,37 +1,47 @@
-"""Prepares requests that take up a stream, which goes on at the software version that began it."""
+"""Prepares requests that take up a stream, which goes on where it began."""
 
 import asyncio
 
 from swifttrestle.codes import Code
+from swifttrestle.errors import RefusedError
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.gateway_state import GatewayState
+from swifttrestle.internal.policy.stream_builds import Continuation
+from swifttrestle.internal.state.routes import RouteTable
 
 # Retry-After where no upstream may continue a stream: one may change its role meanwhile.
 RETRY_AFTER_SECONDS = 0.2
 
 
-async def find_build(ctx: Context, state: GatewayState) -> None:
-    """Set the version at which a stream that the caller takes up goes on.
+async def prepare_continuation(ctx: Context, state: GatewayState, table: RouteTable) -> None:
+    """Set the service and the software version at which a taken-up stream goes on.
 
-    Raises RefusedError if it is unknown while there are several, or has no upstream.
+    Raises RefusedError if they are unknown while there is a choice, or have no upstream.
     """
     metadata = ctx.request_metadata
     if not ctx.route.resumable or not metadata.last_event:
         return
     stream = metadata.resumed_stream
-    continuation = await state.streams.find_continuation(stream, ctx.service.name)
-    ctx.note(f"stream {stream.decode('latin-1')} began at {continuation.build}")
-    if not continuation.allowed:
-        raise ctx.refuse(
-            Code.STREAM_VERSION_GONE,
-            "no host knows the software version that began the stream",
-            RETRY_AFTER_SECONDS,
-        )
-    ctx.build = continuation.build
+    found = await state.streams.find_continuation(stream, ctx.service.name)
+    ctx.note(f"stream {stream.decode('latin-1')} began at {found.origin}")
+    if found.origin is None:
+        if not found.allowed or len(ctx.route.targets) > 1:
+            raise _refuse(ctx, "no host knows where the stream began")
+        return
+    _set_origin(ctx, found, table)
     now = asyncio.get_running_loop().time()
     if not state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build):
-        raise ctx.refuse(
-            Code.STREAM_VERSION_GONE,
-            f"no upstream of the version {ctx.build} that began the stream is available",
-            RETRY_AFTER_SECONDS,
-        )
+        raise _refuse(ctx, f"no upstream is available where the stream began: {found.origin}")
+
+
+def _set_origin(ctx: Context, found: Continuation, table: RouteTable) -> None:
+    assert found.origin is not None
+    service = table.configuration.services.get(found.origin.service)
+    if service is None or service.name not in (item.service for item in ctx.route.targets):
+        raise _refuse(ctx, f"the route leads no more to where the stream began: {found.origin}")
+    ctx.service = service
+    ctx.build = found.origin.build
+
+
+def _refuse(ctx: Context, reason: str) -> RefusedError:
+    return ctx.refuse(Code.STREAM_VERSION_GONE, reason, RETRY_AFTER_SECONDS)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -18,7 +18,6 @@
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
-from swifttrestle.internal.forward.continuation import find_build
 from swifttrestle.internal.forward.engine_finder import RETRY_WAIT_SHARE, is_short_prompt
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
@@ -79,7 +78,6 @@
         """Serve one request; raise RefusedError if it cannot be served."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable, self._state.metrics, self._state.streams)
-        await find_build(ctx, self._state)
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
         while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -7,6 +7,7 @@
 from swifttrestle.internal.forward.stream_directory import StreamDirectory
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.event_stream import EventScanner, split_events
+from swifttrestle.internal.state.stream_builds import StreamOrigin
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, find_header
 from swifttrestle.internal.transport.silence import SilenceLimit
 from swifttrestle.platform.wire import strip_answer_headers
@@ -92,7 +93,7 @@
         if ctx.build is None:
             ctx.build = build
         if metadata.stream:
-            self._streams.note_begun(metadata.stream, ctx.build)
+            self._streams.note_begun(metadata.stream, StreamOrigin(ctx.service.name, ctx.build))
 
     def _check_end(self, head: ResponseHead, scanner: EventScanner) -> None:
         """Raise UpstreamBrokenError if a stream was broken off although its connection ended.
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -10,6 +10,7 @@
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.continuation import prepare_continuation
 from swifttrestle.internal.forward.engines import EngineForwarder
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.plain import PlainForwarder
@@ -80,8 +81,9 @@
         ctx: Context | None = None
         code = Code.OK
         try:
-            ctx = self._make_context(request, reply)
-            await self._serve(ctx)
+            table = self._get_table()
+            ctx = self._make_context(request, reply, table)
+            await self._serve(ctx, table)
             outcome = "answered"
         except RefusedError as error:
             code = error.code
@@ -98,7 +100,7 @@
         finally:
             self._log(request, ctx, code, outcome)
 
-    def _make_context(self, request: IncomingRequest, reply: ResponseWriter) -> Context:
+    def _get_table(self) -> RouteTable:
         table = self._find_table()
         if table is None:
             raise RefusedError(
@@ -106,6 +108,11 @@
                 "this host has no configuration yet",
                 UNCONFIGURED_RETRY_SECONDS,
             )
+        return table
+
+    def _make_context(
+        self, request: IncomingRequest, reply: ResponseWriter, table: RouteTable
+    ) -> Context:
         route = self._find_route(table, request.head)
         self._check_time_to_stop(route, request.received)
         workspace = self._find_workspace(table, route, request)
@@ -192,11 +199,12 @@
             raise RefusedError(Code.UNKNOWN_SERVICE, "no route matches the host and path")
         return route
 
-    async def _serve(self, ctx: Context) -> None:
-        forwarder = self._engines if ctx.service.engine else self._plain
+    async def _serve(self, ctx: Context, table: RouteTable) -> None:
         try:
             async with asyncio.timeout(max(0.0, ctx.seconds_left - ANSWER_MARGIN_SECONDS)):
                 await self._state.guard.check(ctx)
+                await prepare_continuation(ctx, self._state, table)
+                forwarder = self._engines if ctx.service.engine else self._plain
                 await forwarder.serve(ctx)
         except TimeoutError:
             ctx.note("deadline")
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -19,7 +19,6 @@
 )
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.context import Context
-from swifttrestle.internal.forward.continuation import find_build
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.path_waiting import RETRY_SECONDS, may_connect_later
@@ -66,7 +65,6 @@
         """Serve one request; raise RefusedError if it cannot be served."""
         loop = asyncio.get_running_loop()
         self._state.budgets.find(ctx.service.name).note_request(loop.time())
-        await find_build(ctx, self._state)
         course = _Course(f"service {ctx.service.name} has no available instance")
         while True:
             instance = self._choose(ctx, loop.time())
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -1,4 +1,4 @@
-"""Finds the software version that began a stream, which this host or a peer knows."""
+"""Finds where a stream began, which this host or a peer knows."""
 
 import asyncio
 import contextlib
@@ -27,7 +27,7 @@
 )
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.stream_builds import StreamBuilds
+from swifttrestle.internal.state.stream_builds import StreamBuilds, StreamOrigin
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
 # Seconds between two queries to a peer that has not replied, and the number of queries.
@@ -47,15 +47,18 @@
 
 
 class StreamDirectory(ABC):
-    """Knows the software versions that began streams."""
+    """Knows where streams began: their services and software versions."""
 
     @abstractmethod
-    def note_begun(self, stream: bytes, build: str) -> None:
-        """Record the version that began a stream, or continues it."""
+    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Record where a stream began, or goes on."""
 
     @abstractmethod
     async def find_continuation(self, stream: bytes, service: str) -> Continuation:
-        """Return where a stream of a service may go on; an empty `stream` is an unknown one."""
+        """Return where a stream may go on, of `service` unless it is known to be of another one.
+
+        An empty `stream` is an unknown one.
+        """
 
 
 class LocalStreamDirectory(StreamDirectory):
@@ -66,12 +69,12 @@
         self._fleet = fleet
         self._builds = StreamBuilds()
 
-    def note_begun(self, stream: bytes, build: str) -> None:
-        """Record the version that began a stream, or continues it."""
-        self._builds.note_stream(stream, build, _now())
+    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Record where a stream began, or goes on."""
+        self._builds.note_stream(stream, origin, _now())
 
     async def find_continuation(self, stream: bytes, service: str) -> Continuation:
-        """Return where a stream of a service may go on."""
+        """Return where a stream may go on."""
         return choose_continuation(self._look_up(stream, service), (), has_peers=False)
 
     async def run(self) -> None:
@@ -115,25 +118,25 @@
         self._ring_members: Sequence[Member] = ()
         socket.set_receiver(DatagramKind.STREAM, self._receive)
 
-    def note_begun(self, stream: bytes, build: str) -> None:
-        """Record the version that began a stream, or continues it, here and at its keepers."""
-        super().note_begun(stream, build)
+    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Record where a stream began, or goes on, here and at its keepers."""
+        super().note_begun(stream, origin)
         if len(stream) > MAX_STREAM_BYTES:
             return
         for peer in self._list_peers(stream)[:KEEPERS]:
-            self._send(peer.ip, StreamNote(stream, build))
+            self._send(peer.ip, StreamNote(stream, origin))
 
     async def find_continuation(self, stream: bytes, service: str) -> Continuation:
-        """Return where a stream of a service may go on."""
+        """Return where a stream may go on."""
         own = self._look_up(stream, service)
-        peers = [] if own.build is not None else self._list_peers(stream)
+        peers = [] if own.origin is not None else self._list_peers(stream)
         replies = await self._ask(peers, stream[:MAX_STREAM_BYTES], service) if peers else []
         return choose_continuation(own, replies, bool(peers))
 
     async def _ask(
         self, peers: Sequence[Member], stream: bytes, service: str
     ) -> list[StreamKnowledge]:
-        """Return the replies of peers, up to the first one that knows the stream's version."""
+        """Return the replies of peers, up to the first one that knows the stream."""
         number, query = next(self._numbers), _Query({peer.ip for peer in peers})
         self._queries[number] = query
         try:
@@ -168,11 +171,11 @@
         """Handle a peer's message; raise FrameError for a malformed one."""
         message = unpack_message(data)
         match message:
-            case StreamNote(stream, build):
-                self._builds.note_stream(stream, build, _now())
+            case StreamNote(stream, origin):
+                self._builds.note_stream(stream, origin, _now())
             case StreamQuery(number, stream, service):
                 known = self._look_up(stream, service)
-                self._send(ip, StreamReply(number, known.build, known.several))
+                self._send(ip, StreamReply(number, known.origin, known.several))
             case StreamReply():
                 self._take_reply(message, ip)
 
@@ -181,8 +184,8 @@
         if query is None or ip not in query.waiting:
             return
         query.waiting.discard(ip)
-        query.replies.append(StreamKnowledge(reply.build, reply.several))
-        if reply.build is not None or not query.waiting:
+        query.replies.append(StreamKnowledge(reply.origin, reply.several))
+        if reply.origin is not None or not query.waiting:
             query.answered.set()
 
 
--- a/src/swifttrestle/internal/policy/stream_builds.py
+++ b/src/swifttrestle/internal/policy/stream_builds.py
@@ -1,13 +1,15 @@
-"""Decides at which software version of its upstreams a stream goes on.
+"""Decides where a stream that its caller takes up goes on.
 
-What two versions write does not fit together, and upstreams do not check it: a stream may go on
-only at the version that began it. A caller may take a stream up at any host, so hosts keep each
+A stream is the answer of one service, and what two versions of its software write does not fit
+together. Upstreams do not check that. A caller may take a stream up at any host, so hosts keep each
 other's streams; see docs/design/stream-versions.md.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from swifttrestle.internal.state.stream_builds import StreamOrigin
+
 # Hosts that keep the version of a stream besides the one that began it.
 KEEPERS = 2
 # Hosts that are asked for the version of a stream: those that kept it, also after a change of
@@ -17,21 +19,21 @@
 
 @dataclass(frozen=True)
 class StreamKnowledge:
-    """What one host knows of a stream: the version that began it, or None.
+    """What one host knows of a stream: where it began, or None.
 
-    `several` is whether the service had upstreams of several versions lately.
+    `several` is whether the service that would continue it had several versions lately.
     """
 
-    build: str | None
+    origin: StreamOrigin | None
     several: bool
 
 
 @dataclass(frozen=True)
 class Continuation:
-    """Where a stream may go on: at version `build`, at any if it is None, or nowhere."""
+    """Where a stream may go on: where it began, anywhere if `origin` is None, or nowhere."""
 
     allowed: bool
-    build: str | None = None
+    origin: StreamOrigin | None = None
 
 
 def choose_continuation(
@@ -39,11 +41,11 @@
 ) -> Continuation:
     """Return where a stream may go on.
 
-    Where no host knows its version, any one is right only if there has been no other. That needs a
+    Where no host knows it, that is right anywhere only if there has been no choice. That needs a
     peer's word, since this host may be cut off.
     """
     replies = list(replies)
-    known = [item.build for item in (own, *replies) if item.build is not None]
+    known = [item.origin for item in (own, *replies) if item.origin is not None]
     if known:
         return Continuation(True, known[0])
     if any(item.several for item in (own, *replies)):
--- a/src/swifttrestle/internal/protocol/stream_builds.py
+++ b/src/swifttrestle/internal/protocol/stream_builds.py
@@ -1,12 +1,14 @@
-"""Datagrams by which hosts keep and ask for the software versions that began streams."""
+"""Datagrams by which hosts keep streams' origins, and ask for them."""
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Any
 
 import msgpack
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer
+from swifttrestle.internal.state.stream_builds import StreamOrigin
 
 # Longest accepted id of a stream, in bytes, and name of a service or version, in characters. Ids
 # that are longer are not kept.
@@ -24,15 +26,18 @@
 
 @dataclass(frozen=True)
 class StreamNote:
-    """Tells that upstreams of version `build` began a stream."""
+    """Tells where a stream began."""
 
     stream: bytes
-    build: str
+    origin: StreamOrigin
 
 
 @dataclass(frozen=True)
 class StreamQuery:
-    """Asks for the version that began a stream; `number` identifies it among its sender's."""
+    """Asks where a stream began, and for the versions of the service that would continue it.
+
+    `number` identifies the query among its sender's.
+    """
 
     number: int
     stream: bytes
@@ -41,10 +46,10 @@
 
 @dataclass(frozen=True)
 class StreamReply:
-    """Answers a query: the version or None, and whether the service had several lately."""
+    """Answers a query: the origin or None, and whether the service had several versions lately."""
 
     number: int
-    build: str | None
+    origin: StreamOrigin | None
     several: bool
 
 
@@ -54,12 +59,13 @@
 def pack_message(message: Message) -> bytes:
     """Return the datagram of a message."""
     match message:
-        case StreamNote(stream, build):
-            values: tuple[object, ...] = (StreamMessageKind.NOTE, stream, build)
+        case StreamNote(stream, StreamOrigin(service, build)):
+            values: tuple[object, ...] = (StreamMessageKind.NOTE, stream, service, build)
         case StreamQuery(number, stream, service):
             values = (StreamMessageKind.QUERY, number, stream, service)
-        case StreamReply(number, build, several):
-            values = (StreamMessageKind.REPLY, number, build, several)
+        case StreamReply(number, origin, several):
+            named = None if origin is None else (origin.service, origin.build)
+            values = (StreamMessageKind.REPLY, number, named, several)
     data: bytes = msgpack.packb(values)
     return data
 
@@ -68,12 +74,14 @@
     """Parse a datagram; raise FrameError."""
     try:
         match msgpack.unpackb(data):
-            case [StreamMessageKind.NOTE, bytes(stream), str(build)]:
-                return StreamNote(_check_stream(stream), _check_name(build))
+            case [StreamMessageKind.NOTE, bytes(stream), str(service), str(build)]:
+                return StreamNote(_check_stream(stream), _read_origin(service, build))
             case [StreamMessageKind.QUERY, int(number), bytes(stream), str(service)]:
                 return StreamQuery(_check_number(number), _check_stream(stream), service)
-            case [StreamMessageKind.REPLY, int(number), (str() | None) as build, bool(several)]:
-                return StreamReply(_check_number(number), build, several)
+            case [StreamMessageKind.REPLY, int(number), None, bool(several)]:
+                return StreamReply(_check_number(number), None, several)
+            case [StreamMessageKind.REPLY, int(number), [service, build], bool(several)]:
+                return StreamReply(_check_number(number), _read_origin(service, build), several)
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"stream datagram malformed: {error!r}") from None
     raise FrameError("stream datagram with a missing or wrong field")
@@ -89,7 +97,10 @@
     return stream
 
 
-def _check_name(name: str) -> str:
-    if len(name) > MAX_NAME_CHARACTERS:
-        raise ValueError(f"{name!r:.80} is over {MAX_NAME_CHARACTERS} characters long")
-    return name
+def _read_origin(service: Any, build: Any) -> StreamOrigin:
+    for name in (service, build):
+        if not isinstance(name, str) or len(name) > MAX_NAME_CHARACTERS:
+            raise ValueError(
+                f"{name!r:.80} is no name; give a text of up to {MAX_NAME_CHARACTERS} characters"
+            )
+    return StreamOrigin(service, build)
--- a/src/swifttrestle/internal/state/stream_builds.py
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from swifttrestle.internal.eviction import make_room
 
@@ -12,26 +13,34 @@
 MAX_STREAMS = 20_000
 
 
+@dataclass(frozen=True)
+class StreamOrigin:
+    """The service and the software version of the upstream that began a stream."""
+
+    service: str
+    build: str
+
+
 class StreamBuilds:
-    """Versions by stream and by service; times are seconds of the event loop's clock."""
+    """Origins by stream and versions by service; times are seconds of the event loop's clock."""
 
     def __init__(self) -> None:
         """Start without knowledge."""
-        # The version and the time at which it was noted, by stream, in the order of these times.
-        self._streams: dict[bytes, tuple[str, float]] = {}
+        # The origin and the time at which it was noted, by stream, in the order of these times.
+        self._streams: dict[bytes, tuple[StreamOrigin, float]] = {}
         # The time at which each version was last seen, by service.
         self._seen: dict[str, dict[str, float]] = defaultdict(dict)
 
-    def note_stream(self, stream: bytes, build: str, now: float) -> None:
-        """Record the version that began a stream, or continues it."""
+    def note_stream(self, stream: bytes, origin: StreamOrigin, now: float) -> None:
+        """Record where a stream began, or goes on."""
         self._streams.pop(stream, None)
         make_room(self._streams, stream, MAX_STREAMS)
-        self._streams[stream] = build, now
+        self._streams[stream] = origin, now
 
-    def find(self, stream: bytes, now: float) -> str | None:
-        """Return the version that began a stream, or None if it is not known."""
-        build, noted_at = self._streams.get(stream, (None, now))
-        return build if now - noted_at < MEMORY_SECONDS else None
+    def find(self, stream: bytes, now: float) -> StreamOrigin | None:
+        """Return where a stream began, or None if it is not known."""
+        origin, noted_at = self._streams.get(stream, (None, now))
+        return origin if now - noted_at < MEMORY_SECONDS else None
 
     def note_builds(self, service: str, builds: Iterable[str], now: float) -> None:
         """Record that a service has upstreams of these versions."""
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -13,6 +13,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory
 from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.state.declared import ServiceDeclaration
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
 from swifttrestle.platform.wire import RequestMetadata
@@ -31,6 +32,7 @@
     def __init__(self):
         self.reply = self
         self.build = None
+        self.service = ServiceDeclaration("s", 1)
         self.request_metadata = RequestMetadata(b"x", None, "m", 0, 0, ())
         self.sent = b""
         self.ended = False
--- a/tests/hosted/test_software_versions.py
+++ b/tests/hosted/test_software_versions.py
@@ -4,10 +4,18 @@
 
 import pytest
 
-from swifttrestle_standins.hosted.site import make_route, wait_until
+from swifttrestle_standins.hosted.site import make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine
 from tests.common.http import RawCaller, ask, write_request
-from tests.hosted.sites import LONG, SHORT, address_of, build_site, make_stream, on_built
+from tests.hosted.sites import (
+    LONG,
+    SHORT,
+    address_of,
+    build_site,
+    make_stream,
+    on_built,
+    wait_in_force,
+)
 
 OLD, NEW = "v1", "v2"
 EVENTS = 4
@@ -38,8 +46,8 @@
     )
 
 
-async def add_engine(site, role, build):
-    engine = StandInEngine(f"e{len(site.upstreams)}", "model", "hall-a", role)
+async def add_engine(site, role, build, service="model"):
+    engine = StandInEngine(f"e{len(site.upstreams)}", service, "hall-a", role)
     engine.build = build
     await site.add_upstream(engine)
     return engine
@@ -133,6 +141,38 @@
     assert list_builds(site, "s1") == {build}
 
 
+async def build_services():
+    """Start a site with a route to two model services, whose engines have one version."""
+    site = await build_versions(decoders=(OLD, OLD))
+    site.services.append(make_model_service("other"))
+    for name in ("verdict", "once"):
+        (route,) = (item for item in site.routes if item["name"] == name)
+        route["backends"] = [{"service": item, "weight": 50} for item in ("model", "other")]
+    for role in ("prefill", "decode", "decode"):
+        await add_engine(site, role, OLD, "other")
+    await wait_in_force(site, site.declare())
+    for running in site.gateways.values():
+        known = running.gateway.list_instances
+        await wait_until(lambda k=known: len(k()) == len(site.upstreams), "all engines")
+    return site
+
+
+@on_built(build_services)
+async def test_a_stream_that_its_caller_takes_up_goes_on_at_its_service(site):
+    for number in range(8):
+        stream = f"s{number}"
+        await begin(site, stream=stream)
+        answer = await take_up(site, "g1", stream, 2, new_id=f"t{number}")
+        assert (answer.status, answer.whole) == (200, True)
+        ran = {
+            engine.service
+            for engine in list_decoders(site)
+            for name, headers in engine.arrivals
+            if stream in (name, headers.get("resumes"))
+        }
+        assert len(ran) == 1
+
+
 @on_built(lambda: build_versions(gateways=4))
 async def test_a_stream_is_taken_up_at_its_version_after_its_host_was_killed(site):
     builds = {number: await begin(site, stream=f"s{number}") for number in range(4)}
