--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -249,6 +249,7 @@
     [
         UpstreamRecord("i", "s", ("10.0.0.1", 1), "a", 4, False, Role.PREFILL, 7, True, None),
         UpstreamRecord("i", "s", ("10.0.0.1", 1), "a", 4, True, Role.NONE, 0, True, 2.5),
+        UpstreamRecord("i", "s", ("10.0.0.1", 1), "a", 4, False, build="v1.1"),
     ],
 )
 def test_listing_changes_between_hosts_keep_all_fields_of_a_record(record):
--- a/tests/cover/test_quarantine_relay.py
+++ b/tests/cover/test_quarantine_relay.py
@@ -19,52 +19,16 @@
 from swifttrestle.internal.policy.quarantine import FIRST_QUARANTINE_SECONDS, Quarantine
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.state.crash_records import Crash
-from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle_standins.virtual_time import run_in_virtual_time
+from tests.common.network import DATAGRAM_SECONDS, Network, Socket, make_members
 
-# Maximum delay of a datagram in seconds.
-DATAGRAM_SECONDS = 0.02
 # Seconds within which all hosts must know of a crash.
 BOUND_SECONDS = 3.0
 # Maximum datagrams of one crash with 48 open requests in a large fleet: two owners of each record.
 DATAGRAMS_PER_CRASH = 2 * 48 * (1 + quarantine_relay.CRASH_REPEATS)
 
 
-class Network:
-    """Carries datagrams between hosts by their IPs."""
-
-    def __init__(self, seed):
-        self.rng = random.Random(seed)
-        self.receivers = {}
-        self.lost_share = 0.0
-        self.cut = set()
-        self.sent = 0
-        self.bytes = 0
-
-    def send(self, source, target, data):
-        self.sent += 1
-        self.bytes += len(data)
-        if self.rng.random() < self.lost_share or (source in self.cut) != (target in self.cut):
-            return
-        delay = self.rng.uniform(0.001, DATAGRAM_SECONDS)
-        asyncio.get_running_loop().call_later(delay, self.receivers[target], data, source)
-
-
-class Socket:
-    """One host's end of the network."""
-
-    def __init__(self, network, ip):
-        self.network = network
-        self.ip = ip
-
-    def set_receiver(self, _, receiver):
-        self.network.receivers[self.ip] = receiver
-
-    def send(self, ip, _, data):
-        self.network.send(self.ip, ip, data)
-
-
 class Host:
     """A guard and its relay."""
 
@@ -99,9 +63,7 @@
 def make_hosts(count, seed, lost_share=0.0):
     network = Network(seed)
     network.lost_share = lost_share
-    members = tuple(
-        Member(f"h{n}", f"10.0.{n // 250}.{n % 250}", f"z{n % 3}", 1000.0) for n in range(count)
-    )
+    members = make_members(count)
     return network, [Host(network, member, members, seed) for member in members]
 
 
