An answer of a route without streams is not checked for events

Answers are checked only on streaming routes now. Three cases of test_an_answer_that_is_no_event_stream_is_complete failed before; test_event_relay and test_streams_broken_off pass.

--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -64,7 +64,7 @@
                 ctx.note_first_byte()
                 await ctx.reply.send(chunk)
         self._note_end(ctx, head, scanner)
-        if self._resumable or _is_event_stream(head):
+        if self._resumable or (ctx.route.streaming and _is_event_stream(head)):
             self._check_end(head, scanner)
         await ctx.reply.end()
 
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import pytest
 
@@ -29,7 +30,8 @@
 class FakeContext:
     """Collects what goes to the caller, as the request's context and as its reply."""
 
-    def __init__(self):
+    def __init__(self, streaming=True):
+        self.route = SimpleNamespace(streaming=streaming)
         self.reply = self
         self.build = None
         self.service = ServiceDeclaration("s", 1)
@@ -83,9 +85,9 @@
     asyncio.run(run())
 
 
-async def relay_ended_stream(resumable, head, data):
+async def relay_ended_stream(resumable, head, data, streaming=True):
     """Relay a stream whose connection ends in order after `data`; return whether it is complete."""
-    ctx, relay, body = FakeContext(), make_relay(resumable), Body(keep=False)
+    ctx, relay, body = FakeContext(streaming), make_relay(resumable), Body(keep=False)
     body.feed(data)
     body.end()
     with contextlib.suppress(UpstreamBrokenError):
@@ -109,3 +111,14 @@
 @pytest.mark.parametrize("resumable", [False, True], ids=["plain", "resumable"])
 def test_an_unframed_stream_without_any_event_is_not_complete(resumable):
     assert not asyncio.run(relay_ended_stream(resumable, UNFRAMED, b""))
+
+
+@pytest.mark.parametrize("framing", [Framing.CHUNKED, Framing.CLOSE, Framing.LENGTH])
+@pytest.mark.parametrize(
+    ("content_type", "streaming"),
+    [(b"application/json", True), (b"", False), (b"text/plain", False)],
+)
+def test_an_answer_that_is_no_event_stream_is_complete(framing, content_type, streaming):
+    headers = ((b"Content-Type", content_type),) if content_type else ()
+    head = ResponseHead(200, headers, framing, 10, framing is Framing.CLOSE, None)
+    assert asyncio.run(relay_ended_stream(False, head, b'{"a": "b"}', streaming))
