No prompt is prefilled for a stream that no engine of its version continues

Found by reading: a taken-up stream whose version has upstreams but no free decode engine had its prompt prefilled, for seconds in a burst, and was refused then.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -78,6 +78,10 @@
         """Serve one request; raise RefusedError if it cannot be served."""
         self._note_arrival(ctx, asyncio.get_running_loop().time())
         relay = EventRelay(ctx.route.resumable, self._state.metrics, self._state.streams)
+        if ctx.build is not None:
+            # No prompt is prefilled for a stream that no engine of its version would continue.
+            reason = f"no decode engine of the version {ctx.build} is free"
+            self._pick_decode_engine(ctx, reason, _now())
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
         while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
--- a/tests/hosted/test_software_versions.py
+++ b/tests/hosted/test_software_versions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from swifttrestle.internal.state.declared import Role
 from swifttrestle_standins.hosted.site import make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine
 from tests.common.http import RawCaller, ask, write_request
@@ -198,6 +199,22 @@
     assert list_builds(site, "s1") == {build}
 
 
+@on_built(lambda: build_versions(decoders=(OLD, NEW)))
+async def test_no_prompt_is_prefilled_for_a_stream_without_a_decode_engine_of_its_version(site):
+    build = await begin(site)
+    for engine in list_decoders(site):
+        if engine.build == build:
+            engine.role = "prefill"
+            site.list_upstream(engine)
+    known = site.gateways["g1"].gateway.list_instances
+    await wait_until(
+        lambda: sum(item.role is Role.PREFILL for item in known().values()) == 2, "the new role"
+    )
+    answer = await take_up(site, "g1", "s1", 2, tokens=LONG)
+    assert answer.status == 503
+    assert not any(name == "again" for item in site.upstreams.values() for name, _ in item.arrivals)
+
+
 @pytest.mark.parametrize("stream", ["unknown", ""])
 @on_built(build_versions)
 async def test_a_stream_of_an_unknown_version_is_refused_while_there_are_several(site, stream):
