A stream that has begun queues at a full engine of its version

Such a stream, and one that a host continues within an answer, is sent to a full engine if there is no other; the engine queues it or refuses it as not run. Both cases of test_a_stream_is_taken_up_though_the_engines_of_its_version_are_full failed before; test_software_versions and test_gateway_policies pass.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -191,8 +191,10 @@
     def _pick_decode_engine(self, ctx: Context, reason: str, now: float) -> Instance:
         """Return a decode engine; raise RefusedError if there is none."""
         engines = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
+        # A stream that has begun has no choice of other versions.
+        begun = ctx.build is not None
         decoder = pick_decode_engine(
-            engines, self._state.zone, ctx.excluded, now, urgent=ctx.urgent
+            engines, self._state.zone, ctx.excluded, now, urgent=ctx.urgent, may_queue=begun
         )
         if decoder is None:
             wait_seconds = self._state.find_wait_seconds(
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -51,11 +51,17 @@
 
 
 def pick_decode_engine(
-    instances: Sequence[Instance], near: str, excluded: Collection[str], now: float, urgent: bool
+    instances: Sequence[Instance],
+    near: str,
+    excluded: Collection[str],
+    now: float,
+    urgent: bool,
+    may_queue: bool = False,
 ) -> Instance | None:
     """Return the decode engine with the least load, preferring zone `near`; None if all are full.
 
-    Some slots of each are reserved for urgent requests.
+    Some slots of each are reserved for urgent requests. With `may_queue`, a full one is returned if
+    there is no other, at which the request waits for a slot.
     """
     usable = [
         item
@@ -66,11 +72,13 @@
     ]
     ready = [item for item in usable if now >= item.refused_until] or usable
     share = FULL_SHARE if urgent else FULL_SHARE - URGENT_RESERVE_SHARE
-    with_free_slots = [item for item in ready if not is_full(item, share)]
-    if not with_free_slots:
+    candidates = [item for item in ready if not is_full(item, share)]
+    if not candidates and may_queue:
+        candidates = ready
+    if not candidates:
         return None
     return min(
-        with_free_slots,
+        candidates,
         key=lambda item: (
             item.predict_wait()
             + item.total.requests / max(1, item.record.slots) * AFFINITY_SECONDS
--- a/tests/hosted/test_software_versions.py
+++ b/tests/hosted/test_software_versions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.fleet import OpenWork
 from swifttrestle_standins.hosted.site import make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine
 from tests.common.http import RawCaller, ask, write_request
@@ -199,6 +200,18 @@
     assert list_builds(site, "s1") == {build}
 
 
+@pytest.mark.parametrize("tokens", [SHORT, LONG])
+@on_built(lambda: build_versions(decoders=(OLD, NEW)))
+async def test_a_stream_is_taken_up_though_the_engines_of_its_version_are_full(site, tokens):
+    build = await begin(site)
+    (engine,) = (item for item in list_decoders(site) if item.build == build)
+    for running in site.gateways.values():
+        running.gateway.list_instances()[engine.instance].own = OpenWork(0, engine.slots)
+    answer = await take_up(site, "g1", "s1", 2, tokens=tokens)
+    assert (answer.status, answer.whole) == (200, True)
+    assert list_builds(site, "s1") == {build}
+
+
 @on_built(lambda: build_versions(decoders=(OLD, NEW)))
 async def test_no_prompt_is_prefilled_for_a_stream_without_a_decode_engine_of_its_version(site):
     build = await begin(site)
