Soak: callers take up broken streams, engines have two software versions

Engines of the soak have the versions v1 and v2 by zone and name them in their events. Three times in a round without planned work they break streams off after one event, beside the other faults and without changing these draws. Callers take a broken stream up to three times, at any host, and no stream may have events of two versions over all its requests; a taken-up one must go on at the next event. The checks' own tests find a mix and a wrong event (8 cases).

--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -19,6 +19,8 @@
 DEADLY = b"deadly"
 # Body prefix of requests that crash each engine that starts to prefill their prompt.
 DEADLY_PROMPT = b"deadly prompt"
+# Whole events of a stream before it breaks inside the next one, by step.
+EVENTS_BEFORE_BREAK = {"cut-early": 1, "cut": 2, "end-inside": 2}
 
 
 @dataclass
@@ -26,8 +28,9 @@
     """Faults of the next requests, one step per request; without steps, requests succeed.
 
     Steps: busy, reset, reset-after, silent, crossed, unsigned, fail, cut (in a stream, after
-    its second event), pause (in a stream, after its second event), end-inside and end-empty (a
-    stream that ends in order inside its third event, or before its first one).
+    its second event), cut-early (after its first one), pause (in a stream, after its second event),
+    end-inside and end-empty (a stream that ends in order inside its third event, or before its
+    first one).
     """
 
     steps: deque[str] = field(default_factory=deque)
@@ -213,6 +216,8 @@
         self.leaves_ms = 0
         # Number of events in a stream.
         self.events = 4
+        # Whether its events name its software version.
+        self.shows_build = False
         # CHUNKED, or CLOSE for streams that end with their connection.
         self.framing = Framing.CHUNKED
         self.handles: dict[str, str] = {}
@@ -321,17 +326,18 @@
             return
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            if step in ("cut", "end-inside") and number == first + 2:
+            if number - first == EVENTS_BEFORE_BREAK.get(step):
                 await reply.send(make_event(name, number)[:5])
-                if step == "cut":
-                    reply.abort()
-                else:
+                if step == "end-inside":
                     await reply.end()
+                else:
+                    reply.abort()
                 return
             if step == "pause" and number == first + 2:
                 await asyncio.sleep(self.pause_seconds)
             await asyncio.sleep(self.seconds)
-            await reply.send(make_event(name, number))
+            build = self.build if self.shows_build else ""
+            await reply.send(make_event(name, number, build))
         await reply.end()
 
     async def _report(self, reply: ResponseWriter) -> None:
@@ -383,6 +389,7 @@
     return f"answer to {name}".encode()
 
 
-def make_event(name: str, number: int) -> bytes:
+def make_event(name: str, number: int, build: str = "") -> bytes:
     """Return one server-sent event of the response to the request `name`."""
-    return f"id: {number}\ndata: {name} {number}\n\n".encode()
+    build_line = f"build: {build}\n" if build else ""
+    return f"id: {number}\n{build_line}data: {name} {number}\n\n".encode()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 from dataclasses import dataclass
 
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
@@ -18,6 +19,12 @@
 DEADLINE_SECONDS = {"verdict": 1.8, "chat": 1.8, "goal": 1.5, "card": 1.5}
 # Kinds of requests that may run only once.
 RUN_ONCE_KINDS = ("chat", "goal")
+# The kind whose broken streams callers take up, how often, and the seconds between two tries.
+RESUMABLE_KIND = "verdict"
+MAX_TAKEN_UP = 3
+TAKE_UP_SECONDS = 0.1
+# The line of an event with the software version that wrote it.
+BUILD_LINE = re.compile(rb"^build: (.+)\n", re.MULTILINE)
 
 
 @dataclass(frozen=True)
@@ -34,19 +41,31 @@
     began: float
     ended: float
     key: str = ""
+    # The stream that it takes up, and the last event that its caller has got; empty and 0 if none.
+    stream: str = ""
+    after: int = 0
 
+    @property
+    def builds(self):
+        """The software versions of the events that came."""
+        return [build.decode() for build in BUILD_LINE.findall(self.answer.body)]
 
-def expected_body(kind, name):
+    def last_event(self):
+        """Return the last event that has come as a whole, over all requests of the stream."""
+        return self.after + self.answer.body.count(b"\n\n")
+
+
+def expected_body(kind, name, after=0):
     if kind in STREAMS:
-        return b"".join(make_event(name, number) for number in range(1, EVENTS + 1))
+        return b"".join(make_event(name, number) for number in range(after + 1, EVENTS + 1))
     return make_content(name)
 
 
-def write_request_of_kind(kind, name, key):
+def write_request_of_kind(kind, name, key, **headers):
     if kind in STREAMS:
         usage = STREAMS[kind]
         return write_request(
-            f"/{kind}/a", name, X_Token_Usage=usage, X_Deadline_Ms="2000", X_Key=key
+            f"/{kind}/a", name, X_Token_Usage=usage, X_Deadline_Ms="2000", X_Key=key, **headers
         )
     return write_request(f"/{kind}/a", name, X_Deadline_Ms="1500", X_Key=key)
 
@@ -90,10 +109,20 @@
     async def _ask(self, caller, host, key):
         """Send one request; return whether the connection can be reused."""
         kind = self._rng.choice(("verdict", "chat", "goal", "goal", "card"))
+        seen = await self._request(caller, host, key, kind)
+        if kind == RESUMABLE_KIND:
+            await self._take_up(seen)
+        await asyncio.sleep(self._rng.random() * 0.02)
+        answer = seen.answer
+        return answer is not None and answer.whole and answer.headers.get("connection") != "close"
+
+    async def _request(self, caller, host, key, kind, stream="", after=0):
+        """Send one request, which takes a stream up if one is given; return its observation."""
         name = f"{kind}-{next(self._numbers)}"
+        headers = {"Last_Event_Id": after, "Resumes": stream} if stream else {}
         loop = asyncio.get_running_loop()
         began = loop.time()
-        caller.send(write_request_of_kind(kind, name, key))
+        caller.send(write_request_of_kind(kind, name, key, **headers))
         answer = None
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_SECONDS):
@@ -101,6 +130,32 @@
         except TimeoutError:
             # The outcome of the request stays unknown.
             pass
-        self.observations.append(Observation(name, kind, host, answer, began, loop.time(), key))
-        await asyncio.sleep(self._rng.random() * 0.02)
-        return answer is not None and answer.whole and answer.headers.get("connection") != "close"
+        seen = Observation(name, kind, host, answer, began, loop.time(), key, stream, after)
+        self.observations.append(seen)
+        return seen
+
+    async def _take_up(self, broken):
+        """Take up a stream that was broken after an event, at any hosts, until it is whole."""
+        stream, last = broken.name, 0
+        for _ in range(MAX_TAKEN_UP):
+            if broken.answer is not None and broken.answer.status == 200:
+                if broken.answer.whole:
+                    return
+                last = broken.last_event()
+            if not 0 < last < EVENTS:
+                return
+            await asyncio.sleep(TAKE_UP_SECONDS)
+            broken = await self._take_up_once(broken.key, stream, last)
+
+    async def _take_up_once(self, key, stream, last):
+        host = self._rng.choice(list(self._site.hosts.values()))
+        caller = None
+        try:
+            async with asyncio.timeout(1.0):
+                caller = await RawCaller.connect(host.callers)
+            return await self._request(caller, host.name, key, RESUMABLE_KIND, stream, last)
+        except (OSError, TimeoutError):
+            return Observation("", RESUMABLE_KIND, host.name, None, 0.0, 0.0, key)
+        finally:
+            if caller is not None:
+                caller.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 from collections import defaultdict
 
 from swifttrestle_standins.hosted.cuts import Cut
-from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT
+from swifttrestle_standins.hosted.upstreams import DEADLY, DEADLY_PROMPT, StandInEngine
 from tests.common.http import ask
 from tests.hosted.sites import LONG, SHORT, script
 from tests.soak import promises
@@ -49,6 +49,9 @@
 # Durations of a host's cut and of an upstream's silence: the minimum, and what may be added.
 CUT_SECONDS, MORE_CUT_SECONDS = 1.0, 4.0
 SILENCE_SECONDS, MORE_SILENCE_SECONDS = 1.0, 0.5
+# Breaks of streams in a round: how many, the most streams of an engine that each breaks, and the
+# seconds of each event meanwhile.
+STREAM_BREAKS, BROKEN_STREAMS, SLOW_EVENT_SECONDS = 3, 6, 0.03
 FAILURE_STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
@@ -97,6 +100,8 @@
             # A cut loses requests that may not be repeated, which planned work may not.
             kinds += [self.cut_host]
         self._end = end = asyncio.get_running_loop().time() + seconds
+        if not planned:
+            self._tasks.add(asyncio.ensure_future(self._break_streams(seconds)))
         while asyncio.get_running_loop().time() < end:
             kind = self._schedule.choice(kinds)
             self.log.append(kind.__name__)
@@ -106,6 +111,19 @@
         # Each fault ends itself; the round continues once all have.
         await asyncio.gather(*self._tasks)
 
+    async def _break_streams(self, seconds):
+        """Have engines break off streams beside the other faults, so that callers take them up."""
+        engines = [item for item in self._site.initial_upstreams if isinstance(item, StandInEngine)]
+        usual_seconds = engines[0].seconds
+        for _ in range(STREAM_BREAKS):
+            await asyncio.sleep(seconds / (2 * STREAM_BREAKS))
+            for engine in engines:
+                engine.seconds = SLOW_EVENT_SECONDS
+                engine.script.steps.extend(["cut-early"] * BROKEN_STREAMS)
+            await asyncio.sleep(seconds / (2 * STREAM_BREAKS))
+            for engine in engines:
+                engine.seconds = usual_seconds
+
     def _pick_host(self):
         """Reserve and return a host without a process fault in progress, or None."""
         free = [host for name, host in self._site.hosts.items() if name not in self._busy_hosts]
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -17,6 +17,8 @@
 from tests.soak.proxy import Proxy
 
 ZONES = ("hall-a", "hall-b", "hall-c")
+# Software versions of the engines in these zones.
+BUILDS = ("v1", "v2")
 PROGRAM = Path(__file__).resolve().parent / "gateway.py"
 GRACE_SECONDS = 4
 METRICS_PORT = 9464
@@ -120,7 +122,10 @@
         ]
         for number, role in enumerate(("prefill", "decode", "prefill", "decode")):
             zone = ZONES[number // 2]
-            await self.add_upstream(StandInEngine(f"e{number}", "model", zone, role))
+            engine = StandInEngine(f"e{number}", "model", zone, role)
+            engine.build = BUILDS[number // 2]
+            engine.shows_build = True
+            await self.add_upstream(engine)
         for number in range(3):
             await self.add_upstream(StandInUpstream(f"s{number}", "alerts", "hall-a"))
         self.initial_upstreams = list(self.upstreams.values())
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from bench.limits import allow, count_worst
-from tests.soak.callers import DEADLINE_SECONDS, RUN_ONCE_KINDS, expected_body
+from tests.soak.callers import BUILD_LINE, DEADLINE_SECONDS, RUN_ONCE_KINDS, expected_body
 from tests.soak.processes import OTHER_KEY
 
 # Number of crashes that quarantines a request, the seconds until all hosts must know of them, and
@@ -52,10 +52,22 @@
             continue
         if answer.headers.get("x-request-id") != item.name:
             yield f"{item.name}: answered with {answer.headers.get('x-request-id')}"
-        if answer.body != expected_body(item.kind, item.name):
+        body = BUILD_LINE.sub(b"", answer.body)
+        if body != expected_body(item.kind, item.name, item.after):
             yield f"{item.name}: another body: {answer.body[:80]!r}"
 
 
+def check_builds(observations):
+    """Check that no stream has events of two software versions, over all its requests."""
+    builds = defaultdict(set)
+    for item in observations:
+        if item.answer is not None:
+            builds[item.stream or item.name].update(item.builds)
+    for stream, found in builds.items():
+        if len(found) > 1:
+            yield f"{stream}: events of the versions {sorted(found)}"
+
+
 def check_runs(observations, runs):
     for item in observations:
         if item.kind not in RUN_ONCE_KINDS:
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -48,6 +48,7 @@
         findings = list(faults.findings) + await check_recovery(site)
         runs = promises.count_runs(site)
         findings += promises.check_answers(caller_set.observations)
+        findings += promises.check_builds(caller_set.observations)
         findings += promises.check_runs(caller_set.observations, runs)
         findings += promises.check_orders(site)
         findings += promises.check_order_origins(site)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -1,10 +1,12 @@
 """The checks of the soak detect the violations that they are for."""
 
 from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
+from swifttrestle_standins.hosted.upstreams import make_event
 from tests.common.http import Answer
 from tests.soak import promises
 from tests.soak.callers import Observation, expected_body
@@ -33,6 +35,34 @@
     assert len(list(promises.check_answers([seen]))) == found
 
 
+def observe_events(name, *builds, stream="", after=0, whole=False):
+    body = b"".join(
+        make_event(name, after + number, build) for number, build in enumerate(builds, 1)
+    )
+    answer = Answer(200, {"x-request-id": name}, body, whole)
+    return Observation(name, "verdict", "g0", answer, 0.0, 1.0, stream=stream, after=after)
+
+
+@pytest.mark.parametrize(
+    ("seen", "found"),
+    [
+        ([observe_events("v1", "a", "a")], 0),
+        ([observe_events("v1", "a", "b")], 1),
+        ([observe_events("v1", "a"), observe_events("v2", "b")], 0),
+        ([observe_events("v1", "a"), observe_events("v2", "a", stream="v1", after=1)], 0),
+        ([observe_events("v1", "a"), observe_events("v2", "b", stream="v1", after=1)], 1),
+    ],
+)
+def test_a_stream_with_events_of_two_versions_is_found(seen, found):
+    assert len(list(promises.check_builds(seen))) == found
+
+
+@pytest.mark.parametrize(("after", "found"), [(2, 0), (1, 1), (3, 1)])
+def test_a_taken_up_stream_that_goes_on_at_a_wrong_event_is_found(after, found):
+    seen = observe_events("verdict-2", "a", "a", stream="verdict-1", after=2, whole=True)
+    assert len(list(promises.check_answers([replace(seen, after=after)]))) == found
+
+
 @pytest.mark.parametrize(
     ("kind", "status", "runs", "found"),
     [
