A dead peer does not hold up a taken-up stream of a service with one version

Found by reading: a host that does not know a stream waited 0.2 s for all four peers that it asked, although without a second version their record cannot change where the stream goes on. It asks again only while a record could change that, so that a dead peer costs 0.05 s there. Logs show an origin in plain words.

--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -15,6 +15,7 @@
     Continuation,
     StreamKnowledge,
     choose_continuation,
+    needs_more_replies,
 )
 from swifttrestle.internal.protocol.stream_builds import (
     MAX_STREAM_BYTES,
@@ -38,7 +39,7 @@
 
 
 @dataclass
-class _Query:
+class _PendingQuery:
     """A query in progress; `waiting` are the IPs of the peers that have not replied."""
 
     waiting: set[str]
@@ -113,7 +114,7 @@
         self._host = host
         self._list_members = list_members
         self._numbers = itertools.count(first_number)
-        self._queries: dict[int, _Query] = {}
+        self._pending: dict[int, _PendingQuery] = {}
         self._ring = HashRing(())
         self._ring_members: Sequence[Member] = ()
         socket.set_receiver(DatagramKind.STREAM, self._receive)
@@ -130,27 +131,28 @@
         """Return where a stream may go on."""
         own = self._look_up(stream, service)
         peers = [] if own.origin is not None else self._list_peers(stream)
-        replies = await self._ask(peers, stream[:MAX_STREAM_BYTES], service) if peers else []
+        query = StreamQuery(next(self._numbers), stream[:MAX_STREAM_BYTES], service)
+        replies = await self._ask(peers, query, own) if peers else []
         return choose_continuation(own, replies, bool(peers))
 
     async def _ask(
-        self, peers: Sequence[Member], stream: bytes, service: str
+        self, peers: Sequence[Member], query: StreamQuery, own: StreamKnowledge
     ) -> list[StreamKnowledge]:
         """Return the replies of peers, up to the first one that knows the stream."""
-        number, query = next(self._numbers), _Query({peer.ip for peer in peers})
-        self._queries[number] = query
+        pending = _PendingQuery({peer.ip for peer in peers})
+        self._pending[query.number] = pending
         try:
             for _ in range(QUERIES):
-                for ip in query.waiting:
-                    self._send(ip, StreamQuery(number, stream, service))
+                for ip in pending.waiting:
+                    self._send(ip, query)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(QUERY_SECONDS):
-                        await query.answered.wait()
-                if query.answered.is_set():
+                        await pending.answered.wait()
+                if not pending.waiting or not needs_more_replies(own, pending.replies):
                     break
         finally:
-            del self._queries[number]
-        return query.replies
+            del self._pending[query.number]
+        return pending.replies
 
     def _list_peers(self, stream: bytes) -> list[Member]:
         """Return the peers that keep a stream, the first ones first, and those next to them."""
@@ -180,13 +182,13 @@
                 self._take_reply(message, ip)
 
     def _take_reply(self, reply: StreamReply, ip: str) -> None:
-        query = self._queries.get(reply.number)
-        if query is None or ip not in query.waiting:
+        pending = self._pending.get(reply.number)
+        if pending is None or ip not in pending.waiting:
             return
-        query.waiting.discard(ip)
-        query.replies.append(StreamKnowledge(reply.origin, reply.several))
-        if reply.origin is not None or not query.waiting:
-            query.answered.set()
+        pending.waiting.discard(ip)
+        pending.replies.append(StreamKnowledge(reply.origin, reply.several))
+        if reply.origin is not None or not pending.waiting:
+            pending.answered.set()
 
 
 def _now() -> float:
--- a/src/swifttrestle/internal/policy/stream_builds.py
+++ b/src/swifttrestle/internal/policy/stream_builds.py
@@ -5,7 +5,7 @@
 other's streams; see docs/design/stream-versions.md.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from swifttrestle.internal.state.stream_builds import StreamOrigin
@@ -37,17 +37,23 @@
 
 
 def choose_continuation(
-    own: StreamKnowledge, replies: Iterable[StreamKnowledge], has_peers: bool
+    own: StreamKnowledge, replies: Sequence[StreamKnowledge], has_peers: bool
 ) -> Continuation:
     """Return where a stream may go on.
 
     Where no host knows it, that is right anywhere only if there has been no choice. That needs a
     peer's word, since this host may be cut off.
     """
-    replies = list(replies)
     known = [item.origin for item in (own, *replies) if item.origin is not None]
     if known:
         return Continuation(True, known[0])
     if any(item.several for item in (own, *replies)):
         return Continuation(False)
     return Continuation(bool(replies) or not has_peers)
+
+
+def needs_more_replies(own: StreamKnowledge, replies: Sequence[StreamKnowledge]) -> bool:
+    """Return whether peers that have not replied are worth another query."""
+    if any(item.origin is not None for item in replies):
+        return False
+    return not replies or any(item.several for item in (own, *replies))
--- a/src/swifttrestle/internal/state/stream_builds.py
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -20,6 +20,10 @@
     service: str
     build: str
 
+    def __str__(self) -> str:
+        """Return the origin as logs show it."""
+        return f"{self.service} {self.build}".rstrip()
+
 
 class StreamBuilds:
     """Origins by stream and versions by service; times are seconds of the event loop's clock."""
--- a/tests/cover/test_stream_directory.py
+++ b/tests/cover/test_stream_directory.py
@@ -11,7 +11,11 @@
 from hypothesis import strategies as st
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
+from swifttrestle.internal.forward.stream_directory import (
+    QUERIES,
+    QUERY_SECONDS,
+    SharedStreamDirectory,
+)
 from swifttrestle.internal.policy.stream_builds import (
     Continuation,
     StreamKnowledge,
@@ -132,6 +136,19 @@
     run_in_virtual_time(scenario())
 
 
+@pytest.mark.parametrize(("builds", "queries"), [(("v1",), 1), (BOTH, QUERIES)])
+def test_a_dead_peer_is_asked_again_only_where_it_may_change_the_decision(builds, queries):
+    async def scenario():
+        hosts = Hosts(8, builds=builds)
+        hosts.network.cut.add(hosts.directories["h0"]._list_peers(b"unknown")[0].ip)
+        began = asyncio.get_running_loop().time()
+        found = await hosts.find("h0", b"unknown")
+        assert found.allowed == (builds != BOTH)
+        return asyncio.get_running_loop().time() - began
+
+    assert run_in_virtual_time(scenario()) == pytest.approx(queries * QUERY_SECONDS)
+
+
 def test_a_stream_that_no_host_knows_is_refused_for_as_long_as_versions_are_remembered():
     async def scenario():
         hosts = Hosts(8)
