--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -69,7 +69,7 @@
         relay = EventRelay(ctx.route.resumable, self._state.metrics, self._state.streams)
         if ctx.build is not None:
             # No prompt is prefilled for a stream that no engine of its version would continue.
-            reason = f"no decode engine of the version {ctx.build} is free"
+            reason = f"no decode engine of the version {ctx.build} is available"
             self._pick_decode_engine(ctx, reason, _now())
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
