An answer that is no event stream is not scanned for events

As they have none, the scanner kept the whole body in memory and copied it again with each chunk, and gateway_streams_ended_total counted them as ended inside an event.

Only event streams are scanned and counted now; what reaches callers is the same.

--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -58,16 +58,23 @@
         scanner = EventScanner()
         if self._resumable:
             await self._relay_complete_events(ctx, body, scanner, build)
+            self._check_end(ctx, head, scanner)
+        elif ctx.route.streaming and _is_event_stream(head):
+            await self._relay_bytes(ctx, body, scanner)
+            self._check_end(ctx, head, scanner)
         else:
-            async for chunk in body.chunks():
-                scanner.feed(chunk)
-                ctx.note_first_byte()
-                await ctx.reply.send(chunk)
-        self._note_end(ctx, head, scanner)
-        if self._resumable or (ctx.route.streaming and _is_event_stream(head)):
-            self._check_end(head, scanner)
+            await self._relay_bytes(ctx, body)
         await ctx.reply.end()
 
+    async def _relay_bytes(
+        self, ctx: Context, body: Body, scanner: EventScanner | None = None
+    ) -> None:
+        async for chunk in body.chunks():
+            if scanner is not None:
+                scanner.feed(chunk)
+            ctx.note_first_byte()
+            await ctx.reply.send(chunk)
+
     async def _relay_complete_events(
         self, ctx: Context, body: Body, scanner: EventScanner, build: str
     ) -> None:
@@ -85,21 +92,22 @@
     def _note_build(self, ctx: Context, build: str) -> None:
         """Record which software version an upstream's first event comes from."""
         metadata = ctx.request_metadata
-        if ctx.build is not None:
-            known = "same" if ctx.build == build else "other"
-            self._metrics.count("gateway_streams_continued_total", build=known)
-        elif metadata.last_event:
-            self._metrics.count("gateway_streams_continued_total", build="unknown")
         if ctx.build is None:
             ctx.build = build
+            if metadata.last_event:
+                self._metrics.count("gateway_streams_continued_total", build="unknown")
+        else:
+            known = "same" if ctx.build == build else "other"
+            self._metrics.count("gateway_streams_continued_total", build=known)
         if metadata.stream:
             self._streams.note_begun(metadata.stream, StreamOrigin(ctx.service.name, ctx.build))
 
-    def _check_end(self, head: ResponseHead, scanner: EventScanner) -> None:
+    def _check_end(self, ctx: Context, head: ResponseHead, scanner: EventScanner) -> None:
         """Raise UpstreamBrokenError if a stream was broken off although its connection ended.
 
         An upstream that dies may close its connections in order.
         """
+        self._note_end(ctx, head, scanner)
         if scanner.incomplete_bytes:
             raise UpstreamBrokenError(
                 f"the stream ended with {scanner.incomplete_bytes} bytes of an incomplete event",
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -14,6 +14,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory
 from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.protocol.event_stream import EventScanner
 from swifttrestle.internal.state.declared import ServiceDeclaration
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
@@ -122,3 +123,9 @@
     headers = ((b"Content-Type", content_type),) if content_type else ()
     head = ResponseHead(200, headers, framing, 10, framing is Framing.CLOSE, None)
     assert asyncio.run(relay_ended_stream(False, head, b'{"a": "b"}', streaming))
+
+
+def test_an_answer_that_is_no_event_stream_is_not_scanned_for_events(monkeypatch):
+    monkeypatch.setattr(EventScanner, "feed", lambda *_: pytest.fail("scanned"))
+    head = ResponseHead(200, ((b"Content-Type", b"application/json"),), Framing.CHUNKED)
+    assert asyncio.run(relay_ended_stream(False, head, b"{}"))
