Whether an instance may continue a stream is told by one method

The comparison of a stream's software version with an instance's stood three times: in the list of usable instances, for the booked engine and for an engine that takes over.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -178,7 +178,7 @@
         It was chosen before the prefill, which may take seconds.
         """
         now = asyncio.get_running_loop().time()
-        fits = ctx.build in (None, decoder.record.build)
+        fits = decoder.may_continue(ctx.build)
         if fits and decoder.takes_work(Role.DECODE, now):
             return decoder
         if fits:
@@ -290,7 +290,7 @@
         self, ctx: Context, usable: list[Instance], excluded: Collection[str]
     ) -> bool:
         zone, now = self._state.zone, _now()
-        fitting = [item for item in usable if ctx.build in (None, item.record.build)]
+        fitting = [item for item in usable if item.may_continue(ctx.build)]
         return pick_decode_engine(fitting, zone, excluded, now, urgent=ctx.urgent) is not None
 
     async def _attempt_decode(
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -135,8 +135,7 @@
         listed = [
             item
             for item in self.fleet.list_service(service)
-            if build in (None, item.record.build)
-            and not self.conditions.find_wait_seconds(item, now, urgent)
+            if item.may_continue(build) and not self.conditions.find_wait_seconds(item, now, urgent)
         ]
         usable = [item for item in listed if not self.ejector.is_ejected(item.name, now)]
         return usable or listed
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -83,6 +83,10 @@
         """Whether it gets no new work, because it is draining or no longer listed."""
         return self.gone or self.record.leaving
 
+    def may_continue(self, build: str | None) -> bool:
+        """Return whether it may continue a stream of a software version; None is a new stream."""
+        return build in (None, self.record.build)
+
     def takes_work(self, role: Role, now: float) -> bool:
         """Return whether it accepts new work of a role now."""
         return not self.leaving and self.role is role and now >= self.role_changing_until
