The log names the prompt parts of requests, and those open as an upstream crashed

The line of a crash now counts the parts of the open prompts but for their last ones, and each request's line has its parts.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -9,6 +9,7 @@
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
 from swifttrestle.internal.policy.retry_window import WindowedRetryBudget
+from swifttrestle.internal.state.crash_records import OpenRequest
 from swifttrestle.internal.state.declared import RetrySafety, Route, ServiceDeclaration, Workspace
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.request_fingerprints import (
@@ -20,6 +21,9 @@
 from swifttrestle.internal.transport.messages import Header
 from swifttrestle.platform.wire import RequestMetadata
 
+# Maximum number of a prompt's parts that a crash may count against.
+MAX_SHARED_PARTS = 16
+
 
 @dataclass
 class Context:
@@ -109,6 +113,15 @@
             )
         return self._cached_fingerprint
 
+    @functools.cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The names of the prompt's parts that other prompts may have: all but the last."""
+        return tuple(item.part for item in self.request_metadata.parts[:-1][:MAX_SHARED_PARTS])
+
+    def describe_open(self) -> OpenRequest:
+        """Return what may be to blame in this request if its upstream crashes."""
+        return OpenRequest(self.fingerprint, self.shared_parts)
+
     @contextlib.contextmanager
     def record_cancellation(self, instance: Instance) -> Iterator[None]:
         """Record the instance if the request is cancelled while it is open there."""
--- a/src/swifttrestle/internal/forward/crash_detection.py
+++ b/src/swifttrestle/internal/forward/crash_detection.py
@@ -6,14 +6,14 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from swifttrestle.errors import UpstreamUnreachedError
 from swifttrestle.internal.event_log import log_event
+from swifttrestle.internal.state.crash_records import OpenRequest
 from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Connections of a probe of which no peer has confirmed that they are refused. Half a second, in
@@ -38,10 +38,11 @@
 MAX_PENDING_PER_UPSTREAM = 256
 # Number of upstreams with pending failures at which expired failures are removed.
 MAX_UPSTREAMS_BEFORE_CLEANUP = 64
-# Maximum number of request fingerprints in a log line.
+# Maximum number of request fingerprints, and of prompt parts, in a log line.
 MAX_LOGGED_FINGERPRINTS = 20
+MAX_LOGGED_PARTS = 20
 
-OnCrash = Callable[[Instance, Sequence[RequestFingerprint]], None]
+OnCrash = Callable[[Instance, Sequence[OpenRequest]], None]
 
 
 @dataclass(frozen=True)
@@ -52,7 +53,7 @@
     another process holds its port.
     """
 
-    fingerprint: RequestFingerprint
+    request: OpenRequest
     at: float
     timed_out: bool
     port_open: bool = False
@@ -68,14 +69,14 @@
         self._pending: dict[str, list[_PendingFailure]] = defaultdict(list)
         self._probes: dict[str, asyncio.Task[None]] = {}
 
-    def note_broken(self, instance: Instance, fingerprint: RequestFingerprint | None) -> None:
+    def note_broken(self, instance: Instance, request: OpenRequest) -> None:
         """Record that a request lost its connection, and probe the upstream."""
-        if self._add_pending(instance, fingerprint, timed_out=False) and not instance.replaced:
+        if self._add_pending(instance, request, timed_out=False) and not instance.replaced:
             self._start_probe(instance)
 
-    def note_timeout(self, instance: Instance, fingerprint: RequestFingerprint | None) -> None:
+    def note_timeout(self, instance: Instance, request: OpenRequest) -> None:
         """Record that a request timed out on a connection that stayed open."""
-        if self._add_pending(instance, fingerprint, timed_out=True) and instance.gone:
+        if self._add_pending(instance, request, timed_out=True) and instance.gone:
             self._start_probe(instance)
 
     async def wait_for_probes(self) -> None:
@@ -93,17 +94,15 @@
         if not instance.record.leaving:
             self._report_crash(instance, "its next start", restarted=True)
 
-    def _add_pending(
-        self, instance: Instance, fingerprint: RequestFingerprint | None, *, timed_out: bool
-    ) -> bool:
-        if fingerprint is None or instance.record.leaving:
+    def _add_pending(self, instance: Instance, request: OpenRequest, *, timed_out: bool) -> bool:
+        if request.fingerprint is None or instance.record.leaving:
             # A draining upstream stops as planned, and may cut open requests.
             return False
         now = _now()
         if len(self._pending) >= MAX_UPSTREAMS_BEFORE_CLEANUP:
             self._drop_expired(now)
         pending = [item for item in self._pending[instance.name] if _is_recent(item, now)]
-        pending.append(_PendingFailure(fingerprint, now, timed_out))
+        pending.append(_PendingFailure(request, now, timed_out))
         self._pending[instance.name] = pending[-MAX_PENDING_PER_UPSTREAM:]
         return True
 
@@ -182,17 +181,20 @@
             and (restarted or include_timeouts or not item.timed_out)
             and (not item.port_open or (restarted and now - item.at < OPEN_PORT_PENDING_SECONDS))
         ]
-        fingerprints = list({item.fingerprint: None for item in open_requests})
-        if not fingerprints:
+        requests = list({item.request: None for item in open_requests})
+        if not requests:
             return
+        fingerprints = [item.fingerprint for item in requests]
+        parts = Counter(part for item in requests for part in item.parts)
         log_event(
             "upstream crashed",
             instance=instance.name,
             source=source,
-            count=len(fingerprints),
+            count=len(requests),
             open=[str(fingerprint) for fingerprint in fingerprints[:MAX_LOGGED_FINGERPRINTS]],
+            parts=dict(parts.most_common(MAX_LOGGED_PARTS)),
         )
-        self._on_crash(instance, fingerprints)
+        self._on_crash(instance, requests)
 
 
 def _is_recent(item: _PendingFailure, now: float) -> bool:
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -11,7 +11,7 @@
 from swifttrestle.internal.forward.crash_detection import CrashDetector
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
-from swifttrestle.internal.state.crash_records import Crash, CrashRecord
+from swifttrestle.internal.state.crash_records import Crash, CrashRecord, OpenRequest
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.transport.pool import ConnectionPool
@@ -185,8 +185,9 @@
         if fingerprint is not None:
             self.clear_crashes(fingerprint)
 
-    def _note_crash(self, instance: Instance, fingerprints: Sequence[RequestFingerprint]) -> None:
+    def _note_crash(self, instance: Instance, requests: Sequence[OpenRequest]) -> None:
         self._metrics.count("upstream_crashes_total", service=instance.record.service)
+        fingerprints = [item.fingerprint for item in requests if item.fingerprint is not None]
         self.report_crash(fingerprints, Crash(instance.name, _now()))
 
     def _record_crashes(
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -253,9 +253,9 @@
             return
         match error:
             case UpstreamSilentError():
-                self.crash_detector.note_timeout(instance, ctx.fingerprint)
+                self.crash_detector.note_timeout(instance, ctx.describe_open())
             case UpstreamError(sent=True):
-                self.crash_detector.note_broken(instance, ctx.fingerprint)
+                self.crash_detector.note_broken(instance, ctx.describe_open())
         self.note_failure(instance, now, str(error), get_failure_weight(error))
 
     def note_failure(self, instance: Instance, now: float, reason: str, weight: int = 1) -> None:
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -209,7 +209,7 @@
         except TimeoutError:
             ctx.note("deadline")
             if ctx.cancelled_instance is not None:
-                self._state.crash_detector.note_timeout(ctx.cancelled_instance, ctx.fingerprint)
+                self._state.crash_detector.note_timeout(ctx.cancelled_instance, ctx.describe_open())
             if ctx.may_have_run:
                 raise RefusedError(Code.ANSWER_LATE, "the deadline passed") from None
             raise ctx.refuse(Code.DEADLINE_PASSED, "the deadline passed", 0.1) from None
@@ -257,11 +257,17 @@
             else None,
             ms=round((now - request.received) * 1000, 1),
             steps=_list_steps(ctx),
+            **_make_parts_field(ctx),
             **_make_resumption_fields(ctx),
             **_make_fingerprint_field(ctx, code),
         )
 
 
+def _make_parts_field(ctx: Context | None) -> dict[str, tuple[str, ...]]:
+    """Return the log field with the parts of a prompt that it may share with others."""
+    return {"parts": ctx.shared_parts} if ctx is not None and ctx.shared_parts else {}
+
+
 def _make_resumption_fields(ctx: Context | None) -> dict[str, str]:
     """Return the log fields with the stream that a caller takes up, and its last event there."""
     if ctx is None or not ctx.request_metadata.resumed_stream:
--- a/src/swifttrestle/internal/state/crash_records.py
+++ b/src/swifttrestle/internal/state/crash_records.py
@@ -13,6 +13,18 @@
     at: float
 
 
+@dataclass(frozen=True)
+class OpenRequest:
+    """A request that was open at an upstream.
+
+    `fingerprint` is None if its body was incomplete. `parts` are the names of the parts of its
+    prompt that other prompts may have as well.
+    """
+
+    fingerprint: RequestFingerprint | None
+    parts: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class CrashRecord:
     """A request and the latest crashes during which it was open, since its last response."""
