Failing tests: a prompt part that crashes the engines reaches them again and again

Three hosts, 4 engines that prefill and 10 that decode, 20 sound streams a second, from second 2 on four requests a second with one part that ends the engine as it begins to write, no two alike. Allowed: three arrivals later than 3 s after the fifth crash, and sound requests served half as often as before from 6 s after it on.

--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -109,6 +109,10 @@
         self.hold.set()
         # Called with the body of a deadly request instead of running it; None disables crashes.
         self.crash: Callable[[bytes], None] | None = None
+        # Prompt parts that crash the upstream as it begins to write an answer on them, and the
+        # number of events that it writes before.
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.events_before_crash = 0
 
     def limits(self) -> Limits:
         """Return limits that calls do not reach."""
@@ -325,7 +329,12 @@
             await reply.end()
             return
         first = int(headers.get("last-event-id", "0")) + 1
+        deadly = self.deadly_parts & read_parts(headers)
         for number in range(first, self.events + 1):
+            if deadly and self.crash is not None and number - first == self.events_before_crash:
+                await asyncio.sleep(self.seconds)
+                self.crash(min(deadly).encode())
+                return
             if number - first == EVENTS_BEFORE_BREAK.get(step):
                 await reply.send(make_event(name, number)[:5])
                 if step == "end-inside":
@@ -384,6 +393,12 @@
     }
 
 
+def read_parts(headers: dict[str, str]) -> set[str]:
+    """Return the names of a prompt's parts."""
+    listed = headers.get("x-prompt-prefix", "").split(",")
+    return {item.partition(":")[0] for item in listed}
+
+
 def make_content(name: str) -> bytes:
     """Return the response body of a plain service to the request `name`."""
     return f"answer to {name}".encode()
