--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -15,7 +15,7 @@
 from swifttrestle.internal.policy import quarantine
 from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.state.crash_records import Crash
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 
 RUN_SECONDS = 60.0
 # Seconds for which an engine is down after a crash.
@@ -40,7 +40,7 @@
 class Request:
     """One request of a caller, with its remaining attempts."""
 
-    name: RequestFingerprint
+    name: Fingerprint
     deadly: bool
     seconds: float
     engines_left: int = ENGINES_PER_ATTEMPT
@@ -87,13 +87,13 @@
 
     def _send_stream(self) -> None:
         self.counts.streams += 1
-        name = RequestFingerprint(bytes(8), self._rng.randbytes(8))
+        name = Fingerprint(bytes(8), self._rng.randbytes(8))
         seconds = self._rng.expovariate(1 / STREAM_SECONDS)
         self._send(Request(name, False, seconds))
         self._schedule(self._now + self._rng.expovariate(STREAM_RATE), self._send_stream)
 
     def _send_deadly(self) -> None:
-        self._send(Request(RequestFingerprint(bytes(8), b"deadly!!"), True, DEADLY_SECONDS))
+        self._send(Request(Fingerprint(bytes(8), b"deadly!!"), True, DEADLY_SECONDS))
         self._schedule(self._now + self._rng.expovariate(DEADLY_RATE), self._send_deadly)
 
     def _send(self, request: Request) -> None:
--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -27,8 +27,8 @@
     unpack_crash_update,
 )
 from swifttrestle.internal.state.crash_records import CrashRecord
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
 # Seconds between periodic messages to randomly chosen hosts. A host that is the only one without a
@@ -150,9 +150,7 @@
             [record for record in records if is_quarantined(record)], self._list_others()
         )
 
-    def _announce_clearance(
-        self, fingerprint: RequestFingerprint, at: float, everywhere: bool
-    ) -> None:
+    def _announce_clearance(self, fingerprint: Fingerprint, at: float, everywhere: bool) -> None:
         """Send the clearance of a request that was answered: to all hosts if `everywhere`."""
         others = self._list_others()
         if self._is_large() and not everywhere:
@@ -176,14 +174,14 @@
     def _is_large(self) -> bool:
         return is_large_fleet(len(self._list_members()))
 
-    def _find_owners(self, fingerprint: RequestFingerprint) -> list[Member]:
+    def _find_owners(self, fingerprint: Fingerprint) -> list[Member]:
         members = tuple(self._list_members())
         if members != self._ring_members:
             self._ring_members = members
             self._ring = HashRing(members)
         return self._ring.find(fingerprint)
 
-    def _owns_record(self, fingerprint: RequestFingerprint) -> bool:
+    def _owns_record(self, fingerprint: Fingerprint) -> bool:
         """Return whether this host owns a request's record for a large fleet."""
         return self._is_large() and self._host in (
             item.host for item in self._find_owners(fingerprint)
--- a/src/swifttrestle/internal/coordination/quarantine_store.py
+++ b/src/swifttrestle/internal/coordination/quarantine_store.py
@@ -20,8 +20,8 @@
 from swifttrestle.internal.policy.quarantine import CRASH_RETENTION_SECONDS
 from swifttrestle.internal.protocol.quarantine import pack_fingerprint, unpack_fingerprint
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.platform.objects import StoredObject
 from swifttrestle.platform.store import ObjectStore
 
@@ -100,7 +100,7 @@
         except NotFoundError:
             return None
 
-    def _merge(self, stored_object: StoredObject) -> dict[RequestFingerprint, int]:
+    def _merge(self, stored_object: StoredObject) -> dict[Fingerprint, int]:
         """Merge the object into the quarantine; return its number of crashes by request.
 
         Skips entries that cannot be read.
@@ -129,7 +129,7 @@
         ]
 
 
-def _count_crashes(records: Sequence[CrashRecord]) -> dict[RequestFingerprint, int]:
+def _count_crashes(records: Sequence[CrashRecord]) -> dict[Fingerprint, int]:
     return {record.name: len(record.crashes) for record in records}
 
 
--- a/src/swifttrestle/internal/entry/crash_guard.py
+++ b/src/swifttrestle/internal/entry/crash_guard.py
@@ -16,7 +16,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.state.crash_records import Crash
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint, digest_parts
+from swifttrestle.internal.state.fingerprints import Fingerprint, digest_parts
 
 PROBE_TIMEOUT_SECONDS = 0.3
 # An exiting process closes its connections some milliseconds before its port, so an address that
@@ -25,11 +25,9 @@
 PROBE_INTERVAL_SECONDS = 0.02
 
 
-def make_fingerprint(workspace: str, path: str, body: bytes) -> RequestFingerprint:
+def make_fingerprint(workspace: str, path: str, body: bytes) -> Fingerprint:
     """Return the fingerprint of a request: digests of its workspace, path and body."""
-    return RequestFingerprint(
-        digest_parts((workspace.encode(), path.encode())), digest_parts((body,))
-    )
+    return Fingerprint(digest_parts((workspace.encode(), path.encode())), digest_parts((body,)))
 
 
 class EntryCrashGuard:
@@ -40,10 +38,10 @@
         self._clock = clock
         self._metrics = metrics
         self._quarantine = Quarantine(jitter_share)
-        self._fingerprints: dict[str, RequestFingerprint] = {}
+        self._fingerprints: dict[str, Fingerprint] = {}
         self._lock = threading.Lock()
 
-    def begin(self, request_id: str, fingerprint: RequestFingerprint) -> None:
+    def begin(self, request_id: str, fingerprint: Fingerprint) -> None:
         """Track an open request; raise RefusedError if it is quarantined."""
         with self._lock:
             self._fingerprints[request_id] = fingerprint
--- a/src/swifttrestle/internal/entry/handler.py
+++ b/src/swifttrestle/internal/entry/handler.py
@@ -32,7 +32,7 @@
 from swifttrestle.internal.protocol.calls import EngineCall, PlainResponse, call_plain
 from swifttrestle.internal.protocol.prefixes import count_tokens, split_blocks
 from swifttrestle.internal.state.config import ConfigStore
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.upstreams import UpstreamRequirements, UpstreamTable, excluding
 from swifttrestle.internal.transport.http import Exchange, Handler
 from swifttrestle.resources import ResourceSet, Service
@@ -355,7 +355,7 @@
         exchange.reply(answer.status, answer.body, answer.content_type, id_headers)
 
     @contextmanager
-    def _track(self, request_id: str, fingerprint: RequestFingerprint) -> Iterator[None]:
+    def _track(self, request_id: str, fingerprint: Fingerprint) -> Iterator[None]:
         """Have the crash guard track the request; stop that if the `with` block raises."""
         self._guard.begin(request_id, fingerprint)
         try:
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -11,12 +11,12 @@
 from swifttrestle.internal.policy.retry_window import WindowedRetryBudget
 from swifttrestle.internal.state.crash_records import OpenRequest
 from swifttrestle.internal.state.declared import RetrySafety, Route, ServiceDeclaration, Workspace
-from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.state.request_fingerprints import (
-    RequestFingerprint,
+from swifttrestle.internal.state.fingerprints import (
+    Fingerprint,
     fingerprint_head,
     fingerprint_request,
 )
+from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.caller import IncomingRequest, ResponseWriter
 from swifttrestle.internal.transport.messages import Header
 from swifttrestle.platform.wire import RequestMetadata
@@ -69,7 +69,7 @@
     on_first_byte: Callable[[], None] | None = None
     # Called with the workspace's name at the first byte of the answer.
     count_request: Callable[[str], None] | None = None
-    _cached_fingerprint: RequestFingerprint | None = None
+    _cached_fingerprint: Fingerprint | None = None
 
     @property
     def priority(self) -> int:
@@ -104,7 +104,7 @@
         return fingerprint_head(self.request.head, self.workspace.name if self.workspace else "")
 
     @property
-    def fingerprint(self) -> RequestFingerprint | None:
+    def fingerprint(self) -> Fingerprint | None:
         """The request's fingerprint; None until its body is complete."""
         if self._cached_fingerprint is None:
             workspace = self.workspace.name if self.workspace else ""
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -12,8 +12,8 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord, OpenRequest
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.transport.pool import ConnectionPool
 
 # Retry time while another copy of a quarantined request is tried: about as long as it takes until
@@ -24,7 +24,7 @@
 LAST_UPSTREAM_HOLD_SECONDS = 4.0
 
 RecordsCallback = Callable[[Sequence[CrashRecord]], None]
-ClearanceCallback = Callable[[RequestFingerprint, float, bool], None]
+ClearanceCallback = Callable[[Fingerprint, float, bool], None]
 
 
 class CrashGuard:
@@ -36,17 +36,17 @@
         self.quarantine = quarantine
         self._metrics = metrics
         # Quarantined requests that this host is trying now.
-        self._trials: set[RequestFingerprint] = set()
+        self._trials: set[Fingerprint] = set()
         # Returns whether no upstream could take over for an instance; those in the collection have
         # crashed and do not count.
         self.is_last: Callable[[Instance, Collection[str]], bool] = _never
         # Asks whether a quarantined request may be tried; returns 0, or the seconds to wait.
-        self.request_trial: Callable[[RequestFingerprint], Awaitable[float]] = _allow_trial
+        self.request_trial: Callable[[Fingerprint], Awaitable[float]] = _allow_trial
         # Called with the crashes and clearances that this host detects, to notify its peers.
         self.announce_crash_records: RecordsCallback = do_nothing
         self.announce_clearance: ClearanceCallback = do_nothing
 
-    async def check(self, ctx: Context) -> RequestFingerprint | None:
+    async def check(self, ctx: Context) -> Fingerprint | None:
         """Return a request's fingerprint if it was open at a crash; refuse a quarantined one.
 
         Requests that share the method, host, path and workspace of one that was open at a crash
@@ -72,7 +72,7 @@
         return record is not None and is_quarantined(record)
 
     def _protect_last(
-        self, ctx: Context, fingerprint: RequestFingerprint | None, instance: Instance
+        self, ctx: Context, fingerprint: Fingerprint | None, instance: Instance
     ) -> None:
         """Refuse a request that may have just crashed an upstream if only one other is available.
 
@@ -90,7 +90,7 @@
             ctx.note(f"last upstream protected from {fingerprint}")
             raise ctx.refuse(Code.QUARANTINED, "an upstream crashed during this request", seconds)
 
-    async def _find_trial_wait(self, fingerprint: RequestFingerprint, ctx: Context) -> float:
+    async def _find_trial_wait(self, fingerprint: Fingerprint, ctx: Context) -> float:
         """Return 0 if this host may try a quarantined request now, or the seconds to wait."""
         if self._has_trial(fingerprint, ctx):
             return TRIAL_RETRY_SECONDS
@@ -102,7 +102,7 @@
             ctx.is_trial = True
         return 0.0
 
-    def _has_trial(self, fingerprint: RequestFingerprint, ctx: Context) -> bool:
+    def _has_trial(self, fingerprint: Fingerprint, ctx: Context) -> bool:
         """Return whether a quarantined request is being tried, or has been by this very request.
 
         A trial is a single attempt, since a crash may be detected only by the upstream's restart.
@@ -133,14 +133,14 @@
         if is_final_answer:
             await self._record_answer(ctx)
 
-    def clear_crashes(self, fingerprint: RequestFingerprint, source: str = "its answer") -> None:
+    def clear_crashes(self, fingerprint: Fingerprint, source: str = "its answer") -> None:
         """Record that a request got its answer here, and notify other hosts."""
         record = self.quarantine.find(fingerprint)
         now = _now()
         if record is not None and self.apply_clearance(fingerprint, now, source):
             self.announce_clearance(fingerprint, now, is_quarantined(record))
 
-    def report_crash(self, fingerprints: Sequence[RequestFingerprint], crash: Crash) -> None:
+    def report_crash(self, fingerprints: Sequence[Fingerprint], crash: Crash) -> None:
         """Record a crash that this host detected, and notify other hosts."""
         new_fingerprints = [
             fingerprint
@@ -158,18 +158,18 @@
         ]
         return self._find_all(new_fingerprints)
 
-    def apply_clearance(self, fingerprint: RequestFingerprint, at: float, source: str) -> bool:
+    def apply_clearance(self, fingerprint: Fingerprint, at: float, source: str) -> bool:
         """Record that a request got its answer; return whether that was new."""
         if not self.quarantine.clear_crashes(fingerprint, at):
             return False
         log_event("request acquitted", name=str(fingerprint), source=source)
         return True
 
-    def _find_all(self, fingerprints: Sequence[RequestFingerprint]) -> list[CrashRecord]:
+    def _find_all(self, fingerprints: Sequence[Fingerprint]) -> list[CrashRecord]:
         records = (self.quarantine.find(fingerprint) for fingerprint in fingerprints)
         return [record for record in records if record is not None]
 
-    async def _find_suspect(self, ctx: Context) -> RequestFingerprint | None:
+    async def _find_suspect(self, ctx: Context) -> Fingerprint | None:
         """Return the request's fingerprint if a request with the same head was open at a crash."""
         if not len(self.quarantine):
             return None
@@ -191,7 +191,7 @@
         self.report_crash(fingerprints, Crash(instance.name, _now()))
 
     def _record_crashes(
-        self, fingerprint: RequestFingerprint, crashes: Sequence[Crash], source: str
+        self, fingerprint: Fingerprint, crashes: Sequence[Crash], source: str
     ) -> bool:
         now = _now()
         if not self.quarantine.note(fingerprint, crashes, now):
@@ -208,7 +208,7 @@
         return True
 
 
-async def _allow_trial(_: RequestFingerprint) -> float:
+async def _allow_trial(_: Fingerprint) -> float:
     """Allow the trial: the default without peers."""
     return 0.0
 
--- a/src/swifttrestle/internal/forward/rate_limiter.py
+++ b/src/swifttrestle/internal/forward/rate_limiter.py
@@ -30,10 +30,10 @@
     pack_message,
     unpack_message,
 )
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.permit_buckets import TRIAL_SECONDS, PermitBuckets, TrialTimes
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.state.upstream_conditions import RateLimit
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
@@ -200,7 +200,7 @@
 
     # Trials.
 
-    async def request_trial(self, fingerprint: RequestFingerprint) -> float:
+    async def request_trial(self, fingerprint: Fingerprint) -> float:
         """Return 0 if this host may try a quarantined request, or the seconds to wait.
 
         Only one host at a time may, so that only the first owner allows trials, and a host that
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -14,7 +14,7 @@
 from swifttrestle.internal.event_log import WRITER
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.pages import Page, PageHandler
-from swifttrestle.internal.state.request_fingerprints import parse_fingerprint
+from swifttrestle.internal.state.fingerprints import parse_fingerprint
 from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.platform.store import ObjectStore
 
--- a/src/swifttrestle/internal/policy/hash_ring.py
+++ b/src/swifttrestle/internal/policy/hash_ring.py
@@ -11,11 +11,11 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 
-from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.request_fingerprints import (
+from swifttrestle.internal.state.fingerprints import (
     FINGERPRINT_HALF_BYTES,
-    RequestFingerprint,
+    Fingerprint,
 )
+from swifttrestle.internal.state.members import Member
 
 # Owners of each request: the loss of one is tolerated.
 OWNERS_PER_REQUEST = 2
@@ -36,7 +36,7 @@
         self._hashes = [host_hash for host_hash, _, _ in hashed]
         self._members = [item for _, _, item in hashed]
 
-    def find(self, fingerprint: RequestFingerprint) -> list[Member]:
+    def find(self, fingerprint: Fingerprint) -> list[Member]:
         """Return the owners of a request."""
         return self.find_successors(fingerprint.body, OWNERS_PER_REQUEST)
 
--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -11,7 +11,7 @@
 
 from swifttrestle.internal.eviction import make_room
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 
 # Number of crashes, without an answer since, at which a request is quarantined. With one, all
 # requests that were open at a crash would be; few of them are open at a second one.
@@ -102,10 +102,10 @@
         `jitter` differs between hosts.
         """
         self._release_factor = 1 + RELEASE_JITTER_SHARE * jitter
-        self._histories: dict[RequestFingerprint, _History] = {}
+        self._histories: dict[Fingerprint, _History] = {}
         self._head_counts: Counter[bytes] = Counter()
-        self._quarantined: set[RequestFingerprint] = set()
-        self._answered_at: dict[RequestFingerprint, float] = {}
+        self._quarantined: set[Fingerprint] = set()
+        self._answered_at: dict[Fingerprint, float] = {}
 
     def __len__(self) -> int:
         """Return the number of requests with a crash record."""
@@ -115,7 +115,7 @@
         """Return whether any request with a crash record has this head in its fingerprint."""
         return head in self._head_counts
 
-    def note(self, fingerprint: RequestFingerprint, crashes: Iterable[Crash], now: float) -> bool:
+    def note(self, fingerprint: Fingerprint, crashes: Iterable[Crash], now: float) -> bool:
         """Record crashes during a request; return whether any of them is new."""
         history = self._histories.get(fingerprint) or _History()
         answered_at = self._answered_at.get(fingerprint, float("-inf"))
@@ -135,7 +135,7 @@
         self._store(fingerprint, history)
         return True
 
-    def clear_crashes(self, fingerprint: RequestFingerprint, at: float) -> bool:
+    def clear_crashes(self, fingerprint: Fingerprint, at: float) -> bool:
         """Record that a request got an answer at a time; return whether that clears any crash.
 
         A request that crashes every upstream never gets one.
@@ -160,7 +160,7 @@
         at = self._answered_at.get(record.name)
         return at if at is not None and at + REPORT_DELAY_SECONDS >= record.last_crash_at else None
 
-    def find_wait(self, fingerprint: RequestFingerprint, now: float) -> float:
+    def find_wait(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until this host may send a request; 0 if it may now."""
         history = self._histories.get(fingerprint)
         period = None if history is None else find_period(history.crashes)
@@ -168,7 +168,7 @@
             return 0.0
         return max(0.0, period.started_at + period.seconds * self._release_factor - now)
 
-    def find(self, fingerprint: RequestFingerprint) -> CrashRecord | None:
+    def find(self, fingerprint: Fingerprint) -> CrashRecord | None:
         """Return the crash record of a request."""
         history = self._histories.get(fingerprint)
         return None if history is None else _make_record(fingerprint, history)
@@ -186,7 +186,7 @@
             if now - history.eviction_key[1] >= CRASH_RETENTION_SECONDS:
                 self._remove(fingerprint)
 
-    def _store(self, fingerprint: RequestFingerprint, history: _History) -> None:
+    def _store(self, fingerprint: Fingerprint, history: _History) -> None:
         if fingerprint not in self._histories:
             if len(self._histories) >= MAX_REQUESTS:
                 self._evict()
@@ -195,7 +195,7 @@
         if len(history.crashes) >= CRASHES_TO_QUARANTINE:
             self._quarantined.add(fingerprint)
 
-    def _remove(self, fingerprint: RequestFingerprint) -> None:
+    def _remove(self, fingerprint: Fingerprint) -> None:
         del self._histories[fingerprint]
         self._quarantined.discard(fingerprint)
         self._head_counts[fingerprint.head] -= 1
@@ -210,5 +210,5 @@
             self._remove(fingerprint)
 
 
-def _make_record(fingerprint: RequestFingerprint, history: _History) -> CrashRecord:
+def _make_record(fingerprint: Fingerprint, history: _History) -> CrashRecord:
     return CrashRecord(fingerprint, tuple(history.crashes))
--- a/src/swifttrestle/internal/protocol/quarantine.py
+++ b/src/swifttrestle/internal/protocol/quarantine.py
@@ -13,9 +13,9 @@
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.protocol.gossip import MAX_DATAGRAM_BYTES
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import (
+from swifttrestle.internal.state.fingerprints import (
     FINGERPRINT_HALF_BYTES,
-    RequestFingerprint,
+    Fingerprint,
 )
 
 # Records per datagram; one with four crashes and usual names fits 172 bytes.
@@ -30,7 +30,7 @@
 class Clearance:
     """Reports that a request got a response at the event loop's time `at`."""
 
-    name: RequestFingerprint
+    name: Fingerprint
     at: float
 
 
@@ -97,11 +97,11 @@
     return CrashRecord(unpack_fingerprint(name), parsed)
 
 
-def unpack_fingerprint(raw: Any) -> RequestFingerprint:
+def unpack_fingerprint(raw: Any) -> Fingerprint:
     """Parse the bytes that `pack_fingerprint` returns; raise ValueError."""
     if not isinstance(raw, bytes) or len(raw) != 2 * FINGERPRINT_HALF_BYTES:
         raise ValueError(f"{raw!r} is not a fingerprint; give {2 * FINGERPRINT_HALF_BYTES} bytes")
-    return RequestFingerprint(raw[:FINGERPRINT_HALF_BYTES], raw[FINGERPRINT_HALF_BYTES:])
+    return Fingerprint(raw[:FINGERPRINT_HALF_BYTES], raw[FINGERPRINT_HALF_BYTES:])
 
 
 def _read_start(raw: Any) -> str:
@@ -118,6 +118,6 @@
     return raw
 
 
-def pack_fingerprint(fingerprint: RequestFingerprint) -> bytes:
+def pack_fingerprint(fingerprint: Fingerprint) -> bytes:
     """Return the bytes of a fingerprint."""
     return fingerprint.head + fingerprint.body
--- a/src/swifttrestle/internal/state/crash_records.py
+++ b/src/swifttrestle/internal/state/crash_records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 
 
 @dataclass(frozen=True)
@@ -21,7 +21,7 @@
     prompt that other prompts may have as well.
     """
 
-    fingerprint: RequestFingerprint | None
+    fingerprint: Fingerprint | None
     parts: tuple[str, ...] = ()
 
 
@@ -29,7 +29,7 @@
 class CrashRecord:
     """A request and the latest crashes during which it was open, since its last response."""
 
-    name: RequestFingerprint
+    name: Fingerprint
     crashes: tuple[Crash, ...]
 
     @property
--- a/src/swifttrestle/internal/state/request_fingerprints.py
+++ b/src/swifttrestle/internal/state/fingerprints.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True)
-class RequestFingerprint:
+class Fingerprint:
     """Digests of a request's head (workspace, method, host, path) and of its body.
 
     They are separate because the head's digest is known before the body arrives. If it differs from
@@ -27,10 +27,10 @@
         return f"{self.head.hex()}-{self.body.hex()}"
 
 
-def parse_fingerprint(text: str) -> RequestFingerprint:
+def parse_fingerprint(text: str) -> Fingerprint:
     """Parse the form shown in logs and pages; raise ValueError."""
     head, _, body = text.partition("-")
-    fingerprint = RequestFingerprint(bytes.fromhex(head), bytes.fromhex(body))
+    fingerprint = Fingerprint(bytes.fromhex(head), bytes.fromhex(body))
     if not len(fingerprint.head) == len(fingerprint.body) == FINGERPRINT_HALF_BYTES:
         raise ValueError(
             f"{text!r} is not a request fingerprint; give two groups of "
@@ -48,14 +48,14 @@
     return digest_parts((workspace.encode(), head.method, head.find(b"host").lower(), head.target))
 
 
-def fingerprint_request(head: RequestHead, workspace: str, body: Body) -> RequestFingerprint | None:
+def fingerprint_request(head: RequestHead, workspace: str, body: Body) -> Fingerprint | None:
     """Return a request's fingerprint, or None while its body is incomplete."""
     if not body.complete:
         return None
     digest = hashlib.blake2b(digest_size=FINGERPRINT_HALF_BYTES)
     for chunk in body.list_kept():
         digest.update(chunk)
-    return RequestFingerprint(fingerprint_head(head, workspace), digest.digest())
+    return Fingerprint(fingerprint_head(head, workspace), digest.digest())
 
 
 def digest_parts(parts: Iterable[bytes]) -> bytes:
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -31,19 +31,19 @@
     unpack_crash_update,
 )
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.members import Member
-from swifttrestle.internal.state.request_fingerprints import (
-    RequestFingerprint,
+from swifttrestle.internal.state.fingerprints import (
+    Fingerprint,
     fingerprint_head,
     fingerprint_request,
 )
+from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
 
 NOW = 1000.0
 
 
 def make_name(number=0, head=0):
-    return RequestFingerprint(head.to_bytes(8, "big"), number.to_bytes(8, "big"))
+    return Fingerprint(head.to_bytes(8, "big"), number.to_bytes(8, "big"))
 
 
 def make_crashes(count, at=NOW):
--- a/tests/cover/test_quarantine_relay.py
+++ b/tests/cover/test_quarantine_relay.py
@@ -19,7 +19,7 @@
 from swifttrestle.internal.policy.quarantine import FIRST_QUARANTINE_SECONDS, Quarantine
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.state.crash_records import Crash
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle_standins.virtual_time import run_in_virtual_time
 from tests.common.network import DATAGRAM_SECONDS, Network, Socket, make_members
 
@@ -57,7 +57,7 @@
 
 
 def make_fingerprint(number=7):
-    return RequestFingerprint(bytes(8), random.Random(number).randbytes(8))
+    return Fingerprint(bytes(8), random.Random(number).randbytes(8))
 
 
 def make_hosts(count, seed, lost_share=0.0):
--- a/tests/hosted/test_late_messages.py
+++ b/tests/hosted/test_late_messages.py
@@ -7,12 +7,12 @@
 
 from swifttrestle.internal.policy.quarantine import FIRST_QUARANTINE_SECONDS, RELEASE_JITTER_SHARE
 from swifttrestle.internal.state.crash_records import Crash
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle_standins.hosted.site import wait_until
 from tests.hosted.sites import on_site
 from tests.hosted.test_unaffected_requests import count_quarantined, find_guard
 
-FINGERPRINT = RequestFingerprint(bytes(8), bytes(range(8)))
+FINGERPRINT = Fingerprint(bytes(8), bytes(range(8)))
 LATE_SECONDS = 2.5
 
 
--- a/tests/hosted/test_late_owners.py
+++ b/tests/hosted/test_late_owners.py
@@ -8,13 +8,13 @@
 
 import pytest
 
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.permit_buckets import TRIAL_SECONDS
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
 from swifttrestle.internal.state.upstream_conditions import RateLimit
 from swifttrestle_standins.hosted.site import wait_until
 from tests.hosted.sites import build_site, on_built
 
-FINGERPRINT = RequestFingerprint(b"head", b"body")
+FINGERPRINT = Fingerprint(b"head", b"body")
 
 
 async def build_fleet():
--- a/tests/hosted/test_store_restores.py
+++ b/tests/hosted/test_store_restores.py
@@ -8,7 +8,7 @@
 from swifttrestle.internal.coordination.registration import PEER_KIND
 from swifttrestle.internal.policy import scheduling
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInUpstream
 from tests.hosted.sites import build_site, on_built, on_site, restore_store, wait_in_force
@@ -195,9 +195,7 @@
 @on_built(build_site_with_early_copy)
 async def test_a_host_that_starts_after_a_restore_knows_the_quarantined_requests(site):
     now = asyncio.get_running_loop().time()
-    record = CrashRecord(
-        RequestFingerprint(bytes(8), b"deadly66"), (Crash("i-1", now), Crash("i-2", now))
-    )
+    record = CrashRecord(Fingerprint(bytes(8), b"deadly66"), (Crash("i-1", now), Crash("i-2", now)))
     for item in site.gateways.values():
         item.gateway._state.guard.merge_crash_records([record], "a test")
         item.gateway._quarantine_store.note_change()
--- a/tests/hosted/test_stored_quarantine.py
+++ b/tests/hosted/test_stored_quarantine.py
@@ -12,14 +12,14 @@
 )
 from swifttrestle.internal.protocol.quarantine import pack_fingerprint
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle_standins.hosted.site import wait_until
 from tests.common.http import ask
 from tests.hosted.sites import address_of, on_site
 from tests.hosted.test_unaffected_requests import count_quarantined, find_guard
 
 OBJECT = QUARANTINE_KIND, QUARANTINE_NAME
-FINGERPRINT = RequestFingerprint(bytes(8), bytes(range(8)))
+FINGERPRINT = Fingerprint(bytes(8), bytes(range(8)))
 VALID = {
     "name": pack_fingerprint(FINGERPRINT).hex(),
     "crashes": [{"start": "i-1", "at": 1}, {"start": "i-2", "at": 2}],
@@ -102,7 +102,7 @@
 async def test_the_object_holds_a_limited_number_of_requests(site):
     now = asyncio.get_running_loop().time()
     fingerprints = [
-        RequestFingerprint(bytes(8), number.to_bytes(8, "big"))
+        Fingerprint(bytes(8), number.to_bytes(8, "big"))
         for number in range(MAX_STORED_REQUESTS + 50)
     ]
     for number in range(2):
--- a/tests/hosted/test_unaffected_requests.py
+++ b/tests/hosted/test_unaffected_requests.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import RequestFingerprint, fingerprint_request
+from swifttrestle.internal.state.fingerprints import Fingerprint, fingerprint_request
 from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import DEADLY
@@ -192,7 +192,7 @@
     gateways = [item.gateway for item in site.gateways.values()]
     await wait_until(lambda: all(len(item.live_hosts()) == 3 for item in gateways), "all hosts")
     now = asyncio.get_running_loop().time()
-    fingerprint = RequestFingerprint(bytes(8), bytes(range(8)))
+    fingerprint = Fingerprint(bytes(8), bytes(range(8)))
     for number in range(2):
         find_guard(site, "g1").report_crash([fingerprint], Crash(f"i-{number}", now))
     await wait_until(lambda: all(count_quarantined(site)), "known")
--- a/tests/hosted/test_upstreams_given_up_too_soon.py
+++ b/tests/hosted/test_upstreams_given_up_too_soon.py
@@ -13,7 +13,7 @@
 import pytest
 
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
-from swifttrestle.internal.state.request_fingerprints import fingerprint_request
+from swifttrestle.internal.state.fingerprints import fingerprint_request
 from swifttrestle.internal.transport.messages import Body, Framing, RequestHead
 from swifttrestle_standins.hosted.site import make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import (
