A prompt part that crashes engines is quarantined, whatever else its requests hold

Requests that crash engines differ in path, body and caller and have one part of their prompts in common. Cause: a crash counted against whole requests alone, so that no record came to two crashes.

A crash now counts against the shared parts of the open prompts as well (all but the last), by the fingerprint of the part alone. Three crashes without a whole answer in between quarantine a part, five one that this host has seen answered. Only an answer that one engine wrote from its first event to its end clears a part: a prefill, some events or the rest of a continued stream prove nothing, and neither does a stream without framing until its engine is known to be alive. A part, or a request, whose crashes are all among those of a more suspect quarantined part is not refused for itself: what merely stood beside it, or in the same prompts. Records, datagrams, the store's object and trials are those of requests: a part has a fingerprint whose head no request has.

--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from unittest import mock
 
 from swifttrestle.internal.policy import quarantine
@@ -142,7 +142,8 @@
 def run_all(engines: int, threshold: int) -> Counts:
     """Return the summed counts of all seeds under a threshold."""
     total = Counts()
-    with mock.patch.object(quarantine, "CRASHES_TO_QUARANTINE", threshold):
+    rule = replace(quarantine.REQUEST_RULE, crashes=threshold)
+    with mock.patch.object(quarantine, "REQUEST_RULE", rule):
         for seed in SEEDS:
             counts = Run(engines, seed).play()
             for name, value in vars(counts).items():
--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -1,4 +1,4 @@
-"""Exchanges crash records between hosts: requests under which upstreams crashed.
+"""Exchanges crash records between hosts: requests and prompt parts open as upstreams crashed.
 
 The crashes of one request may be seen by different hosts, and after its third crash the whole fleet
 may send it only three times more. So each crash is sent at once: in a small fleet to all hosts, in
@@ -16,10 +16,9 @@
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.policy.hash_ring import HashRing
-from swifttrestle.internal.policy.quarantine import is_quarantined
+from swifttrestle.internal.policy.quarantine_periods import concerns_all_hosts
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.protocol.quarantine import (
-    RECORDS_PER_DATAGRAM,
     Clearance,
     CrashUpdate,
     pack_crash_update,
@@ -43,7 +42,7 @@
 # quarantined only where one host knows of two of its crashes.
 CRASH_REPEATS = 2
 # Records sent in reply to a request; periodic messages carry the rest.
-MAX_REPLY_RECORDS = 8 * RECORDS_PER_DATAGRAM
+MAX_REPLY_RECORDS = 64
 # How often a host requests records after it has started, been suspended or found new peers.
 SYNC_REQUESTS = 3
 # Delay of a timer, in seconds, from which on this process counts as having been suspended.
@@ -125,7 +124,7 @@
         """Send the records of crashes that this host saw to the hosts that need them."""
         if not records:
             return
-        if any(is_quarantined(record) for record in records):
+        if any(concerns_all_hosts(record) for record in records):
             self._changed()
         self._repeats.append((CRASH_REPEATS, records))
         self._send_to_owners(records)
@@ -140,14 +139,14 @@
                 by_owner[owner].append(record)
         for owner, owned in by_owner.items():
             if owner.host == self._host:
-                self._broadcast_quarantined(owned)
+                self._broadcast_known(owned)
             else:
                 self._send_records(owned, [owner])
 
-    def _broadcast_quarantined(self, records: Iterable[CrashRecord]) -> None:
+    def _broadcast_known(self, records: Iterable[CrashRecord]) -> None:
         """Send quarantined records to all hosts of a large fleet, as an owner of them."""
         self._send_records(
-            [record for record in records if is_quarantined(record)], self._list_others()
+            [record for record in records if concerns_all_hosts(record)], self._list_others()
         )
 
     def _announce_clearance(self, fingerprint: Fingerprint, at: float, everywhere: bool) -> None:
@@ -195,10 +194,10 @@
         for clearance in update.clearances:
             self._apply_clearance(clearance, ip)
         changed_records = self._guard.merge_crash_records(update.records, ip)
-        self._broadcast_quarantined(
+        self._broadcast_known(
             [record for record in changed_records if self._owns_record(record.name)]
         )
-        if any(is_quarantined(record) for record in changed_records):
+        if any(concerns_all_hosts(record) for record in changed_records):
             self._changed()
         self._send_missed_clearances(update.records, ip)
         if update.wants_all:
@@ -208,7 +207,7 @@
         record = self._guard.quarantine.find(clearance.name)
         if not self._guard.apply_clearance(clearance.name, clearance.at, ip):
             return
-        if record is not None and is_quarantined(record):
+        if record is not None and concerns_all_hosts(record):
             self._changed()
             if self._owns_record(clearance.name):
                 self._send(CrashUpdate(clearances=(clearance,)), self._list_others())
--- a/src/swifttrestle/internal/explanation.py
+++ b/src/swifttrestle/internal/explanation.py
@@ -22,7 +22,12 @@
     )
 )  # fmt: skip
 # Events about upstreams that crashed under a request, on any host.
-CRASH_EVENTS = frozenset(("upstream crashed", "request quarantined", "request acquitted"))
+CRASH_EVENTS = frozenset(
+    (
+        "upstream crashed", "request quarantined", "request acquitted",
+        "prompt part quarantined", "prompt part acquitted",
+    )
+)  # fmt: skip
 _WORD = re.compile(r"[\w.-]+")
 
 
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -14,6 +14,7 @@
 from swifttrestle.internal.state.fingerprints import (
     Fingerprint,
     fingerprint_head,
+    fingerprint_part,
     fingerprint_request,
 )
 from swifttrestle.internal.state.fleet import Instance
@@ -65,6 +66,10 @@
     is_trial: bool = False
     # The instance at which the request was open when it was cancelled.
     cancelled_instance: Instance | None = None
+    # Whether one engine wrote a stream from its first event to its end, and whether the framing
+    # shows that end.
+    stream_written: bool = False
+    stream_framed: bool = False
     # Called at the first byte of the answer.
     on_first_byte: Callable[[], None] | None = None
     # Called with the workspace's name at the first byte of the answer.
@@ -116,8 +121,15 @@
     @functools.cached_property
     def shared_parts(self) -> tuple[str, ...]:
         """The names of the prompt's parts that other prompts may have: all but the last."""
+        if self.service.engine is None:
+            return ()
         return tuple(item.part for item in self.request_metadata.parts[:-1][:MAX_SHARED_PARTS])
 
+    @functools.cached_property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """The fingerprints of the prompt's shared parts."""
+        return tuple(fingerprint_part(name) for name in self.shared_parts)
+
     def describe_open(self) -> OpenRequest:
         """Return what may be to blame in this request if its upstream crashes."""
         return OpenRequest(self.fingerprint, self.shared_parts)
--- a/src/swifttrestle/internal/forward/crash_detection.py
+++ b/src/swifttrestle/internal/forward/crash_detection.py
@@ -67,7 +67,7 @@
         self._pool = pool
         self._on_crash = on_crash
         self._pending: dict[str, list[_PendingFailure]] = defaultdict(list)
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes: dict[str, asyncio.Task[bool]] = {}
 
     def note_broken(self, instance: Instance, request: OpenRequest) -> None:
         """Record that a request lost its connection, and probe the upstream."""
@@ -84,6 +84,15 @@
         if self._probes:
             await asyncio.wait(list(self._probes.values()), timeout=PROBE_TIMEOUT_SECONDS)
 
+    async def is_alive_after(self, instance: Instance, request: OpenRequest) -> bool:
+        """Return whether an upstream is alive after a request that ended without its framing.
+
+        If it is not, the request counts as open at its crash.
+        """
+        self.note_broken(instance, request)
+        probe = self._probes.get(instance.name)
+        return probe is not None and await asyncio.shield(probe)
+
     def note_unlisted(self, instance: Instance) -> None:
         """Probe an upstream that the discovery list no longer contains."""
         if instance.name in self._pending:
@@ -95,7 +104,8 @@
             self._report_crash(instance, "its next start", restarted=True)
 
     def _add_pending(self, instance: Instance, request: OpenRequest, *, timed_out: bool) -> bool:
-        if request.fingerprint is None or instance.record.leaving:
+        nothing_known = request.fingerprint is None and not request.parts
+        if nothing_known or instance.record.leaving:
             # A draining upstream stops as planned, and may cut open requests.
             return False
         now = _now()
@@ -119,17 +129,19 @@
         self._probes[instance.name] = task
         task.add_done_callback(lambda _: self._probes.pop(instance.name, None))
 
-    async def _probe(self, instance: Instance) -> None:
+    async def _probe(self, instance: Instance) -> bool:
+        """Return whether the upstream's address accepts a connection, and record what follows."""
         await asyncio.sleep(PROBE_DELAY_SECONDS)
         started_at = _now()
         error = await self._connect(instance)
         if error is None:
             self._record_alive(instance, started_at)
-            return
+            return True
         # A timeout alone may be a network fault: it counts as a crash only if the discovery list
         # lacks the upstream as well.
         if (error.refused or instance.gone) and not instance.record.leaving:
             self._report_crash(instance, "its address", include_timeouts=instance.gone)
+        return False
 
     async def _connect(self, instance: Instance) -> UpstreamUnreachedError | None:
         """Return the error of a connection to an upstream; None if it was made.
@@ -184,7 +196,7 @@
         requests = list({item.request: None for item in open_requests})
         if not requests:
             return
-        fingerprints = [item.fingerprint for item in requests]
+        fingerprints = [item.fingerprint for item in requests if item.fingerprint is not None]
         parts = Counter(part for item in requests for part in item.parts)
         log_event(
             "upstream crashed",
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -1,4 +1,4 @@
-"""Detects requests that crash upstreams, and quarantines them."""
+"""Detects requests and prompt parts that crash upstreams, and quarantines them."""
 
 import asyncio
 import contextlib
@@ -10,9 +10,10 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crash_detection import CrashDetector
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.quarantine import Quarantine, is_quarantined
+from swifttrestle.internal.policy.quarantine import Quarantine
+from swifttrestle.internal.policy.quarantine_periods import concerns_all_hosts
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord, OpenRequest
-from swifttrestle.internal.state.fingerprints import Fingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint, fingerprint_part
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.pool import ConnectionPool
 
@@ -23,6 +24,9 @@
 # long as the crashed one takes to restart.
 LAST_UPSTREAM_HOLD_SECONDS = 4.0
 
+# Seconds by which a request with several quarantined parts is tried later than those with one.
+SEVERAL_PARTS_DELAY_SECONDS = 5.0
+
 RecordsCallback = Callable[[Sequence[CrashRecord]], None]
 ClearanceCallback = Callable[[Fingerprint, float, bool], None]
 
@@ -35,7 +39,7 @@
         self.detector = CrashDetector(pool, self._note_crash)
         self.quarantine = quarantine
         self._metrics = metrics
-        # Quarantined requests that this host is trying now.
+        # What is tried in requests of this host now, and may be quarantined.
         self._trials: set[Fingerprint] = set()
         # Returns whether no upstream could take over for an instance; those in the collection have
         # crashed and do not count.
@@ -46,59 +50,76 @@
         self.announce_crash_records: RecordsCallback = do_nothing
         self.announce_clearance: ClearanceCallback = do_nothing
 
-    async def check(self, ctx: Context) -> Fingerprint | None:
-        """Return a request's fingerprint if it was open at a crash; refuse a quarantined one.
+    async def check(self, ctx: Context) -> list[Fingerprint]:
+        """Return what of a request was open at a crash; refuse a quarantined request.
 
-        Requests that share the method, host, path and workspace of one that was open at a crash
-        wait here until their body is complete. Raises RefusedError.
+        That is its fingerprint, and those of the parts of its prompt. Requests that share the
+        method, host, path and workspace of one that was open at a crash wait here until their body
+        is complete. Raises RefusedError.
         """
-        fingerprint = await self._find_suspect(ctx)
-        if fingerprint is None:
-            return None
-        record = self.quarantine.find(fingerprint)
-        seconds = self.quarantine.find_wait(fingerprint, _now())
-        if not seconds and record and is_quarantined(record):
-            seconds = await self._find_trial_wait(fingerprint, ctx)
+        suspects = await self._find_suspects(ctx)
+        held = [item for item in suspects if self.quarantine.needs_trial(item)]
+        if not held:
+            return suspects
+        seconds = self._find_wait(held)
+        if not seconds:
+            seconds = await self._find_trial_wait(held, ctx)
         if seconds:
             self._metrics.count("quarantine_refusals_total", service=ctx.service.name)
-            ctx.note(f"quarantined {fingerprint}")
+            ctx.note(f"quarantined {', '.join(map(str, held))}")
             raise ctx.refuse(Code.QUARANTINED, "upstreams crashed during this request", seconds)
-        return fingerprint if record else None
+        return suspects
 
     def holds_back(self, ctx: Context) -> bool:
         """Return whether another attempt of a request would be refused as quarantined."""
         fingerprint = ctx.fingerprint
-        record = self.quarantine.find(fingerprint) if fingerprint is not None else None
-        return record is not None and is_quarantined(record)
+        own = () if fingerprint is None else (fingerprint,)
+        return any(map(self.quarantine.needs_trial, (*own, *ctx.part_fingerprints)))
+
+    def _find_wait(self, held: Sequence[Fingerprint]) -> float:
+        """Return the seconds until a request may be tried in which these are quarantined.
+
+        With several quarantined parts a crash would not show which one is to blame. So prompts
+        that have just one of them are tried first.
+        """
+        now = _now()
+        if sum(item.is_part for item in held) > 1:
+            now -= SEVERAL_PARTS_DELAY_SECONDS
+        return max(self.quarantine.find_wait(item, now) for item in held)
 
     def _protect_last(
-        self, ctx: Context, fingerprint: Fingerprint | None, instance: Instance
+        self, ctx: Context, suspects: Sequence[Fingerprint], instance: Instance
     ) -> None:
         """Refuse a request that may have just crashed an upstream if only one other is available.
 
-        A repeat could crash that as well and make the service unavailable. A request that has got
-        part of its answer continues.
+        It could crash that as well and make the service unavailable. A request that has got part of
+        its answer continues.
         """
-        record = self.quarantine.find(fingerprint) if fingerprint is not None else None
-        if record is None or ctx.first_byte is not None:
-            return
-        if not self.is_last(instance, [crash.start for crash in record.crashes]):
+        if ctx.first_byte is not None:
             return
-        seconds = record.last_crash_at + LAST_UPSTREAM_HOLD_SECONDS - _now()
-        if seconds > 0:
-            self._metrics.count("quarantine_refusals_total", service=ctx.service.name)
-            ctx.note(f"last upstream protected from {fingerprint}")
-            raise ctx.refuse(Code.QUARANTINED, "an upstream crashed during this request", seconds)
+        for fingerprint in suspects:
+            record = self.quarantine.find(fingerprint)
+            if record is None or not self.quarantine.may_crash_last(fingerprint):
+                continue
+            if not self.is_last(instance, [crash.start for crash in record.crashes]):
+                continue
+            seconds = record.last_crash_at + LAST_UPSTREAM_HOLD_SECONDS - _now()
+            if seconds > 0:
+                self._metrics.count("quarantine_refusals_total", service=ctx.service.name)
+                ctx.note(f"last upstream protected from {fingerprint}")
+                message = "an upstream crashed during this request"
+                raise ctx.refuse(Code.QUARANTINED, message, seconds)
 
-    async def _find_trial_wait(self, fingerprint: Fingerprint, ctx: Context) -> float:
+    async def _find_trial_wait(self, held: Sequence[Fingerprint], ctx: Context) -> float:
         """Return 0 if this host may try a quarantined request now, or the seconds to wait."""
-        if self._has_trial(fingerprint, ctx):
+        if any(self._has_trial(item, ctx) for item in held):
             return TRIAL_RETRY_SECONDS
         if not ctx.is_trial:
-            seconds = await self.request_trial(fingerprint)
-            if seconds > 0:
-                # After TRIAL_RETRY_SECONDS, all hosts know the result of the current trial.
-                return min(seconds, TRIAL_RETRY_SECONDS)
+            for fingerprint in held:
+                seconds = await self.request_trial(fingerprint)
+                if seconds > 0:
+                    # After TRIAL_RETRY_SECONDS, all hosts know the result of the current trial.
+                    return min(seconds, TRIAL_RETRY_SECONDS)
             ctx.is_trial = True
         return 0.0
 
@@ -117,28 +138,28 @@
 
         `is_final_answer` is whether an attempt that ends without an error answers the request.
         """
-        if ctx.runs or ctx.failed_prefills or await self._find_suspect(ctx) is not None:
+        if ctx.runs or ctx.failed_prefills or await self._find_suspects(ctx):
             # The previous attempt may just have crashed an upstream.
             await self.detector.wait_for_probes()
-        fingerprint = await self.check(ctx)
-        self._protect_last(ctx, fingerprint, instance)
-        if fingerprint is not None:
-            self._trials.add(fingerprint)
+        suspects = await self.check(ctx)
+        self._protect_last(ctx, suspects, instance)
+        # A harmless part that was open at a crash is in many requests at once.
+        tried = [item for item in suspects if not item.is_part or self.quarantine.needs_trial(item)]
+        self._trials.update(tried)
         try:
             with ctx.record_cancellation(instance):
                 yield
         finally:
-            if fingerprint is not None:
-                self._trials.discard(fingerprint)
+            self._trials.difference_update(tried)
         if is_final_answer:
-            await self._record_answer(ctx)
+            await self._record_answer(ctx, instance)
 
     def clear_crashes(self, fingerprint: Fingerprint, source: str = "its answer") -> None:
         """Record that a request got its answer here, and notify other hosts."""
         record = self.quarantine.find(fingerprint)
         now = _now()
-        if record is not None and self.apply_clearance(fingerprint, now, source):
-            self.announce_clearance(fingerprint, now, is_quarantined(record))
+        if self.apply_clearance(fingerprint, now, source) and record is not None:
+            self.announce_clearance(fingerprint, now, concerns_all_hosts(record))
 
     def report_crash(self, fingerprints: Sequence[Fingerprint], crash: Crash) -> None:
         """Record a crash that this host detected, and notify other hosts."""
@@ -160,15 +181,27 @@
 
     def apply_clearance(self, fingerprint: Fingerprint, at: float, source: str) -> bool:
         """Record that a request got its answer; return whether that was new."""
+        record = self.quarantine.find(fingerprint)
         if not self.quarantine.clear_crashes(fingerprint, at):
             return False
-        log_event("request acquitted", name=str(fingerprint), source=source)
+        # A harmless part is open at most crashes.
+        if not fingerprint.is_part or (record is not None and concerns_all_hosts(record)):
+            event = "prompt part acquitted" if fingerprint.is_part else "request acquitted"
+            log_event(event, name=str(fingerprint), source=source)
         return True
 
     def _find_all(self, fingerprints: Sequence[Fingerprint]) -> list[CrashRecord]:
         records = (self.quarantine.find(fingerprint) for fingerprint in fingerprints)
         return [record for record in records if record is not None]
 
+    async def _find_suspects(self, ctx: Context) -> list[Fingerprint]:
+        """Return the fingerprints of a request and of its prompt's parts that were at a crash."""
+        if not len(self.quarantine):
+            return []
+        own = await self._find_suspect(ctx)
+        candidates = (*(() if own is None else (own,)), *ctx.part_fingerprints)
+        return [item for item in candidates if self.quarantine.find(item) is not None]
+
     async def _find_suspect(self, ctx: Context) -> Fingerprint | None:
         """Return the request's fingerprint if a request with the same head was open at a crash."""
         if not len(self.quarantine):
@@ -179,16 +212,35 @@
         await ctx.request.body.wait_for_end()
         return ctx.fingerprint
 
-    async def _record_answer(self, ctx: Context) -> None:
+    async def _record_answer(self, ctx: Context, instance: Instance) -> None:
         # Crashes may have been reported while the request ran.
         fingerprint = await self._find_suspect(ctx) if ctx.request.body.complete else None
         if fingerprint is not None:
             self.clear_crashes(fingerprint)
+        if await self._has_written(ctx, instance):
+            for part in ctx.part_fingerprints:
+                self.clear_crashes(part)
+
+    async def _has_written(self, ctx: Context, instance: Instance) -> bool:
+        """Return whether an engine has written a whole answer and is alive.
+
+        An engine that continued an answer may have had little left to write.
+        """
+        if not ctx.stream_written or ctx.first_byte is None:
+            return False
+        if ctx.stream_framed:
+            return True
+        if not any(map(self.quarantine.find, ctx.part_fingerprints)):
+            # Nothing is held against the prompt's parts.
+            return False
+        return await self.detector.is_alive_after(instance, ctx.describe_open())
 
     def _note_crash(self, instance: Instance, requests: Sequence[OpenRequest]) -> None:
         self._metrics.count("upstream_crashes_total", service=instance.record.service)
         fingerprints = [item.fingerprint for item in requests if item.fingerprint is not None]
-        self.report_crash(fingerprints, Crash(instance.name, _now()))
+        names = {part: None for item in requests for part in item.parts}
+        parts = [fingerprint_part(name) for name in names]
+        self.report_crash([*fingerprints, *parts], Crash(instance.name, _now()))
 
     def _record_crashes(
         self, fingerprint: Fingerprint, crashes: Sequence[Crash], source: str
@@ -197,9 +249,9 @@
         if not self.quarantine.note(fingerprint, crashes, now):
             return False
         record = self.quarantine.find(fingerprint)
-        if record is not None and is_quarantined(record):
+        if record is not None and self.quarantine.needs_trial(fingerprint):
             log_event(
-                "request quarantined",
+                "prompt part quarantined" if fingerprint.is_part else "request quarantined",
                 name=str(fingerprint),
                 source=source,
                 crashes=[crash.start for crash in record.crashes],
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -49,6 +49,7 @@
 
         Raises UpstreamBrokenError if it is cut.
         """
+        from_first = not self.last_event and not ctx.request_metadata.last_event
         if not self.started:
             self.started = True
             self._note_progress()
@@ -64,6 +65,8 @@
             self._check_end(ctx, head, scanner)
         else:
             await self._relay_bytes(ctx, body)
+        ctx.stream_written = from_first
+        ctx.stream_framed = head.framing is not Framing.CLOSE
         await ctx.reply.end()
 
     async def _relay_bytes(
--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -1,8 +1,12 @@
-"""Quarantine of requests that crash upstreams.
+"""Quarantine of requests and prompt parts that crash upstreams.
 
 A request that crashes every upstream that runs it may be repeated under new ids at any host. Each
 crash costs all requests that are open at the upstream. These are suspected as well until one of
 their attempts succeeds.
+
+Requests that differ may crash upstreams by a part of their prompts that they have in common. So a
+crash also counts against the parts that open prompts share with others, until one of these is
+answered.
 """
 
 from collections import Counter
@@ -10,21 +14,18 @@
 from dataclasses import dataclass, field
 
 from swifttrestle.internal.eviction import make_room
+from swifttrestle.internal.policy.quarantine_periods import (
+    ANSWERED_PART_RULE,
+    CRASHES_TOLD_TO_ALL,
+    PART_RULE,
+    REQUEST_RULE,
+    QuarantinePeriod,
+    QuarantineRule,
+    find_period,
+)
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
 from swifttrestle.internal.state.fingerprints import Fingerprint
 
-# Number of crashes, without an answer since, at which a request is quarantined. With one, all
-# requests that were open at a crash would be; few of them are open at a second one.
-CRASHES_TO_QUARANTINE = 2
-# Seconds of the first quarantine: long enough for the crashed upstreams to restart. A popular
-# harmless request whose copies were open at two crashes waits no longer.
-FIRST_QUARANTINE_SECONDS = 5.0
-# Seconds of each later one, started by a crash during the trial after the previous one. Crashes
-# during a quarantine do not count: they are from attempts that were in flight, or from hosts that
-# did not know of the quarantine yet. If they counted, a popular request would be refused for
-# minutes where all engines crash twice within half a second. One crash in ten minutes is what
-# upstreams have anyway.
-LONG_QUARANTINE_SECONDS = 600.0
 # Hosts release a request at different times, spread over this share of its quarantine, so that
 # the first host's trial shows all others whether it still crashes upstreams.
 RELEASE_JITTER_SHARE = 0.5
@@ -41,40 +42,13 @@
 MAX_REQUESTS = 4096
 # Share of these that is evicted at once, to amortize the search.
 EVICTED_SHARE = 0.125
-# Maximum number of crashes in a request's record; the latest ones are kept.
-MAX_CRASHES_PER_REQUEST = 4
 # Maximum number of recorded answers, by which late reports of earlier crashes are ignored.
 MAX_CLEARANCES = 4096
 
 
-@dataclass(frozen=True)
-class QuarantinePeriod:
-    """A quarantine: its start, in the loop's time, and its duration in seconds."""
-
-    started_at: float
-    seconds: float
-
-
-def find_period(crashes: Iterable[Crash]) -> QuarantinePeriod | None:
-    """Return the latest quarantine that a request's crashes lead to, even if it is over."""
-    period: QuarantinePeriod | None = None
-    by_time = sorted(crashes, key=lambda crash: crash.at)
-    for crash in by_time[CRASHES_TO_QUARANTINE - 1 :]:
-        if period is None:
-            period = QuarantinePeriod(crash.at, FIRST_QUARANTINE_SECONDS)
-        elif crash.at >= period.started_at + period.seconds:
-            period = QuarantinePeriod(crash.at, LONG_QUARANTINE_SECONDS)
-    return period
-
-
-def is_quarantined(record: CrashRecord) -> bool:
-    """Return whether a request has crashes enough for a quarantine, even if that is over."""
-    return len(record.crashes) >= CRASHES_TO_QUARANTINE
-
-
 @dataclass
 class _History:
-    """The crashes of one request, the latest first."""
+    """The crashes of one request or prompt part, the latest first."""
 
     crashes: list[Crash] = field(default_factory=list)
 
@@ -92,9 +66,13 @@
         """
         return any(item.start == crash.start for item in self.crashes)
 
+    def list_starts(self) -> set[str]:
+        """Return the incarnations that crashed."""
+        return {crash.start for crash in self.crashes}
+
 
 class Quarantine:
-    """Crash records of requests by fingerprint; times are the loop's seconds."""
+    """Crash records of requests and prompt parts by fingerprint; times are the loop's seconds."""
 
     def __init__(self, jitter: float) -> None:
         """Delay releases by `jitter`, from 0 to 1, times RELEASE_JITTER_SHARE of the quarantine.
@@ -108,7 +86,7 @@
         self._answered_at: dict[Fingerprint, float] = {}
 
     def __len__(self) -> int:
-        """Return the number of requests with a crash record."""
+        """Return the number of crash records."""
         return len(self._histories)
 
     def knows_head(self, head: bytes) -> bool:
@@ -116,7 +94,7 @@
         return head in self._head_counts
 
     def note(self, fingerprint: Fingerprint, crashes: Iterable[Crash], now: float) -> bool:
-        """Record crashes during a request; return whether any of them is new."""
+        """Record crashes held against a fingerprint; return whether any of them is new."""
         history = self._histories.get(fingerprint) or _History()
         answered_at = self._answered_at.get(fingerprint, float("-inf"))
         before = list(history.crashes)
@@ -129,7 +107,7 @@
                 history.crashes.append(crash)
         history.crashes.sort(key=lambda crash: crash.at, reverse=True)
         # Drops older crashes before the comparison, so that repeated reports of them are not new.
-        del history.crashes[MAX_CRASHES_PER_REQUEST:]
+        del history.crashes[self._find_rule(fingerprint).max_crashes :]
         if history.crashes == before:
             return False
         self._store(fingerprint, history)
@@ -138,9 +116,9 @@
     def clear_crashes(self, fingerprint: Fingerprint, at: float) -> bool:
         """Record that a request got an answer at a time; return whether that clears any crash.
 
-        A request that crashes every upstream never gets one.
+        What crashes every upstream never gets one.
         """
-        self._answered_at.pop(fingerprint, None)
+        at = max(at, self._answered_at.pop(fingerprint, at))
         make_room(self._answered_at, fingerprint, MAX_CLEARANCES)
         self._answered_at[fingerprint] = at
         history = self._histories.get(fingerprint)
@@ -149,7 +127,7 @@
         remaining = [crash for crash in history.crashes if crash.at > at + REPORT_DELAY_SECONDS]
         changed = len(remaining) < len(history.crashes)
         history.crashes = remaining
-        if len(remaining) < CRASHES_TO_QUARANTINE:
+        if len(remaining) < _find_least_crashes(fingerprint):
             self._quarantined.discard(fingerprint)
         if not remaining:
             self._remove(fingerprint)
@@ -162,26 +140,39 @@
 
     def find_wait(self, fingerprint: Fingerprint, now: float) -> float:
         """Return the seconds until this host may send a request; 0 if it may now."""
-        history = self._histories.get(fingerprint)
-        period = None if history is None else find_period(history.crashes)
+        period = self._find_period(fingerprint)
         if period is None:
             return 0.0
         return max(0.0, period.started_at + period.seconds * self._release_factor - now)
 
+    def needs_trial(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is or was quarantined, so that it is tried with care."""
+        return self._find_period(fingerprint) is not None
+
+    def may_crash_last(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is suspected enough to be kept from the last upstream."""
+        history = self._histories.get(fingerprint)
+        if history is None:
+            return False
+        if not fingerprint.is_part:
+            return True
+        suspected = len(history.crashes) >= CRASHES_TOLD_TO_ALL
+        return suspected and fingerprint not in self._answered_at
+
     def find(self, fingerprint: Fingerprint) -> CrashRecord | None:
-        """Return the crash record of a request."""
+        """Return the crash record of a fingerprint."""
         history = self._histories.get(fingerprint)
         return None if history is None else _make_record(fingerprint, history)
 
     def list_quarantined(self) -> list[CrashRecord]:
-        """Return the crash records of requests that are or recently were quarantined."""
+        """Return the crash records of what is or recently was quarantined."""
         return [
             _make_record(fingerprint, self._histories[fingerprint])
             for fingerprint in self._quarantined
         ]
 
     def expire(self, now: float) -> None:
-        """Remove the records of requests without a recent crash."""
+        """Remove the records without a recent crash."""
         for fingerprint, history in list(self._histories.items()):
             if now - history.eviction_key[1] >= CRASH_RETENTION_SECONDS:
                 self._remove(fingerprint)
@@ -192,9 +183,46 @@
                 self._evict()
             self._head_counts[fingerprint.head] += 1
             self._histories[fingerprint] = history
-        if len(history.crashes) >= CRASHES_TO_QUARANTINE:
+        if len(history.crashes) >= _find_least_crashes(fingerprint):
             self._quarantined.add(fingerprint)
 
+    def _find_rule(self, fingerprint: Fingerprint) -> QuarantineRule:
+        if not fingerprint.is_part:
+            return REQUEST_RULE
+        return ANSWERED_PART_RULE if fingerprint in self._answered_at else PART_RULE
+
+    def _find_period(self, fingerprint: Fingerprint) -> QuarantinePeriod | None:
+        """Return the latest quarantine of a request, unless a part explains its crashes."""
+        history = self._histories.get(fingerprint)
+        if history is None:
+            return None
+        period = find_period(history.crashes, self._find_rule(fingerprint))
+        if period is None or self._is_explained(fingerprint, history):
+            return None
+        return period
+
+    def _is_explained(self, fingerprint: Fingerprint, history: _History) -> bool:
+        """Return whether a quarantined part that is more suspect was open at all crashes as well.
+
+        What was merely open beside such a part, or in the same prompts, is then not refused.
+        """
+        starts = history.list_starts()
+        suspicion = self._rank_suspicion(fingerprint)
+        return any(
+            part.is_part
+            and self._rank_suspicion(part) > suspicion
+            and starts <= self._histories[part].list_starts()
+            for part in self._quarantined
+        )
+
+    def _rank_suspicion(self, fingerprint: Fingerprint) -> tuple[bool, int, bool]:
+        """Return a sort key: what has never been answered, and was open at most crashes, is last.
+
+        A part is more suspect than a request that was open at the same crashes.
+        """
+        crashes = self._histories[fingerprint].crashes
+        return fingerprint not in self._answered_at, len(crashes), fingerprint.is_part
+
     def _remove(self, fingerprint: Fingerprint) -> None:
         del self._histories[fingerprint]
         self._quarantined.discard(fingerprint)
@@ -210,5 +238,10 @@
             self._remove(fingerprint)
 
 
+def _find_least_crashes(fingerprint: Fingerprint) -> int:
+    """Return the number of crashes that may quarantine."""
+    return (PART_RULE if fingerprint.is_part else REQUEST_RULE).crashes
+
+
 def _make_record(fingerprint: Fingerprint, history: _History) -> CrashRecord:
     return CrashRecord(fingerprint, tuple(history.crashes))
--- a/src/swifttrestle/internal/protocol/quarantine.py
+++ b/src/swifttrestle/internal/protocol/quarantine.py
@@ -1,4 +1,4 @@
-"""Datagrams between gateways about requests that were open as upstreams crashed.
+"""Datagrams between gateways about requests and prompt parts open as upstreams crashed.
 
 Datagrams may be lost, late or duplicated: receivers merge their content, and duplicates have no
 effect.
@@ -18,8 +18,11 @@
     Fingerprint,
 )
 
-# Records per datagram; one with four crashes and usual names fits 172 bytes.
-RECORDS_PER_DATAGRAM = MAX_DATAGRAM_BYTES // 172
+# Bytes of a record in a datagram, without and per crash, with usual names.
+RECORD_BYTES = 24
+CRASH_BYTES = 37
+# Bytes for records in a datagram, without its other fields.
+RECORDS_BYTES = MAX_DATAGRAM_BYTES - 24
 # Maximum number of crashes accepted per record. Hosts keep fewer, but later versions may keep more.
 MAX_CRASHES = 16
 # Longest accepted name of an upstream's incarnation, in characters.
@@ -46,11 +49,15 @@
 def split_records(records: Iterable[CrashRecord]) -> Iterator[CrashUpdate]:
     """Split records into updates that each fit one datagram."""
     batch: list[CrashRecord] = []
+    size = 0
     for record in records:
-        batch.append(record)
-        if len(batch) == RECORDS_PER_DATAGRAM:
+        record_size = RECORD_BYTES + CRASH_BYTES * len(record.crashes)
+        if batch and size + record_size > RECORDS_BYTES:
             yield CrashUpdate(tuple(batch))
             batch = []
+            size = 0
+        batch.append(record)
+        size += record_size
     if batch:
         yield CrashUpdate(tuple(batch))
 
--- a/src/swifttrestle/internal/state/fingerprints.py
+++ b/src/swifttrestle/internal/state/fingerprints.py
@@ -1,5 +1,6 @@
-"""Fingerprints that identify repeated attempts of one request, whatever ids they carry."""
+"""Fingerprints of what crashes of upstreams count against: requests, and parts of prompts."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,14 +10,22 @@
 # Length of each half of a fingerprint, in bytes. Among 2^32 requests about one pair has the same
 # half by chance.
 FINGERPRINT_HALF_BYTES = 8
+# Both halves of a fingerprint in its text form, and the text before the one of a part.
+SEPARATOR = "-"
+PART_PREFIX = "part"
+# Number of prompt parts whose fingerprints are kept at hand.
+MAX_CACHED_PARTS = 4096
 
 
 @dataclass(frozen=True)
 class Fingerprint:
     """Digests of a request's head (workspace, method, host, path) and of its body.
 
-    They are separate because the head's digest is known before the body arrives. If it differs from
-    a known one, the body need neither be awaited nor hashed.
+    It identifies repeated attempts of one request, whatever ids they carry. The digests are
+    separate because the head's is known before the body arrives. If it differs from a known one,
+    the body need neither be awaited nor hashed.
+
+    A prompt part has PART_HEAD, which no request has, and the digest of its name as `body`.
     """
 
     head: bytes
@@ -24,17 +33,24 @@
 
     def __str__(self) -> str:
         """Return the form shown in logs and pages."""
-        return f"{self.head.hex()}-{self.body.hex()}"
+        head = PART_PREFIX if self.is_part else self.head.hex()
+        return f"{head}{SEPARATOR}{self.body.hex()}"
+
+    @property
+    def is_part(self) -> bool:
+        """Whether this is the fingerprint of a prompt part."""
+        return self.head == PART_HEAD
 
 
 def parse_fingerprint(text: str) -> Fingerprint:
     """Parse the form shown in logs and pages; raise ValueError."""
-    head, _, body = text.partition("-")
-    fingerprint = Fingerprint(bytes.fromhex(head), bytes.fromhex(body))
+    head, _, body = text.partition(SEPARATOR)
+    is_part = head == PART_PREFIX
+    fingerprint = Fingerprint(PART_HEAD if is_part else bytes.fromhex(head), bytes.fromhex(body))
     if not len(fingerprint.head) == len(fingerprint.body) == FINGERPRINT_HALF_BYTES:
         raise ValueError(
-            f"{text!r} is not a request fingerprint; give two groups of "
-            f"{2 * FINGERPRINT_HALF_BYTES} hexadecimal digits, joined by a dash"
+            f"{text!r} is not a fingerprint; give two groups of {2 * FINGERPRINT_HALF_BYTES} "
+            f"hexadecimal digits, or {PART_PREFIX} and one group, joined by a dash"
         )
     return fingerprint
 
@@ -65,3 +81,12 @@
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
     return digest.digest()
+
+
+PART_HEAD = digest_parts((b"prompt part",))
+
+
+@functools.lru_cache(MAX_CACHED_PARTS)
+def fingerprint_part(name: str) -> Fingerprint:
+    """Return the fingerprint of a prompt part, the same for whoever sends it."""
+    return Fingerprint(PART_HEAD, digest_parts((name.encode(),)))
--- a/tests/cover/test_entry_guard.py
+++ b/tests/cover/test_entry_guard.py
@@ -10,7 +10,10 @@
 from swifttrestle.internal.entry import crash_guard
 from swifttrestle.internal.entry.crash_guard import EntryCrashGuard, make_fingerprint
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.quarantine import CRASHES_TO_QUARANTINE, FIRST_QUARANTINE_SECONDS
+from swifttrestle.internal.policy.quarantine_periods import (
+    CRASHES_TO_QUARANTINE,
+    FIRST_QUARANTINE_SECONDS,
+)
 from tests.common.fakes import FakeClock
 
 FINGERPRINT = make_fingerprint("w1", "/v1/chat/completions", b"{}")
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -12,15 +12,17 @@
 from swifttrestle.internal.policy.hash_ring import OWNERS_PER_REQUEST, HashRing
 from swifttrestle.internal.policy.quarantine import (
     CRASH_RETENTION_SECONDS,
-    CRASHES_TO_QUARANTINE,
-    FIRST_QUARANTINE_SECONDS,
-    LONG_QUARANTINE_SECONDS,
     MAX_CLEARANCES,
     MAX_REQUESTS,
     RELEASE_JITTER_SHARE,
     Quarantine,
+)
+from swifttrestle.internal.policy.quarantine_periods import (
+    CRASHES_TO_QUARANTINE,
+    FIRST_QUARANTINE_SECONDS,
+    LONG_QUARANTINE_SECONDS,
+    concerns_all_hosts,
     find_period,
-    is_quarantined,
 )
 from swifttrestle.internal.protocol.gossip import MAX_DATAGRAM_BYTES
 from swifttrestle.internal.protocol.quarantine import (
@@ -315,7 +317,7 @@
 
 
 def test_a_request_is_quarantined_after_enough_crashes():
-    assert not is_quarantined(
+    assert not concerns_all_hosts(
         CrashRecord(make_name(), tuple(make_crashes(CRASHES_TO_QUARANTINE - 1)))
     )
-    assert is_quarantined(CrashRecord(make_name(), tuple(make_crashes(CRASHES_TO_QUARANTINE))))
+    assert concerns_all_hosts(CrashRecord(make_name(), tuple(make_crashes(CRASHES_TO_QUARANTINE))))
--- a/tests/cover/test_quarantine_relay.py
+++ b/tests/cover/test_quarantine_relay.py
@@ -16,7 +16,8 @@
 )
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.quarantine import FIRST_QUARANTINE_SECONDS, Quarantine
+from swifttrestle.internal.policy.quarantine import Quarantine
+from swifttrestle.internal.policy.quarantine_periods import FIRST_QUARANTINE_SECONDS
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.state.crash_records import Crash
 from swifttrestle.internal.state.fingerprints import Fingerprint
--- a/tests/hosted/test_crashing_prompt_parts.py
+++ b/tests/hosted/test_crashing_prompt_parts.py
@@ -28,6 +28,8 @@
 DEADLY_SECONDS = 0.25
 BEFORE_SECONDS = 2.0
 DEADLY_FOR_SECONDS = 13.0
+# Seconds after the time from which on sound requests count.
+AFTER_SECONDS = 1.5
 FIRST_PART, DEADLY_PART, SECOND_DEADLY_PART = "f1f1", "dead1", "dead2"
 # Parts that some sound requests share with those that crash engines.
 MIDDLE_PARTS = ("b0", "b1", "b2", "b3")
@@ -69,10 +71,15 @@
         await asyncio.sleep(BEFORE_SECONDS)
         deadly = asyncio.ensure_future(self._send_continuously(DEADLY_SECONDS, deadly=True))
         await asyncio.sleep(DEADLY_FOR_SECONDS)
+        await wait_until(self._is_long_after, "few crashes")
         for task in (sound, deadly):
             task.cancel()
         await asyncio.gather(*self._tasks)
 
+    def _is_long_after(self):
+        last = max(self.find_last_counted_crash(part) for part in self.deadly)
+        return now() >= last + 2 * CONTACT_SECONDS + AFTER_SECONDS
+
     async def _send_continuously(self, seconds, deadly):
         while True:
             task = asyncio.ensure_future(self._call(next(self._numbers), deadly))
--- a/tests/hosted/test_late_messages.py
+++ b/tests/hosted/test_late_messages.py
@@ -5,7 +5,8 @@
 
 import asyncio
 
-from swifttrestle.internal.policy.quarantine import FIRST_QUARANTINE_SECONDS, RELEASE_JITTER_SHARE
+from swifttrestle.internal.policy.quarantine import RELEASE_JITTER_SHARE
+from swifttrestle.internal.policy.quarantine_periods import FIRST_QUARANTINE_SECONDS
 from swifttrestle.internal.state.crash_records import Crash
 from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle_standins.hosted.site import wait_until
