An unframed stream clears its prompt's parts only if its engine is alive after it

A stream without a length or chunks ends with its connection, also where its engine crashed between two events, so that it looked whole: neither did its crash count against it, nor was it sure that it cleared nothing. The engine's address is now tried after each such stream; the connection takes the place of the one that ended. If it is refused, the stream counts as open at the crash.

--- a/src/swifttrestle/internal/forward/crash_detection.py
+++ b/src/swifttrestle/internal/forward/crash_detection.py
@@ -91,7 +91,18 @@
         """
         self.note_broken(instance, request)
         probe = self._probes.get(instance.name)
-        return probe is not None and await asyncio.shield(probe)
+        alive = probe is not None and await asyncio.shield(probe)
+        if alive:
+            self._withdraw(instance, request)
+        return alive
+
+    def _withdraw(self, instance: Instance, request: OpenRequest) -> None:
+        """Forget a request that was not open at a crash after all."""
+        remaining = [
+            item for item in self._pending.pop(instance.name, []) if item.request != request
+        ]
+        if remaining:
+            self._pending[instance.name] = remaining
 
     def note_unlisted(self, instance: Instance) -> None:
         """Probe an upstream that the discovery list no longer contains."""
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -41,6 +41,8 @@
         self._metrics = metrics
         # What is tried in requests of this host now, and may be quarantined.
         self._trials: set[Fingerprint] = set()
+        # Checks of engines whose streams ended without framing.
+        self._checks: set[asyncio.Task[None]] = set()
         # Returns whether no upstream could take over for an instance; those in the collection have
         # crashed and do not count.
         self.is_last: Callable[[Instance, Collection[str]], bool] = _never
@@ -217,23 +219,28 @@
         fingerprint = await self._find_suspect(ctx) if ctx.request.body.complete else None
         if fingerprint is not None:
             self.clear_crashes(fingerprint)
-        if await self._has_written(ctx, instance):
-            for part in ctx.part_fingerprints:
-                self.clear_crashes(part)
+        # An engine that continued an answer may have had little left to write.
+        if not ctx.stream_written or ctx.first_byte is None or not ctx.part_fingerprints:
+            return
+        if ctx.stream_framed:
+            self._clear_parts(ctx)
+            return
+        # Its caller may close the connection now, which would cancel this request.
+        check = asyncio.ensure_future(self._clear_parts_if_alive(ctx, instance))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
 
-    async def _has_written(self, ctx: Context, instance: Instance) -> bool:
-        """Return whether an engine has written a whole answer and is alive.
+    async def _clear_parts_if_alive(self, ctx: Context, instance: Instance) -> None:
+        """Clear the parts of a stream without framing, unless its engine crashed at its end.
 
-        An engine that continued an answer may have had little left to write.
+        The probe's connection takes the place of the one that ended with the stream.
         """
-        if not ctx.stream_written or ctx.first_byte is None:
-            return False
-        if ctx.stream_framed:
-            return True
-        if not any(map(self.quarantine.find, ctx.part_fingerprints)):
-            # Nothing is held against the prompt's parts.
-            return False
-        return await self.detector.is_alive_after(instance, ctx.describe_open())
+        if await self.detector.is_alive_after(instance, ctx.describe_open()):
+            self._clear_parts(ctx)
+
+    def _clear_parts(self, ctx: Context) -> None:
+        for part in ctx.part_fingerprints:
+            self.clear_crashes(part)
 
     def _note_crash(self, instance: Instance, requests: Sequence[OpenRequest]) -> None:
         self._metrics.count("upstream_crashes_total", service=instance.record.service)
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -333,6 +333,9 @@
         for number in range(first, self.events + 1):
             if deadly and self.crash is not None and number - first == self.events_before_crash:
                 await asyncio.sleep(self.seconds)
+                if self.framing is Framing.CLOSE:
+                    # A process that exits may close its connections in order.
+                    await reply.end()
                 self.crash(min(deadly).encode())
                 return
             if number - first == EVENTS_BEFORE_BREAK.get(step):
--- a/tests/hosted/test_crashing_prompt_parts.py
+++ b/tests/hosted/test_crashing_prompt_parts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swifttrestle.internal.policy import scheduling
+from swifttrestle.internal.transport.messages import Framing
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import read_parts
 from tests.common.http import ask
@@ -185,6 +186,17 @@
     assert_contained(load, began_at)
 
 
+@on_site(gateways=3, engines=ENGINES)
+async def test_a_stream_without_framing_does_not_clear_the_part_that_ended_it(site):
+    began_at = await start(site)
+    for upstream in site.upstreams.values():
+        upstream.events_before_crash = 2
+        upstream.framing = Framing.CLOSE
+    load = Load(site)
+    await load.run()
+    assert_contained(load, began_at)
+
+
 @on_site(gateways=3, engines=ENGINES)
 async def test_a_part_stays_quarantined_as_all_hosts_restart(site):
     began_at = await start(site)
