An overloaded host closes new connections unread, so that callers meet another host

The load balancer may send most new connections to one host. It read all of them, up to what its processor serves and far beyond: its requests waited until their callers gave up, while the other hosts stood idle.

Each host measures by how much its event loop is late (every 0.1 s). After three late measurements in a row (over 60 ms) it lowers the rate at which it accepts connections, by three tenths each quarter of a second, and raises it again while the loop is on time; at least five a second are accepted. Others are closed without a byte having been read, which tells the caller that the request did not run. Connections that are open are served on.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -31,6 +31,7 @@
 from swifttrestle.internal.forward.scheduled_booking import NUMBER_BITS, ScheduledBooker
 from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
 from swifttrestle.internal.listeners import Listeners
+from swifttrestle.internal.loop_lag import LoadMonitor
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
@@ -206,7 +207,8 @@
         self._prompt_cache_loader = PromptCacheLoader(
             settings.zone, self._fleet, self._state.pool, self._booker.schedules_engines, rng
         )
-        self._listeners = Listeners()
+        self._load_monitor = LoadMonitor(self._metrics)
+        self._listeners = Listeners(self._load_monitor.admits_connection)
         # Whether the newest configuration version of the peers has been in force here.
         self._caught_up = False
         self._stopping = asyncio.Event()
@@ -234,6 +236,7 @@
         self._tasks.start(self._gossip.run())
         self._tasks.start(self._gossip.register(self._store, self._skipped_entries))
         self._tasks.start(self._booker.run())
+        self._tasks.start_restarting("loop lag", self._load_monitor.run)
         self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
         self._tasks.start_restarting("stream versions", self._streams.run)
         self._tasks.start_restarting("path checks", self._relaying.own.run)
--- a/src/swifttrestle/internal/listeners.py
+++ b/src/swifttrestle/internal/listeners.py
@@ -1,6 +1,7 @@
 """The listening sockets of a gateway, up to the end of a graceful shutdown."""
 
 import asyncio
+from collections.abc import Callable
 
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
@@ -21,9 +22,9 @@
 class Listeners:
     """Accepts connections of callers, and those of the load balancer and of operators."""
 
-    def __init__(self) -> None:
-        """Start without listening."""
-        self._callers = ConnectionSet()
+    def __init__(self, admits_caller: Callable[[], bool]) -> None:
+        """Start without listening; `admits_caller` is asked about each connection of a caller."""
+        self._callers = ConnectionSet(admits_caller)
         self._others = ConnectionSet()
         self._servers: list[asyncio.Server] = []
         # Whether all addresses accept connections; a host is not ready before.
--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -7,7 +7,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import httptools
@@ -86,10 +86,16 @@
         """Return the current limits on requests."""
 
 
+def _admit_all() -> bool:
+    return True
+
+
 class ConnectionSet:
     """All open connections of a listener, which it closes gracefully at a planned stop."""
 
-    def __init__(self) -> None:
+    def __init__(self, admits: Callable[[], bool] = _admit_all) -> None:
+        """Accept a new connection if `admits` returns true, and close it unread otherwise."""
+        self.admits = admits
         self.open: set[CallerConnection] = set()
         self.closing = False
 
@@ -134,9 +140,12 @@
     # Called by the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the connection's task."""
+        """Start the connection's task, unless the connection is not accepted."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._connections.admits():
+            transport.abort()
+            return
         self._connections.open.add(self)
         self._task = asyncio.ensure_future(self._serve())
         self._start_idle_timer()
--- a/tests/soak/gateway.py
+++ b/tests/soak/gateway.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import swifttrestle.gateway
+from swifttrestle.internal.forward.handler import GatewayHandler
 from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS, Dialer
 from swifttrestle_standins.hosted.cuts import Cut, make_cut_error
 
@@ -19,6 +20,8 @@
 # The file that names the cut while there is one, and the file in which the dialer lists the ends
 # of its connections (its own port and the upstream's) with their times.
 CUT_FILE, DIALED_FILE = "SOAK_CUT_FILE", "SOAK_DIALED_FILE"
+# The environment variable with the processor time of a request, in milliseconds.
+COST_VARIABLE = "SOAK_REQUEST_MS"
 
 
 class CuttableDialer(Dialer):
@@ -72,6 +75,23 @@
     return {(int(local), int(remote)): float(at) for local, remote, at in fields}
 
 
+def slow_down_handler():
+    """Let each request of this process's gateway take processor time."""
+    seconds = float(os.environ.get(COST_VARIABLE, "0")) / 1000
+    if not seconds:
+        return
+    handle = GatewayHandler.handle
+
+    async def handle_slowly(self, request, reply):
+        end = time.process_time() + seconds
+        while time.process_time() < end:
+            pass
+        await handle(self, request, reply)
+
+    GatewayHandler.handle = handle_slowly
+
+
 if __name__ == "__main__":
+    slow_down_handler()
     swifttrestle.gateway.Gateway = CuttableGateway
     runpy.run_path(str(PROGRAM))
