A silent upstream is left only for one whose rate limit permits the request

Callers of streams got 502 ('lost its answer after 1.01 s') in planned work where an engine sent nothing for a second: the host left it for another one, whose announced rate limit then gave no permit, so that nobody served the request. Cause: reserve_takeover counted an upstream with a limit as one that can take over, and its permit was asked for only after the silent one had been left. The permit is now asked for while the silent upstream is still waited for, and it is left once a permit is there.

--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -60,6 +60,8 @@
     steps: list[str] = field(default_factory=list)
     # Expiry of rate limit permits in the loop's time, by instance.
     permits: dict[str, float] = field(default_factory=dict)
+    # The query for a permit of an upstream that may take over from a silent one.
+    permit_query: "asyncio.Task[None] | None" = None
     # The budget from which the next attempt was taken when the last one was given up.
     _reserved_from: WindowedRetryBudget | None = None
     # Whether this request is the trial of a quarantined one.
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -152,8 +152,11 @@
         can take the request.
         """
         now = asyncio.get_running_loop().time()
+        excluded = ctx.excluded | {silent.name}
         usable = self.list_usable(ctx.service.name, now, ctx.urgent)
-        if not has_other(usable, ctx.excluded | {silent.name}):
+        others = [item for item in usable if has_other([item], excluded)]
+        # One that its rate limit holds cannot take over.
+        if not self.permits.ask_ahead(ctx, others):
             return False
         return ctx.reserve_retry(self.budgets.find(ctx.service.name))
 
--- a/src/swifttrestle/internal/forward/rate_limiter.py
+++ b/src/swifttrestle/internal/forward/rate_limiter.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Callable, Sequence
@@ -60,6 +61,13 @@
         Raises UpstreamHeldError if one of them accepts none at the moment.
         """
 
+    @abstractmethod
+    def ask_ahead(self, ctx: Context, instances: Sequence[Instance]) -> list[Instance]:
+        """Return those of some upstreams that a request may be sent to at once.
+
+        Asks for a permit of one of the others, which may be among them a little later.
+        """
+
     @abstractmethod
     async def use(self, ctx: Context, instance: Instance) -> None:
         """Use the permit of a request that is sent now, or take one.
@@ -74,6 +82,10 @@
     async def reserve(self, ctx: Context, *instances: Instance) -> None:
         """Allow the request."""
 
+    def ask_ahead(self, ctx: Context, instances: Sequence[Instance]) -> list[Instance]:
+        """Return all upstreams."""
+        return list(instances)
+
     async def use(self, ctx: Context, instance: Instance) -> None:
         """Allow the request."""
 
@@ -123,6 +135,30 @@
             if self._conditions.find_rate_limit(instance.name).rate is not None:
                 ctx.permits[instance.name] = await self._take_permit(instance, ctx.urgent)
 
+    def ask_ahead(self, ctx: Context, instances: Sequence[Instance]) -> list[Instance]:
+        """Return those of some upstreams that a request may be sent to at once.
+
+        Asks for a permit of one of the others, which may be among them a little later.
+        """
+        now = _now()
+        open_to_request: list[Instance] = []
+        held: list[Instance] = []
+        for item in instances:
+            limited = self._conditions.find_rate_limit(item.name).rate is not None
+            permitted = not limited or ctx.permits.get(item.name, 0.0) > now
+            (open_to_request if permitted else held).append(item)
+        if held and not open_to_request and ctx.permit_query is None:
+            ctx.permit_query = asyncio.ensure_future(self._reserve_first(ctx, held))
+        return open_to_request
+
+    async def _reserve_first(self, ctx: Context, instances: Sequence[Instance]) -> None:
+        """Take a permit of the first upstream that gives one."""
+        for instance in instances:
+            with contextlib.suppress(UpstreamHeldError):
+                await self.reserve(ctx, instance)
+                break
+        ctx.permit_query = None
+
     async def use(self, ctx: Context, instance: Instance) -> None:
         """Use the permit of a request that is sent now, or take one.
 
