--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,12 +32,15 @@
     ("address", "host.example:80"),
     ("service", 7),
 )
-# Requests that crash their upstreams: path, body prefix, headers.
+# Requests that crash their upstreams: path, body prefix, headers. Those with an empty prefix have a
+# part of their prompts in common, and differ otherwise.
 DEADLY_KINDS = (
     ("/card/a", DEADLY, {}),
     ("/goal/a", DEADLY, {}),
     ("/verdict/a", DEADLY, {"X_Token_Usage": SHORT}),
     ("/verdict/a", DEADLY_PROMPT, {"X_Token_Usage": LONG}),
+    ("/verdict/a", b"", {"X_Token_Usage": SHORT}),
+    ("/verdict/a", b"", {"X_Token_Usage": LONG}),
 )
 # Timeout of one attempt of a deadly request.
 DEADLY_TIMEOUT_SECONDS = 3.0
@@ -55,6 +58,11 @@
 FAILURE_STEPS = ("busy", "reset", "reset-after", "crossed", "unsigned", "fail", "cut")
 
 
+def name_part(number):
+    """Return the name of a part that crashes engines."""
+    return f"{promises.PART_PREFIX}{number}"
+
+
 class Faults:
     """Injects faults one after another; `findings` are violations that the faults detect."""
 
@@ -272,16 +280,26 @@
         """Send a request that crashes its upstreams repeatedly until the faults end."""
         path, body, headers = self._rng.choice(DEADLY_KINDS)
         number = next(self._deadly_numbers)
-        body += b" %d" % number
         attempts = itertools.count(1)
+        if not body:
+            self._add_deadly_part(number)
         while asyncio.get_running_loop().time() < self._end:
             host = self._rng.choice(list(self._site.hosts.values()))
-            name = f"deadly-{number}-{next(attempts)}"
+            attempt = next(attempts)
+            name = f"deadly-{number}-{attempt}"
+            content = body + b" %d" % number if body else b"differs %d" % attempt
+            if not body:
+                headers = {**headers, "X_Prompt_Prefix": f"{name_part(number)}:20,{name}:20"}
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(DEADLY_TIMEOUT_SECONDS):
-                    await ask(host.callers, path, name, body=body, X_Key=KEY, **headers)
+                    await ask(host.callers, path, name, body=content, X_Key=KEY, **headers)
             await asyncio.sleep(self._draw_seconds(0.5))
 
+    def _add_deadly_part(self, number):
+        """Let a part of prompts crash the engines that write an answer on it."""
+        for upstream in self._site.upstreams.values():
+            upstream.deadly_parts |= {name_part(number)}
+
     async def revoke(self):
         self._site.replace_key(f"passing-{next(self._key_numbers)}")
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -11,6 +11,8 @@
 # Number of crashes that quarantines a request, the seconds until all hosts must know of them, and
 # the maximum number of later crashes.
 CRASH_THRESHOLD, CRASHES_KNOWN_SECONDS, MAX_EXTRA_CRASHES = 3, 3.0, 3
+# The name of a crashing prompt part begins so; the crashes after which few requests may have it.
+PART_PREFIX, PART_CRASH_THRESHOLD = "part", 5
 # Seconds until hosts must know of a limit.
 LIMIT_KNOWN_SECONDS = 3.0
 # Seconds until a version must be in force at all hosts.
@@ -174,13 +176,11 @@
 
 
 def check_crashes(crash_times):
-    """Check `crash_times`, the times of the crashes by deadly request."""
+    """Check `crash_times`, the times of the crashes by deadly request or prompt part."""
     for body, times in crash_times.items():
-        late = [
-            at
-            for at in times[CRASH_THRESHOLD:]
-            if at > times[CRASH_THRESHOLD - 1] + CRASHES_KNOWN_SECONDS
-        ]
+        is_part = body.startswith(PART_PREFIX.encode())
+        threshold = PART_CRASH_THRESHOLD if is_part else CRASH_THRESHOLD
+        late = [at for at in times[threshold:] if at > times[threshold - 1] + CRASHES_KNOWN_SECONDS]
         if len(late) > MAX_EXTRA_CRASHES:
             yield f"{body!r}: {len(times)} crashes, {len(late)} of them late"
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -171,6 +171,14 @@
     assert len(list(promises.check_crashes({b"deadly 1": times}))) == found
 
 
+@pytest.mark.parametrize(
+    ("late", "found"), [(3, 0), (4, 1)], ids=["as many as allowed", "one too many"]
+)
+def test_a_part_that_continues_to_crash_engines_is_found(late, found):
+    times = [1.0, 1.1, 1.2, 9.0, 9.1, *(12.2 + number for number in range(late))]
+    assert len(list(promises.check_crashes({b"part1": times}))) == found
+
+
 @pytest.mark.parametrize(
     ("key", "sent_at", "ran", "status", "wanted"),
     [
