--- a/tests/cover/test_entry_guard.py
+++ b/tests/cover/test_entry_guard.py
@@ -127,3 +127,19 @@
         guard.begin(f"r{number}", FINGERPRINT)
         guard.end(f"r{number}", answered=bool(number % 2))
     assert (guard._fingerprints, guard.list_quarantined()) == ({}, [])
+
+
+def make_body(number):
+    """Return a request whose prompt begins like the others and differs in its last words."""
+    prompt = " ".join([f"word{position}" for position in range(640)] + [f"own{number}"] * 64)
+    return b'{"messages":[{"role":"user","content":"%s"}]}' % prompt.encode()
+
+
+def test_requests_whose_prompts_begin_alike_are_refused_once_they_crashed_engines(guard, closed):
+    names = [make_fingerprint("w1", "/v1/chat/completions", make_body(n)) for n in range(6)]
+    for number, fingerprint in enumerate(names[:5]):
+        guard.begin(f"r{number}", fingerprint)
+        guard.record_failure(f"r{number}", f"e{number}", closed, BROKEN)
+        guard.end(f"r{number}", answered=False)
+    with pytest.raises(RefusedError):
+        guard.begin("r5", names[5])
