--- a/tests/hosted/test_crashing_prompt_parts.py
+++ b/tests/hosted/test_crashing_prompt_parts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swifttrestle.internal.policy import scheduling
+from swifttrestle.internal.state.fingerprints import fingerprint_part
 from swifttrestle.internal.transport.messages import Framing
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import read_parts
@@ -32,6 +33,8 @@
 # Seconds after the time from which on sound requests count.
 AFTER_SECONDS = 1.5
 FIRST_PART, DEADLY_PART, SECOND_DEADLY_PART = "f1f1", "dead1", "dead2"
+# Ordinary crashes in a row, the seconds between two, and the share of streams served meanwhile.
+ORDINARY_CRASHES, ORDINARY_SECONDS, MIN_SERVED_AT_ORDINARY_CRASHES = 12, 0.4, 0.9
 # Parts that some sound requests share with those that crash engines.
 MIDDLE_PARTS = ("b0", "b1", "b2", "b3")
 
@@ -68,20 +71,24 @@
 
     async def run(self):
         """Send sound requests; after BEFORE_SECONDS deadly ones as well."""
-        sound = asyncio.ensure_future(self._send_continuously(SOUND_SECONDS, deadly=False))
+        sound = asyncio.ensure_future(self.send_continuously(SOUND_SECONDS, deadly=False))
         await asyncio.sleep(BEFORE_SECONDS)
-        deadly = asyncio.ensure_future(self._send_continuously(DEADLY_SECONDS, deadly=True))
+        deadly = asyncio.ensure_future(self.send_continuously(DEADLY_SECONDS, deadly=True))
         await asyncio.sleep(DEADLY_FOR_SECONDS)
         await wait_until(self._is_long_after, "few crashes")
         for task in (sound, deadly):
             task.cancel()
+        await self.finish()
+
+    async def finish(self):
+        """Wait for the last calls."""
         await asyncio.gather(*self._tasks)
 
     def _is_long_after(self):
         last = max(self.find_last_counted_crash(part) for part in self.deadly)
         return now() >= last + 2 * CONTACT_SECONDS + AFTER_SECONDS
 
-    async def _send_continuously(self, seconds, deadly):
+    async def send_continuously(self, seconds, deadly):
         while True:
             task = asyncio.ensure_future(self._call(next(self._numbers), deadly))
             self._tasks.add(task)
@@ -194,6 +201,28 @@
     assert_contained(load, began_at)
 
 
+@pytest.mark.parametrize("sizes", [SHORT, LONG], ids=["short prompts", "long prompts"])
+@on_site(gateways=3, engines=ENGINES)
+async def test_parts_that_stand_at_ordinary_crashes_are_not_refused(site, sizes):
+    await start(site)
+    load = Load(site, sizes=sizes)
+    decoding = [item for item in site.upstreams.values() if getattr(item, "role", "") == "decode"]
+    for upstream in decoding:
+        # Streams last long enough to stand at each crash.
+        upstream.seconds = 0.05
+    sound = asyncio.ensure_future(load.send_continuously(SOUND_SECONDS, deadly=False))
+    await asyncio.sleep(BEFORE_SECONDS)
+    for number in range(ORDINARY_CRASHES):
+        decoding[number % len(decoding)].crash(b"ordinary")
+        await asyncio.sleep(ORDINARY_SECONDS)
+    sound.cancel()
+    await load.finish()
+    guards = [item.gateway._state.guard for item in site.gateways.values()]
+    parts = [fingerprint_part(name) for name in (FIRST_PART, *MIDDLE_PARTS)]
+    assert not any(guard.quarantine.needs_trial(part) for guard in guards for part in parts)
+    assert load.find_served_share(0, now()) >= MIN_SERVED_AT_ORDINARY_CRASHES
+
+
 @on_site(gateways=3, engines=ENGINES)
 async def test_a_part_stays_quarantined_as_all_hosts_restart(site):
     began_at = await start(site)
