--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -204,10 +204,8 @@
             self._reply(ip)
 
     def _apply_clearance(self, clearance: Clearance, ip: str) -> None:
-        record = self._guard.quarantine.find(clearance.name)
-        if not self._guard.apply_clearance(clearance.name, clearance.at, ip):
-            return
-        if record is not None and concerns_all_hosts(record):
+        cleared = self._guard.apply_clearance(clearance.name, clearance.at, ip)
+        if cleared is not None and concerns_all_hosts(cleared):
             self._changed()
             if self._owns_record(clearance.name):
                 self._send(CrashUpdate(clearances=(clearance,)), self._list_others())
--- a/src/swifttrestle/internal/forward/crash_guard.py
+++ b/src/swifttrestle/internal/forward/crash_guard.py
@@ -13,7 +13,7 @@
 from swifttrestle.internal.policy.quarantine import Quarantine
 from swifttrestle.internal.policy.quarantine_periods import concerns_all_hosts
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord, OpenRequest
-from swifttrestle.internal.state.fingerprints import Fingerprint, fingerprint_part
+from swifttrestle.internal.state.fingerprints import Fingerprint
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.pool import ConnectionPool
 
@@ -74,9 +74,7 @@
 
     def holds_back(self, ctx: Context) -> bool:
         """Return whether another attempt of a request would be refused as quarantined."""
-        fingerprint = ctx.fingerprint
-        own = () if fingerprint is None else (fingerprint,)
-        return any(map(self.quarantine.needs_trial, (*own, *ctx.part_fingerprints)))
+        return any(map(self.quarantine.needs_trial, ctx.describe_open().fingerprints))
 
     def _find_wait(self, held: Sequence[Fingerprint]) -> float:
         """Return the seconds until a request may be tried in which these are quarantined.
@@ -158,10 +156,10 @@
 
     def clear_crashes(self, fingerprint: Fingerprint, source: str = "its answer") -> None:
         """Record that a request got its answer here, and notify other hosts."""
-        record = self.quarantine.find(fingerprint)
         now = _now()
-        if self.apply_clearance(fingerprint, now, source) and record is not None:
-            self.announce_clearance(fingerprint, now, concerns_all_hosts(record))
+        cleared = self.apply_clearance(fingerprint, now, source)
+        if cleared is not None:
+            self.announce_clearance(fingerprint, now, concerns_all_hosts(cleared))
 
     def report_crash(self, fingerprints: Sequence[Fingerprint], crash: Crash) -> None:
         """Record a crash that this host detected, and notify other hosts."""
@@ -181,16 +179,16 @@
         ]
         return self._find_all(new_fingerprints)
 
-    def apply_clearance(self, fingerprint: Fingerprint, at: float, source: str) -> bool:
-        """Record that a request got its answer; return whether that was new."""
-        record = self.quarantine.find(fingerprint)
-        if not self.quarantine.clear_crashes(fingerprint, at):
-            return False
+    def apply_clearance(
+        self, fingerprint: Fingerprint, at: float, source: str
+    ) -> CrashRecord | None:
+        """Record that a request got its answer; return the record that this cleared, if any."""
+        cleared = self.quarantine.clear_crashes(fingerprint, at)
         # A harmless part is open at most crashes.
-        if not fingerprint.is_part or (record is not None and concerns_all_hosts(record)):
+        if cleared is not None and (not fingerprint.is_part or concerns_all_hosts(cleared)):
             event = "prompt part acquitted" if fingerprint.is_part else "request acquitted"
             log_event(event, name=str(fingerprint), source=source)
-        return True
+        return cleared
 
     def _find_all(self, fingerprints: Sequence[Fingerprint]) -> list[CrashRecord]:
         records = (self.quarantine.find(fingerprint) for fingerprint in fingerprints)
@@ -202,12 +200,10 @@
             return []
         own = await self._find_suspect(ctx)
         candidates = (*(() if own is None else (own,)), *ctx.part_fingerprints)
-        return [item for item in candidates if self.quarantine.find(item) is not None]
+        return [item for item in candidates if item in self.quarantine]
 
     async def _find_suspect(self, ctx: Context) -> Fingerprint | None:
         """Return the request's fingerprint if a request with the same head was open at a crash."""
-        if not len(self.quarantine):
-            return None
         if not self.quarantine.knows_head(ctx.fingerprint_head):
             return None
         # Ends at the latest when the caller disconnects or the deadline passes.
@@ -244,10 +240,9 @@
 
     def _note_crash(self, instance: Instance, requests: Sequence[OpenRequest]) -> None:
         self._metrics.count("upstream_crashes_total", service=instance.record.service)
-        fingerprints = [item.fingerprint for item in requests if item.fingerprint is not None]
-        names = {part: None for item in requests for part in item.parts}
-        parts = [fingerprint_part(name) for name in names]
-        self.report_crash([*fingerprints, *parts], Crash(instance.name, _now()))
+        # Several open prompts may have the same part.
+        fingerprints = dict.fromkeys(name for item in requests for name in item.fingerprints)
+        self.report_crash(list(fingerprints), Crash(instance.name, _now()))
 
     def _record_crashes(
         self, fingerprint: Fingerprint, crashes: Sequence[Crash], source: str
--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -89,6 +89,10 @@
         """Return the number of crash records."""
         return len(self._histories)
 
+    def __contains__(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a fingerprint has a crash record."""
+        return fingerprint in self._histories
+
     def knows_head(self, head: bytes) -> bool:
         """Return whether any request with a crash record has this head in its fingerprint."""
         return head in self._head_counts
@@ -113,25 +117,28 @@
         self._store(fingerprint, history)
         return True
 
-    def clear_crashes(self, fingerprint: Fingerprint, at: float) -> bool:
-        """Record that a request got an answer at a time; return whether that clears any crash.
+    def clear_crashes(self, fingerprint: Fingerprint, at: float) -> CrashRecord | None:
+        """Record that a request got an answer at a time.
 
-        What crashes every upstream never gets one.
+        Return its record up to then if that clears any crash. What crashes every upstream never
+        gets an answer.
         """
         at = max(at, self._answered_at.pop(fingerprint, at))
         make_room(self._answered_at, fingerprint, MAX_CLEARANCES)
         self._answered_at[fingerprint] = at
         history = self._histories.get(fingerprint)
         if history is None:
-            return False
+            return None
         remaining = [crash for crash in history.crashes if crash.at > at + REPORT_DELAY_SECONDS]
-        changed = len(remaining) < len(history.crashes)
+        if len(remaining) == len(history.crashes):
+            return None
+        cleared = _make_record(fingerprint, history)
         history.crashes = remaining
         if len(remaining) < _find_least_crashes(fingerprint):
             self._quarantined.discard(fingerprint)
         if not remaining:
             self._remove(fingerprint)
-        return changed
+        return cleared
 
     def find_answer(self, record: CrashRecord) -> float | None:
         """Return when a request got its last answer, if that clears all crashes of a record."""
--- a/src/swifttrestle/internal/state/crash_records.py
+++ b/src/swifttrestle/internal/state/crash_records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from swifttrestle.internal.state.fingerprints import Fingerprint
+from swifttrestle.internal.state.fingerprints import Fingerprint, fingerprint_part
 
 
 @dataclass(frozen=True)
@@ -24,6 +24,12 @@
     fingerprint: Fingerprint | None
     parts: tuple[str, ...] = ()
 
+    @property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        """What may be to blame: the request itself, if it is known, and its parts."""
+        own = () if self.fingerprint is None else (self.fingerprint,)
+        return (*own, *map(fingerprint_part, self.parts))
+
 
 @dataclass(frozen=True)
 class CrashRecord:
