The ring of the present hosts is kept by one class

The relay of crash records and the directory of streams each kept a ring beside the members it was built of.

--- a/src/swifttrestle/internal/coordination/quarantine_relay.py
+++ b/src/swifttrestle/internal/coordination/quarantine_relay.py
@@ -15,7 +15,7 @@
 
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.forward.crash_guard import CrashGuard
-from swifttrestle.internal.policy.hash_ring import HashRing
+from swifttrestle.internal.policy.hash_ring import MemberRing
 from swifttrestle.internal.policy.quarantine_periods import concerns_all_hosts
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.protocol.quarantine import (
@@ -73,8 +73,7 @@
         self._sync_requests_left = SYNC_REQUESTS
         # Records to send again, each with the number of repeats left.
         self._repeats: list[tuple[int, Sequence[CrashRecord]]] = []
-        self._ring = HashRing(())
-        self._ring_members: tuple[Member, ...] = ()
+        self._ring = MemberRing(list_members)
         guard.announce_crash_records = self._announce_records
         guard.announce_clearance = self._announce_clearance
         socket.set_receiver(DatagramKind.CRASHES, self._receive)
@@ -174,11 +173,7 @@
         return is_large_fleet(len(self._list_members()))
 
     def _find_owners(self, fingerprint: Fingerprint) -> list[Member]:
-        members = tuple(self._list_members())
-        if members != self._ring_members:
-            self._ring_members = members
-            self._ring = HashRing(members)
-        return self._ring.find(fingerprint)
+        return self._ring.get().find(fingerprint)
 
     def _owns_record(self, fingerprint: Fingerprint) -> bool:
         """Return whether this host owns a request's record for a large fleet."""
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from swifttrestle.internal.policy.hash_ring import HASH_BYTES, HashRing
+from swifttrestle.internal.policy.hash_ring import HASH_BYTES, MemberRing
 from swifttrestle.internal.policy.stream_builds import (
     ASKED_HOSTS,
     KEEPERS,
@@ -112,11 +112,9 @@
         super().__init__(fleet)
         self._socket = socket
         self._host = host
-        self._list_members = list_members
         self._numbers = itertools.count(first_number)
         self._pending: dict[int, _PendingQuery] = {}
-        self._ring = HashRing(())
-        self._ring_members: Sequence[Member] = ()
+        self._ring = MemberRing(list_members)
         socket.set_receiver(DatagramKind.STREAM, self._receive)
 
     def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
@@ -156,12 +154,8 @@
 
     def _list_peers(self, stream: bytes) -> list[Member]:
         """Return the peers that keep a stream, the first ones first, and those next to them."""
-        members = self._list_members()
-        if members is not self._ring_members:
-            self._ring_members = members
-            self._ring = HashRing(members)
         position = hashlib.blake2b(stream, digest_size=HASH_BYTES).digest()
-        successors = self._ring.find_successors(position, ASKED_HOSTS + 1)
+        successors = self._ring.get().find_successors(position, ASKED_HOSTS + 1)
         return [item for item in successors if item.host != self._host][:ASKED_HOSTS]
 
     def _send(self, ip: str, message: Message) -> None:
--- a/src/swifttrestle/internal/policy/hash_ring.py
+++ b/src/swifttrestle/internal/policy/hash_ring.py
@@ -9,7 +9,7 @@
 
 import hashlib
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from swifttrestle.internal.state.fingerprints import (
     FINGERPRINT_HALF_BYTES,
@@ -47,5 +47,23 @@
         return [self._members[(first + step) % len(self._members)] for step in range(count)]
 
 
+class MemberRing:
+    """The ring of a fleet's present members, which is built anew only when they change."""
+
+    def __init__(self, list_members: Callable[[], Sequence[Member]]) -> None:
+        """Use the members that `list_members` returns."""
+        self._list_members = list_members
+        self._members: tuple[Member, ...] = ()
+        self._ring = HashRing(())
+
+    def get(self) -> HashRing:
+        """Return the ring."""
+        members = tuple(self._list_members())
+        if members != self._members:
+            self._members = members
+            self._ring = HashRing(members)
+        return self._ring
+
+
 def _hash_host(host: str) -> bytes:
     return hashlib.blake2b(host.encode(), digest_size=HASH_BYTES).digest()
