Entries quarantine prompt beginnings that crash engines

Cause: entries of the own interface counted crashes against whole requests alone, so that prompts which begin alike and differ at their end crashed engine after engine.

Change: an entry describes an open request as the gateways do, by its fingerprint and by those of parts of its prompt, here prefixes of growing length. Crashes, clearances and quarantines go through the same policy. An answer that another engine continued does not clear the prefixes.

--- a/src/swifttrestle/internal/entry/crash_guard.py
+++ b/src/swifttrestle/internal/entry/crash_guard.py
@@ -1,4 +1,4 @@
-"""Quarantines requests that crash upstreams, at one entry.
+"""Quarantines requests and prompt prefixes that crash upstreams, at one entry.
 
 The policy is that of the gateways. The state is local to the entry: each entry counts crashes on
 its own, and loses its counts when it restarts.
@@ -7,6 +7,8 @@
 import socket
 import threading
 import time
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError, UpstreamBrokenError, UpstreamError
@@ -15,7 +17,7 @@
 from swifttrestle.internal.logs import log_info
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.quarantine import Quarantine
-from swifttrestle.internal.state.crash_records import Crash
+from swifttrestle.internal.state.crash_records import Crash, OpenRequest
 from swifttrestle.internal.state.fingerprints import Fingerprint, digest_parts
 
 PROBE_TIMEOUT_SECONDS = 0.3
@@ -23,11 +25,42 @@
 # still accepts connections is probed again.
 MAX_PROBES = 4
 PROBE_INTERVAL_SECONDS = 0.02
+# Lengths, in blocks, of the prefixes of a prompt that crashes count against: each one up to
+# DENSE_PREFIXES, then PREFIX_GROWTH times the last one. A common beginning is thus known to within
+# a quarter of its length, by some thirty records for the longest prompts.
+DENSE_PREFIXES = 8
+PREFIX_GROWTH = 1.25
 
 
-def make_fingerprint(workspace: str, path: str, body: bytes) -> Fingerprint:
-    """Return the fingerprint of a request: digests of its workspace, path and body."""
-    return Fingerprint(digest_parts((workspace.encode(), path.encode())), digest_parts((body,)))
+def describe_request(
+    workspace: str, path: str, body: bytes, blocks: Sequence[int] = ()
+) -> OpenRequest:
+    """Return what may be to blame in a request: digests of it, and of its prompt's prefixes.
+
+    `blocks` are the digests of the prompt's prefixes, see `split_blocks`; empty for a plain
+    service.
+    """
+    head = digest_parts((workspace.encode(), path.encode()))
+    fingerprint = Fingerprint(head, digest_parts((body,)))
+    return OpenRequest(fingerprint, _name_prefixes(blocks))
+
+
+def _name_prefixes(blocks: Sequence[int]) -> tuple[str, ...]:
+    """Return the names of the prefixes of a prompt that other prompts may have as well."""
+    names = []
+    length = 1
+    while length <= len(blocks):
+        names.append(f"{length}/{blocks[length - 1]:08x}")
+        length += 1 if length < DENSE_PREFIXES else int(length * (PREFIX_GROWTH - 1))
+    return tuple(names)
+
+
+@dataclass
+class _Tracked:
+    """An open request; `failed` is set once an upstream failed during it."""
+
+    request: OpenRequest
+    failed: bool = False
 
 
 class EntryCrashGuard:
@@ -38,13 +71,13 @@
         self._clock = clock
         self._metrics = metrics
         self._quarantine = Quarantine(jitter_share)
-        self._fingerprints: dict[str, Fingerprint] = {}
+        self._open: dict[str, _Tracked] = {}
         self._lock = threading.Lock()
 
-    def begin(self, request_id: str, fingerprint: Fingerprint) -> None:
+    def begin(self, request_id: str, request: OpenRequest) -> None:
         """Track an open request; raise RefusedError if it is quarantined."""
         with self._lock:
-            self._fingerprints[request_id] = fingerprint
+            self._open[request_id] = _Tracked(request)
         try:
             self.check(request_id)
         except RefusedError:
@@ -64,36 +97,55 @@
         return self._find_wait(request_id) > 0
 
     def _find_wait(self, request_id: str) -> float:
-        """Return the seconds for which a request is still quarantined."""
+        """Return the seconds for which a request or a prefix of its prompt is quarantined."""
         with self._lock:
-            fingerprint = self._fingerprints.get(request_id)
-            if fingerprint is None:
+            tracked = self._open.get(request_id)
+            if tracked is None or not len(self._quarantine):
                 return 0.0
-            return self._quarantine.find_wait(fingerprint, self._clock.now())
+            now = self._clock.now()
+            return max(
+                self._quarantine.find_wait(name, now) for name in tracked.request.fingerprints
+            )
 
     def record_failure(
         self, request_id: str, upstream: str, address: str, error: UpstreamError
     ) -> None:
         """Count a crash against a request whose upstream no longer listens."""
         was_sent = isinstance(error, UpstreamBrokenError) and error.sent
+        if was_sent:
+            self._note_failed(request_id)
         if not was_sent or not is_port_closed(address):
             return
         now = self._clock.now()
         with self._lock:
-            fingerprint = self._fingerprints.get(request_id)
-            is_new = fingerprint is not None and self._quarantine.note(
-                fingerprint, [Crash(upstream, now)], now
-            )
-        if is_new:
+            tracked = self._open.get(request_id)
+            names = tracked.request.fingerprints if tracked else ()
+            crash = Crash(upstream, now)
+            new = [name for name in names if self._quarantine.note(name, [crash], now)]
+        if new:
             self._metrics.count("upstream_crashes_total")
-            log_info("upstream crashed during a request", upstream=upstream, name=str(fingerprint))
+            log_info("upstream crashed during a request", upstream=upstream, name=str(new[0]))
+
+    def _note_failed(self, request_id: str) -> None:
+        with self._lock:
+            tracked = self._open.get(request_id)
+            if tracked is not None:
+                tracked.failed = True
 
     def end(self, request_id: str, answered: bool) -> None:
-        """Stop tracking a request; a response also clears the crashes counted against it."""
+        """Stop tracking a request; a response also clears the crashes counted against it.
+
+        It clears those of the prompt's prefixes only if one upstream gave the whole response: one
+        that continued it may have had little left to do.
+        """
         with self._lock:
-            fingerprint = self._fingerprints.pop(request_id, None)
-            if answered and fingerprint is not None:
-                self._quarantine.clear_crashes(fingerprint, self._clock.now())
+            tracked = self._open.pop(request_id, None)
+            if not answered or tracked is None:
+                return
+            now = self._clock.now()
+            for name in tracked.request.fingerprints:
+                if not name.is_part or not tracked.failed:
+                    self._quarantine.clear_crashes(name, now)
 
     def list_quarantined(self) -> list[str]:
         """Return the fingerprints of quarantined requests, for the state dump."""
--- a/src/swifttrestle/internal/entry/handler.py
+++ b/src/swifttrestle/internal/entry/handler.py
@@ -11,7 +11,7 @@
 from swifttrestle.internal.clock import read_boottime_seconds
 from swifttrestle.internal.entry.admission_queue import AdmissionRequest, BlockingAdmissionQueue
 from swifttrestle.internal.entry.attempts import Attempt, Attempts, Target
-from swifttrestle.internal.entry.crash_guard import make_fingerprint
+from swifttrestle.internal.entry.crash_guard import describe_request
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
 from swifttrestle.internal.entry.relay import Relay, RelayContext
 from swifttrestle.internal.entry.requests import (
@@ -32,7 +32,7 @@
 from swifttrestle.internal.protocol.calls import EngineCall, PlainResponse, call_plain
 from swifttrestle.internal.protocol.prefixes import count_tokens, split_blocks
 from swifttrestle.internal.state.config import ConfigStore
-from swifttrestle.internal.state.fingerprints import Fingerprint
+from swifttrestle.internal.state.crash_records import OpenRequest
 from swifttrestle.internal.state.upstreams import UpstreamRequirements, UpstreamTable, excluding
 from swifttrestle.internal.transport.http import Exchange, Handler
 from swifttrestle.resources import ResourceSet, Service
@@ -180,8 +180,8 @@
         terms = read_terms(exchange, service, workspace, started)
         work, requirements = self._plan(completion, service, terms)
         call = self._make_call(completion, service, terms, work)
-        fingerprint = make_fingerprint(workspace, exchange.path, body)
-        tracked = self._track(call.request_id, fingerprint)
+        described = describe_request(workspace, exchange.path, body, requirements.blocks)
+        tracked = self._track(call.request_id, described)
         with tracked, self._claim(service, terms), _WaitingThread(self, terms.priority):
             attempt = self._open_first(call, requirements, work, terms)
         self._metrics.count("accepted_total", service=service.name)
@@ -345,7 +345,7 @@
                 self._queue.notify()
             return answer
 
-        tracked = self._track(request_id, make_fingerprint(workspace, exchange.path, body))
+        tracked = self._track(request_id, describe_request(workspace, exchange.path, body))
         with tracked, self._claim(service, terms), _WaitingThread(self, terms.priority):
             answer = self._attempt_with_retries(request_id, requirements, work, terms, try_call)
         self._guard.end(request_id, answered=True)
@@ -355,9 +355,9 @@
         exchange.reply(answer.status, answer.body, answer.content_type, id_headers)
 
     @contextmanager
-    def _track(self, request_id: str, fingerprint: Fingerprint) -> Iterator[None]:
+    def _track(self, request_id: str, described: OpenRequest) -> Iterator[None]:
         """Have the crash guard track the request; stop that if the `with` block raises."""
-        self._guard.begin(request_id, fingerprint)
+        self._guard.begin(request_id, described)
         try:
             yield
         except BaseException:
