Requests that ran beside a crashing one are not refused for its quarantine

Cause: a request that was open at two crashes is quarantined for 5 to 7.5 s. That holds for the neighbours of a crashing request too, and nothing acquits them while they are refused. Only a prompt part could explain the crashes of others, not a request.

Change: whatever is quarantined explains what was open at some of its crashes and at no other, if it is more suspect. What was open at exactly the same crashes still waits for its own trial.

--- a/src/swifttrestle/internal/policy/quarantine.py
+++ b/src/swifttrestle/internal/policy/quarantine.py
@@ -199,7 +199,7 @@
         return ANSWERED_PART_RULE if fingerprint in self._answered_at else PART_RULE
 
     def _find_period(self, fingerprint: Fingerprint) -> QuarantinePeriod | None:
-        """Return the latest quarantine of a request, unless a part explains its crashes."""
+        """Return the latest quarantine of a fingerprint, unless another explains its crashes."""
         history = self._histories.get(fingerprint)
         if history is None:
             return None
@@ -209,17 +209,16 @@
         return period
 
     def _is_explained(self, fingerprint: Fingerprint, history: _History) -> bool:
-        """Return whether a quarantined part that is more suspect was open at all crashes as well.
+        """Return whether something quarantined that is more suspect was open at all crashes too.
 
-        What was merely open beside such a part, or in the same prompts, is then not refused.
+        What was merely open beside it, or in the same prompts, is then not refused.
         """
         starts = history.list_starts()
         suspicion = self._rank_suspicion(fingerprint)
         return any(
-            part.is_part
-            and self._rank_suspicion(part) > suspicion
-            and starts <= self._histories[part].list_starts()
-            for part in self._quarantined
+            self._rank_suspicion(other) > suspicion
+            and starts <= self._histories[other].list_starts()
+            for other in self._quarantined
         )
 
     def _rank_suspicion(self, fingerprint: Fingerprint) -> tuple[bool, int, bool]:
--- a/tests/cover/test_quarantined_parts.py
+++ b/tests/cover/test_quarantined_parts.py
@@ -100,6 +100,25 @@
     assert {item for item in crashes if quarantine.needs_trial(item)} == refused
 
 
+@pytest.mark.parametrize(
+    ("crashing", "neighbour", "refused"),
+    [
+        ((1, 2, 3), (1, 2), False),
+        ((1, 2), (1, 2), True),
+        ((1, 2, 3), (1, 4), True),
+    ],
+    ids=["open at fewer crashes", "open at the same crashes", "open at another crash"],
+)
+def test_a_request_that_ran_beside_a_crashing_one_is_not_refused(crashing, neighbour, refused):
+    """Guards against refusing neighbours of a request that was open at more crashes than they."""
+    quarantine = Quarantine(0.0)
+    beside = Fingerprint(bytes(8), bytes(range(8)))
+    note(quarantine, REQUEST, *crashing)
+    note(quarantine, beside, *neighbour)
+    assert quarantine.needs_trial(beside) == refused
+    assert quarantine.needs_trial(REQUEST)
+
+
 def test_the_text_of_a_part_is_read_back():
     assert str(DEADLY).startswith("part-")
     assert parse_fingerprint(str(DEADLY)) == DEADLY
--- a/tests/hosted/test_unaffected_requests.py
+++ b/tests/hosted/test_unaffected_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import itertools
+from dataclasses import dataclass, field
 
 import pytest
 
@@ -214,3 +216,52 @@
 @on_site()
 async def test_an_invalid_request_to_lift_a_quarantine_is_rejected(site, query, method, status):
     assert (await request_lift(site, query, method)).status == status
+
+
+# Seconds after the last crash within which requests that merely ran beside it are served.
+NEIGHBOUR_SECONDS = 2.0
+
+
+@dataclass
+class Neighbours:
+    """Callers that each repeat a request of their own until it is served."""
+
+    site: object
+    path: str
+    headers: dict
+    served_at: dict = field(default_factory=dict)
+
+    async def call(self, caller):
+        for number in itertools.count():
+            host = address_of(self.site, HOSTS[(caller + number) % len(HOSTS)])
+            name = f"n{caller}-{number}"
+            answer = await ask(host, self.path, name, body=b"sound %d" % caller, **self.headers)
+            if answer.status == 200 and answer.whole:
+                self.served_at[caller] = asyncio.get_running_loop().time()
+                return
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize(("path", "headers"), [("/card/a", {}), ("/verdict/a", STREAM)])
+@on_site(gateways=3, engines=("prefill", *("decode",) * 4), plain=4)
+async def test_requests_that_ran_beside_a_crashing_one_are_served_soon_after(site, path, headers):
+    """Guards against refusing neighbours of a crashing request for the length of a quarantine."""
+    await report_starts(site)
+    site.allow_crashes(RESTART_SECONDS, LATER_START_MS)
+    for upstream in site.upstreams.values():
+        upstream.seconds = 0.1
+    neighbours = Neighbours(site, path, headers)
+    callers = [asyncio.ensure_future(neighbours.call(number)) for number in range(16)]
+    for _ in range(3):
+        await asyncio.gather(
+            *(ask(address_of(site, host), path, f"d-{host}", body=DEADLY, **headers)
+              for host in HOSTS)
+        )  # fmt: skip
+    crashed_at = asyncio.get_running_loop().time()
+    await asyncio.wait(callers, timeout=NEIGHBOUR_SECONDS)
+    late = [number for number in range(16) if number not in neighbours.served_at]
+    for caller in callers:
+        caller.cancel()
+    assert len(site.crashes) >= 2
+    assert not late
+    assert max(neighbours.served_at.values()) <= crashed_at + NEIGHBOUR_SECONDS
