coordination/ is divided into seven packages by job

Change: moves alone: membership, store, discovery, duties, configuration, pools and sharing. Imports follow; no other line changes.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -6,7 +6,10 @@
 import orjson
 import psutil
 
-from swifttrestle.internal.coordination.acceptance import decide_acceptance, split_shards
+from swifttrestle.internal.coordination.configuration.acceptance import (
+    decide_acceptance,
+    split_shards,
+)
 from swifttrestle.internal.logs import setup_logs
 from swifttrestle.internal.protocol.peers import ShardCopy
 from swifttrestle.internal.protocol.platform import StoredObject
--- a/bench/returns.py
+++ b/bench/returns.py
@@ -16,10 +16,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from swifttrestle.internal.coordination import discovery as discovery_module
-from swifttrestle.internal.coordination.discovery import Discovery
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.discovery import discovery as discovery_module
+from swifttrestle.internal.coordination.discovery.discovery import Discovery
+from swifttrestle.internal.coordination.discovery.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.protocol.listings import ListingChanges
 from swifttrestle.internal.state.fleet import Fleet
--- a/src/swifttrestle/controller.py
+++ b/src/swifttrestle/controller.py
@@ -9,7 +9,11 @@
 import fire
 import pykka
 
-from swifttrestle.internal.coordination.actors import (
+from swifttrestle.internal.coordination.configuration.config_authority import ConfigAuthority
+from swifttrestle.internal.coordination.duties.leases import LEASE, Holder, LeaseManager
+from swifttrestle.internal.coordination.membership.hosts import HostTracker
+from swifttrestle.internal.coordination.membership.membership import OpenRequestCounter
+from swifttrestle.internal.coordination.pools.actors import (
     ConfigActor,
     PoolActor,
     Release,
@@ -17,13 +21,9 @@
     StepActor,
     Tick,
 )
-from swifttrestle.internal.coordination.config_authority import ConfigAuthority
-from swifttrestle.internal.coordination.engine_views import PoolStatus
-from swifttrestle.internal.coordination.hosts import HostTracker
-from swifttrestle.internal.coordination.leases import LEASE, Holder, LeaseManager
-from swifttrestle.internal.coordination.membership import OpenRequestCounter
-from swifttrestle.internal.coordination.orders import ORDER, OrderLog
-from swifttrestle.internal.coordination.pools import (
+from swifttrestle.internal.coordination.pools.engine_views import PoolStatus
+from swifttrestle.internal.coordination.pools.orders import ORDER, OrderLog
+from swifttrestle.internal.coordination.pools.pools import (
     EngineFactory,
     Pool,
     make_http_engine,
--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -21,8 +21,8 @@
     SwifttrestleError,
 )
 from swifttrestle.internal.clock import read_boottime_seconds
-from swifttrestle.internal.coordination.actors import STATUS
-from swifttrestle.internal.coordination.conditional_writes import (
+from swifttrestle.internal.coordination.pools.actors import STATUS
+from swifttrestle.internal.coordination.store.conditional_writes import (
     read_or_none,
     strip_nonce,
     write_once,
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -12,17 +12,17 @@
 from swifttrestle.errors import InvalidSettingError
 from swifttrestle.internal.background_tasks import BackgroundTasks
 from swifttrestle.internal.boottime_loop import run_in_loop
-from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
-from swifttrestle.internal.coordination.discovery import RESTORE_SPREAD_SECONDS, Discovery
-from swifttrestle.internal.coordination.duties import Duties
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.freshness_monitor import FreshnessMonitor
-from swifttrestle.internal.coordination.gossip import Gossip
-from swifttrestle.internal.coordination.listing_relay import ListingRelay
-from swifttrestle.internal.coordination.prompt_cache_loader import PromptCacheLoader
-from swifttrestle.internal.coordination.quarantine_relay import QuarantineRelay
-from swifttrestle.internal.coordination.quarantine_store import QuarantineStore
-from swifttrestle.internal.coordination.relaying import Relaying
+from swifttrestle.internal.coordination.configuration.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.configuration.freshness_monitor import FreshnessMonitor
+from swifttrestle.internal.coordination.discovery.discovery import RESTORE_SPREAD_SECONDS, Discovery
+from swifttrestle.internal.coordination.discovery.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.duties.duties import Duties
+from swifttrestle.internal.coordination.membership.gossip import Gossip
+from swifttrestle.internal.coordination.sharing.prompt_cache_loader import PromptCacheLoader
+from swifttrestle.internal.coordination.sharing.quarantine_relay import QuarantineRelay
+from swifttrestle.internal.coordination.sharing.quarantine_store import QuarantineStore
+from swifttrestle.internal.coordination.sharing.relaying import Relaying
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.event_log import WRITER, log_event
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force: its watch, transfer between hosts, freshness and acceptance."""
--- a/src/swifttrestle/internal/coordination/acceptance.py
+++ b/src/swifttrestle/internal/coordination/configuration/acceptance.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Success
 
-from swifttrestle.internal.coordination.conditional_writes import strip_nonce
+from swifttrestle.internal.coordination.store.conditional_writes import strip_nonce
 from swifttrestle.internal.protocol.platform import StoredObject
 from swifttrestle.resources import (
     KINDS,
--- a/src/swifttrestle/internal/coordination/config_authority.py
+++ b/src/swifttrestle/internal/coordination/configuration/config_authority.py
@@ -1,10 +1,13 @@
 """Validates operators' objects and writes accepted shards, under the configuration lease."""
 
 from swifttrestle.errors import ConflictError, LeaseLostError, PlatformUnavailableError
-from swifttrestle.internal.coordination.acceptance import decide_acceptance, split_shards
-from swifttrestle.internal.coordination.conditional_writes import read_or_none, write_once
-from swifttrestle.internal.coordination.leases import LeaseManager
-from swifttrestle.internal.coordination.object_cache import ObjectCache
+from swifttrestle.internal.coordination.configuration.acceptance import (
+    decide_acceptance,
+    split_shards,
+)
+from swifttrestle.internal.coordination.duties.leases import LeaseManager
+from swifttrestle.internal.coordination.store.conditional_writes import read_or_none, write_once
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.logs import log_info, log_warning
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.platform import ObjectApi
--- a/src/swifttrestle/internal/coordination/configuration.py
+++ b/src/swifttrestle/internal/coordination/configuration/configuration.py
@@ -11,7 +11,7 @@
     PlatformUnavailableError,
 )
 from swifttrestle.internal.clock import read_boottime_seconds
-from swifttrestle.internal.coordination.entries import SkippedEntries
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.policy.backoff import draw_backoff
 from swifttrestle.internal.protocol.copies import ConfigurationCopy
--- a/src/swifttrestle/internal/coordination/exchange.py
+++ b/src/swifttrestle/internal/coordination/configuration/exchange.py
@@ -3,8 +3,11 @@
 import asyncio
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
-from swifttrestle.internal.coordination.peer_listener import IO_TIMEOUT_SECONDS, PeerListener
+from swifttrestle.internal.coordination.configuration.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.membership.peer_listener import (
+    IO_TIMEOUT_SECONDS,
+    PeerListener,
+)
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.protocol.copies import MAX_CONFIGURATION_BYTES, pack_copy, unpack_copy
 from swifttrestle.internal.state.store_epochs import NO_REVISION, StoreRevision
--- a/src/swifttrestle/internal/coordination/freshness_monitor.py
+++ b/src/swifttrestle/internal/coordination/configuration/freshness_monitor.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable, Sequence
 
 from swifttrestle.errors import BadEntryError, NotFoundError, PlatformUnavailableError
-from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
-from swifttrestle.internal.coordination.zone_aggregators import ZoneAggregators
+from swifttrestle.internal.coordination.configuration.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.membership.zone_aggregators import ZoneAggregators
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.policy.revocation import is_fresh
 from swifttrestle.internal.policy.scheduling import is_large_fleet
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The discovery list of upstreams: its watch, relays, removals and restores."""
--- a/src/swifttrestle/internal/coordination/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery/discovery.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 
 from swifttrestle.errors import HistoryGoneError, PlatformUnavailableError
-from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
-from swifttrestle.internal.coordination.listing_relay import ListingRelay
-from swifttrestle.internal.coordination.removals import Removals
-from swifttrestle.internal.coordination.restored_entries import RestoredEntries
-from swifttrestle.internal.coordination.store_availability import StoreAvailability
+from swifttrestle.internal.coordination.discovery.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.discovery.removals import Removals
+from swifttrestle.internal.coordination.discovery.restored_entries import RestoredEntries
+from swifttrestle.internal.coordination.store.entries import SkippedEntries, UpstreamEntries
+from swifttrestle.internal.coordination.store.store_availability import StoreAvailability
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.policy.backoff import draw_backoff
 from swifttrestle.internal.protocol.listings import ListingChanges, join_changes
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, and the duties that their holder performs for the whole fleet."""
--- a/src/swifttrestle/internal/coordination/duties.py
+++ b/src/swifttrestle/internal/coordination/duties/duties.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from swifttrestle.internal.coordination.capacity import CapacityDuty
-from swifttrestle.internal.coordination.discovery import Discovery
-from swifttrestle.internal.coordination.duty_lease import DutyLeaseManager
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.freshness_monitor import FreshnessMonitor
-from swifttrestle.internal.coordination.gossip import Gossip
-from swifttrestle.internal.coordination.roles import RoleDuty
-from swifttrestle.internal.coordination.usage import UsageDuty
+from swifttrestle.internal.coordination.configuration.freshness_monitor import FreshnessMonitor
+from swifttrestle.internal.coordination.discovery.discovery import Discovery
+from swifttrestle.internal.coordination.duties.capacity import CapacityDuty
+from swifttrestle.internal.coordination.duties.duty_lease import DutyLeaseManager
+from swifttrestle.internal.coordination.duties.roles import RoleDuty
+from swifttrestle.internal.coordination.duties.usage import UsageDuty
+from swifttrestle.internal.coordination.membership.gossip import Gossip
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.median_clock import MedianClock
--- a/src/swifttrestle/internal/coordination/duty_lease.py
+++ b/src/swifttrestle/internal/coordination/duties/duty_lease.py
@@ -22,7 +22,7 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from swifttrestle.internal.coordination.entries import SkippedEntries
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.state.duties import (
     DutyLease,
--- a/src/swifttrestle/internal/coordination/leases.py
+++ b/src/swifttrestle/internal/coordination/duties/leases.py
@@ -19,8 +19,8 @@
     PlatformUnavailableError,
 )
 from swifttrestle.internal.clock import Clock
-from swifttrestle.internal.coordination.conditional_writes import read_or_none, write_once
-from swifttrestle.internal.coordination.object_cache import ObjectCache
+from swifttrestle.internal.coordination.store.conditional_writes import read_or_none, write_once
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.logs import log_info
 from swifttrestle.internal.protocol.platform import ObjectApi, StoredObject
 
--- a/src/swifttrestle/internal/coordination/roles.py
+++ b/src/swifttrestle/internal/coordination/duties/roles.py
@@ -10,8 +10,8 @@
     PlatformUnavailableError,
     UpstreamBrokenError,
 )
-from swifttrestle.internal.coordination.duty_lease import DutyLeaseManager
-from swifttrestle.internal.coordination.gossip import Gossip
+from swifttrestle.internal.coordination.duties.duty_lease import DutyLeaseManager
+from swifttrestle.internal.coordination.membership.gossip import Gossip
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.role_delay import RoleChangeDelay
--- a/src/swifttrestle/internal/coordination/usage.py
+++ b/src/swifttrestle/internal/coordination/duties/usage.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from swifttrestle.errors import LeaseLostError
-from swifttrestle.internal.coordination.duty_lease import DutyLeaseManager
+from swifttrestle.internal.coordination.duties.duty_lease import DutyLeaseManager
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.usage_windows import (
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet: heartbeats, live hosts, and who reports to whom."""
--- a/src/swifttrestle/internal/coordination/gossip.py
+++ b/src/swifttrestle/internal/coordination/membership/gossip.py
@@ -10,16 +10,19 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from swifttrestle.internal.coordination.candidates import DutyCandidates
-from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.exchange import ConfigurationExchange
-from swifttrestle.internal.coordination.peer_listener import PeerListener
-from swifttrestle.internal.coordination.recipients import ReportRecipients
-from swifttrestle.internal.coordination.registration import register_host, restore_registration
-from swifttrestle.internal.coordination.role_orders import RoleOrders
-from swifttrestle.internal.coordination.rosters import Rosters
-from swifttrestle.internal.coordination.zone_demand import ZoneDemand
+from swifttrestle.internal.coordination.configuration.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.configuration.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.duties.role_orders import RoleOrders
+from swifttrestle.internal.coordination.membership.candidates import DutyCandidates
+from swifttrestle.internal.coordination.membership.peer_listener import PeerListener
+from swifttrestle.internal.coordination.membership.recipients import ReportRecipients
+from swifttrestle.internal.coordination.membership.registration import (
+    register_host,
+    restore_registration,
+)
+from swifttrestle.internal.coordination.membership.rosters import Rosters
+from swifttrestle.internal.coordination.membership.zone_demand import ZoneDemand
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
 from swifttrestle.internal.protocol.rosters import RosterSummary
--- a/src/swifttrestle/internal/coordination/membership.py
+++ b/src/swifttrestle/internal/coordination/membership/membership.py
@@ -21,8 +21,8 @@
 )
 from swifttrestle.internal.checks import parse_address
 from swifttrestle.internal.clock import Clock
-from swifttrestle.internal.coordination.conditional_writes import read_or_none, update_object
-from swifttrestle.internal.coordination.object_cache import ObjectCache
+from swifttrestle.internal.coordination.store.conditional_writes import read_or_none, update_object
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.logs import log_info, log_warning
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.peers import (
--- a/src/swifttrestle/internal/coordination/recipients.py
+++ b/src/swifttrestle/internal/coordination/membership/recipients.py
@@ -6,8 +6,8 @@
 import random
 from collections.abc import Callable, Iterable
 
-from swifttrestle.internal.coordination.candidates import DutyCandidates
-from swifttrestle.internal.coordination.zone_aggregators import ZoneAggregators
+from swifttrestle.internal.coordination.membership.candidates import DutyCandidates
+from swifttrestle.internal.coordination.membership.zone_aggregators import ZoneAggregators
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import Peer, PeerTable
--- a/src/swifttrestle/internal/coordination/registration.py
+++ b/src/swifttrestle/internal/coordination/membership/registration.py
@@ -6,8 +6,8 @@
 
 from swifttrestle.errors import BadEntryError, NotFoundError
 from swifttrestle.internal.checks import check_text
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.store_retry import retry_until_done
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
+from swifttrestle.internal.coordination.store.store_retry import retry_until_done
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import PeerTable
 from swifttrestle.platform.objects import StoredObject
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of engines of the own interface: actors, views and orders."""
--- a/src/swifttrestle/internal/coordination/actors.py
+++ b/src/swifttrestle/internal/coordination/pools/actors.py
@@ -14,10 +14,10 @@
 from loguru import logger
 
 from swifttrestle.errors import ConflictError, PlatformUnavailableError
-from swifttrestle.internal.coordination.conditional_writes import update_object
-from swifttrestle.internal.coordination.config_authority import ConfigAuthority
-from swifttrestle.internal.coordination.engine_views import PoolStatus
-from swifttrestle.internal.coordination.pools import Pool
+from swifttrestle.internal.coordination.configuration.config_authority import ConfigAuthority
+from swifttrestle.internal.coordination.pools.engine_views import PoolStatus
+from swifttrestle.internal.coordination.pools.pools import Pool
+from swifttrestle.internal.coordination.store.conditional_writes import update_object
 from swifttrestle.internal.protocol.platform import ObjectApi
 from swifttrestle.resources import ResourceSet
 
--- a/src/swifttrestle/internal/coordination/engine_views.py
+++ b/src/swifttrestle/internal/coordination/pools/engine_views.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from swifttrestle.internal.coordination.orders import Order
+from swifttrestle.internal.coordination.pools.orders import Order
 from swifttrestle.internal.protocol.engine import Engine, EngineState, LoadReport
 
 
--- a/src/swifttrestle/internal/coordination/orders.py
+++ b/src/swifttrestle/internal/coordination/pools/orders.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from swifttrestle.errors import BadPlatformAnswerError, ConflictError
-from swifttrestle.internal.coordination.conditional_writes import read_or_none, write_once
-from swifttrestle.internal.coordination.object_cache import ObjectCache
+from swifttrestle.internal.coordination.store.conditional_writes import read_or_none, write_once
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.protocol.engine import EngineAssignment, read_assignment
 from swifttrestle.internal.protocol.platform import ObjectApi
 
--- a/src/swifttrestle/internal/coordination/pools.py
+++ b/src/swifttrestle/internal/coordination/pools/pools.py
@@ -20,12 +20,16 @@
     UpstreamError,
 )
 from swifttrestle.internal.clock import Clock
-from swifttrestle.internal.coordination.engine_views import EngineView, PoolStatus, describe_view
-from swifttrestle.internal.coordination.hosts import HostTracker
-from swifttrestle.internal.coordination.leases import Holder, LeaseManager, make_fence
-from swifttrestle.internal.coordination.membership import MEMBER, Membership, read_member
-from swifttrestle.internal.coordination.object_cache import ObjectCache
-from swifttrestle.internal.coordination.orders import Order, OrderLog, Stage
+from swifttrestle.internal.coordination.duties.leases import Holder, LeaseManager, make_fence
+from swifttrestle.internal.coordination.membership.hosts import HostTracker
+from swifttrestle.internal.coordination.membership.membership import MEMBER, Membership, read_member
+from swifttrestle.internal.coordination.pools.engine_views import (
+    EngineView,
+    PoolStatus,
+    describe_view,
+)
+from swifttrestle.internal.coordination.pools.orders import Order, OrderLog, Stage
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.logs import log_info, log_warning
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.roles import EngineLoad, RolePlanner
--- /dev/null
+++ b/src/swifttrestle/internal/coordination/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Paths and records that hosts share: relayed connections, crash records, prompt caches."""
--- a/src/swifttrestle/internal/coordination/quarantine_store.py
+++ b/src/swifttrestle/internal/coordination/sharing/quarantine_store.py
@@ -12,8 +12,8 @@
 
 from swifttrestle.errors import BadEntryError, NotFoundError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
-from swifttrestle.internal.coordination.entries import SkippedEntries
-from swifttrestle.internal.coordination.store_retry import retry_until_done
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
+from swifttrestle.internal.coordination.store.store_retry import retry_until_done
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.forward.crash_guard import CrashGuard
 from swifttrestle.internal.policy.placement import rank
--- a/src/swifttrestle/internal/coordination/relaying.py
+++ b/src/swifttrestle/internal/coordination/sharing/relaying.py
@@ -3,9 +3,9 @@
 import random
 from collections.abc import Callable, Sequence
 
-from swifttrestle.internal.coordination.peer_listener import PeerListener
-from swifttrestle.internal.coordination.relay_server import RelayServer
-from swifttrestle.internal.coordination.relayed_paths import RelayedPaths
+from swifttrestle.internal.coordination.membership.peer_listener import PeerListener
+from swifttrestle.internal.coordination.sharing.relay_server import RelayServer
+from swifttrestle.internal.coordination.sharing.relayed_paths import RelayedPaths
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.protocol.relays import RELAY_WORD
 from swifttrestle.internal.state.members import Member
--- a/src/swifttrestle/internal/entry/idempotency.py
+++ b/src/swifttrestle/internal/entry/idempotency.py
@@ -20,7 +20,7 @@
     RefusedError,
 )
 from swifttrestle.internal.clock import read_boottime_seconds
-from swifttrestle.internal.coordination.conditional_writes import write_once
+from swifttrestle.internal.coordination.store.conditional_writes import write_once
 from swifttrestle.internal.protocol.platform import ObjectApi
 from swifttrestle.resources import Service
 
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -6,11 +6,11 @@
 
 import orjson
 
-from swifttrestle.internal.coordination.configuration import ConfigurationWatcher
-from swifttrestle.internal.coordination.discovery import Discovery
-from swifttrestle.internal.coordination.duties import Duties
-from swifttrestle.internal.coordination.gossip import Gossip
-from swifttrestle.internal.coordination.relaying import Relaying
+from swifttrestle.internal.coordination.configuration.configuration import ConfigurationWatcher
+from swifttrestle.internal.coordination.discovery.discovery import Discovery
+from swifttrestle.internal.coordination.duties.duties import Duties
+from swifttrestle.internal.coordination.membership.gossip import Gossip
+from swifttrestle.internal.coordination.sharing.relaying import Relaying
 from swifttrestle.internal.event_log import WRITER
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.pages import Page, PageHandler
--- a/src/swifttrestle/internal/process.py
+++ b/src/swifttrestle/internal/process.py
@@ -11,14 +11,14 @@
 from swifttrestle.errors import InvalidSettingError, SwifttrestleError
 from swifttrestle.internal.checks import parse_address
 from swifttrestle.internal.clock import MonotonicClock
-from swifttrestle.internal.coordination.membership import (
+from swifttrestle.internal.coordination.membership.membership import (
     MEMBER,
     Membership,
     OpenRequestCounter,
     bind_listener,
     choose_incarnation,
 )
-from swifttrestle.internal.coordination.object_cache import ObjectCache
+from swifttrestle.internal.coordination.store.object_cache import ObjectCache
 from swifttrestle.internal.logs import log_info, setup_logs
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.peers import Identity
--- a/src/swifttrestle/internal/state/upstreams.py
+++ b/src/swifttrestle/internal/state/upstreams.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 
 from swifttrestle.internal.clock import Clock
-from swifttrestle.internal.coordination.membership import OpenRequestCounter
+from swifttrestle.internal.coordination.membership.membership import OpenRequestCounter
 from swifttrestle.internal.policy.ejection import Ejector
 from swifttrestle.internal.policy.routing import (
     DEFAULT_PREFILL_RATE,
--- a/tests/common/discovery.py
+++ b/tests/common/discovery.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from swifttrestle.internal.coordination.discovery import Discovery
-from swifttrestle.internal.coordination.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.discovery.discovery import Discovery
+from swifttrestle.internal.coordination.discovery.listing_relay import ListingRelay
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle_standins.hosted.direct import DirectStore
 from tests.common.fakes import make_skipped_entries
--- a/tests/common/fakes.py
+++ b/tests/common/fakes.py
@@ -2,7 +2,7 @@
 
 from swifttrestle.errors import ConflictError, NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.clock import Clock
-from swifttrestle.internal.coordination.entries import SkippedEntries
+from swifttrestle.internal.coordination.store.entries import SkippedEntries
 from swifttrestle.internal.protocol.platform import Listing, ObjectApi, StoredObject
 
 
--- a/tests/common/weakened.py
+++ b/tests/common/weakened.py
@@ -5,8 +5,8 @@
 
 from swifttrestle import controller, entry
 from swifttrestle.errors import UpstreamError
-from swifttrestle.internal.coordination.orders import Stage
-from swifttrestle.internal.coordination.pools import Pool
+from swifttrestle.internal.coordination.pools.orders import Stage
+from swifttrestle.internal.coordination.pools.pools import Pool
 from swifttrestle.internal.entry.relay import Relay
 from swifttrestle.internal.protocol.tokens import TokenChecker
 from swifttrestle.internal.state.config import ConfigStore
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -11,8 +11,8 @@
 import pytest
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
-from swifttrestle.internal.coordination.discovery import Discovery
-from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
+from swifttrestle.internal.coordination.discovery.discovery import Discovery
+from swifttrestle.internal.coordination.store.entries import SkippedEntries, UpstreamEntries
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.store_epochs import StoreRevision
--- a/tests/cover/test_gateway_policies.py
+++ b/tests/cover/test_gateway_policies.py
@@ -12,7 +12,7 @@
     NotFoundError,
     PlatformUnavailableError,
 )
-from swifttrestle.internal.coordination.duty_lease import DutyLeaseManager
+from swifttrestle.internal.coordination.duties.duty_lease import DutyLeaseManager
 from swifttrestle.internal.forward.gateway_state import RetryBudgets
 from swifttrestle.internal.policy.placement import (
     pick_decode_engine,
--- a/tests/cover/test_hosts.py
+++ b/tests/cover/test_hosts.py
@@ -1,7 +1,7 @@
 """When the host list shows that a host is gone."""
 
 from swifttrestle.errors import PlatformUnavailableError
-from swifttrestle.internal.coordination.hosts import HostTracker
+from swifttrestle.internal.coordination.membership.hosts import HostTracker
 from swifttrestle.internal.protocol.platform import HostRecord
 from tests.common.fakes import FakeClock
 
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -3,8 +3,8 @@
 import pytest
 
 from swifttrestle.errors import ConflictError, LeaseLostError
-from swifttrestle.internal.coordination.conditional_writes import update_object, write_once
-from swifttrestle.internal.coordination.leases import LEASE, Holder, LeaseManager, make_fence
+from swifttrestle.internal.coordination.duties.leases import LEASE, Holder, LeaseManager, make_fence
+from swifttrestle.internal.coordination.store.conditional_writes import update_object, write_once
 from tests.common.fakes import FakeApi, FakeCache, FakeClock
 
 DURATION_SECONDS, MARGIN_SECONDS = 9.0, 1.0
--- a/tests/cover/test_other_writers.py
+++ b/tests/cover/test_other_writers.py
@@ -14,7 +14,7 @@
     FrameError,
     UpstreamBrokenError,
 )
-from swifttrestle.internal.coordination.entries import SkippedEntries, UpstreamEntries
+from swifttrestle.internal.coordination.store.entries import SkippedEntries, UpstreamEntries
 from swifttrestle.internal.protocol.bookings import (
     BookingQuery,
     Grant,
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -5,11 +5,11 @@
 from hypothesis import strategies as st
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.coordination.candidates import DutyCandidates
-from swifttrestle.internal.coordination.role_orders import RoleOrders
-from swifttrestle.internal.coordination.rosters import Rosters
-from swifttrestle.internal.coordination.store_availability import StoreAvailability
-from swifttrestle.internal.coordination.zone_demand import ZoneDemand
+from swifttrestle.internal.coordination.duties.role_orders import RoleOrders
+from swifttrestle.internal.coordination.membership.candidates import DutyCandidates
+from swifttrestle.internal.coordination.membership.rosters import Rosters
+from swifttrestle.internal.coordination.membership.zone_demand import ZoneDemand
+from swifttrestle.internal.coordination.store.store_availability import StoreAvailability
 from swifttrestle.internal.policy.scheduling import list_aggregators
 from swifttrestle.internal.protocol.rosters import (
     ENTRIES_PER_PART,
--- a/tests/cover/test_policies.py
+++ b/tests/cover/test_policies.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from swifttrestle.internal.coordination.acceptance import (
+from swifttrestle.internal.coordination.configuration.acceptance import (
     MAX_SHARD_BYTES,
     decide_acceptance,
     split_shards,
--- a/tests/cover/test_prompt_cache_loader.py
+++ b/tests/cover/test_prompt_cache_loader.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swifttrestle.errors import UpstreamBrokenError
-from swifttrestle.internal.coordination.prompt_cache_loader import (
+from swifttrestle.internal.coordination.sharing.prompt_cache_loader import (
     MAX_QUERIED_ENGINES,
     PromptCacheLoader,
 )
--- a/tests/cover/test_quarantine_relay.py
+++ b/tests/cover/test_quarantine_relay.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from swifttrestle.internal.coordination import quarantine_relay
-from swifttrestle.internal.coordination.quarantine_relay import (
+from swifttrestle.internal.coordination.sharing import quarantine_relay
+from swifttrestle.internal.coordination.sharing.quarantine_relay import (
     PUSH_SECONDS,
     SUSPENDED_SECONDS,
     QuarantineRelay,
--- a/tests/cover/test_restored_lease.py
+++ b/tests/cover/test_restored_lease.py
@@ -10,7 +10,7 @@
 import pytest
 
 from swifttrestle.errors import LeaseLostError, PlatformUnavailableError
-from swifttrestle.internal.coordination.duty_lease import ARRIVAL_SECONDS, DutyLeaseManager
+from swifttrestle.internal.coordination.duties.duty_lease import ARRIVAL_SECONDS, DutyLeaseManager
 from swifttrestle_standins.hosted.direct import DirectStore
 from swifttrestle_standins.hosted.store import StandInStore
 from swifttrestle_standins.virtual_time import run_in_virtual_time
--- a/tests/cover/test_revocation.py
+++ b/tests/cover/test_revocation.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from swifttrestle.errors import BadEntryError, FrameError
-from swifttrestle.internal.coordination import freshness_monitor
+from swifttrestle.internal.coordination.configuration import freshness_monitor
 from swifttrestle.internal.policy import revocation
 from swifttrestle.internal.policy.revocation import Verdict, check_key
 from swifttrestle.internal.protocol.freshness import (
--- a/tests/cover/test_starts.py
+++ b/tests/cover/test_starts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from swifttrestle.internal.coordination.role_orders import RoleOrders
+from swifttrestle.internal.coordination.duties.role_orders import RoleOrders
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.fetching import list_sources
--- a/tests/cover/test_suspension.py
+++ b/tests/cover/test_suspension.py
@@ -14,7 +14,7 @@
 from swifttrestle.internal import clock
 from swifttrestle.internal.boottime_loop import run_in_loop
 from swifttrestle.internal.clock import MonotonicClock, read_boottime_seconds
-from swifttrestle.internal.coordination.duty_lease import SEND_SECONDS, DutyLeaseManager
+from swifttrestle.internal.coordination.duties.duty_lease import SEND_SECONDS, DutyLeaseManager
 from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
 from swifttrestle.platform.objects import StoredObject
 from tests.common.fakes import make_skipped_entries
--- a/tests/cover/test_time_bounds.py
+++ b/tests/cover/test_time_bounds.py
@@ -5,15 +5,14 @@
 
 import pytest
 
-from swifttrestle.internal.coordination import (
+from swifttrestle.internal.coordination.configuration import (
     configuration,
-    discovery,
     exchange,
     freshness_monitor,
-    gossip,
-    quarantine_relay,
-    removals,
 )
+from swifttrestle.internal.coordination.discovery import discovery, removals
+from swifttrestle.internal.coordination.membership import gossip
+from swifttrestle.internal.coordination.sharing import quarantine_relay
 from swifttrestle.internal.forward import crash_detection
 from swifttrestle.internal.policy import revocation
 from swifttrestle.internal.policy.backoff import find_max_backoff
--- a/tests/hosted/test_lost_paths.py
+++ b/tests/hosted/test_lost_paths.py
@@ -1,7 +1,7 @@
 """A host whose path to the store failed learns from its peers that there was no outage."""
 
 from swifttrestle.errors import PlatformUnavailableError
-from swifttrestle.internal.coordination import removals
+from swifttrestle.internal.coordination.discovery import removals
 from swifttrestle_standins.hosted.site import wait_until
 from tests.hosted.sites import on_site
 
--- a/tests/hosted/test_relayed_connection_failures.py
+++ b/tests/hosted/test_relayed_connection_failures.py
@@ -10,7 +10,7 @@
 import pytest
 
 from swifttrestle.errors import RelayRefusedError, UpstreamBrokenError, UpstreamUnreachedError
-from swifttrestle.internal.coordination import relay_server
+from swifttrestle.internal.coordination.sharing import relay_server
 from swifttrestle.internal.protocol.relays import RELAY_WORD
 from swifttrestle.internal.transport.dialer import Dialer
 from swifttrestle.internal.transport.messages import Framing
--- a/tests/hosted/test_slow_links.py
+++ b/tests/hosted/test_slow_links.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from swifttrestle.internal.coordination.exchange import ConfigurationExchange
-from swifttrestle.internal.coordination.peer_listener import PeerListener
+from swifttrestle.internal.coordination.configuration.exchange import ConfigurationExchange
+from swifttrestle.internal.coordination.membership.peer_listener import PeerListener
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.loopback import pick_ip, pick_port
 from swifttrestle_standins.pieces import cut_pieces
--- a/tests/hosted/test_store_restores.py
+++ b/tests/hosted/test_store_restores.py
@@ -4,8 +4,11 @@
 
 import pytest
 
-from swifttrestle.internal.coordination.quarantine_store import QUARANTINE_KIND, QUARANTINE_NAME
-from swifttrestle.internal.coordination.registration import PEER_KIND
+from swifttrestle.internal.coordination.membership.registration import PEER_KIND
+from swifttrestle.internal.coordination.sharing.quarantine_store import (
+    QUARANTINE_KIND,
+    QUARANTINE_NAME,
+)
 from swifttrestle.internal.policy import scheduling
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
 from swifttrestle.internal.state.fingerprints import Fingerprint
--- a/tests/hosted/test_stored_quarantine.py
+++ b/tests/hosted/test_stored_quarantine.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from swifttrestle.internal.coordination.quarantine_store import (
+from swifttrestle.internal.coordination.sharing.quarantine_store import (
     MAX_STORED_REQUESTS,
     QUARANTINE_KIND,
     QUARANTINE_NAME,
