Hosts of every zone send their usage to the holder of the duties

Cause: in a large fleet only the zone of the duty lease's holder, and aggregators, knew who holds it. Other hosts sent their usage to the first candidates by name.

Change: aggregators name the holder to their own zones too. They accept it only from aggregators of the holder's zone, so that they do not confirm a lost holder to each other.

--- a/src/swifttrestle/internal/coordination/membership/candidates.py
+++ b/src/swifttrestle/internal/coordination/membership/candidates.py
@@ -51,18 +51,17 @@
         return not self.leaving and self._me.host in self.list_candidates()[:2]
 
     def find_holder(self, zone: str) -> str:
-        """Return the host of a zone that reports holding the lease, or ""."""
+        """Return the host that holds the lease, preferably one of a zone, or ""."""
         if self.holds_duty_lease:
             return self._me.host
         now = self._now()
-        return next(
-            (
-                peer.host
-                for peer in self._peers.peers.values()
-                if peer.zone == zone and peer.is_alive(now) and peer.holds_duty_lease(now)
-            ),
-            "",
-        )
+        holders = [
+            peer
+            for peer in self._peers.peers.values()
+            if peer.is_seen(now) and peer.holds_duty_lease(now)
+        ]
+        near = [peer for peer in holders if peer.zone == zone]
+        return next((peer.host for peer in (*near, *holders)), "")
 
     def list_candidates(self) -> list[str]:
         """Return the candidates in order of preference, the holder first."""
--- a/src/swifttrestle/internal/coordination/membership/gossip.py
+++ b/src/swifttrestle/internal/coordination/membership/gossip.py
@@ -359,8 +359,7 @@
             store_unreachable=summary.store_unreachable,
         )
         self._record_heartbeat(heartbeat)
-        for holder in self.recipients.list_named([summary.duty_lease_holder]):
-            holder.held_duty_lease_at = now
+        self._note_holder(summary, now)
         if summary.zone == self._me.zone and self.recipients.is_aggregator():
             self._demand.drop_zone(summary.zone)
         else:
@@ -368,6 +367,16 @@
         self._role_orders.apply_shared(summary.roles, summary.host)
         self._handle_version(summary.host, ip, summary.config_version)
 
+    def _note_holder(self, summary: RosterSummary, now: float) -> None:
+        """Record the holder of the duty lease that a summary names.
+
+        Aggregators accept only holders of the sender's own zone: otherwise they would confirm a
+        lost holder to each other for ever. They pass the holder on to the hosts of their zones.
+        """
+        for holder in self.recipients.list_named([summary.duty_lease_holder]):
+            if holder.zone == summary.zone or not self.recipients.is_aggregator():
+                holder.held_duty_lease_at = now
+
     def _record_heartbeat(self, heartbeat: Heartbeat) -> bool:
         joined = self._peers.record_heartbeat(heartbeat, self._now())
         if joined or heartbeat.leaving:
--- a/src/swifttrestle/internal/protocol/rosters.py
+++ b/src/swifttrestle/internal/protocol/rosters.py
@@ -62,8 +62,9 @@
     """The periodic report of a zone aggregator to its zone and to other aggregators.
 
     `own` confirms the roster of its own zone, `others` those received from other aggregators.
-    `duty_lease_holder` is the host of its zone that holds the duty lease, or empty. `demand` is the
-    load offered by all callers of its zone, by service. `roles` maps an engine to its ordered role
+    `duty_lease_holder` is the host that holds the duty lease, or empty if the sender knows none;
+    only aggregators of the holder's zone know it first-hand. `demand` is the load offered by all
+    callers of its zone, by service. `roles` maps an engine to its ordered role
     and the seconds until that takes effect, negative if that time has passed.
     """
 
--- a/tests/hosted/test_rosters.py
+++ b/tests/hosted/test_rosters.py
@@ -1,10 +1,12 @@
 """Live hosts of a large fleet, where hosts report to zone aggregators only."""
 
 import asyncio
+import functools
 
 import pytest
 
 from swifttrestle.internal.policy import scheduling
+from swifttrestle.internal.state.peers import PEER_TIMEOUT_SECONDS
 from swifttrestle.internal.transport.datagrams import DatagramKind
 from swifttrestle_standins.hosted.site import wait_until
 from tests.common.http import ask
@@ -190,3 +192,55 @@
 
     # The demand decays, and the shares of other hosts are up to two heartbeats old.
     await wait_until(lambda: 0.5 * own < total() <= own, "demand of all zones")
+
+
+def find_duties(site, name):
+    return site.gateways[name].gateway._duties
+
+
+def find_holders(site):
+    return [name for name in site.gateways if find_duties(site, name)._holds_lease()]
+
+
+def list_collectors(site, name):
+    return [item.host for item in find_duties(site, name)._list_collectors()]
+
+
+@pytest.mark.parametrize("holder", ["g0", "hall-b-1", "hall-c-2"])
+@on_site(gateways=3)
+async def test_every_host_sends_its_usage_to_the_holder_of_the_duties_in_any_zone(site, holder):
+    """Guards against usage reports that lack the requests of the zones without the holder."""
+    await add_zones(site)
+    for name in site.gateways:
+        candidates = site.gateways[name].gateway._gossip.candidates
+        candidates.is_candidate = functools.partial(str.__eq__, name, holder)
+    await wait_until(lambda: find_holders(site) == [holder], "the holder")
+    others = set(site.gateways) - {holder}
+    await wait_until(
+        lambda: all(holder in list_collectors(site, name) for name in others), "known everywhere"
+    )
+    # Longer than what hosts knew from before is valid.
+    for _ in range(8):
+        await asyncio.sleep(PEER_TIMEOUT_SECONDS / 4)
+        assert [name for name in others if holder not in list_collectors(site, name)] == []
+
+
+@on_site(gateways=3)
+async def test_a_lost_holder_of_the_duties_is_forgotten_by_all_hosts(site):
+    """Guards against aggregators that keep confirming a lost holder to each other."""
+    await add_zones(site)
+    await wait_until(lambda: find_holders(site), "a holder")
+    (holder,) = find_holders(site)
+    gossips = {name: site.gateways[name].gateway._gossip for name in site.gateways}
+    peers = [gossip._peers.peers for name, gossip in gossips.items() if name != holder]
+    await wait_until(lambda: all(table[holder].holds_duty_lease(now()) for table in peers), "known")
+    for name in site.gateways:
+        gossips[name].candidates.is_candidate = lambda: False
+    stop_host(site, holder)
+    await wait_until(
+        lambda: not any(table[holder].holds_duty_lease(now()) for table in peers), "forgotten"
+    )
+
+
+def now():
+    return asyncio.get_running_loop().time()
