Shared prompt parts have one home zone across all regions

policy/distance.py measures distances between zones and their costs. After the home zone, the zones of the caller's region are asked.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -35,6 +35,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
+from swifttrestle.internal.policy.distance import Topology
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
@@ -78,7 +79,7 @@
         rng = self._rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
         self._metrics = Metrics()
-        self._fleet = Fleet()
+        self._fleet = Fleet(Topology(settings.regions))
         self._budgets = RetryBudgets(
             bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds
         )
@@ -136,7 +137,6 @@
             socket,
             settings.host,
             self._gossip.list_members,
-            settings.is_in_same_region,
         )
         self._gossip.recipients.list_schedulers = self._booker.list_schedulers
         self._quarantine_store = QuarantineStore(
--- a/src/swifttrestle/internal/forward/scheduled_booking.py
+++ b/src/swifttrestle/internal/forward/scheduled_booking.py
@@ -48,7 +48,8 @@
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
 # Timeout for a scheduler's first reply, which grants engines or states that the request waits: some
-# round trips between availability zones, plus queueing on the hosts' links.
+# round trips between availability zones, plus queueing on the hosts' links. A scheduler in another
+# region has the longer round trip in addition.
 REPLY_TIMEOUT_SECONDS = 0.05
 # Consecutive missing replies after which a scheduler is not asked for some seconds. A single
 # datagram may be lost, and booking locally uses outdated load reports.
@@ -86,14 +87,8 @@
         socket: PeerSocket,
         host: str,
         list_members: Callable[[], Sequence[Member]],
-        is_in_same_region: Callable[[str], bool] = lambda zone: True,
     ) -> None:
-        """Book through `local` where no other host schedules.
-
-        `is_in_same_region` returns whether a zone is in this host's region; only such zones are
-        home zones.
-        """
-        self._is_in_same_region = is_in_same_region
+        """Book through `local` where no other host schedules."""
         self._local = local
         self._state = state
         self._socket = socket
@@ -171,7 +166,8 @@
         self, scheduler: Member, replies: "asyncio.Queue[Message]", request: BookingRequest
     ) -> Booking | NoCapacity | None:
         """Return the scheduler's reply; None if it names engines that this host cannot use."""
-        timeout_seconds = REPLY_TIMEOUT_SECONDS
+        distance = self._state.fleet.topology.measure(self._state.zone, scheduler.zone)
+        timeout_seconds = REPLY_TIMEOUT_SECONDS + distance.extra_seconds
         while True:
             async with asyncio.timeout(timeout_seconds):
                 reply = await replies.get()
@@ -239,9 +235,7 @@
         known = self._home_zones.get(service)
         if known is None or _now() >= known.until:
             engines = self._state.fleet.list_service(service)
-            zones = {
-                item.zone for item in self._list_members() if self._is_in_same_region(item.zone)
-            }
+            zones = {item.zone for item in self._list_members()}
             weights = count_engines_by_zone(engines, zones)
             effective_read_rate = max((item.effective_read_rate for item in engines), default=0.0)
             known = _HomeZones(_now() + HOME_ZONES_TTL_SECONDS, weights, effective_read_rate)
@@ -254,7 +248,11 @@
             return
         home_zones = self._find_home_zones(request.service)
         for zone in list_home_zones(
-            request.parts, home_zones.weights, home_zones.effective_read_rate, request.zone
+            request.parts,
+            home_zones.weights,
+            home_zones.effective_read_rate,
+            request.zone,
+            self._state.fleet.topology,
         ):
             found = self._find_scheduler(
                 request.service, zone if zone in home_zones.weights else ""
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from swifttrestle.internal.callbacks import do_nothing
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.state.declared import EngineTraits, Role, UpstreamRecord
 from swifttrestle.internal.state.prompt_cache import PromptCache, SentPrompt
 
@@ -116,7 +117,9 @@
 class Fleet:
     """All listed upstream instances."""
 
-    def __init__(self) -> None:
+    def __init__(self, topology: Topology = NO_REGIONS) -> None:
+        """Start without instances; `topology` has the regions of the zones."""
+        self.topology = topology
         # The current incarnations, by name.
         self.instances: dict[str, Instance] = {}
         # The name of the current incarnation, by the instance in the discovery list.
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -67,11 +67,6 @@
     link_mbps: float = 0.0
     regions: dict[str, str] = field(default_factory=dict)
 
-    def is_in_same_region(self, zone: str) -> bool:
-        """Return whether a zone is in this host's region, or its region is unknown."""
-        own_region = self.regions.get(self.zone)
-        return own_region is None or self.regions.get(zone, own_region) == own_region
-
 
 def load_host_settings(env: Mapping[str, str] = os.environ) -> HostSettings:
     """Read the settings file named by the environment; raise InvalidSettingError."""
