Decisions that compare zones use the distance between regions

Plain upstreams and decode engines of another region are used where the wait in this region exceeds the longer way; prefill engines are searched in the zone, the region, then other regions.

The distance of the chosen upstreams is in the request's steps and counted by gateway_requests_by_distance_total; /debug/state has zone and region of the host and of the instances.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -194,6 +194,7 @@
             settings.host,
             self._gossip.list_members,
             rng.getrandbits(NUMBER_BITS),
+            self._fleet.topology,
         )
         self._state.guard.request_trial = permits.request_trial
         self._state.streams = self._streams = SharedStreamDirectory(
--- a/src/swifttrestle/internal/coordination/sharing/prompt_cache_loader.py
+++ b/src/swifttrestle/internal/coordination/sharing/prompt_cache_loader.py
@@ -66,6 +66,8 @@
             return
         engines = self._list_engines()
         self._rng.shuffle(engines)
+        topology = self._fleet.topology
+        engines.sort(key=lambda item: not topology.is_same_region(self._zone, item.record.zone))
         for engine in engines[:MAX_QUERIED_ENGINES]:
             await self._load(engine)
 
--- a/src/swifttrestle/internal/coordination/sharing/relayed_paths.py
+++ b/src/swifttrestle/internal/coordination/sharing/relayed_paths.py
@@ -58,7 +58,7 @@
         rng: random.Random,
     ) -> None:
         """Make all connections of `pool`; peers listen for relayed ones on `port`."""
-        self.paths = UpstreamPaths(local_member, rng)
+        self.paths = UpstreamPaths(local_member, rng, fleet.topology)
         self._local_member = local_member
         self._port = port
         self._pool = pool
--- a/src/swifttrestle/internal/forward/engine_admission.py
+++ b/src/swifttrestle/internal/forward/engine_admission.py
@@ -71,9 +71,11 @@
         if not booked.direct:
             self._state.demand.note_read(ctx.service.name, request.tokens, booked.tokens)
         ctx.note(
-            f"reader {booked.reader.name} wait={booked.wait * 1000:.0f}ms unread={booked.tokens} "
+            f"reader {booked.reader.name} {self._state.measure(booked.reader).value} "
+            f"wait={booked.wait * 1000:.0f}ms unread={booked.tokens} "
             f"from {booked.source.name if booked.source else 'none'} "
             f"decoder {booked.decoder.name} ({booked.decoder.record.build}) "
+            f"{self._state.measure(booked.decoder).value} "
             f"open={booked.decoder.total.requests} "
             f"by {booked.reference.host if booked.reference else 'this host'}"
         )
--- a/src/swifttrestle/internal/forward/engine_finder.py
+++ b/src/swifttrestle/internal/forward/engine_finder.py
@@ -6,7 +6,7 @@
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.policy.fetching import FetchPlan, list_sources, plan_fetch
 from swifttrestle.internal.policy.placement import pick_decode_engine, pick_prefill_engine
-from swifttrestle.internal.policy.scheduling import find_scheduling_group
+from swifttrestle.internal.policy.scheduling import list_search_steps
 from swifttrestle.internal.state.bookings import Booking, BookingRequest
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
@@ -17,9 +17,6 @@
 # Maximum prefill time of a prompt that a decode engine prefills itself: less than the round trip to
 # a prefill engine and the copy of the KV cache.
 MAX_DIRECT_PREFILL_SECONDS = 0.008
-# Maximum wait at another zone's engine, as a share of that in the request's zone: its load is known
-# less precisely, and its cache is less likely to have the shared parts.
-OTHER_ZONE_WAIT_SHARE = 0.5
 
 
 class EngineFinder:
@@ -50,7 +47,8 @@
             return None
         if reader.record.role is Role.DECODE:
             return self._book(reader, reader, request, plan)
-        decoder = self._pick_decode_engine(request, engines, reader.record.zone)
+        copy_seconds = self._predict_copy(request)
+        decoder = self._pick_decode_engine(request, engines, reader.record.zone, copy_seconds)
         return self._book(reader, decoder, request, plan) if decoder else None
 
     def _has_prefill_engines(self, service: str, engines: list[Instance], now: float) -> bool:
@@ -74,23 +72,17 @@
         plan: FetchPlan,
     ) -> Instance | None:
         """Return a prefill engine of the request's group, or of another one with a short wait."""
-        group = find_scheduling_group(engines, request.zone)
-        own_group = [item for item in engines if group in ("", item.record.zone)]
-        other_zones = [item for item in engines if group not in ("", item.record.zone)]
-        for candidates, limit in (
-            (own_group, longest_wait),
-            (other_zones, longest_wait * OTHER_ZONE_WAIT_SHARE),
-        ):
+        for step in list_search_steps(engines, request.zone, self._state.fleet.topology):
             reader = pick_prefill_engine(
-                candidates,
+                step.engines,
                 request.tokens,
                 request.affinity,
                 request.excluded,
                 _now(),
-                limit,
+                longest_wait * step.wait_share - step.way_seconds,
                 request.parts,
                 plan,
-                request.latest_read,
+                request.latest_read - step.way_seconds,
             )
             if reader is not None:
                 return reader
@@ -101,9 +93,28 @@
         return is_short_prompt(request.tokens, self._state.fleet.list_service(request.service))
 
     def _pick_decode_engine(
-        self, request: BookingRequest, engines: list[Instance], near: str
+        self,
+        request: BookingRequest,
+        engines: list[Instance],
+        near: str,
+        copy_seconds: float = 0.0,
     ) -> Instance | None:
-        return pick_decode_engine(engines, near, request.excluded, _now(), urgent=request.urgent)
+        return pick_decode_engine(
+            engines,
+            near,
+            request.excluded,
+            _now(),
+            urgent=request.urgent,
+            topology=self._state.fleet.topology,
+            copy_seconds=copy_seconds,
+        )
+
+    def _predict_copy(self, request: BookingRequest) -> float:
+        """Return the seconds that a copy of the prompt's KV cache takes within a zone."""
+        traits = self._state.fleet.traits.get(request.service)
+        if traits is None or traits.link_bytes_per_second <= 0:
+            return 0.0
+        return request.tokens * traits.kv_bytes_per_token / traits.link_bytes_per_second
 
     def _book(
         self, reader: Instance, decoder: Instance, request: BookingRequest, plan: FetchPlan
@@ -134,7 +145,10 @@
         """Return a function that plans what an engine fetches from the caches of the others."""
         sources = list_sources(engines, request.parts, request.excluded)
         traits = self._state.fleet.traits.get(request.service)
-        return lambda reader, cached_tokens: plan_fetch(reader, cached_tokens, sources, traits)
+        topology = self._state.fleet.topology
+        return lambda reader, cached_tokens: plan_fetch(
+            reader, cached_tokens, sources, traits, topology
+        )
 
 
 def is_short_prompt(tokens: int, engines: list[Instance]) -> bool:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -194,7 +194,13 @@
         # A stream that has begun has no choice of other versions.
         begun = ctx.build is not None
         decoder = pick_decode_engine(
-            engines, self._state.zone, ctx.excluded, now, urgent=ctx.urgent, may_queue=begun
+            engines,
+            self._state.zone,
+            ctx.excluded,
+            now,
+            urgent=ctx.urgent,
+            may_queue=begun,
+            topology=self._state.fleet.topology,
         )
         if decoder is None:
             wait_seconds = self._state.find_wait_seconds(
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -22,6 +22,7 @@
 from swifttrestle.internal.forward.reachability import ReachabilityProber
 from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory, StreamDirectory
 from swifttrestle.internal.metrics import Metrics
+from swifttrestle.internal.policy.distance import Distance
 from swifttrestle.internal.policy.ejection import (
     CONNECT_TIMEOUT_WEIGHT,
     REFUSED_CONNECTION_WEIGHT,
@@ -122,8 +123,15 @@
         async with self.guard.attempt(ctx, instance, is_final_answer=is_final_answer):
             await self.permits.use(ctx, instance)
             self.conditions.note_sent(instance)
+            self.metrics.count(
+                "gateway_requests_by_distance_total", distance=self.measure(instance).value
+            )
             yield
 
+    def measure(self, instance: Instance) -> Distance:
+        """Return the distance from this host to an instance."""
+        return self.fleet.topology.measure(self.zone, instance.record.zone)
+
     def list_usable(
         self, service: str, now: float, urgent: bool = False, build: str | None = None
     ) -> list[Instance]:
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -71,7 +71,10 @@
             if instance is None or not self._may_attempt(ctx, loop.time(), course):
                 await self._wait_or_refuse(ctx, course)
                 continue
-            ctx.note(f"to {instance.name} open={instance.total.requests}")
+            ctx.note(
+                f"to {instance.name} {self._state.measure(instance).value} "
+                f"open={instance.total.requests}"
+            )
             try:
                 await self._attempt(ctx, instance)
                 return
@@ -133,7 +136,7 @@
 
     def _choose(self, ctx: Context, now: float) -> Instance | None:
         usable = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
-        return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
+        return self._pick(usable, ctx.excluded, now)
 
     def _may_attempt(self, ctx: Context, now: float, course: _Course) -> bool:
         """Return whether another attempt may be made, and take it from the retry budget."""
@@ -156,9 +159,15 @@
         return self._state.reserve_takeover(ctx, instance, self._has_other)
 
     def _has_other(self, usable: list[Instance], excluded: Collection[str]) -> bool:
-        now = asyncio.get_running_loop().time()
-        zone, rng = self._state.zone, self._state.rng
-        return pick_plain_instance(usable, zone, excluded, now, rng) is not None
+        return self._pick(usable, excluded, asyncio.get_running_loop().time()) is not None
+
+    def _pick(
+        self, usable: list[Instance], excluded: Collection[str], now: float
+    ) -> Instance | None:
+        state = self._state
+        return pick_plain_instance(
+            usable, state.zone, excluded, now, state.rng, state.fleet.topology
+        )
 
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
         silence = SilenceLimit(
--- a/src/swifttrestle/internal/forward/rate_limiter.py
+++ b/src/swifttrestle/internal/forward/rate_limiter.py
@@ -17,6 +17,7 @@
 from swifttrestle.internal.forward.conditions import UpstreamConditionTable
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.owner_queries import LATE_REPLY_SECONDS, OwnerQueries
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.policy.rate_limits import find_owners
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.protocol.permits import (
@@ -100,6 +101,7 @@
         host: str,
         list_members: Callable[[], Sequence[Member]],
         first_number: int = 0,
+        topology: Topology = NO_REGIONS,
     ) -> None:
         """Create the limiter of `host`, one of those that `list_members` returns.
 
@@ -110,6 +112,7 @@
         self._socket = socket
         self._host = host
         self._list_members = list_members
+        self._topology = topology
         self._queries = OwnerQueries(self._send, self._keep_late_permit, first_number)
         # The ends of the permits that came late and are unused, by upstream.
         self._late_permits: dict[str, list[float]] = defaultdict(list)
@@ -309,7 +312,7 @@
             self._members = members
             self._owners.clear()
         if (key, zone) not in self._owners:
-            self._owners[key, zone] = find_owners(members, key, zone)
+            self._owners[key, zone] = find_owners(members, key, zone, self._topology)
         return self._owners[key, zone]
 
     # Announcements.
--- a/src/swifttrestle/internal/forward/scheduled_booking.py
+++ b/src/swifttrestle/internal/forward/scheduled_booking.py
@@ -24,6 +24,7 @@
 from swifttrestle.internal.policy.scheduling import (
     find_scheduler,
     is_large_fleet,
+    list_scheduler_candidates,
     list_schedulers,
 )
 from swifttrestle.internal.protocol.bookings import (
@@ -100,9 +101,9 @@
         self._missed_replies: dict[str, int] = {}
         self._suspended_until: dict[str, float] = {}
         self._home_zones: dict[str, _HomeZones] = {}
-        # Cached schedulers by service and group, valid for these members. Finding one takes 0.5 ms
-        # with 790 hosts.
-        self._schedulers: dict[tuple[str, str], Member | None] = {}
+        # Cached schedulers by service, group and region, valid for these members. Finding one takes
+        # 0.5 ms with 790 hosts.
+        self._schedulers: dict[tuple[str, str, str], Member | None] = {}
         self._members: tuple[Member, ...] = ()
         self._scheduler = Scheduler(local, state, self._send, list_members)
         socket.set_receiver(DatagramKind.BOOKING, self._receive)
@@ -218,7 +219,7 @@
         found: set[str] = set()
         for service in self._state.fleet.list_engine_services():
             engines = self._state.fleet.list_service(service)
-            found |= list_schedulers(members, service, engines)
+            found |= list_schedulers(members, service, engines, self._state.fleet.topology)
         return found
 
     def schedules_engines(self) -> bool:
@@ -254,21 +255,23 @@
             request.zone,
             self._state.fleet.topology,
         ):
-            found = self._find_scheduler(
-                request.service, zone if zone in home_zones.weights else ""
-            )
+            group = zone if zone in home_zones.weights else ""
+            found = self._find_scheduler(request.service, group, zone)
             if found is not None and _now() >= self._suspended_until.get(found.host, 0.0):
                 yield zone, found
 
-    def _find_scheduler(self, service: str, group: str) -> Member | None:
-        """Return the host that schedules a service's engines of a group; None if there is none."""
+    def _find_scheduler(self, service: str, group: str, zone: str) -> Member | None:
+        """Return the host that schedules a service's engines of a group for a zone, or None."""
+        topology = self._state.fleet.topology
+        key = service, group, "" if group else topology.find_region(zone)
         members = tuple(self._list_members())
         if members != self._members:
             self._members = members
             self._schedulers.clear()
-        if (service, group) not in self._schedulers:
-            self._schedulers[service, group] = find_scheduler(members, service, group)
-        return self._schedulers[service, group]
+        if key not in self._schedulers:
+            candidates = list_scheduler_candidates(members, group, zone, topology)
+            self._schedulers[key] = find_scheduler(candidates, service, group)
+        return self._schedulers[key]
 
     def _record_missed_reply(self, scheduler: Member) -> None:
         """Count a missing reply; suspend the scheduler after several in a row."""
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -67,6 +67,8 @@
     def _make_state_page(self) -> Page:
         state = {
             "host": self._host,
+            "zone": self._state.zone,
+            "region": self._state.fleet.topology.find_region(self._state.zone),
             "version": self._configuration.version,
             "ready": self._is_ready(),
             "live": self._gossip.live_hosts(),
--- a/src/swifttrestle/internal/policy/distance.py
+++ b/src/swifttrestle/internal/policy/distance.py
@@ -2,6 +2,11 @@
 
 Every decision that compares zones uses this module. With one region, or with none named, two
 different zones are always of the same region, so that no decision depends on regions.
+
+When a region is left: for one request, if its upstreams are refused, gone or full, or if another
+region serves the request sooner although the way is longer. Nothing is remembered of that, so the
+region is used again as soon as it has capacity. Requests do not swing between two regions whose
+loads are nearly equal, since each region has the way in its favour with its own callers.
 """
 
 from collections.abc import Mapping
@@ -39,11 +44,21 @@
         """Time by which a round trip exceeds one within a region; 0 within a region."""
         return max(0.0, self.round_trip_seconds - SAME_REGION_ROUND_TRIP_SECONDS)
 
+    @property
+    def relative_round_trip(self) -> float:
+        """Round trip relative to one within a region."""
+        return self.round_trip_seconds / SAME_REGION_ROUND_TRIP_SECONDS
+
     @property
     def copy_factor(self) -> float:
         """Duration of a copy of KV cache, relative to one within a zone."""
         return _COPY_FACTORS[self]
 
+    @property
+    def extra_copy_factor(self) -> float:
+        """Part of `copy_factor` that exceeds the one within a region; 0 within a region."""
+        return max(0.0, self.copy_factor - SAME_REGION_COPY_FACTOR)
+
 
 _ORDER = {distance: number for number, distance in enumerate(Distance)}
 _ROUND_TRIP_SECONDS = {
--- a/src/swifttrestle/internal/policy/fetching.py
+++ b/src/swifttrestle/internal/policy/fetching.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.state.declared import EngineTraits
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
-# A copy between availability zones takes twice as long (engines' protocol).
-CROSS_ZONE_COPY_FACTOR = 2.0
 # Minimum seconds that a copy must save: it takes setup at both ends, and its bytes are billed.
 MIN_SAVED_SECONDS = 0.005
 
@@ -57,7 +56,11 @@
 
 
 def plan_fetch(
-    reader: Instance, cached_tokens: int, sources: Sequence[Source], traits: EngineTraits | None
+    reader: Instance,
+    cached_tokens: int,
+    sources: Sequence[Source],
+    traits: EngineTraits | None,
+    topology: Topology = NO_REGIONS,
 ) -> Fetch | None:
     """Return the copy that saves `reader` most time; None where none does.
 
@@ -74,8 +77,8 @@
             break
         if source.engine is reader:
             continue
-        cross_zone = source.engine.record.zone != reader.record.zone
-        seconds = tokens * seconds_per_token * (CROSS_ZONE_COPY_FACTOR if cross_zone else 1.0)
+        distance = topology.measure(source.engine.record.zone, reader.record.zone)
+        seconds = tokens * seconds_per_token * distance.copy_factor + distance.extra_seconds
         saved = tokens / reader.effective_read_rate - seconds
         if saved > most_saved:
             best, most_saved = Fetch(source.engine, tokens, seconds), saved
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -6,13 +6,14 @@
 from collections.abc import Collection, Sequence
 from functools import lru_cache
 
+from swifttrestle.internal.policy.distance import NO_REGIONS, Distance, Topology
 from swifttrestle.internal.policy.fetching import FetchPlan, fetch_nothing
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
 # Penalty of a plain instance in another availability zone, in open requests: traffic between
-# zones is billed.
+# zones is billed. In another region the penalty is higher in proportion to the round trip.
 CROSS_ZONE_PENALTY_REQUESTS = 1.0
 # Seconds by which an engine's prediction may be worse than the best one for it to be preferred,
 # for its cache affinity or for being in the caller's zone.
@@ -35,16 +36,20 @@
 
 def pick_plain_instance(
     instances: Sequence[Instance], zone: str, excluded: Collection[str], now: float,
-    rng: random.Random,
+    rng: random.Random, topology: Topology = NO_REGIONS,
 ) -> Instance | None:  # fmt: skip
-    """Return the least loaded instance, preferring the caller's zone; None where there is none."""
+    """Return the least loaded instance, preferring near ones; None where there is none.
+
+    `zone` is that of the caller.
+    """
     usable = [item for item in instances if item.name not in excluded]
     ready = [item for item in usable if now >= item.refused_until] or usable
     if not ready:
         return None
 
     def cost(item: Instance) -> tuple[float, float]:
-        zone_penalty = 0.0 if item.record.zone == zone else CROSS_ZONE_PENALTY_REQUESTS
+        distance = topology.measure(zone, item.record.zone)
+        zone_penalty = CROSS_ZONE_PENALTY_REQUESTS * distance.relative_round_trip
         return item.own.requests + item.peers.requests + zone_penalty, rng.random()
 
     return min(ready, key=cost)
@@ -57,11 +62,14 @@
     now: float,
     urgent: bool,
     may_queue: bool = False,
+    topology: Topology = NO_REGIONS,
+    copy_seconds: float = 0.0,
 ) -> Instance | None:
     """Return the decode engine with the least load, preferring zone `near`; None if all are full.
 
     Some slots of each are reserved for urgent requests. With `may_queue`, a full one is returned if
-    there is no other, at which the request waits for a slot.
+    there is no other, at which the request waits for a slot. `copy_seconds` is the duration of the
+    copy of the prompt's KV cache to an engine in `near`.
     """
     usable = [
         item
@@ -82,11 +90,19 @@
         key=lambda item: (
             item.predict_wait()
             + item.total.requests / max(1, item.record.slots) * AFFINITY_SECONDS
-            + (0.0 if item.record.zone == near else AFFINITY_SECONDS / 4)
+            + _predict_way(topology.measure(near, item.record.zone), copy_seconds)
         ),
     )
 
 
+def _predict_way(distance: Distance, copy_seconds: float) -> float:
+    """Return the seconds by which a decode engine at a distance must be better than a near one."""
+    if distance is Distance.SAME_ZONE:
+        return 0.0
+    extra_seconds = distance.extra_seconds + copy_seconds * distance.extra_copy_factor
+    return AFFINITY_SECONDS / 4 + extra_seconds
+
+
 def is_full(item: Instance, share: float = FULL_SHARE) -> bool:
     """Return whether a share of the engine's slots is in use."""
     return item.total.requests >= max(1.0, item.record.slots * share)
--- a/src/swifttrestle/internal/policy/rate_limits.py
+++ b/src/swifttrestle/internal/policy/rate_limits.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.policy.placement import rank
 from swifttrestle.internal.state.members import Member
 
@@ -87,12 +88,16 @@
     return max(MAX_RETRY_SECONDS, hosts / MAX_QUERIES_PER_SECOND)
 
 
-def find_owners(members: Sequence[Member], start: str, zone: str) -> list[Member]:
+def find_owners(
+    members: Sequence[Member], start: str, zone: str, topology: Topology = NO_REGIONS
+) -> list[Member]:
     """Return the owners of the limit of an upstream in a zone, in order of preference.
 
-    Prefers hosts in its zone, then those with the fastest link.
+    Prefers hosts in its zone, then in its region, and among them those with the fastest link.
     """
-    near = [item for item in members if item.zone == zone] or list(members)
+    in_zone = [item for item in members if item.zone == zone]
+    in_region = [item for item in members if topology.is_same_region(zone, item.zone)]
+    near = in_zone or in_region or list(members)
     fastest = max((item.link_mbps for item in near), default=0.0)
     ranked = sorted(
         near,
--- a/src/swifttrestle/internal/policy/scheduling.py
+++ b/src/swifttrestle/internal/policy/scheduling.py
@@ -1,7 +1,9 @@
 """Assigns engines to the hosts that schedule them, by rendezvous hashing."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
+from swifttrestle.internal.policy.distance import NO_REGIONS, Distance, Topology
 from swifttrestle.internal.policy.placement import rank
 from swifttrestle.internal.policy.role_split import MIN_ENGINES_PER_GROUP
 from swifttrestle.internal.state.fleet import Instance
@@ -14,6 +16,21 @@
 # Zone aggregators: hosts that watch the discovery list and receive heartbeats for their zone. The
 # loss of one is tolerated.
 AGGREGATORS_PER_ZONE = 2
+# Maximum wait at another zone's engine, as a share of that in the request's zone: its load is known
+# less precisely, and its cache is less likely to have the shared parts.
+OTHER_ZONE_WAIT_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class SearchStep:
+    """Engines that are considered together for a prefill.
+
+    The maximum wait there is `wait_share` of that at the nearest ones, and `way_seconds` shorter.
+    """
+
+    engines: list[Instance]
+    wait_share: float = 1.0
+    way_seconds: float = 0.0
 
 
 def is_large_fleet(members: int) -> bool:
@@ -38,6 +55,43 @@
     return zone if near >= MIN_ENGINES_PER_GROUP else ""
 
 
+def list_search_steps(
+    engines: Sequence[Instance], zone: str, topology: Topology = NO_REGIONS
+) -> list[SearchStep]:
+    """Return the engines for a request of a zone, nearest first.
+
+    First those of its scheduling group, then those of its region, then those of other regions.
+    """
+    group = find_scheduling_group(engines, zone)
+    own_group: list[Instance] = []
+    other_zones: list[Instance] = []
+    other_regions: list[Instance] = []
+    for item in engines:
+        if not topology.is_same_region(zone, item.record.zone):
+            other_regions.append(item)
+        elif group in ("", item.record.zone):
+            own_group.append(item)
+        else:
+            other_zones.append(item)
+    return [
+        SearchStep(own_group),
+        SearchStep(other_zones, OTHER_ZONE_WAIT_SHARE),
+        SearchStep(other_regions, OTHER_ZONE_WAIT_SHARE, Distance.OTHER_REGION.round_trip_seconds),
+    ]
+
+
+def list_scheduler_candidates(
+    members: Sequence[Member], group: str, zone: str, topology: Topology
+) -> Sequence[Member]:
+    """Return the hosts of which one schedules a group for the hosts of a zone.
+
+    The group of all zones has a scheduler in each region, so that no query leaves it.
+    """
+    if group:
+        return members
+    return [item for item in members if topology.is_same_region(zone, item.zone)]
+
+
 def find_scheduler(members: Sequence[Member], service: str, group: str) -> Member | None:
     """Return the host that schedules a service's engines of a group.
 
@@ -51,9 +105,19 @@
 
 
 def list_schedulers(
-    members: Sequence[Member], service: str, engines: Sequence[Instance]
+    members: Sequence[Member],
+    service: str,
+    engines: Sequence[Instance],
+    topology: Topology = NO_REGIONS,
 ) -> set[str]:
     """Return the hosts that schedule a service's engines, one for each group."""
-    groups = {find_scheduling_group(engines, item.zone) for item in members}
-    found = (find_scheduler(members, service, group) for group in groups)
+    # A zone of each group and region, since the group of all zones has a scheduler in each region.
+    groups = {}
+    for zone in {item.zone for item in members}:
+        group = find_scheduling_group(engines, zone)
+        groups[group, "" if group else topology.find_region(zone)] = zone
+    found = (
+        find_scheduler(list_scheduler_candidates(members, group, zone, topology), service, group)
+        for (group, _), zone in groups.items()
+    )
     return {item.host for item in found if item is not None}
--- a/src/swifttrestle/internal/policy/upstream_paths.py
+++ b/src/swifttrestle/internal/policy/upstream_paths.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.state.members import Member
 
 # Connections in a row that only a peer established, after which a path counts as cut.
@@ -31,9 +32,12 @@
 class UpstreamPaths:
     """The direct paths of one host that are cut, and the peers' last results."""
 
-    def __init__(self, local_member: Member, rng: random.Random) -> None:
+    def __init__(
+        self, local_member: Member, rng: random.Random, topology: Topology = NO_REGIONS
+    ) -> None:
         """Start with no path cut."""
         self._local_member = local_member
+        self._topology = topology
         self._rng = rng
         self._cuts: dict[str, Cut] = {}
         # The event loop's time of the newest cut.
@@ -97,18 +101,17 @@
     ) -> list[Member]:
         """Return the peers to ask for an instance in `zone`, the most promising first.
 
-        Peers that have just failed come last, since they may be cut as well; among equals, one in
-        either end's zone saves traffic between zones. Sound peers share the connections.
+        Peers that have just failed come last, since they may be cut as well; among equals, the
+        shortest way saves traffic between zones. Sound peers share the connections.
         """
-        near = {self._local_member.zone, zone}
 
-        def rank(item: Member) -> tuple[bool, bool, bool, float]:
+        def rank(item: Member) -> tuple[bool, bool, float, float]:
             unreached_at = self._unreached_at.get((item.host, instance), float("-inf"))
             failed_at = self._failed_at.get(item.host, float("-inf"))
             return (
                 now - unreached_at < UNREACHED_SECONDS,
                 now - failed_at < UNREACHED_SECONDS,
-                item.zone not in near,
+                self._measure_way(item.zone, zone),
                 self._rng.random(),
             )
 
@@ -116,3 +119,9 @@
         if len(peers) > MAX_RANKED:
             peers = self._rng.sample(peers, MAX_RANKED)
         return sorted(peers, key=rank)[:MAX_RELAYS]
+
+    def _measure_way(self, relay_zone: str, zone: str) -> float:
+        """Return the round trip in seconds to an upstream in `zone` through a relay."""
+        to_relay = self._topology.measure(self._local_member.zone, relay_zone)
+        to_upstream = self._topology.measure(relay_zone, zone)
+        return to_relay.round_trip_seconds + to_upstream.round_trip_seconds
--- a/src/swifttrestle/internal/state_dump.py
+++ b/src/swifttrestle/internal/state_dump.py
@@ -28,6 +28,8 @@
         "instance": record.instance,
         "born": record.born,
         "service": record.service,
+        "zone": record.zone,
+        "region": fleet.topology.find_region(record.zone),
         "declared": fleet.is_declared(record.service),
         "role": item.role.value,
         "leaving": record.leaving,
