--- a/src/swifttrestle/internal/state/routes.py
+++ b/src/swifttrestle/internal/state/routes.py
@@ -3,7 +3,7 @@
 import random
 from collections import defaultdict
 
-from swifttrestle.internal.state.declared import Configuration, Route, Workspace
+from swifttrestle.internal.state.declared import Configuration, Quota, Route, Workspace
 from swifttrestle.internal.state.workspaces import WorkspaceKeys
 
 
@@ -21,6 +21,11 @@
         self.keys: WorkspaceKeys | None = None
         if configuration.workspaces is not None:
             self.keys = WorkspaceKeys(configuration.workspaces)
+        self._quotas = {
+            item.name: item.quota
+            for item in configuration.workspaces or ()
+            if item.quota is not None
+        }
         self._hosts: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in configuration.routes:
             self._hosts[route.host][route.prefix] = route
@@ -42,6 +47,10 @@
             return highest is None or workspace.priority <= highest
         return route.priority <= self._priorities.get(service, route.priority)
 
+    def find_quota(self, workspace: str) -> Quota | None:
+        """Return the quota of a workspace, None without a limit or for an unknown workspace."""
+        return self._quotas.get(workspace)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None; `host` may include a port."""
         prefixes = self._hosts.get(host.partition(":")[0].lower())
--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -17,6 +17,8 @@
     Configuration,
     EngineTraits,
     Limits,
+    Quota,
+    QuotaUnit,
     RetrySafety,
     Role,
     Route,
@@ -35,6 +37,8 @@
 MAX_SLOTS = 100_000
 # Number of the least urgent priority; smaller numbers are more urgent, as in engines.
 LOWEST_PRIORITY = 9
+# Highest number in a quota: whole numbers up to it are exact in any reader of JSON.
+MAX_QUOTA_NUMBER = 2**53
 # Longest key, limited by the size of request headers.
 MAX_KEY_CHARS = 16 * 1024
 _DRAINING = "draining"
@@ -42,6 +46,7 @@
 _HIDDEN = "(not shown: it may contain keys)"
 _STATES = ("ready", _DRAINING)
 _PHASES = (Role.PREFILL.value, Role.DECODE.value)
+_QUOTA_UNITS = tuple(unit.value for unit in QuotaUnit)
 
 T = TypeVar("T")
 
@@ -152,8 +157,8 @@
 def _read_workspace(raw: Any) -> Workspace:
     if not isinstance(raw, dict):
         raise BadEntryError("configuration", "tenants", _HIDDEN, "a workspace is not a JSON object")
-    fields = _Fields("workspace", raw)
-    name = fields.read("name", check_text)
+    name = _Fields("workspace", raw).read("name", check_text)
+    fields = _Fields(f"workspace {name}", raw)
     keys = raw.get("apiKeys")
     if not isinstance(keys, list) or not all(_is_key(key) for key in keys):
         reason = f"it is not a list of texts of 1 to {MAX_KEY_CHARS} characters"
@@ -161,7 +166,29 @@
     priority = fields.read_optional(
         "priority", lambda value: check_integer(value, 0, LOWEST_PRIORITY)
     )
-    return Workspace(name, frozenset(digest_key(key.encode()) for key in keys), priority)
+    digests = frozenset(digest_key(key.encode()) for key in keys)
+    return Workspace(name, digests, priority, _read_quota(fields))
+
+
+def _read_quota(fields: _Fields) -> Quota | None:
+    """Return a workspace's quota, None if its rate is 0 or missing.
+
+    The other fields are checked in any case, so that a rate that is set later cannot make an
+    invalid one effective.
+    """
+    unit = fields.read_optional("unit", lambda value: check_choice(value, _QUOTA_UNITS))
+    rate = fields.read_optional("ratePerS", _check_quota_number)
+    burst = fields.read_optional("burst", _check_quota_number)
+    default_cost = fields.read_optional(
+        "uncachedTokens", lambda value: check_integer(value, 0, MAX_QUOTA_NUMBER)
+    )
+    if not rate:
+        return None
+    return Quota(rate, burst or 0.0, QuotaUnit(unit or QuotaUnit.REQUESTS.value), default_cost or 0)
+
+
+def _check_quota_number(value: Any) -> float:
+    return check_number(value, 0, MAX_QUOTA_NUMBER)
 
 
 def _is_key(value: Any) -> bool:
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -10,21 +10,26 @@
 
 from swifttrestle.errors import InvalidSettingError
 from swifttrestle.internal.checks import check_bool, check_integer, check_number, parse_address
+from swifttrestle.internal.state.declared import QuotaTolerance
 
 PATH_VARIABLE = "SWIFTTRESTLE_BOOT"
 MAX_PORT = 65535
 MAX_DURATION_MS = 3_600_000
+# Highest number of units by which a quota may be exceeded; whole numbers up to it are exact.
+MAX_QUOTA_SLACK = 2**53
+# Highest share by which a quota may be exceeded.
+MAX_QUOTA_OVERAGE = 100
 
 Address = tuple[str, int]
 
 
 @dataclass(frozen=True)
 class Bounds:
-    """Limits that the platform sets; all in seconds, except `retry_share` and `retry_extra`.
+    """Limits that the platform sets; all in seconds, except for retries and quotas.
 
     `revocation_seconds` is how long a removed key may still be accepted, infinite if there is no
     limit. `usage_window_seconds` is the length of the windows in which workspaces' requests are
-    counted, 0 if usage is not counted.
+    counted, 0 if usage is not counted. `quota` is how far quotas may be exceeded.
     """
 
     stop: float
@@ -34,6 +39,7 @@
     retry_extra: float
     revocation_seconds: float = float("inf")
     usage_window_seconds: float = 0.0
+    quota: QuotaTolerance = QuotaTolerance()
 
 
 @dataclass(frozen=True)
@@ -113,6 +119,7 @@
             retry_extra=bounds.number("budgetExtra", 0, 1e9),
             revocation_seconds=_read_revocation(bounds),
             usage_window_seconds=bounds.optional_number("reportWindowS"),
+            quota=_read_quota_tolerance(bounds),
         ),
         duties=_read_duties(table.optional_table("cloudApi")),
     )
@@ -124,6 +131,14 @@
     return bounds.number("revokeMs", 0, MAX_DURATION_MS) / 1000
 
 
+def _read_quota_tolerance(bounds: "_Table") -> QuotaTolerance:
+    return QuotaTolerance(
+        window_seconds=bounds.optional_number("quotaWindowS", MAX_DURATION_MS / 1000),
+        overage=bounds.optional_number("quotaOverage", MAX_QUOTA_OVERAGE),
+        slack=bounds.optional_number("quotaSlack", MAX_QUOTA_SLACK),
+    )
+
+
 def _read_duties(table: "_Table") -> DutySettings | None:
     if not table.has("address"):
         return None
@@ -146,10 +161,10 @@
     def optional_table(self, name: str) -> "_Table":
         return _Table(self._raw.get(name) or {}, self._path + name + ".")
 
-    def optional_number(self, name: str) -> float:
+    def optional_number(self, name: str, high: float = float("inf")) -> float:
         if self._raw.get(name) is None:
             return 0.0
-        return self.number(name, 0, float("inf"))
+        return self.number(name, 0, high)
 
     def optional_bool(self, name: str) -> bool:
         if self._raw.get(name) is None:
--- a/tests/cover/test_entries.py
+++ b/tests/cover/test_entries.py
@@ -13,11 +13,12 @@
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
 from swifttrestle.internal.coordination.discovery.discovery import Discovery
 from swifttrestle.internal.coordination.store.entries import SkippedEntries, UpstreamEntries
-from swifttrestle.internal.state.declared import Role
+from swifttrestle.internal.state.declared import Quota, QuotaUnit, Role
 from swifttrestle.internal.state.fleet import Fleet
+from swifttrestle.internal.state.routes import RouteTable
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.platform import objects
-from swifttrestle.platform.records import read_upstream
+from swifttrestle.platform.records import read_configuration, read_upstream
 from swifttrestle_standins.hosted.direct import DirectStore
 from swifttrestle_standins.virtual_time import run_in_virtual_time
 from tests.common.discovery import StandaloneRelay
@@ -94,6 +95,63 @@
     assert record.address == ("10.0.0.1", 80)
 
 
+def read_workspaces(*changes):
+    workspaces = [
+        {"name": f"w{number}", "apiKeys": [f"key-of-w{number}"], **fields}
+        for number, fields in enumerate(changes)
+    ]
+    return read_configuration({"version": 3, "tenants": workspaces})
+
+
+@pytest.mark.parametrize(
+    ("fields", "wanted"),
+    [
+        ({}, None),
+        ({"unit": "tokens", "burst": 7, "uncachedTokens": 9}, None),
+        ({"ratePerS": 0, "burst": 7}, None),
+        ({"ratePerS": None}, None),
+        ({"ratePerS": 12.5}, Quota(12.5, 0.0, QuotaUnit.REQUESTS, 0)),
+        ({"ratePerS": 2**53, "unit": None, "burst": 2**53}, Quota(2.0**53, 2.0**53)),
+        ({"ratePerS": 5, "unit": "requests", "burst": 2}, Quota(5.0, 2.0)),
+        (
+            {"unit": "tokens", "uncachedTokens": 200, "ratePerS": 279715, "burst": 279715},
+            Quota(279715.0, 279715.0, QuotaUnit.TOKENS, 200),
+        ),
+    ],
+    ids=repr,
+)
+def test_a_quota_is_read_with_defaults_for_missing_fields(fields, wanted):
+    # Guards against a limit where the configuration has none, and the reverse.
+    configuration = read_workspaces(fields, {})
+    assert [item.quota for item in configuration.workspaces] == [wanted, None]
+    table = RouteTable(configuration)
+    found = [table.find_quota(name) for name in ("w0", "w1", "no-such-workspace")]
+    assert found == [wanted, None, None]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *[("unit", value) for value in ("banana", "", "TOKENS", 1, True, ["tokens"])],
+        *[
+            (field, value)
+            for field in ("ratePerS", "burst", "uncachedTokens")
+            for value in (-1, -0.5, "7", True, [7], {}, 2**53 + 2, 1e300, float("nan"))
+        ],
+        ("uncachedTokens", 1.5),
+    ],
+    ids=repr,
+)
+@pytest.mark.parametrize("rate", [{}, {"ratePerS": 5}], ids=["no limit", "limit"])
+def test_an_invalid_field_of_a_quota_is_named_and_the_version_not_applied(field, value, rate):
+    # Guards against a version that is applied in part, and against a host that is ended by it.
+    with pytest.raises(BadEntryError) as caught:
+        read_workspaces({}, {**rate, field: value})
+    assert (caught.value.field, repr(caught.value.value)) == (field, repr(value))
+    assert "w1" in str(caught.value)
+    assert caught.value.reason
+
+
 def make_item(name="i", revision=3, spec=GOOD):
     return {"metadata": {"name": name, "revision": revision}, "spec": spec}
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -15,7 +15,7 @@
     UpstreamBrokenError,
 )
 from swifttrestle.internal.protocol.gossip import PeerReport, pack_report, unpack_report
-from swifttrestle.internal.state.declared import RetrySafety, Role
+from swifttrestle.internal.state.declared import QuotaTolerance, RetrySafety, Role
 from swifttrestle.internal.state.prompt_cache import PromptPart
 from swifttrestle.platform import wire
 from swifttrestle.platform.engine import read_handle, read_report
@@ -48,6 +48,24 @@
     assert (read.bounds.stop, read.bounds.lease, read.bounds.retry_extra) == (8, 3.0, 56)
 
 
+@pytest.mark.parametrize(
+    ("fields", "wanted"),
+    [
+        ({}, QuotaTolerance(0, 0, 0)),
+        ({"quotaWindowS": None, "quotaSlack": 5}, QuotaTolerance(0, 0, 5)),
+        (
+            {"quotaWindowS": 8, "quotaOverage": 0.1, "quotaSlack": 190_000},
+            QuotaTolerance(8, 0.1, 190_000),
+        ),
+    ],
+    ids=["missing", "in part", "whole"],
+)
+def test_the_tolerance_of_quotas_is_optional(fields, wanted):
+    # Guards against a host that does not start where the platform sets no tolerance.
+    read = read_host_settings({**GOOD, "bounds": {**GOOD["bounds"], **fields}})
+    assert read.bounds.quota == wanted
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
@@ -63,6 +81,12 @@
         ("platform.address", None),
         ("bounds.graceS", "long"),
         ("bounds.budgetRatio", -1),
+        ("bounds.quotaWindowS", -8),
+        ("bounds.quotaWindowS", "8"),
+        ("bounds.quotaOverage", True),
+        ("bounds.quotaOverage", [0.1]),
+        ("bounds.quotaSlack", -1),
+        ("bounds.quotaSlack", 2**53 + 1),
     ],
 )
 def test_an_invalid_setting_is_reported_by_name(path, value):
@@ -138,7 +162,8 @@
         st.sampled_from(
             ["version", "routes", "services", "limits", "name", "host", "type", "timeoutMs",
              "service", "backends", "weight", "engine", "slots", "address", "phase", "kvHandle",
-             "pathPrefix", "seq", "state"]
+             "pathPrefix", "seq", "state", "tenants", "apiKeys", "unit", "ratePerS", "burst",
+             "uncachedTokens"]
         ),
         inner,
         max_size=6,
@@ -245,7 +270,8 @@
         "nodeName", "budgetRatio", "pathPrefix", "targetLatencyMs", "maxAttempts", "kvHandle",
         "expectedRev", "fenceToken", "opType", "kvHoldS", "tokenKvBytes", "heartbeatMs",
         "internalPorts", "waitMs", "hasMore", "pageToken", "draining", "/v1/objects", "/v1/order",
-        "/v1/report", "x-instance-id",
+        "/v1/report", "x-instance-id", "ratePerS", "uncachedTokens", "quotaWindowS",
+        "quotaOverage", "quotaSlack",
     }  # fmt: skip
     words -= {"host"}
     found = [
