Requests are charged to the quotas of their workspaces

The charge is made before a request is counted anywhere, and given back unless a call was sent to an upstream that may have run it. A call counts as sent from its first byte on: may_have_run is already set while a connection is established. The log line of requests moves out of the handler into a module of its own.

The gate admits all requests until the limiter is in place.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -27,6 +27,8 @@
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
 from swifttrestle.internal.forward.handler import GatewayHandler
+from swifttrestle.internal.forward.quota_charges import QuotaCharger
+from swifttrestle.internal.forward.quotas import NoQuotas
 from swifttrestle.internal.forward.rate_limiter import DistributedRateLimiter
 from swifttrestle.internal.forward.scheduled_booking import NUMBER_BITS, ScheduledBooker
 from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
@@ -74,6 +76,7 @@
         """
         self._settings = settings
         self._metrics_port = metrics_port
+        self._quota_tolerance = settings.bounds.quota
         incarnation = incarnation or time.time_ns()
         rng = self._rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
@@ -183,6 +186,7 @@
         self._handler = GatewayHandler(
             self._state,
             self._booker,
+            QuotaCharger(NoQuotas(), settings.host, lambda: self._quota_tolerance),
             lambda: self._configuration.table,
             lambda: self._configuration.freshness.confirmed_at,
             bounds.revocation_seconds,
@@ -379,7 +383,7 @@
             log_event("settings not taken", reason=str(error))
 
     def _apply_settings(self, settings: HostSettings) -> None:
-        """Apply what may change at run time: the retry budget and the seeds.
+        """Apply what may change at run time: the retry budget, quotas' tolerance and the seeds.
 
         Changed addresses take effect at the next start.
         """
@@ -387,6 +391,7 @@
             log_event("settings kept", names=["listen", "platform"], reason="restart required")
         bounds = settings.bounds
         self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds)
+        self._quota_tolerance = bounds.quota
         self._gossip.add_seeds([seed[0] for seed in settings.seeds])
 
     # Readiness.
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -56,6 +56,7 @@
         head.framing,
         head.length,
         ctx.request.body,
+        ctx.note_call_sent,
     )
 
 
@@ -83,6 +84,7 @@
             f"{plan.instance.name} answered with the id of another request", sent=True
         )
     if metadata.not_run:
+        ctx.note_call_not_run()
         await body.read_whole(MAX_REFUSAL_BYTES)
         if metadata.replaced:
             raise UpstreamLeavingError(f"{plan.instance.name} was replaced at its address")
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
+from swifttrestle.internal.forward.quotas import QuotaCharge
 from swifttrestle.internal.policy.retry_window import WindowedRetryBudget
 from swifttrestle.internal.state.crash_records import OpenRequest
 from swifttrestle.internal.state.declared import RetrySafety, Route, ServiceDeclaration, Workspace
@@ -54,6 +55,11 @@
     silent_prefills: int = 0
     first_byte: float | None = None
     sent_attempts: int = 0
+    # Calls that were sent to upstreams, prefills included, without those that an upstream stated
+    # not to have run. Unlike `may_have_run`, it is 0 while the first connection is established.
+    calls_sent: int = 0
+    # The charge to the workspace's quota; None without a quota.
+    quota_charge: QuotaCharge | None = None
     excluded: set[str] = field(default_factory=set)
     # The software version at which the answer must go on; None while any one may begin it.
     build: str | None = None
@@ -155,6 +161,14 @@
         if self.on_first_byte is not None:
             self.on_first_byte()
 
+    def note_call_sent(self) -> None:
+        """Record that the first byte of a call is sent to an upstream."""
+        self.calls_sent += 1
+
+    def note_call_not_run(self) -> None:
+        """Record that an upstream stated that it did not run a call that was sent."""
+        self.calls_sent -= 1
+
     def reserve_retry(self, budget: WindowedRetryBudget) -> bool:
         """Take the next attempt from a retry budget already; return whether that is allowed."""
         if not budget.take(asyncio.get_running_loop().time()):
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -1,19 +1,20 @@
 """Handles callers' requests: routing, forwarding, errors and the request log."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import orjson
 
 from swifttrestle.codes import TABLE, Code, Ran
 from swifttrestle.errors import CallerGoneError, RefusedError, SwifttrestleError
-from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.continuation import prepare_continuation
 from swifttrestle.internal.forward.engines import EngineForwarder
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.plain import PlainForwarder
+from swifttrestle.internal.forward.quota_charges import QuotaCharger
+from swifttrestle.internal.forward.request_log import log_request
 from swifttrestle.internal.policy.revocation import (
     CONFIRM_RETRY_SECONDS,
     Verdict,
@@ -36,8 +37,6 @@
 # short, since the caller retries at another host.
 UNCONFIGURED_RETRY_SECONDS = 0.5
 STOPPING_RETRY_SECONDS = 0.05
-# Maximum age of the discovery list in the request log; also logged if it was never confirmed.
-MAX_LOGGED_AGE_SECONDS = 9999.0
 # Seconds before the deadline at which a request is cancelled, so that the error arrives in time.
 ANSWER_MARGIN_SECONDS = 0.01
 
@@ -49,18 +48,20 @@
         self,
         state: GatewayState,
         booker: Booker,
+        charger: QuotaCharger,
         find_table: Callable[[], RouteTable | None],
         find_confirmed_at: Callable[[], float] = lambda: float("-inf"),
         revocation_bound: float = float("inf"),
         count_request: Callable[[str], None] | None = None,
     ) -> None:
-        """Book engines by `booker`; read the route table in force by `find_table`.
+        """Book engines by `booker`, charge quotas by `charger`, read the table by `find_table`.
 
         `find_confirmed_at` returns when that table was last confirmed to be the newest version, and
         `revocation_bound` is the number of seconds for which a removed key may still be accepted.
         `count_request` is called with the workspace of each request when its answer begins.
         """
         self._state = state
+        self._charger = charger
         self._find_table = find_table
         self._find_confirmed_at = find_confirmed_at
         self._revocation_bound = revocation_bound
@@ -98,7 +99,7 @@
             outcome = "the caller disconnected"
             raise
         finally:
-            self._log(request, ctx, code, outcome)
+            log_request(self._state, request, ctx, code, outcome)
 
     def _get_table(self) -> RouteTable:
         table = self._find_table()
@@ -202,10 +203,11 @@
     async def _serve(self, ctx: Context, table: RouteTable) -> None:
         try:
             async with asyncio.timeout(max(0.0, ctx.seconds_left - ANSWER_MARGIN_SECONDS)):
-                await self._state.guard.check(ctx)
-                await prepare_continuation(ctx, self._state, table)
-                forwarder = self._engines if ctx.service.engine else self._plain
-                await forwarder.serve(ctx)
+                async with self._charger.charge(ctx, table):
+                    await self._state.guard.check(ctx)
+                    await prepare_continuation(ctx, self._state, table)
+                    forwarder = self._engines if ctx.service.engine else self._plain
+                    await forwarder.serve(ctx)
         except TimeoutError:
             ctx.note("deadline")
             if ctx.cancelled_instance is not None:
@@ -231,64 +233,3 @@
             {"code": int(error.code), "error": error.code.name, "message": error.message}
         )
         await reply.send_whole(TABLE[error.code].status, headers, content)
-
-    def _log(self, request: IncomingRequest, ctx: Context | None, code: Code, outcome: str) -> None:
-        now = asyncio.get_running_loop().time()
-        route = ctx.route.name if ctx else ""
-        kind = ("stream" if ctx.route.streaming else "plain") if ctx else "none"
-        metrics = self._state.metrics
-        metrics.count("gateway_requests_total", route=route, code=code.name)
-        metrics.observe(
-            "gateway_request_seconds", now - request.received, kind=kind, code=code.name
-        )
-        if ctx is not None and ctx.first_byte is not None:
-            metrics.observe("gateway_first_byte_seconds", ctx.first_byte, kind=kind)
-        log_event(
-            "request",
-            id=request.head.find(REQUEST_ID).decode("latin-1"),
-            route=route,
-            workspace=ctx.workspace.name if ctx and ctx.workspace else "",
-            config=ctx.config_version if ctx else 0,
-            list_age=round(min(now - self._state.fleet.confirmed_at, MAX_LOGGED_AGE_SECONDS), 1),
-            code=code.name,
-            outcome=outcome,
-            tokens=[ctx.request_metadata.prompt_tokens, ctx.request_metadata.output_tokens]
-            if ctx
-            else None,
-            ms=round((now - request.received) * 1000, 1),
-            steps=_list_steps(ctx),
-            **_make_parts_field(ctx),
-            **_make_resumption_fields(ctx),
-            **_make_fingerprint_field(ctx, code),
-        )
-
-
-def _make_parts_field(ctx: Context | None) -> dict[str, tuple[str, ...]]:
-    """Return the log field with the parts of a prompt that it may share with others."""
-    return {"parts": ctx.shared_parts} if ctx is not None and ctx.shared_parts else {}
-
-
-def _make_resumption_fields(ctx: Context | None) -> dict[str, str]:
-    """Return the log fields with the stream that a caller takes up, and its last event there."""
-    if ctx is None or not ctx.request_metadata.resumed_stream:
-        return {}
-    metadata = ctx.request_metadata
-    return {
-        "stream": metadata.resumed_stream.decode("latin-1"),
-        "after_event": metadata.last_event.decode("latin-1"),
-    }
-
-
-def _make_fingerprint_field(ctx: Context | None, code: Code) -> dict[str, str]:
-    """Return the log field with the request's fingerprint if it may have failed at an upstream."""
-    if ctx is None:
-        return {}
-    may_have_failed = ctx.may_have_run and code is not Code.OK
-    if not (may_have_failed or ctx.runs or ctx.failed_prefills or code is Code.QUARANTINED):
-        return {}
-    fingerprint = ctx.fingerprint
-    return {"name": str(fingerprint)} if fingerprint else {}
-
-
-def _list_steps(ctx: Context | None) -> Sequence[str]:
-    return ctx.steps if ctx else ()
--- a/src/swifttrestle/internal/forward/prefill.py
+++ b/src/swifttrestle/internal/forward/prefill.py
@@ -194,6 +194,7 @@
             ) from None
         metadata = read_response_metadata(head.status, head.headers, reader.record.instance)
         if metadata.not_run:
+            ctx.note_call_not_run()
             if metadata.replaced:
                 raise UpstreamLeavingError(f"{reader.name} was replaced at its address")
             raise UpstreamBusyError(f"{reader.name} refused with {head.status}")
--- a/src/swifttrestle/internal/forward/quotas.py
+++ b/src/swifttrestle/internal/forward/quotas.py
@@ -26,6 +26,21 @@
         return self.seconds <= 0
 
 
+@dataclass(frozen=True)
+class QuotaCharge:
+    """What a request was charged or refused, for its log line.
+
+    `decided_by` is the host that decided, `missing` the units by which the request was over the
+    quota, 0 if it was admitted.
+    """
+
+    workspace: str
+    cost: int
+    decided_by: str
+    missing: int
+    given_back: bool = False
+
+
 class QuotaGate(ABC):
     """Charges requests to the quotas of their workspaces."""
 
--- a/src/swifttrestle/internal/state/declared.py
+++ b/src/swifttrestle/internal/state/declared.py
@@ -88,6 +88,10 @@
         return max(1, tokens or self.default_cost)
 
 
+# Window, in seconds, in which a single request may use up a quota where the platform names none.
+DEFAULT_WINDOW_SECONDS = 60.0
+
+
 @dataclass(frozen=True)
 class QuotaTolerance:
     """How far the platform lets a workspace exceed its quota in a window of `window_seconds`.
@@ -103,6 +107,11 @@
         """Return the units by which a quota may be exceeded in a window."""
         return (quota.rate * self.window_seconds + quota.burst) * self.overage + self.slack
 
+    def find_limit(self, quota: Quota) -> float:
+        """Return the cost above which a quota allows a request at no time; at least 1."""
+        window = self.window_seconds or DEFAULT_WINDOW_SECONDS
+        return max(1.0, quota.rate * window + quota.burst + self.find_excess(quota))
+
 
 @dataclass(frozen=True)
 class Workspace:
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True)
 class OutgoingRequest:
-    """One request as it is sent to an upstream."""
+    """One request as it is sent to an upstream; `on_sent` is called as its first byte is sent."""
 
     method: bytes
     target: bytes
@@ -35,6 +35,7 @@
     framing: Framing
     length: int
     body: Body | None
+    on_sent: Callable[[], None] = do_nothing
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -173,6 +174,7 @@
         self._head = asyncio.get_running_loop().create_future()
         assert self._transport is not None
         self.sent = True
+        request.on_sent()
         self._sent_at = asyncio.get_running_loop().time()
         self._exchanges += 1
         self._transport.write(
