--- a/src/swifttrestle/internal/forward/rate_limiter.py
+++ b/src/swifttrestle/internal/forward/rate_limiter.py
@@ -16,7 +16,11 @@
 from swifttrestle.internal.eviction import make_room
 from swifttrestle.internal.forward.conditions import UpstreamConditionTable
 from swifttrestle.internal.forward.context import Context
-from swifttrestle.internal.forward.owner_queries import LATE_REPLY_SECONDS, OwnerQueries
+from swifttrestle.internal.forward.owner_queries import (
+    LATE_REPLY_SECONDS,
+    AbandonedQuery,
+    OwnerQueries,
+)
 from swifttrestle.internal.policy.rate_limits import find_owners
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.protocol.permits import (
@@ -50,6 +54,8 @@
 SHARE = "share"
 LATE = "late"
 
+PermitQuery = PermitRequest | TrialRequest
+
 
 class RateLimiter(ABC):
     """Provides the permits that requests to rate-limited upstreams need."""
@@ -110,7 +116,9 @@
         self._socket = socket
         self._host = host
         self._list_members = list_members
-        self._queries = OwnerQueries(self._send, self._keep_late_permit, first_number)
+        self._queries: OwnerQueries[PermitQuery, PermitReply] = OwnerQueries(
+            self._send, self._keep_late_permit, first_number
+        )
         # The ends of the permits that came late and are unused, by upstream.
         self._late_permits: dict[str, list[float]] = defaultdict(list)
         # Cached owners of limits, valid for these members.
@@ -218,13 +226,13 @@
         )
         return None if reply is None else reply.seconds
 
-    def _keep_late_permit(self, reply: PermitReply, asked_at: float) -> None:
+    def _keep_late_permit(self, reply: PermitReply, abandoned: AbandonedQuery[PermitQuery]) -> None:
         """Keep a permit whose request no longer waits for it, for the next one."""
         for start, ends in list(self._late_permits.items()):
             if ends[-1] <= _now():
                 del self._late_permits[start]
         if reply.seconds == 0 and self._conditions.find_rate_limit(reply.start).rate is not None:
-            self._late_permits[reply.start].append(asked_at + PERMIT_SECONDS)
+            self._late_permits[reply.start].append(abandoned.asked_at + PERMIT_SECONDS)
 
     def _take_late_permit(self, start: str) -> float | None:
         """Return the end of an unused permit that came late; None if there is none."""
@@ -284,7 +292,7 @@
             if owner.host != self._host:
                 self._send(owner.ip, message)
 
-    def _answer(self, request: PermitRequest | TrialRequest, ip: str) -> None:
+    def _answer(self, request: PermitQuery, ip: str) -> None:
         """Answer a peer's query; a repeated one gets the same result."""
         start, result_key = request.start, (ip, request.number)
         seconds = self._results.get(result_key)
--- /dev/null
+++ b/src/swifttrestle/internal/protocol/quotas.py
@@ -0,0 +1,171 @@
+"""Datagrams by which hosts charge requests to the quotas of workspaces.
+
+Datagrams may be lost, late or duplicated. A lost one loses units of a quota, and receivers
+recognise duplicates by their numbers, so that none creates units.
+"""
+
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+import msgpack
+
+from swifttrestle.errors import FrameError
+from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number, check_text
+from swifttrestle.internal.protocol.gossip import MAX_DATAGRAM_BYTES
+
+# Bytes of a collection in a datagram without its workspaces: the datagram's kind, and the message's
+# kind and number with the headers of both arrays.
+COLLECTION_BYTES = 1 + 1 + 1 + 9 + 3
+# Bytes of a workspace in a reply to a collection without its name: the headers of the pair and of
+# the name, and a number.
+ENTRY_BYTES = 1 + 3 + 9
+
+
+class QuotaMessageKind(IntEnum):
+    """The first field of a quota datagram."""
+
+    REQUEST = 1
+    REPLY = 2
+    RETURN = 3
+    COLLECT_REQUEST = 4
+    COLLECT_REPLY = 5
+
+
+@dataclass(frozen=True)
+class QuotaRequest:
+    """Asks a counter to charge a request; `number` identifies it among those of its sender."""
+
+    number: int
+    workspace: str
+    cost: int
+
+
+@dataclass(frozen=True)
+class QuotaReply:
+    """Grants a charge if `seconds` is 0; otherwise it would fit after that time.
+
+    `missing` are the units by which the request is over the quota.
+    """
+
+    number: int
+    seconds: float = 0.0
+    missing: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaReturn:
+    """Gives back what was charged for a request of the sender that did not run."""
+
+    number: int
+    workspace: str
+
+
+@dataclass(frozen=True)
+class CollectRequest:
+    """Asks for all units that the receiver has accrued of some workspaces' quotas.
+
+    `round` identifies the request among those of its sender.
+    """
+
+    round: int
+    workspaces: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class CollectReply:
+    """Hands over accrued units, as pairs of workspace and units."""
+
+    round: int
+    collected: tuple[tuple[str, float], ...] = ()
+
+
+Message = QuotaRequest | QuotaReply | QuotaReturn | CollectRequest | CollectReply
+
+
+def split_workspaces(workspaces: Iterable[str]) -> Iterator[tuple[str, ...]]:
+    """Split workspaces so that a request to collect them, and the reply, each fit one datagram."""
+    batch: list[str] = []
+    size = COLLECTION_BYTES
+    for workspace in workspaces:
+        entry_size = ENTRY_BYTES + len(workspace.encode())
+        if batch and size + entry_size > MAX_DATAGRAM_BYTES:
+            yield tuple(batch)
+            batch = []
+            size = COLLECTION_BYTES
+        batch.append(workspace)
+        size += entry_size
+    if batch:
+        yield tuple(batch)
+
+
+def pack_message(message: Message) -> bytes:
+    """Return the datagram of a message."""
+    values: tuple[Any, ...]
+    match message:
+        case QuotaRequest(number, workspace, cost):
+            values = (QuotaMessageKind.REQUEST, number, workspace, cost)
+        case QuotaReply(number, seconds, missing):
+            values = (QuotaMessageKind.REPLY, number, seconds, missing)
+        case QuotaReturn(number, workspace):
+            values = (QuotaMessageKind.RETURN, number, workspace)
+        case CollectRequest(number, workspaces):
+            values = (QuotaMessageKind.COLLECT_REQUEST, number, workspaces)
+        case CollectReply(number, collected):
+            values = (QuotaMessageKind.COLLECT_REPLY, number, collected)
+    data: bytes = msgpack.packb(values)
+    return data
+
+
+def unpack_message(data: bytes) -> Message:
+    """Parse a datagram; raise FrameError."""
+    try:
+        kind, number, *fields = _read_list(msgpack.unpackb(data))
+        return _read_message(QuotaMessageKind(kind), check_integer(number, 0, MAX_INT64), fields)
+    except (TypeError, ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"quota datagram malformed: {error!r:.200}") from None
+
+
+def _read_message(kind: QuotaMessageKind, number: int, fields: list[Any]) -> Message:
+    match kind:
+        case QuotaMessageKind.REQUEST:
+            workspace, cost = fields
+            return QuotaRequest(number, check_text(workspace), check_integer(cost, 1, MAX_INT64))
+        case QuotaMessageKind.REPLY:
+            seconds, missing = fields
+            return QuotaReply(number, _read_amount(seconds), check_integer(missing, 0, MAX_INT64))
+        case QuotaMessageKind.RETURN:
+            (workspace,) = fields
+            return QuotaReturn(number, check_text(workspace))
+        case QuotaMessageKind.COLLECT_REQUEST:
+            (workspaces,) = fields
+            return CollectRequest(number, _read_workspaces(workspaces))
+    (collected,) = fields
+    pairs = tuple(_read_collected(item) for item in _read_list(collected))
+    _read_workspaces([workspace for workspace, _ in pairs])
+    return CollectReply(number, pairs)
+
+
+def _read_collected(raw: Any) -> tuple[str, float]:
+    workspace, units = _read_list(raw)
+    return check_text(workspace), _read_amount(units)
+
+
+def _read_workspaces(raw: Any) -> tuple[str, ...]:
+    """Return distinct names: the units of one named twice would be handed over twice."""
+    names = tuple(check_text(item) for item in _read_list(raw))
+    if len(set(names)) != len(names):
+        raise ValueError("a workspace is named twice")
+    return names
+
+
+def _read_list(raw: Any) -> list[Any]:
+    if not isinstance(raw, list):
+        raise ValueError(f"{raw!r:.80} is not a list")
+    return raw
+
+
+def _read_amount(raw: Any) -> float:
+    return check_number(raw, 0, sys.float_info.max)
