--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -27,8 +27,6 @@
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
 from swifttrestle.internal.forward.handler import GatewayHandler
-from swifttrestle.internal.forward.quota_charges import QuotaCharger
-from swifttrestle.internal.forward.quotas import NoQuotas
 from swifttrestle.internal.forward.rate_limiter import DistributedRateLimiter
 from swifttrestle.internal.forward.scheduled_booking import NUMBER_BITS, ScheduledBooker
 from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
@@ -37,6 +35,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
+from swifttrestle.internal.quota_enforcement import QuotaEnforcement
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
@@ -76,7 +75,6 @@
         """
         self._settings = settings
         self._metrics_port = metrics_port
-        self._quota_tolerance = settings.bounds.quota
         incarnation = incarnation or time.time_ns()
         rng = self._rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
@@ -183,10 +181,20 @@
             self._skipped_entries,
             self._relaying.own.reaches_engines,
         )
+        self._quotas = QuotaEnforcement(
+            bounds.quota,
+            settings.host,
+            socket,
+            self._gossip.list_members,
+            lambda: not self._discovery.store_unreachable,
+            lambda: self._configuration.table,
+            rng,
+            self._metrics,
+        )
         self._handler = GatewayHandler(
             self._state,
             self._booker,
-            QuotaCharger(NoQuotas(), settings.host, lambda: self._quota_tolerance),
+            self._quotas.charger,
             lambda: self._configuration.table,
             lambda: self._configuration.freshness.confirmed_at,
             bounds.revocation_seconds,
@@ -227,6 +235,7 @@
             self._duties,
             self._store,
             self._relaying,
+            self._quotas.limiter,
         )
 
     async def run(self) -> None:
@@ -242,6 +251,7 @@
         self._tasks.start(self._booker.run())
         self._tasks.start_restarting("loop lag", self._load_monitor.run)
         self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
+        self._tasks.start_restarting("quotas", self._quotas.limiter.run)
         self._tasks.start_restarting("stream versions", self._streams.run)
         self._tasks.start_restarting("path checks", self._relaying.own.run)
         self._tasks.start_restarting("prompt cache queries", self._prompt_cache_loader.run)
@@ -391,7 +401,7 @@
             log_event("settings kept", names=["listen", "platform"], reason="restart required")
         bounds = settings.bounds
         self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds)
-        self._quota_tolerance = bounds.quota
+        self._quotas.change_tolerance(bounds.quota)
         self._gossip.add_seeds([seed[0] for seed in settings.seeds])
 
     # Readiness.
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -10,6 +10,7 @@
 from swifttrestle.internal.coordination.discovery.discovery import Discovery
 from swifttrestle.internal.coordination.duties.duties import Duties
 from swifttrestle.internal.coordination.membership.gossip import Gossip
+from swifttrestle.internal.coordination.quotas.limiter import QuotaLimiter
 from swifttrestle.internal.coordination.sharing.relaying import Relaying
 from swifttrestle.internal.event_log import WRITER
 from swifttrestle.internal.forward.gateway_state import GatewayState
@@ -37,6 +38,7 @@
         duties: Duties,
         store: ObjectStore,
         relaying: Relaying,
+        limiter: QuotaLimiter,
     ) -> None:
         """Serve the state of these components."""
         self._host = host
@@ -48,6 +50,7 @@
         self._duties = duties
         self._store = store
         self._relaying = relaying
+        self._limiter = limiter
         self._add_gauges()
 
     def make_handler(self) -> PageHandler:
@@ -76,6 +79,7 @@
             "cut_paths": self._relaying.own.describe(_now()),
             "relayed_for_peers": self._relaying.server.open,
             "duties": self._duties.describe(),
+            "quotas": self._limiter.describe(_now()),
             "quarantine": describe_quarantine(self._state.guard.quarantine, _now()),
         }
         return Page(200, b"application/json", orjson.dumps(state))
