--- a/src/swifttrestle/internal/explanation.py
+++ b/src/swifttrestle/internal/explanation.py
@@ -19,6 +19,7 @@
     (
         "started", "stopping", "stopped", "store lost", "store regained", "live hosts",
         "configuration skipped", "scheduler silent", "list watcher silent", "settings not taken",
+        "quota counter", "quota counter silent",
     )
 )  # fmt: skip
 # Events about upstreams that crashed under a request, on any host.
@@ -132,10 +133,23 @@
     fields = request.fields
     return (
         f"ends with {fields.get('code')}: {fields.get('outcome')} (route {fields.get('route')}, "
-        f"configuration {fields.get('config')}, list {fields.get('list_age')} s old)"
+        f"configuration {fields.get('config')}, list {fields.get('list_age')} s old"
+        f"{_describe_quota(fields.get('quota'))})"
     )
 
 
+def _describe_quota(charge: Any) -> str:
+    """Return what a request was charged to its workspace's quota, empty if nothing."""
+    if not isinstance(charge, dict):
+        return ""
+    text = f", quota of {charge.get('workspace')}: cost {charge.get('cost')}"
+    if charge.get("decided_by"):
+        text += f", decided by {charge['decided_by']}"
+    if charge.get("missing"):
+        text += f", over by {charge['missing']}"
+    return text + (", given back" if charge.get("given_back") else "")
+
+
 def _read_step(host: str, step: str) -> tuple[float, str]:
     milliseconds, _, text = step.partition(":")
     at = float(milliseconds) / 1000 if milliseconds.isdigit() else 0.0
--- a/tests/cover/test_explanation.py
+++ b/tests/cover/test_explanation.py
@@ -60,6 +60,29 @@
     assert len(timeline) == 5 + shown
 
 
+@pytest.mark.parametrize(
+    ("charge", "shown"),
+    [
+        ({"decided_by": "h2", "missing": 17}, "cost 550, decided by h2, over by 17)"),
+        ({"decided_by": "h2", "missing": 0}, "cost 550, decided by h2)"),
+        (
+            {"decided_by": "h2", "missing": 0, "given_back": True},
+            "cost 550, decided by h2, given back)",
+        ),
+        ({"decided_by": "", "missing": 0}, "cost 550)"),
+    ],
+    ids=["refused", "charged", "given back", "quota just taken away"],
+)
+def test_the_charge_to_a_quota_is_shown(charge, shown):
+    # Guards against a refusal whose decision cannot be traced to a host.
+    quota = {"workspace": "club", "cost": 550, **charge}
+    request = LogLine(100.2, "h1", "request", {**REQUEST.fields, "quota": quota})
+    silent = LogLine(99.0, "h1", "quota counter silent", {"keeper": "h3"})
+    timeline = explain_request([request, silent], "r1")
+    assert timeline[-1].endswith(f"quota of club: {shown}")
+    assert "quota counter silent" in timeline[0]
+
+
 def test_the_timeline_is_sorted_and_starts_at_the_arrival():
     early = LogLine(99.0, "h3", "instance left out", {"instance": "d1"})
     timeline = explain_request([REQUEST, early], "r1")
