--- a/src/swifttrestle/internal/coordination/quotas/limiter.py
+++ b/src/swifttrestle/internal/coordination/quotas/limiter.py
@@ -122,14 +122,16 @@
 
     def describe(self, now: float) -> dict[str, Any]:
         """Return the quotas that this host has charged in the last window or counts."""
-        described = {name: self._describe(name, now) for name in sorted(self._recent)}
+        names = {*self._recent, *self._pools.list_workspaces()}
+        described = {name: self._describe(name, now) for name in sorted(names)}
         return {name: fields for name, fields in described.items() if fields is not None}
 
     def _describe(self, workspace: str, now: float) -> dict[str, Any] | None:
         terms = self._find_terms(workspace)
         if terms is None:
             return None
-        admitted, refused = self._recent[workspace].sum(now)
+        recent = self._recent.get(workspace)
+        admitted, refused = recent.sum(now) if recent is not None else (0, 0)
         return {
             "rate": terms.rate,
             "capacity": terms.capacity,
@@ -216,10 +218,11 @@
 
     def _log_role(self) -> None:
         """Log that this host became or ceased to be a counter."""
-        counts = len(self._pools) > 0
+        workspaces = len(self._pools.list_workspaces())
+        counts = workspaces > 0
         if counts != self._counts:
             self._counts = counts
-            log_event("quota counter", counts=counts, workspaces=len(self._pools))
+            log_event("quota counter", counts=counts, workspaces=workspaces)
 
     # Datagrams.
 
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -99,9 +99,9 @@
         self._last_round_at = float("-inf")
         self._next_round: asyncio.TimerHandle | None = None
 
-    def __len__(self) -> int:
-        """Return the number of pools."""
-        return len(self._pools)
+    def list_workspaces(self) -> list[str]:
+        """Return the workspaces that this host counts."""
+        return list(self._pools)
 
     def submit(self, workspace: str, cost: int) -> "asyncio.Future[Decision]":
         """Return the decision on a request, which may wait for the round in progress."""
--- a/src/swifttrestle/internal/forward/owner_queries.py
+++ b/src/swifttrestle/internal/forward/owner_queries.py
@@ -85,8 +85,7 @@
             del self._pending[number]
             if not reply.done():
                 self._abandon(number, AbandonedQuery(owner, query, asked_at))
-        self._suspended_until[owner.host] = _now() + OWNER_SUSPEND_SECONDS
-        log_event(self._silence_event, keeper=owner.host)
+        self._suspend(owner)
         return None
 
     def receive(self, message: Reply) -> None:
@@ -100,6 +99,13 @@
         if abandoned is not None:
             self._on_late(message, abandoned)
 
+    def _suspend(self, owner: Member) -> None:
+        """Stop asking an owner for a while; log it once for all queries that waited for it."""
+        now = _now()
+        if self._suspended_until.get(owner.host, 0.0) <= now:
+            log_event(self._silence_event, keeper=owner.host)
+        self._suspended_until[owner.host] = now + OWNER_SUSPEND_SECONDS
+
     def _abandon(self, number: int, abandoned: AbandonedQuery[Query]) -> None:
         self._abandoned[number] = abandoned
         outdated_at = _now() - LATE_REPLY_SECONDS
