--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -37,6 +37,7 @@
 from swifttrestle.internal.pages import PageHandler
 from swifttrestle.internal.quota_enforcement import QuotaEnforcement
 from swifttrestle.internal.settings_file import watch_settings_file
+from swifttrestle.internal.settings_reload import SettingsReloader
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.median_clock import MedianClock
@@ -191,6 +192,7 @@
             rng,
             self._metrics,
         )
+        self._reloader = SettingsReloader(settings, self._budgets, self._gossip, self._quotas)
         self._handler = GatewayHandler(
             self._state,
             self._booker,
@@ -380,29 +382,9 @@
         table = self._configuration.table
         return table.configuration if table else None
 
-    # Reload.
-
     def reload(self) -> None:
         """Read the settings file again."""
-        try:
-            settings = load_host_settings()
-            log_event("settings read again", source="SIGHUP or changed file")
-            self._apply_settings(settings)
-        except InvalidSettingError as error:
-            # The current settings stay in use.
-            log_event("settings not taken", reason=str(error))
-
-    def _apply_settings(self, settings: HostSettings) -> None:
-        """Apply what may change at run time: the retry budget, quotas' tolerance and the seeds.
-
-        Changed addresses take effect at the next start.
-        """
-        if settings.callers != self._settings.callers or settings.store != self._settings.store:
-            log_event("settings kept", names=["listen", "platform"], reason="restart required")
-        bounds = settings.bounds
-        self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds)
-        self._quotas.change_tolerance(bounds.quota)
-        self._gossip.add_seeds([seed[0] for seed in settings.seeds])
+        self._reloader.reload()
 
     # Readiness.
 
