A relayed watch claims no changes that another host has relayed

A host that relays the discovery list omits records that it already knows, but its message claimed all changes since the start of its watch. Recipients that took it for complete kept an instance unknown until its next heartbeat.

--- a/src/swifttrestle/internal/coordination/discovery/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery/discovery.py
@@ -180,15 +180,15 @@
     async def _watch(self) -> None:
         max_seconds = WATCH_SECONDS - self._pause_seconds
         watch_seconds = RELAYING_WATCH_SECONDS if self._relay.should_relay() else max_seconds
-        since = self._revision
-        seen = await self._store.watch(UPSTREAM_KIND, since, watch_seconds)
+        seen = await self._store.watch(UPSTREAM_KIND, self._revision, watch_seconds)
         self._note_answer()
         if self._restored_entries.drop_expired(self._now()):
             self._must_list = True
         if seen.revision < self._revision:
             # Another host has relayed newer changes in the meantime.
             return
-        self._revision = seen.revision
+        # The changes below lack those that another host has relayed during the watch.
+        since, self._revision = self._revision, seen.revision
         records: dict[str, UpstreamRecord] = {}
         removed: set[str] = set()
         for change in seen.changes:
--- a/tests/cover/test_removals.py
+++ b/tests/cover/test_removals.py
@@ -115,6 +115,41 @@
     run_in_virtual_time(scenario())
 
 
+class Aggregator(StandaloneRelay):
+    """The relay of a host that watches the list and relays changes, beside another one."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+
+    def should_relay(self):
+        return True
+
+    def send(self, changes):
+        self.sent.append(changes)
+
+
+def test_a_host_that_relays_a_watch_does_not_claim_changes_that_another_host_relayed():
+    # Guards against instances that stay unknown: the host knows their records already, so its
+    # message omits them, and recipients that take it for complete never read them.
+    async def scenario():
+        host = Host(1, Aggregator())
+        await asyncio.sleep(3.0)
+        revision = host.discovery._revision
+        newest = next_revision(revision)
+        host.relay.take(ListingChanges(revision, newest, 0.0, records=(make_record("s2"),)))
+        host.relay.sent.clear()
+        host.store.stand_in.put("servers", "s2", RECORD)
+        await asyncio.sleep(1.0)
+        assert host.knows("s2")
+        about_newest = [item for item in host.relay.sent if item.revision >= newest]
+        assert about_newest
+        assert not [item for item in about_newest if item.since < newest and not item.records]
+        host.task.cancel()
+
+    run_in_virtual_time(scenario())
+
+
 def make_record(name, leaving=False):
     return UpstreamRecord(name, "alerts", ("10.0.0.9", 80), "a", 6, leaving, Role.NONE)
 
