Schedulers of other regions get open work with heartbeats alone

Reports of each change to the schedulers of all regions are traffic between regions, which is billed at four times the rate, and those seldom use engines of this region.

--- a/src/swifttrestle/internal/coordination/membership/gossip.py
+++ b/src/swifttrestle/internal/coordination/membership/gossip.py
@@ -95,6 +95,7 @@
             rng,
             self._now,
             lambda: self._rosters.aggregator_message_at,
+            fleet.topology,
         )
         self._role_orders = RoleOrders(fleet, self._now)
         self._live: frozenset[str] = frozenset()
--- a/src/swifttrestle/internal/coordination/membership/recipients.py
+++ b/src/swifttrestle/internal/coordination/membership/recipients.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.internal.coordination.membership.candidates import DutyCandidates
 from swifttrestle.internal.coordination.membership.zone_aggregators import ZoneAggregators
+from swifttrestle.internal.policy.distance import NO_REGIONS, Topology
 from swifttrestle.internal.policy.scheduling import is_large_fleet
 from swifttrestle.internal.state.members import Member
 from swifttrestle.internal.state.peers import Peer, PeerTable
@@ -34,6 +35,7 @@
         rng: random.Random,
         now: Callable[[], float],
         find_aggregator_message_at: Callable[[], float],
+        topology: Topology = NO_REGIONS,
     ) -> None:
         """Choose among `peers`; `candidates` knows whether this host is stopping.
 
@@ -41,6 +43,7 @@
         zone was received.
         """
         self._me = me
+        self._topology = topology
         self._peers = peers
         self._candidates = candidates
         self._rng = rng
@@ -80,8 +83,17 @@
         return len(self._schedulers)
 
     def list_other_schedulers(self) -> list[Peer]:
-        """Return the other hosts that schedule engines."""
-        return self.list_named(self._schedulers)
+        """Return the other hosts of this region that schedule engines.
+
+        Those of other regions get this host's open work with its heartbeats alone: they seldom use
+        engines of this region, and traffic between regions is billed at four times the rate.
+        """
+        zone = self._me.zone
+        return [
+            item
+            for item in self.list_named(self._schedulers)
+            if self._topology.is_same_region(zone, item.zone)
+        ]
 
     def list_for_heartbeat(self, now: float, has_work: bool) -> list[Peer]:
         """Return the recipients of a heartbeat in a large fleet, and schedulers if `has_work`.
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -1,5 +1,7 @@
 """Which hosts count as live, by their own heartbeats and by the reports of others."""
 
+import random
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -7,9 +9,11 @@
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.coordination.duties.role_orders import RoleOrders
 from swifttrestle.internal.coordination.membership.candidates import DutyCandidates
+from swifttrestle.internal.coordination.membership.recipients import ReportRecipients
 from swifttrestle.internal.coordination.membership.rosters import Rosters
 from swifttrestle.internal.coordination.membership.zone_demand import ZoneDemand
 from swifttrestle.internal.coordination.store.store_availability import StoreAvailability
+from swifttrestle.internal.policy.distance import Topology
 from swifttrestle.internal.policy.scheduling import list_aggregators
 from swifttrestle.internal.protocol.rosters import (
     ENTRIES_PER_PART,
@@ -566,3 +570,34 @@
     if interrupted:
         availability.record_outage()
     assert availability.find_available_seconds(asked_at) == expected
+
+
+@pytest.mark.parametrize(
+    ("regions", "changes"),
+    [
+        ({}, {"other", "far"}),
+        ({"a": "r", "b": "r"}, {"other", "far"}),
+        ({"a": "r", "b": "q"}, {"other"}),
+    ],
+)
+def test_schedulers_of_other_regions_get_open_work_with_heartbeats_alone(regions, changes):
+    # Reports of each change to all regions would be most of the gossip between them.
+    clock = [10.0]
+    table = PeerTable(ME)
+    members = [ME, OTHER, FAR, *make_roster(20).members]
+    for member in members[1:]:
+        table.record_heartbeat(make_heartbeat(member), clock[0])
+    recipients = ReportRecipients(
+        ME,
+        table,
+        DutyCandidates(ME, table, lambda: clock[0]),
+        random.Random(1),
+        lambda: clock[0],
+        lambda: clock[0],
+        Topology(regions),
+    )
+    recipients.list_schedulers = lambda: {"me", "other", "far"}
+    recipients.refresh_schedulers(clock[0])
+    assert {peer.host for peer in recipients.list_other_schedulers()} == changes
+    heartbeat = {peer.host for peer in recipients.list_for_heartbeat(clock[0], has_work=True)}
+    assert {"other", "far"} <= heartbeat
