A silent home zone is followed by the caller's region alone

No other region caches the part, so the host books in its own region before it asks a scheduler of another one. Tests of that, of the reply's longer time-out and of what operators see; the region rules are in INVARIANTS.md.

--- a/src/swifttrestle/internal/policy/home_zones.py
+++ b/src/swifttrestle/internal/policy/home_zones.py
@@ -56,18 +56,18 @@
     `effective_read_rate` is the prefill rate of the fastest engine, in tokens a second. The last
     part is the prompt's own. A prompt whose shared parts are short is booked in its caller's zone,
     `near`, and one with longer ones in the caller's region. After the home zone come the zones of
-    the caller's region, since a silent home zone has already cost time.
+    the caller's region alone: a silent home zone has already cost time, and no other region caches
+    the part.
     """
     shared_tokens = sum(item.tokens for item in parts[:-1])
     if not weights or shared_tokens < MIN_SHARED_PREFILL_SECONDS * effective_read_rate:
         return (near,)
     ranked = rank_zones(parts[-2].part, weights)
-    in_region = tuple(zone for zone in ranked if topology.is_same_region(near, zone))
+    in_region = tuple(zone for zone in ranked if topology.is_same_region(near, zone)) or ranked
     if shared_tokens < MIN_SHARED_PREFILL_SECONDS_OTHER_REGION * effective_read_rate:
-        return (in_region or ranked)[:MAX_HOME_ZONES]
-    home = ranked[0]
-    in_order = (home, *in_region, *ranked)
-    return tuple(dict.fromkeys(in_order))[:MAX_HOME_ZONES]
+        return in_region[:MAX_HOME_ZONES]
+    in_order = dict.fromkeys((ranked[0], *in_region))
+    return tuple(in_order)[:MAX_HOME_ZONES]
 
 
 def rank_zones(part: str, weights: Mapping[str, int]) -> tuple[str, ...]:
--- a/tests/cover/test_home_zones.py
+++ b/tests/cover/test_home_zones.py
@@ -26,7 +26,7 @@
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
 from swifttrestle.internal.forward.scheduled_booking import ScheduledBooker
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.distance import Topology
+from swifttrestle.internal.policy.distance import Distance, Topology
 from swifttrestle.internal.policy.home_zones import (
     count_engines_by_zone,
     list_home_zones,
@@ -121,7 +121,8 @@
     [
         # Longer than the way to another region, 48 ms: one home for the callers of all regions.
         ("c", 5000, "a", ("c", "a-or-b")),
-        ("c", 5000, "c", ("c", "a-or-b")),
+        # The region's only zone: the caller's host then books there itself.
+        ("c", 5000, "c", ("c",)),
         ("a", 5000, "c", ("a", "c")),
         ("a", 5000, "b", ("a", "b")),
         # Shorter: a home in each region.
@@ -257,6 +258,22 @@
     run_hosts(act, monkeypatch, answer_seconds=0.05)
 
 
+def test_a_silent_scheduler_of_another_region_is_followed_by_one_of_the_callers_region(monkeypatch):
+    # Its reply takes a round trip between regions longer than one of the caller's region.
+    async def act(network, members, hosts):
+        host = next(item for item in hosts if item.member.zone == "a")
+        host.state.fleet.topology = TWO_REGIONS
+        part = find_part("c")
+        network.receivers.pop(find_scheduler(members, "s", "c").ip)
+        asked_at = asyncio.get_running_loop().time()
+        booking = await host.book(part)
+        seconds = asyncio.get_running_loop().time() - asked_at
+        assert seconds >= 0.05 + Distance.OTHER_REGION.extra_seconds
+        assert booking.reader.record.zone in ("a", "b")
+
+    run_hosts(act, monkeypatch, answer_seconds=0.05)
+
+
 def test_the_host_books_locally_if_neither_scheduler_replies(monkeypatch):
     async def act(network, members, hosts):
         first, second = rank_zones("part", EVEN)[:2]
--- a/tests/hosted/test_regions.py
+++ b/tests/hosted/test_regions.py
@@ -14,6 +14,7 @@
 from swifttrestle.internal.coordination.sharing import relayed_paths
 from swifttrestle.internal.policy import scheduling
 from swifttrestle.internal.policy.home_zones import rank_zones
+from swifttrestle.internal.state_dump import describe_fleet
 from swifttrestle_standins.hosted.cuts import Cut, make_cut_error
 from swifttrestle_standins.hosted.site import wait_until
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
@@ -191,6 +192,25 @@
     assert await check_part(site, "hall-a", "after-a", part_of_c) == {"hall-c"}
 
 
+def count_sent(site, zone, distance):
+    counts = site.gateways[f"{zone}-0"].gateway._state.metrics.snapshot()
+    name = "gateway_requests_by_distance_total"
+    return sum(count for key, count in counts.items() if name in key and distance in key)
+
+
+@on_site(gateways=0, engines=(), plain=0)
+async def test_operators_see_the_distance_of_requests_and_the_region_of_instances(site):
+    await build_regions(site)
+    await check_part(site, "hall-c", "far", find_part("hall-a"))
+    # One for prefill and one for decode.
+    assert count_sent(site, "hall-c", "other_region") == 2
+    assert (await ask_plain(site, "hall-c", "near")).status == 200
+    assert count_sent(site, "hall-c", "same_zone") == 1
+    fleet = site.gateways["hall-c-0"].gateway._fleet
+    regions = {item["zone"]: item["region"] for item in describe_fleet(fleet).values()}
+    assert regions == REGIONS
+
+
 @on_site(gateways=0, engines=(), plain=0)
 async def test_requests_during_the_detection_of_a_cut_are_served(site, monkeypatch):
     await build_regions(site)
