--- a/tests/common/quota_fleet.py
+++ b/tests/common/quota_fleet.py
@@ -87,6 +87,7 @@
     """One host: its limiter, the other hosts that it sees, and its workspace."""
 
     def __init__(self, fleet, member, start):
+        self._fleet = fleet
         self.member = member
         self.incarnation = f"{member.host} {start}"
         self.receive = None
@@ -114,7 +115,7 @@
     def _find_terms(self, name):
         if name != NAME or self.quota is None:
             return None
-        return find_terms(self.quota, TOLERANCE)
+        return find_terms(self.quota, self._fleet.tolerance)
 
     def start(self, coroutine):
         return asyncio.get_running_loop().create_task(coroutine, context=self.context)
@@ -130,6 +131,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.quota = Quota(rate, rate, QuotaUnit.TOKENS, 200)
+        self.tolerance = TOLERANCE
         self.lost_share = self.duplicated_share = self.late_share = 0.0
         # Hosts on the other side of a partition.
         self.cut = frozenset()
@@ -153,9 +155,10 @@
     def now(self):
         return self.loop.time()
 
-    def set_quota(self, quota, names=None):
+    def set_quota(self, quota, names=None, tolerance=TOLERANCE):
         """Put a quota in force, at some hosts or at all."""
         self.quota = quota
+        self.tolerance = tolerance
         for name in self.hosts if names is None else names:
             self.hosts[name].quota = quota
 
--- a/tests/cover/test_quota_limiter.py
+++ b/tests/cover/test_quota_limiter.py
@@ -21,7 +21,7 @@
     find_terms,
 )
 from swifttrestle.internal.protocol.quotas import CollectReply, CollectRequest
-from swifttrestle.internal.state.declared import Quota, QuotaUnit
+from swifttrestle.internal.state.declared import Quota, QuotaTolerance, QuotaUnit
 from swifttrestle.internal.state.members import Member
 from tests.common.quota_fleet import MAX_COST, NAME, RATE, TOLERANCE, Fleet, run_fleet
 
@@ -204,6 +204,16 @@
     assert fleet.find_worst_window() <= fleet.find_bound()
 
 
+def test_nine_tenths_of_a_quota_are_used_while_some_datagrams_are_lost():
+    async def run():
+        fleet = Fleet(58, 3)
+        fleet.lost_share = 0.02
+        since = await run_steadily(fleet, 3.0, 40.0)
+        return fleet.count_granted(since + 4, since + 40)
+
+    assert run_fleet(run()) >= 0.9 * RATE * 36
+
+
 @pytest.mark.parametrize("rate", [RATE, LARGE_RATE])
 @pytest.mark.parametrize("hosts", [1, 8, 58, 195])
 def test_few_requests_are_refused_while_demand_is_half_of_the_quota(hosts, rate):
@@ -531,7 +541,7 @@
         request = host.start(host.limiter.admit(host.workspace, 17_000))
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        waiting = len(host.limiter._pools._pools[NAME].waiting)
+        waiting = len(host.limiter._pools._pools[NAME]._waiting)
         request.cancel()
         await asyncio.sleep(0.1)
         return waiting, count_pool(fleet, host.member.host)
@@ -541,6 +551,46 @@
     assert units == pytest.approx(find_terms(Quota(RATE, RATE), TOLERANCE).capacity, abs=8)
 
 
+def test_a_request_larger_than_the_capacity_is_admitted_and_paid_by_later_ones():
+    # It fits a full pool only: one that lacks a little has to be filled up for it.
+    async def run():
+        fleet, host = await start_fleet()
+        await host.admit(500)
+        await asyncio.sleep(0.3)
+        admission = await host.admit(200_000)
+        await asyncio.sleep(0.05)
+        debt = count_pool(fleet, fleet.find_counters()[0])
+        refused = await host.admit(1_400)
+        # The debt is paid although there are no requests.
+        await asyncio.sleep(5)
+        return admission, debt, refused, count_pool(fleet, fleet.find_counters()[0])
+
+    admission, debt, refused, units = run_fleet(run())
+    assert admission.is_granted
+    assert debt < 0
+    assert not refused.is_granted
+    assert refused.seconds == pytest.approx((1_400 - debt) / RATE, rel=0.2)
+    assert units > 50_000
+
+
+@pytest.mark.parametrize("hosts", [8, 195])
+def test_a_small_quota_of_requests_is_used_also_in_a_large_fleet(hosts):
+    # Each host's part of it never reaches a whole request.
+    async def run():
+        fleet = Fleet(hosts, 10)
+        host = next(iter(fleet.hosts.values()))
+        fleet.set_quota(Quota(20.0, 20.0, QuotaUnit.REQUESTS), tolerance=QuotaTolerance())
+        await asyncio.sleep(JOIN_SECONDS + 10)
+        granted = 0
+        until = fleet.now() + 20
+        while fleet.now() < until:
+            granted += (await host.admit(1)).is_granted
+            await asyncio.sleep(0.01)
+        return granted
+
+    assert 0.9 * 20 * 20 <= run_fleet(run()) <= 20 * 20 + 20
+
+
 def test_a_large_request_is_not_overtaken_while_it_waits_for_a_round():
     # Otherwise small requests would take all that is collected, and large ones were never served.
     async def run():
