--- a/src/swifttrestle/internal/coordination/quotas/hosts.py
+++ b/src/swifttrestle/internal/coordination/quotas/hosts.py
@@ -48,14 +48,17 @@
         self.refresh(now)
         return self._members
 
+    def count_live(self, now: float) -> int:
+        """Return the number of live hosts, at least this one."""
+        return max(1, len(self.list_live(now)))
+
     def count(self, now: float) -> int:
         """Return the number of hosts that have a share."""
-        self.refresh(now)
-        return max(1, len(self._live) + len(self._lost))
+        return self.count_live(now) + len(self._lost)
 
     def find_live_share(self, now: float) -> float:
         """Return the part of the hosts with a share that are live."""
-        return max(1, len(self.list_live(now))) / self.count(now)
+        return self.count_live(now) / self.count(now)
 
     def find_counters(self, workspace: str, now: float) -> list[Member]:
         """Return the hosts that count a workspace, in order of preference."""
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -156,7 +156,7 @@
             self._wait(counted, now)
 
     def _find_interval(self, now: float) -> float:
-        return find_collection_interval(len(self._hosts.list_live(now)))
+        return find_collection_interval(self._hosts.count_live(now))
 
     def _schedule_round(self, at: float) -> None:
         if self._next_round is not None:
@@ -178,7 +178,7 @@
     def _start_round(self, now: float) -> None:
         """Ask all hosts for what the pools lack."""
         self._last_round_at = now
-        hosts = len(self._hosts.list_live(now))
+        hosts = self._hosts.count_live(now)
         wanted = []
         for workspace, counted in self._pools.items():
             units = counted.begin_round(hosts, now) if self._is_in_use(counted, now) else 0
--- a/tests/common/quota_fleet.py
+++ b/tests/common/quota_fleet.py
@@ -91,7 +91,7 @@
         self.member = member
         self.incarnation = f"{member.host} {start}"
         self.receive = None
-        self.members = ()
+        self.members = (member,)
         self.reaches_store = True
         self.quota = fleet.quota
         self.metrics = Metrics()
@@ -277,13 +277,18 @@
 
 
 def run_fleet(test):
-    """Run a coroutine in virtual time and return its result."""
+    """Run a coroutine in virtual time and return its result; fail if a callback failed."""
+    failures = []
 
     async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, details: failures.append(details))
         try:
             return await test
         finally:
-            asyncio.get_running_loop().resume_all()
+            loop.resume_all()
 
     with asyncio.Runner(loop_factory=HostLoop) as runner:
-        return runner.run(run())
+        result = runner.run(run())
+    assert not failures
+    return result
--- a/tests/cover/test_quota_limiter.py
+++ b/tests/cover/test_quota_limiter.py
@@ -1,6 +1,7 @@
 """All hosts together keep to a workspace's quota, and use it, while hosts and datagrams fail."""
 
 import asyncio
+import random
 from dataclasses import replace
 
 import pytest
@@ -23,7 +24,15 @@
 from swifttrestle.internal.protocol.quotas import CollectReply, CollectRequest
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance, QuotaUnit
 from swifttrestle.internal.state.members import Member
-from tests.common.quota_fleet import MAX_COST, NAME, RATE, TOLERANCE, Fleet, run_fleet
+from tests.common.quota_fleet import (
+    MAX_COST,
+    NAME,
+    RATE,
+    REJOIN_SECONDS,
+    TOLERANCE,
+    Fleet,
+    run_fleet,
+)
 
 # The load fills all accounts at first, and then exceeds the quota.
 QUIET_SECONDS, QUIET_DEMAND = 14.0, 0.4
@@ -127,6 +136,34 @@
     fleet.update_members()
 
 
+async def fail_at_random(fleet):
+    """Start or end some fault each second."""
+    rng = random.Random(fleet.seed)
+    killed = []
+    for _ in range(int(QUIET_SECONDS + BUSY_SECONDS) - 2):
+        await asyncio.sleep(1)
+        name = rng.choice(list(fleet.hosts))
+        match rng.choice(["suspend", "resume", "kill", "start", "cut", "heal", "lose", "deliver"]):
+            case "suspend" if len(fleet.suspended) < 3:
+                fleet.suspend(name)
+            case "resume" if fleet.suspended:
+                fleet.resume(rng.choice(sorted(fleet.suspended)))
+            case "kill" if name not in fleet.suspended and len(killed) < 3:
+                killed.append(fleet.hosts[name].member)
+                fleet.kill(name)
+            case "start" if killed:
+                fleet.start_host(killed.pop())
+                fleet.update_members_later(REJOIN_SECONDS)
+            case "cut":
+                fleet.partition(rng.sample(list(fleet.hosts), rng.randrange(len(fleet.hosts))))
+            case "heal":
+                fleet.partition(())
+            case "lose":
+                fleet.lost_share, fleet.late_share, fleet.duplicated_share = 0.1, 0.1, 0.1
+            case "deliver":
+                fleet.lost_share = fleet.late_share = fleet.duplicated_share = 0.0
+
+
 async def no_fault(fleet):
     """Change nothing."""
 
@@ -146,6 +183,7 @@
     isolate_a_host,
     disagree_about_the_counter,
     kill_all,
+    fail_at_random,
 ]
 
 
