--- a/src/swifttrestle/internal/coordination/quotas/limiter.py
+++ b/src/swifttrestle/internal/coordination/quotas/limiter.py
@@ -39,6 +39,8 @@
 # Part of the hosts that a counter must see. The members of a smaller group decide from their own
 # shares: its pool would hold too little for a usual request, and each would pass into debt.
 MIN_LIVE_SHARE = 0.25
+# Largest charge: callers may state any number of tokens, also one that no datagram can carry.
+MAX_COST = 2**53
 # Seconds between two checks for changed quotas and hosts.
 REFRESH_SECONDS = 1.0
 
@@ -99,6 +101,7 @@
         if self._find_terms(name) is None:
             return Admission()
         self._note_unit(workspace)
+        cost = min(cost, MAX_COST)
         admission, label = await self._decide(name, cost)
         self._count(name, cost, admission, label)
         return admission
--- a/tests/cover/test_quota_limiter.py
+++ b/tests/cover/test_quota_limiter.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swifttrestle.internal import event_log
+from swifttrestle.internal.coordination.quotas.counted_pool import CountedPool
 from swifttrestle.internal.coordination.quotas.hosts import QuotaHosts
 from swifttrestle.internal.coordination.quotas.limiter import REFRESH_SECONDS
 from swifttrestle.internal.coordination.quotas.rounds import (
@@ -25,6 +26,7 @@
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance, QuotaUnit
 from swifttrestle.internal.state.members import Member
 from tests.common.quota_fleet import (
+    DETECTION_SECONDS,
     MAX_COST,
     NAME,
     RATE,
@@ -611,6 +613,20 @@
     assert units > 50_000
 
 
+@pytest.mark.parametrize("as_counter", [False, True])
+def test_a_request_that_states_more_tokens_than_a_datagram_carries_is_decided(as_counter):
+    async def run():
+        fleet, host = await start_fleet()
+        if as_counter:
+            host = fleet.hosts[fleet.find_counters()[0]]
+        return [await host.admit(2**70) for _ in range(2)]
+
+    first, second = run_fleet(run())
+    assert first.is_granted
+    assert not second.is_granted
+    assert second.missing > 0
+
+
 @pytest.mark.parametrize("hosts", [8, 195])
 def test_a_small_quota_of_requests_is_used_also_in_a_large_fleet(hosts):
     # Each host's part of it never reaches a whole request.
@@ -711,6 +727,61 @@
         await asyncio.sleep(0.01)
 
 
+def test_the_pools_on_both_sides_of_a_partition_hold_no_more_than_one():
+    async def run():
+        fleet, _ = await start_fleet()
+        names = list(fleet.hosts)
+        fleet.partition(names[:4])
+        await asyncio.sleep(DETECTION_SECONDS + 1)
+        for name in names:
+            await fleet.hosts[name].admit(1_400)
+        await asyncio.sleep(5)
+        return fleet, [count_pool(fleet, name) for name in names]
+
+    fleet, pools = run_fleet(run())
+    held = [units for units in pools if units is not None]
+    capacity = find_terms(fleet.quota, TOLERANCE).capacity
+    assert len(held) == 2
+    assert 0.9 * capacity <= sum(held) <= capacity
+
+
+def test_a_second_counter_keeps_its_pool_only_while_it_is_asked():
+    # What both counters hold may be granted at once.
+    async def run():
+        fleet, _ = await start_fleet()
+        first, second = fleet.find_counters()
+        for name in (first, second):
+            await fleet.hosts[name].start(ask_pool(fleet.hosts[name]))
+        held = [count_pool(fleet, name) for name in (first, second)]
+        await asyncio.sleep(5)
+        return held, [count_pool(fleet, name) for name in (first, second)]
+
+    held, kept = run_fleet(run())
+    assert min(held) > 0
+    assert kept[0] > 0
+    assert kept[1] is None
+
+
+async def ask_pool(host):
+    decision = await host.limiter._pools.submit(NAME, 1_400)
+    assert decision.seconds <= 0
+
+
+def test_a_pool_in_debt_is_kept_until_the_debt_is_paid():
+    terms = QuotaTerms(100.0, 1000.0)
+
+    async def run():
+        counted = CountedPool(NAME, terms)
+        counted.begin_round(1, 0.0)
+        counted.collect(1000.0, 0.0)
+        counted.submit(5000, asyncio.get_running_loop().create_future(), 0.0)
+        in_use = [counted.is_in_use(2.0, 500.0)]
+        counted.collect(4000.0, 500.0)
+        return [*in_use, counted.is_in_use(2.0, 500.0)]
+
+    assert run_fleet(run()) == [True, False]
+
+
 # Hosts.
 
 
