--- a/src/swifttrestle/internal/coordination/quotas/limiter.py
+++ b/src/swifttrestle/internal/coordination/quotas/limiter.py
@@ -39,6 +39,8 @@
 # Part of the hosts that a counter must see. The members of a smaller group decide from their own
 # shares: its pool would hold too little for a usual request, and each would pass into debt.
 MIN_LIVE_SHARE = 0.25
+# Largest charge: callers may state any number of tokens, also one that no datagram can carry.
+MAX_COST = 2**53
 # Seconds between two checks for changed quotas and hosts.
 REFRESH_SECONDS = 1.0
 
@@ -81,7 +83,7 @@
         rounds = CollectionRounds(
             host, self._hosts, self._send_to_all, rng.getrandbits(NUMBER_BITS)
         )
-        self._pools = QuotaPools(self._hosts, self._shares, rounds, find_terms)
+        self._pools = QuotaPools(host, self._hosts, self._shares, rounds, find_terms)
         self._counter = QuotaCounter(self._pools, self._send)
         # Numbers must differ at each start of the process, so that no reply is taken for another.
         self._queries: OwnerQueries[QuotaRequest, QuotaReply] = OwnerQueries(
@@ -99,6 +101,7 @@
         if self._find_terms(name) is None:
             return Admission()
         self._note_unit(workspace)
+        cost = min(cost, MAX_COST)
         admission, label = await self._decide(name, cost)
         self._count(name, cost, admission, label)
         return admission
