Quota accounts: pools hold the part of the hosts that reply, and expire with the rate

Two pools that were both full, and the shares, held up to 1.2 times what is tolerated. A pool now holds the part of its capacity that matches the hosts that replied, and expires before what others accrue exceeds the rest. Shares under one unit are collected, the Retry-After of a share counts that it was emptied, and fewer workspaces move when the number of counters changes.

--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -7,7 +7,6 @@
 message loses units; none creates any. docs/design/quotas.md compares the alternatives.
 """
 
-import zlib
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -16,20 +15,23 @@
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance
 from swifttrestle.internal.state.members import Member
 
-# Part of the burst and of the tolerated excess that a pool holds, and all shares together hold.
-# Twice this may be spent at once, and three times this while two hosts are counters, so that 0.4
-# keeps to what is tolerated in the first case and exceeds it by a fifth at most in the second.
-CAPACITY_SHARE = 0.4
+# Part of the burst and of the tolerated excess that a pool holds, and also all shares together.
+# What other pools and the shares hold beside a pool was accrued since its last collection, and
+# `QuotaTerms.pool_ttl` is so short that it fits into the other part. At 0.5, twice as many of the
+# largest requests of a small quota are rejected; at 0.6, pools expire too soon.
+CAPACITY_SHARE = 0.55
 # Seconds of the rate that a pool holds at least: what is accrued between two collections.
 MIN_CAPACITY_SECONDS = 0.5
-# Seconds without a collection after which a pool is emptied: its host was suspended, or is no
-# longer the counter.
-POOL_TTL_SECONDS = 2.0
-# Part of its capacity below which a pool is filled up.
-LOW_POOL_SHARE = 0.75
+# Bounds of the seconds without a collection after which a pool is emptied. The minimum exceeds the
+# time between two collections of a fleet of 790 hosts.
+MIN_POOL_TTL_SECONDS = 0.8
+MAX_POOL_TTL_SECONDS = 10.0
+# Part of its capacity below which a pool is filled up. At 0.75, large requests find it too low.
+LOW_POOL_SHARE = 0.9
 # Minimum seconds between two collections, and the number of hosts that a counter asks per second.
+# At 800 a second, 790 hosts reject over 2 in 100 of the largest requests of a small quota.
 COLLECTION_SECONDS = 0.25
-MAX_ASKED_PER_SECOND = 800.0
+MAX_ASKED_PER_SECOND = 1200.0
 # Seconds after its start from which a host accrues: until then it may not know all others.
 JOIN_SECONDS = 2.0
 # Seconds for which a host that is not seen any more still counts as having a share.
@@ -44,10 +46,16 @@
 
 @dataclass(frozen=True)
 class QuotaTerms:
-    """A quota as the accounts apply it: units a second, and the units that a pool holds."""
+    """A quota as the accounts apply it.
+
+    `rate` is in units a second. `capacity` is what a pool holds, and what all shares together hold.
+    A pool is emptied `pool_ttl` seconds after its last collection: its host was suspended, or is no
+    longer the counter.
+    """
 
     rate: float
     capacity: float
+    pool_ttl: float = MIN_POOL_TTL_SECONDS
 
 
 @dataclass(frozen=True)
@@ -65,7 +73,10 @@
     """Return how a quota is applied where the platform tolerates some excess."""
     spare = quota.burst + tolerance.find_excess(quota)
     capacity = max(1.0, quota.rate * MIN_CAPACITY_SECONDS, spare * CAPACITY_SHARE)
-    return QuotaTerms(quota.rate, capacity)
+    # So long that what is accrued meanwhile fits into the part that a pool does not hold.
+    pool_ttl = spare * (1 - CAPACITY_SHARE) / quota.rate
+    bounded = min(MAX_POOL_TTL_SECONDS, max(MIN_POOL_TTL_SECONDS, pool_ttl))
+    return QuotaTerms(quota.rate, capacity, bounded)
 
 
 def find_counters(members: Sequence[Member], workspace: str) -> list[Member]:
@@ -74,8 +85,10 @@
     They are among those with the fastest link. Workspaces share counters, so that one collection
     serves many of them.
     """
-    counters = max(1, len(members) // HOSTS_PER_COUNTER)
-    key = f"quota|{zlib.crc32(workspace.encode()) % counters}"
+    groups = range(max(1, len(members) // HOSTS_PER_COUNTER))
+    # Not by a remainder, which would move most workspaces whenever the number of groups changes.
+    group = max(groups, key=lambda number: rank(workspace, f"group {number}"))
+    key = f"quota|{group}"
     fastest = max((item.link_mbps for item in members), default=0.0)
     ranked = sorted(
         members, key=lambda item: (item.link_mbps == fastest, rank(key, item.host)), reverse=True
@@ -113,17 +126,26 @@
         self._units -= units
         return units
 
+    def collect_exact(self) -> float:
+        """Remove and return all units.
+
+        Where a host's part of the capacity is under one unit, whole units are never reached.
+        """
+        units, self._units = self._units, 0.0
+        return units
+
     def take(self, cost: int, terms: QuotaTerms, hosts: int, draw: float) -> Decision:
         """Decide on a request where no counter replies; `draw` is uniform in [0, 1).
 
         A request larger than what is there passes with the probability that keeps the expected sum
-        right, and empties the share either way.
+        right, and empties the share either way. A refused one is told to return when the share has
+        accrued its cost, or cannot accrue more.
         """
         available, self._units = self._units, max(0.0, self._units - cost)
         if draw * cost < available:
             return GRANTED
-        missing = cost - available
-        return Decision(missing * hosts / terms.rate, missing)
+        wanted = min(cost, terms.capacity / hosts)
+        return Decision(wanted * hosts / terms.rate, cost - available)
 
 
 class Pool:
@@ -133,8 +155,12 @@
         """Start empty."""
         self._units = 0.0
         self._collected_at = float("-inf")
+        # QuotaTerms.pool_ttl when units were last added.
+        self._ttl = MIN_POOL_TTL_SECONDS
+        self._coverage = 1.0
         # The costs of the requests refused in the last REFUSED_SECONDS, with their times.
         self._refused: deque[tuple[float, int]] = deque()
+        self._refused_units = 0
 
     @property
     def units(self) -> float:
@@ -143,22 +169,33 @@
 
     def deposit(self, units: float, terms: QuotaTerms) -> None:
         """Add what a host has accrued, or what is given back, up to the capacity."""
-        self._units = min(terms.capacity, self._units + units)
+        self._units = min(self._find_capacity(terms), self._units + units)
+        self._ttl = terms.pool_ttl
 
     def note_collection(self, now: float) -> None:
         """Record that hosts are asked for what they have accrued; drop units that are too old."""
         self._expire(now)
         self._collected_at = now
 
-    def needs_collection(self, terms: QuotaTerms, now: float) -> bool:
-        """Return whether the pool is so low that hosts are to be asked."""
+    def note_coverage(self, part: float, terms: QuotaTerms) -> None:
+        """Record which part of all hosts replied to a collection, when it ends.
+
+        The pool holds this part of the capacity, so that the pools of hosts that are cut off from
+        each other together hold no more than one pool.
+        """
+        self._coverage = part
+        self.limit(terms)
+
+    def needs_collection(self, terms: QuotaTerms, now: float, cost: int = 0) -> bool:
+        """Return whether hosts are to be asked: the pool is low, or lacks units for a request."""
         self._expire(now)
-        return self._units < terms.capacity * LOW_POOL_SHARE
+        capacity = self._find_capacity(terms)
+        return self._units < max(capacity * LOW_POOL_SHARE, min(cost, capacity))
 
     def fits(self, cost: int, terms: QuotaTerms, now: float) -> bool:
         """Return whether a request would be granted."""
         self._expire(now)
-        return self._units >= min(cost, terms.capacity)
+        return self._units >= min(cost, self._find_capacity(terms))
 
     def take(self, cost: int, terms: QuotaTerms, now: float) -> Decision:
         """Decide on a request; one larger than the capacity passes into debt at a full pool.
@@ -169,16 +206,20 @@
             self._units -= cost
             return GRANTED
         while self._refused and self._refused[0][0] <= now - REFUSED_SECONDS:
-            self._refused.popleft()
-        missing = min(cost, terms.capacity) - self._units
-        ahead = sum(refused for _, refused in self._refused)
+            self._refused_units -= self._refused.popleft()[1]
+        missing = min(cost, self._find_capacity(terms)) - self._units
+        seconds = (missing + self._refused_units) / terms.rate
         self._refused.append((now, cost))
-        return Decision((missing + ahead) / terms.rate, missing)
+        self._refused_units += cost
+        return Decision(seconds, missing)
 
     def limit(self, terms: QuotaTerms) -> None:
         """Drop the units over the capacity, after a quota was lowered."""
-        self._units = min(terms.capacity, self._units)
+        self._units = min(self._find_capacity(terms), self._units)
+
+    def _find_capacity(self, terms: QuotaTerms) -> float:
+        return max(1.0, terms.capacity * self._coverage)
 
     def _expire(self, now: float) -> None:
-        if now - self._collected_at > POOL_TTL_SECONDS:
+        if now - self._collected_at > self._ttl:
             self._units = min(0.0, self._units)
