--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -23,7 +23,8 @@
 # Seconds of the rate that a pool holds at least: what is accrued between two collections.
 MIN_CAPACITY_SECONDS = 0.5
 # Bounds of the seconds without a collection after which a pool is emptied. The minimum exceeds the
-# time between two collections of a fleet of 790 hosts.
+# time between two collections of a fleet of 790 hosts. The maximum lets go of units that a counter
+# of a workspace with a large tolerance collected before it was replaced.
 MIN_POOL_TTL_SECONDS = 0.8
 MAX_POOL_TTL_SECONDS = 10.0
 # Part of its capacity below which a pool is filled up. At 0.75, large requests find it too low.
