--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import zlib
+from collections.abc import Collection
 from concurrent.futures import ThreadPoolExecutor
 
 import fire
@@ -14,6 +15,7 @@
 from swifttrestle.internal.entry.crash_guard import EntryCrashGuard
 from swifttrestle.internal.entry.handler import EntryHandler
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
+from swifttrestle.internal.entry.quotas import ACCRUAL_SECONDS, EntryQuotas
 from swifttrestle.internal.entry.relay import RelayContext
 from swifttrestle.internal.entry.report_reader import ReportReader
 from swifttrestle.internal.policy.routing import LeastPredicted
@@ -58,12 +60,16 @@
             self.process.metrics,
             settings.stall_seconds,
         )
+        self.quotas = EntryQuotas(
+            settings.name, self.process.clock, self.process.metrics, self._list_entries
+        )
         self.handler = EntryHandler(
             config=self.process.config,
             table=self.table,
             queue=self.queue,
             relay_context=relay_context,
             claims=IdempotencyRecords(self.process.api, settings.name),
+            quotas=self.quotas,
             metrics=self.process.metrics,
             threads=settings.threads,
             max_streams=settings.max_streams,
@@ -86,6 +92,7 @@
         process = self.process
         process.add_dump("upstreams", self.table.dump)
         process.add_dump("quarantine", self._attempts.guard.list_quarantined)
+        process.add_dump("quotas", self.quotas.describe)
         process.add_dump("open_requests", lambda: self.handler.open_requests)
         process.metrics.add_gauge(
             "open_requests", "Requests taken and not ended", lambda: self.handler.open_requests
@@ -103,10 +110,18 @@
         self.stream_relay.start()
         self.reports.start()
         threading.Thread(target=self._announce_idle_upstreams, daemon=True).start()
+        threading.Thread(target=self._accrue_quotas, name="quotas", daemon=True).start()
         threading.Thread(target=self.server.serve, name="callers", daemon=True).start()
         listen = server_address(self.server)
         self.process.run_until_stopped({"listen": listen}, self._stop)
 
+    def _list_entries(self) -> Collection[str]:
+        return self.process.membership.members(ENTRY)
+
+    def _accrue_quotas(self) -> None:
+        while not self.process.stopping.wait(ACCRUAL_SECONDS):
+            self.quotas.accrue()
+
     def _announce_idle_upstreams(self) -> None:
         """Notify the peers at once when the last request on a closed upstream has ended."""
         while True:
--- a/src/swifttrestle/internal/entry/handler.py
+++ b/src/swifttrestle/internal/entry/handler.py
@@ -13,6 +13,7 @@
 from swifttrestle.internal.entry.attempts import Attempt, Attempts, Target
 from swifttrestle.internal.entry.crash_guard import describe_request
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
+from swifttrestle.internal.entry.quotas import EntryQuotas
 from swifttrestle.internal.entry.relay import Relay, RelayContext
 from swifttrestle.internal.entry.requests import (
     Completion,
@@ -25,6 +26,7 @@
     make_error_body,
     make_error_headers,
 )
+from swifttrestle.internal.entry.waiting_threads import WaitingThreads
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.policy.admission import DeadlineAdmission
 from swifttrestle.internal.policy.retry_budget import RetryBudget
@@ -37,10 +39,6 @@
 from swifttrestle.internal.transport.http import Exchange, Handler
 from swifttrestle.resources import ResourceSet, Service
 
-# Share of the worker threads that waiting non-urgent requests may occupy.
-NON_URGENT_THREAD_SHARE = 0.6
-# Worker threads that waiting requests never occupy.
-RESERVED_THREADS = 4
 T = TypeVar("T")
 
 
@@ -55,6 +53,7 @@
         queue: BlockingAdmissionQueue,
         relay_context: RelayContext,
         claims: IdempotencyRecords,
+        quotas: EntryQuotas,
         metrics: Metrics,
         threads: int,
         max_streams: int,
@@ -69,11 +68,11 @@
         self._guard = relay_context.attempts.guard
         self._claims = claims
         self._metrics = metrics
-        self._threads = threads
+        self._waiting_threads = WaitingThreads(threads)
+        self._quotas = quotas
         self._max_streams = max_streams
         self._connect_seconds = connect_seconds
         self._lock = threading.Lock()
-        self._waiting_threads = 0
         self._workspace_by_digest: dict[str, str] = {}
         self._budget = RetryBudget(config.current.policy.retry_ratio)
         self.open_requests = 0
@@ -88,6 +87,7 @@
             for digest in workspace.key_sha256
         }
         self._budget.ratio = current.policy.retry_ratio
+        self._quotas.configure(current.workspaces)
         self._table.configure(current)
         self._queue.notify()
 
@@ -181,8 +181,8 @@
         work, requirements = self._plan(completion, service, terms)
         call = self._make_call(completion, service, terms, work)
         described = describe_request(workspace, exchange.path, body, requirements.blocks)
-        tracked = self._track(call.request_id, described)
-        with tracked, self._claim(service, terms), _WaitingThread(self, terms.priority):
+        charged = self._quotas.charge(workspace, work.prompt_tokens + work.output_tokens)
+        with charged, self._hold_resources(service, terms, call.request_id, described):
             attempt = self._open_first(call, requirements, work, terms)
         self._metrics.count("accepted_total", service=service.name)
         answer = CallerResponse(
@@ -345,8 +345,9 @@
                 self._queue.notify()
             return answer
 
-        tracked = self._track(request_id, describe_request(workspace, exchange.path, body))
-        with tracked, self._claim(service, terms), _WaitingThread(self, terms.priority):
+        described = describe_request(workspace, exchange.path, body)
+        charged = self._quotas.charge(workspace, 0)
+        with charged, self._hold_resources(service, terms, request_id, described):
             answer = self._attempt_with_retries(request_id, requirements, work, terms, try_call)
         self._guard.end(request_id, answered=True)
         self._metrics.count("accepted_total", service=name)
@@ -354,6 +355,18 @@
         id_headers = (("X-Request-Id", terms.caller_id or request_id),)
         exchange.reply(answer.status, answer.body, answer.content_type, id_headers)
 
+    @contextmanager
+    def _hold_resources(
+        self, service: Service, terms: RequestTerms, request_id: str, described: OpenRequest
+    ) -> Iterator[None]:
+        """Have the crash guard track the request, record its id and occupy a waiting thread."""
+        with (
+            self._track(request_id, described),
+            self._claim(service, terms),
+            self._waiting_threads.hold(terms.priority),
+        ):
+            yield
+
     @contextmanager
     def _track(self, request_id: str, described: OpenRequest) -> Iterator[None]:
         """Have the crash guard track the request; stop that if the `with` block raises."""
@@ -369,37 +382,6 @@
             return nullcontext()
         return self._claims.hold(service, terms.workspace, terms.caller_id)
 
-    # A request occupies a worker thread until it has its first token.
-
-    def acquire_thread(self, priority: str) -> None:
-        """Count a waiting thread; raise RefusedError if too few are left for urgent ones."""
-        limit = self._threads - RESERVED_THREADS
-        if priority != URGENT:
-            limit = int(self._threads * NON_URGENT_THREAD_SHARE)
-        with self._lock:
-            if self._waiting_threads >= limit:
-                raise RefusedError(Code.OVERLOADED, "too many requests wait", 1)
-            self._waiting_threads += 1
-
-    def release_thread(self) -> None:
-        """Decrement the number of waiting threads."""
-        with self._lock:
-            self._waiting_threads -= 1
-
-
-class _WaitingThread:
-    """Counts the current thread as waiting within a `with` block."""
-
-    def __init__(self, handler: EntryHandler, priority: str) -> None:
-        self._handler = handler
-        self._priority = priority
-
-    def __enter__(self) -> None:
-        self._handler.acquire_thread(self._priority)
-
-    def __exit__(self, *_: object) -> None:
-        self._handler.release_thread()
-
 
 def _note_lost_attempt(refusal: RefusedError, lost_error: UpstreamError | None) -> RefusedError:
     """Return the refusal, or ANSWER_LOST if an earlier attempt may have run."""
--- a/src/swifttrestle/resources.py
+++ b/src/swifttrestle/resources.py
@@ -23,11 +23,11 @@
     check_sha256,
 )
 from swifttrestle.internal.validated_fields import (
-    check_field,
-    find_unknown,
-    is_required,
+    InvalidFieldsError,
+    check_fields,
     validated_field,
 )
+from swifttrestle.internal.workspace_quota import WorkspaceQuota, check_quota
 
 DAY_MS = 86_400_000
 PRIORITIES = ("urgent", "normal", "background")
@@ -80,10 +80,20 @@
         return f"{self.KIND}/{self.name}"
 
     def spec(self) -> dict[str, Any]:
-        """Return all fields except the name as plain values."""
+        """Return all fields except the name as plain values.
+
+        Fields without a value are left out, so that processes of an earlier version, which skip
+        resources with unknown fields, accept resources that do not use the newer ones.
+        """
         values = {item.name: getattr(self, item.name) for item in fields(self)}
         del values["name"]
-        return {key: list(v) if isinstance(v, tuple) else v for key, v in values.items()}
+        return {key: _to_plain(value) for key, value in values.items() if value is not None}
+
+
+def _to_plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return dataclasses.asdict(value)
+    return list(value) if isinstance(value, tuple) else value
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -100,6 +110,11 @@
         partial(check_number, low=0.01, high=100),
         1.0,
     )
+    quota: WorkspaceQuota | None = validated_field(
+        "Limit with rate_per_s, burst and unit ('tokens' or 'requests'); null for none.",
+        check_quota,
+        None,
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -277,23 +292,10 @@
         return Failure((FieldFault(label, "kind", message),))
     if not isinstance(spec, Mapping):
         return Failure((FieldFault(label, "spec", f"{spec!r} is no mapping; give fields"),))
-    values = {**spec, "name": name}
-    faults = [
-        FieldFault(label, repr(unknown), f"no field of {kind}; remove it or see `explain {kind}`")
-        for unknown in find_unknown(KINDS[kind], values)
-    ]
-    checked: dict[str, Any] = {}
-    for item in fields(KINDS[kind]):
-        if item.name not in values:
-            if is_required(item):
-                faults.append(FieldFault(label, item.name, f"missing; {item.metadata['doc']}"))
-            continue
-        try:
-            checked[item.name] = check_field(item, values[item.name])
-        except ValueError as error:
-            faults.append(FieldFault(label, item.name, str(error)))
-    if faults:
-        return Failure(tuple(faults))
+    try:
+        checked = check_fields(KINDS[kind], {**spec, "name": name}, kind)
+    except InvalidFieldsError as error:
+        return Failure(tuple(FieldFault(label, f.name, f.message) for f in error.faults))
     return Success(KINDS[kind](**checked))
 
 
