--- a/src/swifttrestle/ctl.py
+++ b/src/swifttrestle/ctl.py
@@ -30,6 +30,7 @@
 from swifttrestle.internal.duty_report import describe_duties
 from swifttrestle.internal.explanation import explain_request, read_log_lines
 from swifttrestle.internal.protocol.platform import RestObjectApi, StoredObject
+from swifttrestle.internal.quota_report import QUOTA_STATUS, describe_quotas, read_quota_report
 from swifttrestle.internal.resource_files import Document, read_documents
 from swifttrestle.internal.settings import ENV_PREFIX, check_platform, read_environment
 from swifttrestle.internal.transport.http import make_client
@@ -178,11 +179,16 @@
     def status(self) -> None:
         """Show the accepted configuration, how many entries have it in force, and each pool.
 
+        For each workspace with a quota: the limit, what was admitted and refused in the last
+        window, and the entries that report it.
+
         Example: swifttrestle-ctl status
         """
         for stored in sorted(self._api.list(STATUS).items, key=lambda item: item.name):
             for line in _format_status(stored.name, strip_nonce(stored)):
                 _print_line(line)
+        for line in self._describe_quotas():
+            _print_line(line)
 
     def drain(self, upstream: str) -> None:
         """Give an upstream no new work until `undrain`.
@@ -246,6 +252,22 @@
         """
         _print_line(hashlib.sha256(str(key).encode()).hexdigest())
 
+    def _describe_quotas(self) -> Iterator[str]:
+        parsed = [
+            parse_resource("Workspace", item.name, strip_nonce(item)).value_or(None)
+            for item in self._api.list("Workspace").items
+        ]
+        workspaces = group_resources(item for item in parsed if item is not None).workspaces
+        declared = {
+            name: item.quota
+            for name, item in workspaces.items()
+            if item.quota and item.quota.rate_per_s
+        }
+        reports = {
+            item.name: read_quota_report(item.spec) for item in self._api.list(QUOTA_STATUS).items
+        }
+        return describe_quotas(declared, reports, time.time())
+
     def _declare_drain(self, upstream: str, mode: str) -> None:
         self._api.read("Upstream", upstream)
         stored = read_or_none(self._api, "Drain", upstream)
--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.entry.crash_guard import EntryCrashGuard
 from swifttrestle.internal.entry.handler import EntryHandler
 from swifttrestle.internal.entry.idempotency import IdempotencyRecords
+from swifttrestle.internal.entry.quota_reporter import QuotaReporter
 from swifttrestle.internal.entry.quotas import ACCRUAL_SECONDS, EntryQuotas
 from swifttrestle.internal.entry.relay import RelayContext
 from swifttrestle.internal.entry.report_reader import ReportReader
@@ -63,6 +64,7 @@
         self.quotas = EntryQuotas(
             settings.name, self.process.clock, self.process.metrics, self._list_entries
         )
+        self.quota_reporter = QuotaReporter(self.process.api, settings.name, self.quotas)
         self.handler = EntryHandler(
             config=self.process.config,
             table=self.table,
@@ -109,6 +111,7 @@
         self.process.start()
         self.stream_relay.start()
         self.reports.start()
+        self.quota_reporter.start()
         threading.Thread(target=self._announce_idle_upstreams, daemon=True).start()
         threading.Thread(target=self._accrue_quotas, name="quotas", daemon=True).start()
         threading.Thread(target=self.server.serve, name="callers", daemon=True).start()
@@ -137,6 +140,7 @@
             while self.handler.open_requests and read_boottime_seconds() < deadline:
                 self.handler.request_ended.wait(0.2)
         self.reports.stop()
+        self.quota_reporter.stop()
         self.server.stop()
 
 
--- a/src/swifttrestle/internal/entry/quotas.py
+++ b/src/swifttrestle/internal/entry/quotas.py
@@ -85,6 +85,16 @@
         self._entries = 1
         self._counted_at = float("-inf")
 
+    @property
+    def are_in_force(self) -> bool:
+        """Whether any workspace has a quota."""
+        return bool(self._accounts)
+
+    @property
+    def entries(self) -> int:
+        """The number of entries, as last counted."""
+        return self._entries
+
     def configure(self, workspaces: Mapping[str, Workspace]) -> None:
         """Put the declared quotas in force; an account stays while the unit of its quota does."""
         quotas = {name: make_quota(item.quota) for name, item in workspaces.items()}
@@ -107,7 +117,7 @@
 
     def accrue(self) -> None:
         """Accrue in all accounts; called every ACCRUAL_SECONDS."""
-        if not self._accounts:
+        if not self.are_in_force:
             return
         self._count_entries()
         with self._lock:
