--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -35,6 +35,7 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
+from swifttrestle.internal.quota_enforcement import QuotaEnforcement
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
@@ -180,9 +181,20 @@
             self._skipped_entries,
             self._relaying.own.reaches_engines,
         )
+        self._quotas = QuotaEnforcement(
+            bounds.quota,
+            settings.host,
+            socket,
+            self._gossip.list_members,
+            lambda: not self._discovery.store_unreachable,
+            lambda: self._configuration.table,
+            rng,
+            self._metrics,
+        )
         self._handler = GatewayHandler(
             self._state,
             self._booker,
+            self._quotas.charger,
             lambda: self._configuration.table,
             lambda: self._configuration.freshness.confirmed_at,
             bounds.revocation_seconds,
@@ -223,6 +235,7 @@
             self._duties,
             self._store,
             self._relaying,
+            self._quotas.limiter,
         )
 
     async def run(self) -> None:
@@ -238,6 +251,7 @@
         self._tasks.start(self._booker.run())
         self._tasks.start_restarting("loop lag", self._load_monitor.run)
         self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
+        self._tasks.start_restarting("quotas", self._quotas.limiter.run)
         self._tasks.start_restarting("stream versions", self._streams.run)
         self._tasks.start_restarting("path checks", self._relaying.own.run)
         self._tasks.start_restarting("prompt cache queries", self._prompt_cache_loader.run)
@@ -379,7 +393,7 @@
             log_event("settings not taken", reason=str(error))
 
     def _apply_settings(self, settings: HostSettings) -> None:
-        """Apply what may change at run time: the retry budget and the seeds.
+        """Apply what may change at run time: the retry budget, quotas' tolerance and the seeds.
 
         Changed addresses take effect at the next start.
         """
@@ -387,6 +401,7 @@
             log_event("settings kept", names=["listen", "platform"], reason="restart required")
         bounds = settings.bounds
         self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds)
+        self._quotas.change_tolerance(bounds.quota)
         self._gossip.add_seeds([seed[0] for seed in settings.seeds])
 
     # Readiness.
--- a/src/swifttrestle/internal/entry/quota_reporter.py
+++ b/src/swifttrestle/internal/entry/quota_reporter.py
@@ -5,11 +5,13 @@
 import time
 
 from swifttrestle.errors import ConflictError, NotFoundError, PlatformUnavailableError
+from swifttrestle.internal.clock import read_boottime_seconds
+from swifttrestle.internal.coordination.quotas.recent_counts import WINDOW_SECONDS
 from swifttrestle.internal.coordination.store.conditional_writes import (
     read_or_none,
     update_object,
 )
-from swifttrestle.internal.entry.quotas import WINDOW_SECONDS, EntryQuotas
+from swifttrestle.internal.entry.quotas import EntryQuotas
 from swifttrestle.internal.protocol.platform import ObjectApi
 from swifttrestle.internal.quota_report import QUOTA_STATUS, QuotaReport
 
@@ -47,9 +49,9 @@
         reported_at = float("-inf")
         while not self._stopped.wait(POLL_SECONDS):
             interval = find_interval(self._quotas.entries)
-            is_due = time.monotonic() - reported_at >= interval
+            is_due = read_boottime_seconds() - reported_at >= interval
             if is_due or self._is_written != self._quotas.are_in_force:
-                reported_at = time.monotonic()
+                reported_at = read_boottime_seconds()
                 self.report(interval)
 
     def report(self, interval: float) -> None:
--- a/src/swifttrestle/internal/entry/quotas.py
+++ b/src/swifttrestle/internal/entry/quotas.py
@@ -15,9 +15,9 @@
 from swifttrestle.codes import Code, Ran
 from swifttrestle.errors import RefusedError
 from swifttrestle.internal.clock import Clock
+from swifttrestle.internal.coordination.quotas.recent_counts import WINDOW_SECONDS, RecentCounts
 from swifttrestle.internal.metrics import Metrics
-from swifttrestle.internal.policy.quotas import GRANTED, Pool, QuotaTerms, find_terms
-from swifttrestle.internal.policy.recent_counts import Counts, RecentCounts
+from swifttrestle.internal.policy.quotas import GRANTED, Decision, Pool, QuotaTerms, find_terms
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance, QuotaUnit
 from swifttrestle.internal.workspace_quota import WorkspaceQuota
 from swifttrestle.resources import Workspace
@@ -27,8 +27,9 @@
 # Seconds for which a new account has accrued at its begin. A start takes at least this long, in
 # which the entry grants nothing, so that restarts add nothing to a quota.
 INITIAL_SECONDS = 1.0
-# Seconds over which operators see what was admitted and refused.
-WINDOW_SECONDS = 8.0
+# Highest Retry-After, a day. It is also that of a request that can never fit, as a later
+# configuration may have another quota.
+MAX_RETRY_AFTER_SECONDS = 86_400.0
 
 
 def make_quota(declared: WorkspaceQuota | None) -> Quota | None:
@@ -56,6 +57,25 @@
     accrued_until: float
     counts: RecentCounts
 
+    def take(self, cost: int, entries: int, now: float) -> Decision:
+        """Decide on a request, and count it.
+
+        One that the quota allows at no time is refused; it would use up the quota for long.
+        """
+        terms = self.accrue(entries, now)
+        limit = QuotaTolerance().find_limit(self.quota)
+        if cost > limit:
+            decision = Decision(MAX_RETRY_AFTER_SECONDS, cost - limit)
+        else:
+            decision = self.pool.take(cost, terms, now)
+        self.counts.add(cost, decision is GRANTED, now)
+        return decision
+
+    def give_back(self, cost: int, entries: int, now: float) -> None:
+        """Take back what a request was charged."""
+        self.pool.deposit(cost, self.accrue(entries, now))
+        self.counts.add(-cost, admitted=True, now=now)
+
     def accrue(self, entries: int, now: float) -> QuotaTerms:
         """Accrue until now as one of so many entries; return the terms of this entry."""
         terms = divide_terms(self.quota, entries)
@@ -109,7 +129,7 @@
     def _update_account(self, name: str, quota: Quota, now: float) -> _Account:
         account = self._accounts.get(name)
         if account is None or account.quota.unit is not quota.unit:
-            return _Account(quota, Pool(), now - INITIAL_SECONDS, RecentCounts(WINDOW_SECONDS))
+            return _Account(quota, Pool(), now - INITIAL_SECONDS, RecentCounts())
         account.accrue(self._entries, now)
         account.quota = quota
         account.pool.limit(divide_terms(quota, self._entries))
@@ -151,19 +171,15 @@
             if account is None:
                 return 0
             cost = account.quota.find_cost(tokens)
-            terms = account.accrue(self._entries, now)
-            decision = account.pool.take(cost, terms, now)
+            decision = account.take(cost, self._entries, now)
             unit = account.quota.unit.value
-            if decision is GRANTED:
-                account.counts.note(now, Counts(admitted=cost))
-            else:
-                account.counts.note(now, Counts(refused=1))
         if decision is GRANTED:
             self._metrics.count("quota_admitted_tokens_total", cost, workspace=workspace)
             return cost
         self._metrics.count("quota_refused_total", workspace=workspace)
         message = f"over the quota of {workspace} by {decision.missing:.0f} {unit} at {self._entry}"
-        raise RefusedError(Code.QUOTA_EXCEEDED, message, decision.seconds)
+        seconds = min(decision.seconds, MAX_RETRY_AFTER_SECONDS)
+        raise RefusedError(Code.QUOTA_EXCEEDED, message, seconds)
 
     def _give_back(self, workspace: str, cost: int) -> None:
         with self._lock:
@@ -171,9 +187,7 @@
             account = self._accounts.get(workspace)
             if account is None or not cost:
                 return
-            terms = account.accrue(self._entries, now)
-            account.pool.deposit(cost, terms)
-            account.counts.note(now, Counts(admitted=-cost))
+            account.give_back(cost, self._entries, now)
         self._metrics.count("quota_returned_tokens_total", cost, workspace=workspace)
 
     def _count_entries(self) -> None:
@@ -192,6 +206,7 @@
 
     def _describe(self, account: _Account, now: float) -> dict[str, Any]:
         account.accrue(self._entries, now)
+        admitted, refused = account.counts.sum(now)
         return {
             "rate_per_s": account.quota.rate,
             "burst": account.quota.burst,
@@ -199,5 +214,7 @@
             "entries": self._entries,
             "available": round(account.pool.units),
             "window_seconds": WINDOW_SECONDS,
-            **vars(account.counts.total(now)),
+            # What was given back may have been admitted before the window.
+            "admitted": max(0, admitted),
+            "refused": refused,
         }
--- a/src/swifttrestle/internal/quota_report.py
+++ b/src/swifttrestle/internal/quota_report.py
@@ -56,7 +56,7 @@
     window = max(item["window_seconds"] for item in found.values())
     yield (
         f"quota {workspace}: {limit}; in {window:g} s {admitted} {quota.unit} admitted, "
-        f"{refused} requests refused; reported by {', '.join(found)}"
+        f"{refused} refused; reported by {', '.join(found)}"
     )
     for name, item in found.items():
         if any(item[field] != value for field, value in vars(quota).items()):
