--- a/tests/nocover/test_live_quotas.py
+++ b/tests/nocover/test_live_quotas.py
@@ -12,8 +12,9 @@
 
 LIMITED_KEY = "key-of-limited"
 ENTRIES = ("n1", "n2")
-# Tokens a second of the workspace over both entries; a request costs 20 to 40.
-RATE = 120
+# Tokens of the workspace over both entries. A request costs 20 to 40 and takes under half a second,
+# so that one caller at an entry exceeds its share.
+RATE, BURST = 40, 120
 
 
 def declare(fleet, quota):
@@ -43,8 +44,8 @@
 
 @pytest.fixture
 def limited(fleet):
-    declare(fleet, {"rate_per_s": RATE, "burst": RATE, "unit": "tokens"})
-    wait_until(lambda: all(see(fleet, name)["available"] == RATE / 2 for name in ENTRIES))
+    declare(fleet, {"rate_per_s": RATE, "burst": BURST, "unit": "tokens"})
+    wait_until(lambda: all(see(fleet, name)["available"] == BURST / 2 for name in ENTRIES))
     return fleet
 
 
@@ -59,7 +60,7 @@
 def call_until_refused(fleet, entry):
     """Send requests one after another; return the answers, the last of which is a refusal."""
     answers = [call(fleet, entry)]
-    while answers[-1].whole and len(answers) < 100:
+    while answers[-1].whole and len(answers) < 20:
         answers.append(call(fleet, entry))
     return answers
 
@@ -104,7 +105,7 @@
         return "reported by n1, n2" in limited.ctl("status").stdout
 
     wait_until(shows_both, 30, "both entries in status")
-    line = f"quota limited: {RATE} tokens a second, burst {RATE}; in 8 s"
+    line = f"quota limited: {RATE} tokens a second, burst {BURST}; in 8 s"
     assert line in limited.ctl("status").stdout
 
 
