--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,7 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         outcome = asyncio.run(run_round(seed, folder, hosts, seconds, callers))
         counts = f"{outcome.requests} requests, {outcome.served} served"
+        counts += f", {outcome.over_quota} over a quota"
         print(f"seed {seed}: {counts}, {len(outcome.faults)} faults", flush=True)
         for finding in outcome.findings[:10]:
             print(f"  {finding}   (logs in {folder})", flush=True)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import contextlib
+import itertools
+import json
 import re
 from dataclasses import dataclass
 
 from swifttrestle_standins.hosted.upstreams import make_content, make_event
 from tests.common.http import Answer, RawCaller, write_request
 from tests.hosted.sites import LONG, SHORT
-from tests.soak.processes import KEY, OTHER_KEY
+from tests.soak.processes import GREEDY_KEY, KEY, OTHER_KEY, THRIFTY_KEY
 
 # Must exceed the timeout of the routes, which is about 2 s.
 CALLER_TIMEOUT_SECONDS = 4.0
@@ -23,6 +25,13 @@
 RESUMABLE_KIND = "verdict"
 MAX_TAKEN_UP = 3
 TAKE_UP_SECONDS = 0.1
+# Requests of callers with a quota: their kinds, and the maximum pause of a caller after each one.
+QUOTA_KINDS = ("chat", "goal", "card")
+MAX_PAUSE_SECONDS = {THRIFTY_KEY: 0.5, GREEDY_KEY: 0.1}
+# Number of callers of each workspace with a quota, and of their first request, which no other
+# callers reach.
+QUOTA_CALLERS = {THRIFTY_KEY: 2, GREEDY_KEY: 3}
+FIRST_QUOTA_NUMBER = 1_000_000
 # The line of an event with the software version that wrote it.
 BUILD_LINE = re.compile(rb"^build: (.+)\n", re.MULTILINE)
 
@@ -50,6 +59,15 @@
         """The software versions of the events that came."""
         return [build.decode() for build in BUILD_LINE.findall(self.answer.body)]
 
+    @property
+    def code(self):
+        """The result code of a refusal; None if there is none."""
+        if self.answer is None or self.answer.status in (0, 200):
+            return None
+        with contextlib.suppress(ValueError):
+            return json.loads(self.answer.body).get("code")
+        return None
+
     def last_event(self):
         """Return the last event that has come as a whole, over all requests of the stream."""
         return self.after + self.answer.body.count(b"\n\n")
@@ -73,12 +91,12 @@
 class CallerSet:
     """Concurrent callers that send one request at a time until they are stopped."""
 
-    def __init__(self, site, rng, count):
+    def __init__(self, site, rng, count, first_number=1):
         self._site = site
         self._rng = rng
         self._count = count
         self._tasks = []
-        self._numbers = iter(range(1, 1_000_000))
+        self._numbers = itertools.count(first_number)
         self.observations = []
 
     def start(self):
@@ -99,20 +117,29 @@
                 await asyncio.sleep(0.05)
                 continue
             # Sends several requests on one connection, with the same key even after its revocation.
-            key = self._rng.choice((KEY, OTHER_KEY, self._site.revocable_key))
+            key = self._draw_key()
             with contextlib.suppress(OSError):
                 for _ in range(self._rng.randint(1, 30)):
                     if not await self._ask(caller, host.name, key):
                         break
             caller.close()
 
+    def _draw_key(self):
+        return self._rng.choice((KEY, OTHER_KEY, self._site.revocable_key))
+
+    def _draw_kind(self):
+        return self._rng.choice(("verdict", "chat", "goal", "goal", "card"))
+
+    def _draw_pause(self):
+        return self._rng.random() * 0.02
+
     async def _ask(self, caller, host, key):
         """Send one request; return whether the connection can be reused."""
-        kind = self._rng.choice(("verdict", "chat", "goal", "goal", "card"))
+        kind = self._draw_kind()
         seen = await self._request(caller, host, key, kind)
         if kind == RESUMABLE_KIND:
             await self._take_up(seen)
-        await asyncio.sleep(self._rng.random() * 0.02)
+        await asyncio.sleep(self._draw_pause())
         answer = seen.answer
         return answer is not None and answer.whole and answer.headers.get("connection") != "close"
 
@@ -159,3 +186,21 @@
         finally:
             if caller is not None:
                 caller.close()
+
+
+class QuotaCallers(CallerSet):
+    """Callers of one workspace with a quota; they don't wait for Retry-After."""
+
+    def __init__(self, site, rng, key):
+        number = list(QUOTA_CALLERS).index(key) + 1
+        super().__init__(site, rng, QUOTA_CALLERS[key], number * FIRST_QUOTA_NUMBER)
+        self._key = key
+
+    def _draw_key(self):
+        return self._key
+
+    def _draw_kind(self):
+        return self._rng.choice(QUOTA_KINDS)
+
+    def _draw_pause(self):
+        return self._rng.random() * MAX_PAUSE_SECONDS[self._key]
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -26,6 +26,8 @@
         self._hosts = hosts
         self._proxies = []
         self._cuts = {}
+        # Cuts of a host from some upstreams only, by host.
+        self._parts = {}
 
     def add_proxy(self, proxy):
         self._proxies.append(proxy)
@@ -37,7 +39,8 @@
 
     def find_form(self, ends):
         """Return the form of the cut that a connection with these ends is from before, or None."""
-        return next((cut.form for cut in self._cuts.values() if ends in cut.ends), None)
+        cuts = (*self._cuts.values(), *self._parts.values())
+        return next((cut.form for cut in cuts if ends in cut.ends), None)
 
     def find_host(self, ends):
         """Return the name of the host that dialed the connection with these ends, or None."""
@@ -47,8 +50,7 @@
     def start(self, host, form):
         self._hosts[host].cut_file.write_text(form.name)
         # The host's dialer has listed all connections that it made before it saw the file.
-        ends = frozenset(ends for ends, (_, name) in self._list_dialed().items() if name == host)
-        self._cuts[host] = HostCut(form, ends)
+        self._cuts[host] = HostCut(form, self._list_ends(host))
         for proxy in self._proxies:
             proxy.apply_cuts()
 
@@ -58,6 +60,21 @@
         for proxy in self._proxies:
             proxy.note_change()
 
+    def start_part(self, host, addresses):
+        """Hold the connections of a host to some upstreams; its dialer must refuse new ones."""
+        ports = {int(address.rpartition(":")[2]) for address in addresses}
+        ends = frozenset(ends for ends in self._list_ends(host) if ends[1] in ports)
+        self._parts[host] = HostCut(Cut.HANG, ends)
+
+    def end_part(self, host):
+        del self._parts[host]
+        for proxy in self._proxies:
+            proxy.note_change()
+
+    def _list_ends(self, host):
+        """Return the ends of the connections that a host dialed."""
+        return frozenset(ends for ends, (_, name) in self._list_dialed().items() if name == host)
+
     def _list_dialed(self):
         """Return the time and the host of the last connection with each pair of ends."""
         dialed = {}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 from tests.soak import promises
 from tests.soak.processes import GRACE_SECONDS, KEY
 from tests.soak.proxy import ProxyMode
+from tests.soak.regions import Regions
 
 # Seconds that a planned stop may take beyond its grace period, also on a busy machine.
 STOP_TOLERANCE_SECONDS = 10
@@ -83,8 +84,9 @@
         self.exits = defaultdict(list)
         # The limits that upstreams announced, with their times.
         self.limits = []
+        self.region_cuts = []
 
-    async def run(self, seconds, planned):
+    async def run(self, seconds, planned, has_regions=False):
         kinds = [self.stop, self.reload, self.change_configuration, self.announce_limit]
         kinds += [self.silence_upstream]
         if not planned:
@@ -110,6 +112,8 @@
         self._end = end = asyncio.get_running_loop().time() + seconds
         if not planned:
             self._tasks.add(asyncio.ensure_future(self._break_streams(seconds)))
+        if has_regions:
+            self._tasks.add(asyncio.ensure_future(self._cut_regions(seconds)))
         while asyncio.get_running_loop().time() < end:
             kind = self._schedule.choice(kinds)
             self.log.append(kind.__name__)
@@ -132,6 +136,11 @@
             for engine in engines:
                 engine.seconds = usual_seconds
 
+    async def _cut_regions(self, seconds):
+        """Cut the regions off from each other for half of the time, beside the other faults."""
+        await asyncio.sleep(seconds / 4)
+        self.region_cuts.append(await Regions(self._site).cut(seconds / 2))
+
     def _pick_host(self):
         """Reserve and return a host without a process fault in progress, or None."""
         free = [host for name, host in self._site.hosts.items() if name not in self._busy_hosts]
--- a/tests/soak/gateway.py
+++ b/tests/soak/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import runpy
 import time
@@ -13,6 +14,7 @@
 
 import swifttrestle.gateway
 from swifttrestle.internal.forward.handler import GatewayHandler
+from swifttrestle.internal.transport.datagrams import PeerSocket
 from swifttrestle.internal.transport.dialer import CONNECT_TIMEOUT_SECONDS, Dialer
 from swifttrestle_standins.hosted.cuts import Cut, make_cut_error
 
@@ -20,6 +22,8 @@
 # The file that names the cut while there is one, and the file in which the dialer lists the ends
 # of its connections (its own port and the upstream's) with their times.
 CUT_FILE, DIALED_FILE = "SOAK_CUT_FILE", "SOAK_DIALED_FILE"
+# The file that names the peers' IPs and the upstreams' addresses that the process can't reach.
+UNREACHABLE_FILE = "SOAK_UNREACHABLE_FILE"
 # The environment variable with the processor time of a request, in milliseconds.
 COST_VARIABLE = "SOAK_REQUEST_MS"
 
@@ -91,7 +95,37 @@
     GatewayHandler.handle = handle_slowly
 
 
+def cut_off(file):
+    """Let this process reach none of the peers and upstreams that a file names, if there is one."""
+    connect = asyncio.BaseEventLoop.create_connection
+    send, receive = PeerSocket.send, PeerSocket.datagram_received
+
+    def is_cut_off(host, port=0):
+        # There is no file, or it is being written.
+        with contextlib.suppress(OSError, ValueError):
+            return not {host, f"{host}:{port}"}.isdisjoint(json.loads(file.read_text()))
+        return False
+
+    async def connect_if_reachable(self, factory, host=None, port=None, **options):
+        if is_cut_off(host, port):
+            await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
+            raise TimeoutError
+        return await connect(self, factory, host, port, **options)
+
+    def send_if_reachable(self, ip, kind, data):
+        if not is_cut_off(ip):
+            send(self, ip, kind, data)
+
+    def receive_if_reachable(self, data, addr):
+        if not is_cut_off(addr[0]):
+            receive(self, data, addr)
+
+    asyncio.BaseEventLoop.create_connection = connect_if_reachable
+    PeerSocket.send, PeerSocket.datagram_received = send_if_reachable, receive_if_reachable
+
+
 if __name__ == "__main__":
     slow_down_handler()
+    cut_off(Path(os.environ[UNREACHABLE_FILE]))
     swifttrestle.gateway.Gateway = CuttableGateway
     runpy.run_path(str(PROGRAM))
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -13,8 +13,9 @@
 from swifttrestle_standins.loopback import pick_ip, pick_port
 from tests.hosted.sites import declare_routes
 from tests.soak.cuts import HostCuts
-from tests.soak.gateway import CUT_FILE, DIALED_FILE
+from tests.soak.gateway import CUT_FILE, DIALED_FILE, UNREACHABLE_FILE
 from tests.soak.proxy import Proxy
+from tests.soak.regions import REGIONS
 
 ZONES = ("hall-a", "hall-b", "hall-c")
 # Software versions of the engines in these zones.
@@ -29,6 +30,13 @@
 REVOKE_MS = 2000
 # Keys that are never revoked.
 KEY, OTHER_KEY = "key-of-club", "key-of-liaison"
+# Keys of workspaces with a quota: one that keeps to it, one that asks for several times of it.
+THRIFTY_KEY, GREEDY_KEY = "key-of-thrifty", "key-of-greedy"
+# Their quotas in tokens a second, also their bursts, and the tokens of a request that states none.
+QUOTA_RATES = {"thrifty": 3500, "greedy": 1500}
+DEFAULT_TOKENS = 100
+# How far hosts may exceed quotas. The slack is some two requests, as in the users' deployment.
+QUOTA_WINDOW_SECONDS, QUOTA_OVERAGE, QUOTA_SLACK = 2.0, 0.1, 1200
 SCALING = {"min": 1, "max": 4, "bootS": 0.2, "spotPrice": 0.15, "zonePrices": {}}
 
 
@@ -46,6 +54,7 @@
         self._file = folder / f"{name}.json"
         self.cut_file = folder / f"{name}.cut"
         self.dialed_file = folder / f"{name}.dialed"
+        self.unreachable_file = folder / f"{name}.unreachable"
         self._log = folder / f"{name}.log"
         self._file.write_text(json.dumps(settings))
 
@@ -60,6 +69,7 @@
                     "SWIFTTRESTLE_BOOT": str(self._file),
                     CUT_FILE: str(self.cut_file),
                     DIALED_FILE: str(self.dialed_file),
+                    UNREACHABLE_FILE: str(self.unreachable_file),
                 },
                 stdout=log,
                 stderr=log,
@@ -110,15 +120,20 @@
         await proxy.open(split_address(self.addresses[upstream.instance])[1])
         self.list_upstream(upstream)
 
-    async def build(self, hosts):
+    async def build(self, hosts, has_regions=False):
+        """Start the stand-ins and the hosts, which are in two regions or in one."""
         await self.start()
         await self.start_duties()
         self.bounds = {"strictRevoke": True, "revokeMs": REVOKE_MS, "reportWindowS": 1}
+        self.bounds |= {"quotaWindowS": QUOTA_WINDOW_SECONDS, "quotaOverage": QUOTA_OVERAGE}
+        self.bounds["quotaSlack"] = QUOTA_SLACK
         declare_routes(self)
         self.services[0]["scaling"] = SCALING
         self.workspaces = [
             {"name": "club", "apiKeys": [KEY, "passing-0"], "priority": 1},
             {"name": "liaison", "apiKeys": [OTHER_KEY], "priority": 0},
+            make_limited("thrifty", THRIFTY_KEY),
+            make_limited("greedy", GREEDY_KEY),
         ]
         for number, role in enumerate(("prefill", "decode", "prefill", "decode")):
             zone = ZONES[number // 2]
@@ -127,14 +142,17 @@
             engine.shows_build = True
             await self.add_upstream(engine)
         for number in range(3):
-            await self.add_upstream(StandInUpstream(f"s{number}", "alerts", "hall-a"))
+            zone = ZONES[number % 2] if has_regions else ZONES[0]
+            await self.add_upstream(StandInUpstream(f"s{number}", "alerts", zone))
         self.initial_upstreams = list(self.upstreams.values())
         self.allow_crashes(DOWN_SECONDS, BORN_INCREMENT_MS)
         self.declare()
         for number in range(hosts):
             # A large fleet has schedulers and zone aggregators in each zone.
-            zone = ZONES[number % len(ZONES)] if is_large_fleet(hosts) else ZONES[0]
-            settings = self._build_settings(f"g{number}", number, zone)
+            zones = ZONES if is_large_fleet(hosts) else ZONES[: 1 + has_regions]
+            settings = self._build_settings(f"g{number}", number, zones[number % len(zones)])
+            if has_regions:
+                settings["zones"] = REGIONS
             self.hosts[f"g{number}"] = GatewayProcess(f"g{number}", settings, self.folder)
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
@@ -169,6 +187,13 @@
         await self.stop()
 
 
+def make_limited(name, key):
+    """Return the configuration of a workspace with a quota."""
+    rate = QUOTA_RATES[name]
+    quota = {"unit": "tokens", "ratePerS": rate, "burst": rate, "uncachedTokens": DEFAULT_TOKENS}
+    return {"name": name, "apiKeys": [key], "priority": 1, **quota}
+
+
 def split_address(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,8 +5,18 @@
 from typing import Any
 
 from bench.limits import allow, count_worst
+from swifttrestle.codes import Code
 from tests.soak.callers import BUILD_LINE, DEADLINE_SECONDS, RUN_ONCE_KINDS, expected_body
-from tests.soak.processes import OTHER_KEY
+from tests.soak.processes import (
+    DEFAULT_TOKENS,
+    GREEDY_KEY,
+    OTHER_KEY,
+    QUOTA_OVERAGE,
+    QUOTA_RATES,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_SECONDS,
+    THRIFTY_KEY,
+)
 
 # Number of crashes that quarantines a request, the seconds until all hosts must know of them, and
 # the maximum number of later crashes.
@@ -23,6 +33,13 @@
 EXIT_SECONDS = 0.2
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
+# The workspaces of keys that are never revoked; all others are of "club".
+OWNERS = {OTHER_KEY: "liaison", THRIFTY_KEY: "thrifty", GREEDY_KEY: "greedy"}
+# Requests within a quota that may be refused for it: a share of all, or so many if they are few.
+REFUSED_SHARE, MAX_REFUSED = 0.02, 1
+# Seconds until hosts must know that they don't reach the other region, and the number of answers
+# from which one must be a success.
+REGION_LOST_SECONDS, MIN_REGION_ANSWERS = 1.0, 10
 
 
 @dataclass(frozen=True)
@@ -35,6 +52,15 @@
     ended: float
 
 
+@dataclass(frozen=True)
+class SpentTokens:
+    """The tokens of a request that ran; times of the event loop's clock."""
+
+    tokens: int
+    sent_at: float
+    arrived_at: float
+
+
 def list_all_upstreams(site):
     """Return all upstreams of the round, also removed ones."""
     return [*site.upstreams.values(), *site.duties.ended]
@@ -133,7 +159,7 @@
 
 def check_workspaces(site, observations):
     """Check that upstreams get the workspace of each request, and never the key."""
-    owners = {item.name: "liaison" if item.key == OTHER_KEY else "club" for item in observations}
+    owners = {item.name: OWNERS.get(item.key, "club") for item in observations}
     for upstream in list_all_upstreams(site):
         for name, headers in upstream.arrivals:
             if "x-key" in headers:
@@ -193,3 +219,71 @@
         worst, allowed = count_worst(times), allow(limit.rate)
         if worst > allowed:
             yield f"{limit.upstream.instance}: {worst} requests in a window, {allowed} allowed"
+
+
+def check_quotas(site, observations):
+    """Check that upstreams run no more of a workspace in a window than its quota allows.
+
+    A request counts in the windows in which it was sent by its caller, and arrived. Others may have
+    been held on the way, and have been granted in an earlier window.
+    """
+    began = {item.name: item.began for item in observations}
+    spent = defaultdict(list)
+    for name, (workspace, tokens, at) in list_first_runs(site).items():
+        if workspace in QUOTA_RATES and name in began:
+            spent[workspace].append(SpentTokens(tokens, began[name], at))
+    for workspace, runs in spent.items():
+        rate = QUOTA_RATES[workspace]
+        allowed = (rate * QUOTA_WINDOW_SECONDS + rate) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+        worst = max(sum_window(runs, run.sent_at) for run in runs)
+        if worst > allowed:
+            yield f"{workspace}: {worst} tokens ran in a window, {allowed:.0f} allowed"
+
+
+def list_first_runs(site):
+    """Return the workspace, the tokens and the first arrival of each request that ran, by name."""
+    found = {}
+    for upstream in list_all_upstreams(site):
+        for (name, headers), at in zip(upstream.arrivals, upstream.arrived_at, strict=True):
+            if not upstream.runs.get(name) or (name in found and found[name][2] <= at):
+                continue
+            usage = headers.get("x-token-usage", str(DEFAULT_TOKENS))
+            tokens = sum(int(number) for number in usage.split(","))
+            found[name] = (headers.get("x-tenant"), tokens, at)
+    return found
+
+
+def sum_window(runs, start):
+    """Return the tokens of the runs that were sent and arrived in the window from `start`."""
+    end = start + QUOTA_WINDOW_SECONDS
+    return sum(run.tokens for run in runs if start <= run.sent_at and run.arrived_at <= end)
+
+
+def check_refusals(observations):
+    """Check that a workspace within its quota is hardly refused for it."""
+    sent = [item for item in observations if item.key == THRIFTY_KEY]
+    refused = sum(item.code == Code.QUOTA_EXCEEDED for item in sent)
+    if refused > max(MAX_REFUSED, REFUSED_SHARE * len(sent)):
+        yield f"thrifty: {refused} of {len(sent)} requests refused for the quota"
+
+
+def check_regions(observations, cuts, hosts):
+    """Check that each region serves callers by itself while it is cut off.
+
+    `hosts` maps each region to the names of its hosts. Single requests may fail, as other faults
+    go on meanwhile.
+    """
+    for cut in cuts:
+        for region, names in hosts.items():
+            answered = [
+                item
+                for item in observations
+                if item.host in names
+                and cut.began + REGION_LOST_SECONDS <= item.began
+                and item.ended <= cut.ended
+                and item.answer is not None
+                and item.answer.status != 0
+            ]
+            is_served = any(item.answer.status == 200 for item in answered)
+            if len(answered) >= MIN_REGION_ANSWERS and not is_served:
+                yield f"{region}: none of {len(answered)} requests was served while it was cut off"
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -7,14 +7,18 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from swifttrestle.codes import Code
 from tests.common.http import RawCaller, ask, write_request
 from tests.soak import promises
-from tests.soak.callers import STREAMS, CallerSet
+from tests.soak.callers import QUOTA_CALLERS, STREAMS, CallerSet, QuotaCallers
 from tests.soak.faults import Faults, is_ready
 from tests.soak.processes import KEY, REVOKE_MS, ProcessSite
+from tests.soak.regions import Regions
 
 # Seconds until each host must serve each kind of request after the last fault.
 RECOVERY_SECONDS = 30
+# Seconds after the start of all hosts in which they grant no quotas, and accrue the first tokens.
+QUOTA_START_SECONDS = 3.0
 
 
 @dataclass(frozen=True)
@@ -26,47 +30,59 @@
     faults: list[str]
     requests: int
     served: int
+    # Requests refused for a quota.
+    over_quota: int
 
 
 async def run_round(seed, folder, hosts=4, seconds=6.0, callers=12):
-    """Run one round. Every third seed has planned work only."""
+    """Run one round. Every third seed has planned work only, every fourth other has two regions."""
     rng = random.Random(seed)
+    planned = seed % 3 == 0
+    has_regions = not planned and seed % 4 == 1
     site = ProcessSite(folder)
-    await site.build(hosts)
+    await site.build(hosts, has_regions)
     version_watcher = None
     try:
         await wait_for_hosts(site)
         versions = defaultdict(list)
         version_watcher = asyncio.ensure_future(watch_versions(site, versions))
-        caller_set = CallerSet(site, rng, callers)
+        caller_sets = [CallerSet(site, rng, callers)]
+        caller_sets += [QuotaCallers(site, rng, key) for key in QUOTA_CALLERS]
         # Callers draw in an order that depends on timing.
         faults = Faults(site, random.Random(f"faults of {seed}"))
-        planned = seed % 3 == 0
-        caller_set.start()
-        await faults.run(seconds, planned)
-        await caller_set.stop()
+        await asyncio.sleep(QUOTA_START_SECONDS)
+        for caller_set in caller_sets:
+            caller_set.start()
+        await faults.run(seconds, planned, has_regions)
+        for caller_set in caller_sets:
+            await caller_set.stop()
+        observations = [item for caller_set in caller_sets for item in caller_set.observations]
         findings = list(faults.findings) + await check_recovery(site)
         runs = promises.count_runs(site)
-        findings += promises.check_answers(caller_set.observations)
-        findings += promises.check_builds(caller_set.observations)
-        findings += promises.check_runs(caller_set.observations, runs)
+        findings += promises.check_answers(observations)
+        findings += promises.check_builds(observations)
+        findings += promises.check_runs(observations, runs)
         findings += promises.check_orders(site)
         findings += promises.check_order_origins(site)
         findings += promises.check_versions(versions)
         findings += promises.check_crashes(site.crash_times)
         findings += promises.check_keys(
-            caller_set.observations, runs, site.removed_keys, REVOKE_MS / 1000, site.added_keys
+            observations, runs, site.removed_keys, REVOKE_MS / 1000, site.added_keys
         )
-        findings += promises.check_workspaces(site, caller_set.observations)
+        findings += promises.check_workspaces(site, observations)
         findings += promises.check_duties(site)
+        findings += promises.check_quotas(site, observations)
+        findings += promises.check_regions(
+            observations, faults.region_cuts, Regions(site).list_names()
+        )
         if planned:
-            findings += promises.check_planned(caller_set.observations, runs)
-            findings += promises.check_whole(caller_set.observations, runs, faults.exits)
+            findings += promises.check_planned(observations, runs)
+            findings += promises.check_whole(observations, runs, faults.exits)
             findings += promises.check_limits(faults.limits)
-        served = sum(
-            1 for item in caller_set.observations if item.answer and item.answer.status == 200
-        )
-        return Outcome(seed, findings, faults.log, len(caller_set.observations), served)
+            findings += promises.check_refusals(observations)
+        served = sum(1 for item in observations if item.answer and item.answer.status == 200)
+        over_quota = sum(1 for item in observations if item.code == Code.QUOTA_EXCEEDED)
+        return Outcome(seed, findings, faults.log, len(observations), served, over_quota)
     finally:
         if version_watcher is not None:
             version_watcher.cancel()
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -20,4 +20,5 @@
     outcome = asyncio.run(run_round(seed, tmp_path, hosts=3, seconds=4.0, callers=8))
     assert outcome.findings == []
     assert outcome.served > 0
+    assert outcome.over_quota > 0
     assert set(DRAWN.get(seed, ())) <= set(outcome.faults)
