--- a/tests/soak/test_cuts.py
+++ b/tests/soak/test_cuts.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import functools
+import json
 from types import SimpleNamespace
 
 import pytest
 
 from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 from swifttrestle_standins.hosted.cuts import Cut
 from tests.soak.cuts import HostCuts
-from tests.soak.gateway import CuttableDialer
+from tests.soak.gateway import CuttableDialer, cut_off
 from tests.soak.processes import split_address
 from tests.soak.proxy import Proxy
 
@@ -144,3 +146,61 @@
         assert site.proxy.orders == [("g0", "g0"), ("g1", "g0")]
 
     run(tmp_path)
+
+
+@pytest.mark.parametrize(("is_listed", "state"), [(True, "held"), (False, "open")])
+def test_a_cut_from_some_upstreams_holds_the_connections_to_these_alone(tmp_path, is_listed, state):
+    @on_echoing_site
+    async def run(site):
+        cut, other = [await site.connect(name) for name in ("g0", "g1")]
+        for connection in (cut, other):
+            assert await exchange(*connection) == b"data"
+        listed = "{}:{}".format(*site.address) if is_listed else "127.0.0.1:1"
+        site.cuts.start_part("g0", [listed])
+        assert await find_state(*cut) == state
+        assert await find_state(*other) == "open"
+        site.cuts.end_part("g0")
+
+    run(tmp_path)
+
+
+@pytest.fixture
+def unreachable(tmp_path, monkeypatch):
+    """Return the file that names what this process can't reach."""
+    # Restores the functions that `cut_off` replaces.
+    connect = asyncio.BaseEventLoop.create_connection
+    monkeypatch.setattr(asyncio.BaseEventLoop, "create_connection", connect)
+    for name in ("send", "datagram_received"):
+        monkeypatch.setattr(PeerSocket, name, getattr(PeerSocket, name))
+    file = tmp_path / "unreachable"
+    cut_off(file)
+    return file
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_a_process_connects_to_no_address_that_its_file_names(tmp_path, unreachable, is_listed):
+    @on_echoing_site
+    async def run(site):
+        assert await exchange(*await site.connect("g0")) == b"data"
+        address = "{}:{}".format(*site.address)
+        unreachable.write_text(json.dumps([address] if is_listed else ["127.0.0.1:1"]))
+        if is_listed:
+            with pytest.raises(UpstreamUnreachedError):
+                await site.connect("g0")
+            unreachable.unlink()
+        assert await exchange(*await site.connect("g0")) == b"data"
+
+    run(tmp_path)
+
+
+@pytest.mark.parametrize(("listed", "received"), [([], 2), (["127.0.0.2"], 0), (["127.0.0.3"], 2)])
+def test_a_process_exchanges_no_datagrams_with_peers_that_its_file_names(
+    unreachable, listed, received
+):
+    socket, sent = PeerSocket("127.0.0.1", 1), []
+    socket._transport = SimpleNamespace(sendto=lambda data, _: sent.append(data))
+    socket.set_receiver(DatagramKind.QUOTA, lambda data, _: sent.append(data))
+    unreachable.write_text(json.dumps(listed))
+    socket.send("127.0.0.2", DatagramKind.QUOTA, b"x")
+    socket.datagram_received(bytes((DatagramKind.QUOTA,)) + b"x", ("127.0.0.2", 1))
+    assert len(sent) == received
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -10,6 +10,7 @@
 from tests.common.http import Answer
 from tests.soak import promises
 from tests.soak.callers import Observation, expected_body
+from tests.soak.regions import RegionCut
 
 
 def observe(kind="goal", status=200, whole=True, body=None, request_id="goal-1"):
@@ -225,3 +226,92 @@
     upstream = SimpleNamespace(instance="s0", arrived_at=times)
     limit = promises.AnnouncedLimit(upstream, 1.0, began=0.5, ended=10.0)
     assert len(list(promises.check_limits([limit]))) == found
+
+
+RATE = promises.QUOTA_RATES["greedy"]
+# Tokens that a window allows, beyond which a finding is due.
+ALLOWED = 2 * RATE * 1.1 + RATE * 1.1 + promises.QUOTA_SLACK
+
+
+def make_quota_site(*runs):
+    """Return a site whose upstream ran requests: tokens, time of sending and of arrival of each."""
+    upstream = SimpleNamespace(arrivals=[], arrived_at=[], runs=Counter())
+    seen = []
+    for number, (tokens, sent_at, arrived_at) in enumerate(runs):
+        name = f"chat-{number}"
+        headers = {"x-tenant": "greedy", "x-token-usage": f"{tokens},0"}
+        upstream.arrivals.append((name, headers))
+        upstream.arrived_at.append(arrived_at)
+        upstream.runs[name] += 1
+        seen.append(Observation(name, "chat", "g0", None, sent_at, arrived_at + 0.1))
+    site = SimpleNamespace(upstreams={"e0": upstream}, duties=SimpleNamespace(ended=[]))
+    return site, seen
+
+
+@pytest.mark.parametrize(
+    ("runs", "found"),
+    [
+        ([], 0),
+        ([(ALLOWED, 1.0, 1.0)], 0),
+        ([(ALLOWED, 1.0, 1.0), (1, 2.9, 2.9)], 1),
+        # The second one is beyond the window.
+        ([(ALLOWED, 1.0, 1.0), (1, 2.9, 3.1)], 0),
+        # The first one was sent before, and was held on the way.
+        ([(ALLOWED, 1.0, 3.1), (1, 3.0, 3.1)], 0),
+        ([(ALLOWED / 2, 1.0, 1.1), (ALLOWED / 2, 1.1, 1.2), (2, 2.0, 2.9)], 1),
+    ],
+    ids=["none", "all at once", "one more", "later", "held", "three"],
+)
+def test_more_tokens_in_a_window_than_the_quota_allows_are_found(runs, found):
+    site, seen = make_quota_site(*((int(tokens), sent, arrived) for tokens, sent, arrived in runs))
+    assert len(list(promises.check_quotas(site, seen))) == found
+
+
+@pytest.mark.parametrize(("runs", "found"), [(1, 0), (0, 0), (2, 0)])
+def test_a_request_counts_once_and_only_if_it_ran(runs, found):
+    """Guards against charging attempts, as the quota counts requests of callers."""
+    site, seen = make_quota_site((int(ALLOWED), 1.0, 1.0))
+    upstream = site.upstreams["e0"]
+    upstream.runs["chat-0"] = runs
+    upstream.arrivals *= 2
+    upstream.arrived_at *= 2
+    assert len(list(promises.check_quotas(site, seen))) == found
+
+
+@pytest.mark.parametrize(
+    ("sent", "refused", "key", "found"),
+    [
+        (10, 1, promises.THRIFTY_KEY, 0),
+        (10, 2, promises.THRIFTY_KEY, 1),
+        (200, 4, promises.THRIFTY_KEY, 0),
+        (200, 5, promises.THRIFTY_KEY, 1),
+        (10, 9, promises.GREEDY_KEY, 0),
+    ],
+)
+def test_refusals_within_a_quota_are_found(sent, refused, key, found):
+    refusal = Answer(429, body=b'{"code":1023}', whole=True)
+    answers = [refusal] * refused + [Answer(200, whole=True)] * (sent - refused)
+    seen = [Observation("goal-1", "goal", "g0", answer, 0.0, 0.1, key) for answer in answers]
+    assert len(list(promises.check_refusals(seen))) == found
+
+
+@pytest.mark.parametrize(
+    ("statuses", "began", "found"),
+    [
+        ([200] + [503] * 20, 12.0, 0),
+        ([503] * 20, 12.0, 1),
+        ([503] * 9, 12.0, 0),
+        ([0] * 20, 12.0, 0),
+        # The hosts may not know yet that they don't reach the others.
+        ([503] * 20, 10.5, 0),
+    ],
+    ids=["served", "not served", "few", "hosts are down", "early"],
+)
+def test_a_cut_off_region_that_serves_nothing_is_found(statuses, began, found):
+    seen = [
+        Observation("goal-1", "goal", "g1", Answer(status), began, began + 0.1)
+        for status in statuses
+    ]
+    cuts = [RegionCut(10.0, 14.0)]
+    hosts = {"north": ["g0"], "south": ["g1"]}
+    assert len(list(promises.check_regions(seen, cuts, hosts))) == found
