--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -4,18 +4,12 @@
 import math
 from collections import deque
 
-from swifttrestle.internal.policy.quotas import (
-    GRANTED,
-    POOL_TTL_SECONDS,
-    Decision,
-    Pool,
-    QuotaTerms,
-)
+from swifttrestle.internal.policy.quotas import GRANTED, Decision, Pool, QuotaTerms
 
 # Part of what a round asked for below which the shares count as empty: some hosts may be silent.
 EMPTY_SHARES_PART = 0.75
-# Seconds after which a pool in use is confirmed by a round, before it is outdated.
-CONFIRM_SECONDS = POOL_TTL_SECONDS / 2
+# Part of a pool's lifetime after which one in use is confirmed by a round, before it is outdated.
+CONFIRM_PART = 0.5
 
 
 class CountedPool:
@@ -57,7 +51,7 @@
     def is_due(self, now: float) -> bool:
         """Return whether a round is to be started for this pool, if it is in use."""
         is_low = self._pool.needs_collection(self._terms, now)
-        return is_low or now - self.collected_at > CONFIRM_SECONDS
+        return is_low or now - self.collected_at > self._terms.pool_ttl * CONFIRM_PART
 
     def may_be_filled_early(self, cost: int, now: float) -> bool:
         """Return whether an early round may let a request pass that does not fit."""
@@ -124,4 +118,4 @@
 
     def _is_outdated(self, now: float) -> bool:
         """Return whether what the pool holds is too old to be granted."""
-        return now - self.collected_at > POOL_TTL_SECONDS
+        return now - self.collected_at > self._terms.pool_ttl
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 from tests.soak import promises
 from tests.soak.processes import GRACE_SECONDS, KEY
 from tests.soak.proxy import ProxyMode
+from tests.soak.regions import Regions
 
 # Seconds that a planned stop may take beyond its grace period, also on a busy machine.
 STOP_TOLERANCE_SECONDS = 10
@@ -81,10 +82,13 @@
         self.findings = []
         # The times at which stopped processes had exited, by host.
         self.exits = defaultdict(list)
+        # The planned stops of hosts.
+        self.outages = []
         # The limits that upstreams announced, with their times.
         self.limits = []
+        self.region_cuts = []
 
-    async def run(self, seconds, planned):
+    async def run(self, seconds, planned, has_regions=False):
         kinds = [self.stop, self.reload, self.change_configuration, self.announce_limit]
         kinds += [self.silence_upstream]
         if not planned:
@@ -110,6 +114,8 @@
         self._end = end = asyncio.get_running_loop().time() + seconds
         if not planned:
             self._tasks.add(asyncio.ensure_future(self._break_streams(seconds)))
+        if has_regions:
+            self._tasks.add(asyncio.ensure_future(self._cut_regions(seconds)))
         while asyncio.get_running_loop().time() < end:
             kind = self._schedule.choice(kinds)
             self.log.append(kind.__name__)
@@ -132,6 +138,11 @@
             for engine in engines:
                 engine.seconds = usual_seconds
 
+    async def _cut_regions(self, seconds):
+        """Cut the regions off from each other for half of the time, beside the other faults."""
+        await asyncio.sleep(seconds / 4)
+        self.region_cuts.append(await Regions(self._site).cut(seconds / 2))
+
     def _pick_host(self):
         """Reserve and return a host without a process fault in progress, or None."""
         free = [host for name, host in self._site.hosts.items() if name not in self._busy_hosts]
@@ -148,14 +159,17 @@
         host = self._pick_host()
         if host is None:
             return
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         host.send(signal.SIGTERM)
         try:
             await asyncio.wait_for(host.process.wait(), GRACE_SECONDS + STOP_TOLERANCE_SECONDS)
         except TimeoutError:
             self.findings.append(f"{host.name} did not stop within its grace of {GRACE_SECONDS} s")
             await host.kill()
-        self.exits[host.name].append(asyncio.get_running_loop().time())
+        self.exits[host.name].append(loop.time())
         await host.start()
+        self.outages.append(promises.Outage(began, loop.time()))
         self._busy_hosts.discard(host.name)
 
     async def kill(self):
