--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -15,9 +15,9 @@
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance
 from swifttrestle.internal.state.members import Member
 
-# Part of the burst and of the tolerated excess that a pool holds, and that all shares together hold.
-# Twice this may be granted at once, and three times this in the seconds in which two hosts that
-# have filled their pools are counters.
+# Part of the burst and of the tolerated excess that a pool holds, and that all shares together
+# hold. Twice this may be granted at once, and three times this in the seconds in which two hosts
+# that have filled their pools are counters.
 CAPACITY_SHARE = 0.4
 # Seconds of the rate that a pool holds at least: what is accrued between two collections.
 MIN_CAPACITY_SECONDS = 0.5
