--- a/src/swifttrestle/internal/entry/quotas.py
+++ b/src/swifttrestle/internal/entry/quotas.py
@@ -9,7 +9,7 @@
 import threading
 from collections.abc import Callable, Collection, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from swifttrestle.codes import Code, Ran
@@ -22,10 +22,13 @@
 from swifttrestle.internal.workspace_quota import WorkspaceQuota
 from swifttrestle.resources import Workspace
 
-# Seconds between two accruals; a pool without one for POOL_TTL_SECONDS is emptied.
-ACCRUAL_SECONDS = 0.5
-# Seconds for which a new account has accrued at its begin. A start takes at least this long, in
-# which the entry grants nothing, so that restarts add nothing to a quota.
+# Seconds between two accruals. A pool without one for longer is emptied by the policy, so that
+# this is well below any such time also where the thread is late.
+ACCRUAL_SECONDS = 0.2
+# Seconds between two counts of the live entries.
+COUNT_SECONDS = 0.5
+# Seconds for which a new account has accrued at its begin: about as long as the start of an entry
+# takes, in which it grants nothing, so that restarts hardly add to a quota.
 INITIAL_SECONDS = 1.0
 # Highest Retry-After, a day. It is also that of a request that can never fit, as a later
 # configuration may have another quota.
@@ -45,7 +48,8 @@
     The pools of all entries together hold the whole burst, as there are no other accounts.
     """
     terms = find_terms(quota, QuotaTolerance())
-    return QuotaTerms(terms.rate / entries, max(terms.capacity, quota.burst) / entries)
+    capacity = max(terms.capacity, quota.burst)
+    return replace(terms, rate=terms.rate / entries, capacity=capacity / entries)
 
 
 @dataclass
@@ -131,8 +135,8 @@
         if account is None or account.quota.unit is not quota.unit:
             return _Account(quota, Pool(), now - INITIAL_SECONDS, RecentCounts())
         account.accrue(self._entries, now)
+        # The next accrual cuts the pool to the new capacity.
         account.quota = quota
-        account.pool.limit(divide_terms(quota, self._entries))
         return account
 
     def accrue(self) -> None:
@@ -191,9 +195,9 @@
         self._metrics.count("quota_returned_tokens_total", cost, workspace=workspace)
 
     def _count_entries(self) -> None:
-        """Count the live entries, at most once every ACCRUAL_SECONDS."""
+        """Count the live entries, at most once every COUNT_SECONDS."""
         now = self._clock.now()
-        if now - self._counted_at < ACCRUAL_SECONDS:
+        if now - self._counted_at < COUNT_SECONDS:
             return
         self._counted_at = now
         self._entries = len({*self._list_entries(), self._entry})
--- a/tests/cover/test_entry_quotas.py
+++ b/tests/cover/test_entry_quotas.py
@@ -311,6 +311,15 @@
     assert sum(entry.ask(1) is None for _ in range(300)) == admitted
 
 
+def test_a_debt_in_one_unit_is_not_paid_off_in_another():
+    """Guards against a workspace that waits for thousands of requests, having used tokens."""
+    entry = QuotaEntry(rate=100, burst=100)
+    entry.ask(6000)
+    assert entry.ask(1) is not None
+    entry.quotas.configure(declare(rate=10, burst=10, unit="requests"))
+    assert entry.ask(1) is None
+
+
 def test_a_raised_quota_is_used_from_then_on():
     entry = QuotaEntry(rate=10, burst=10)
     entry.wait(5)
