--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -1,10 +1,14 @@
-"""What this host, as their counter, has collected of workspaces' quotas, and grants from it."""
+"""What this host, as their counter, has collected of workspaces' quotas, and grants from it.
+
+A round asks each host for no more than its part of what a pool lacks: what does not fit the pool
+would be lost. With rounds that emptied the shares, 7 in 100 requests of the largest tenth were
+refused at a demand of 0.55 of the smallest quota, and with these about 1 in 100.
+"""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
 
+from swifttrestle.internal.coordination.quotas.counted_pool import CountedPool
 from swifttrestle.internal.coordination.quotas.hosts import QuotaHosts
 from swifttrestle.internal.coordination.quotas.rounds import CollectionRound, CollectionRounds
 from swifttrestle.internal.coordination.quotas.shares import QuotaShares
@@ -12,7 +16,6 @@
     GRANTED,
     POOL_TTL_SECONDS,
     Decision,
-    Pool,
     QuotaTerms,
     find_collection_interval,
 )
@@ -20,64 +23,13 @@
 
 # Maximum time in seconds for which a request waits for the replies of a round.
 ROUND_WAIT_SECONDS = 0.05
-# Part of the usual interval after which a pool that was not collected for long may be filled: its
-# first requests would be refused although all shares are full.
-EMPTY_POOL_INTERVAL_SHARE = 0.1
-# Seconds without a request after which a pool is removed. Until then each round fills it with the
-# others, so that its next request does not wait.
-POOL_IDLE_SECONDS = 60.0
-
-
-class _CountedPool:
-    """A workspace's pool and the requests that wait for the replies of a round, in order."""
-
-    def __init__(self, workspace: str) -> None:
-        """Start empty."""
-        self.workspace = workspace
-        self.pool = Pool()
-        self.queried_at = float("-inf")
-        self.collected_at = float("-inf")
-        # When requests no longer wait for the round in progress.
-        self.waits_until = float("-inf")
-        self.waiting: deque[tuple[int, asyncio.Future[Decision]]] = deque()
-
-    def is_outdated(self, now: float) -> bool:
-        """Return whether what the pool holds is too old to be granted."""
-        return now - self.collected_at > POOL_TTL_SECONDS
-
-    def is_due(self, terms: QuotaTerms, now: float) -> bool:
-        """Return whether a round is to be started for this pool."""
-        if not self.pool.needs_collection(terms, now):
-            return False
-        # A debt is paid also while there are no requests: the next one is to find it paid.
-        return now - self.queried_at <= POOL_TTL_SECONDS or self.pool.units < 0
-
-    def take_fitting(self, terms: QuotaTerms, now: float) -> None:
-        """Grant the first waiting requests that fit; later ones must not overtake a large one."""
-        while self.waiting:
-            cost, decided = self.waiting[0]
-            if not decided.done() and not self.pool.fits(cost, terms, now):
-                return
-            self._decide_next(terms, now)
-
-    def take_all(self, terms: QuotaTerms, now: float) -> None:
-        """Decide on all waiting requests."""
-        self.waits_until = float("-inf")
-        while self.waiting:
-            self._decide_next(terms, now)
-
-    def grant_all(self) -> None:
-        """Grant all waiting requests, as there is no quota any more."""
-        while self.waiting:
-            _, decided = self.waiting.popleft()
-            if not decided.done():
-                decided.set_result(GRANTED)
-
-    def _decide_next(self, terms: QuotaTerms, now: float) -> None:
-        cost, decided = self.waiting.popleft()
-        # It is done if its caller has gone.
-        if not decided.done():
-            decided.set_result(self.pool.take(cost, terms, now))
+# Part of the usual interval after which the next round may follow for a request that does not fit,
+# if the shares are not known to be empty.
+EARLY_INTERVAL_SHARE = 0.1
+# Seconds without a request for which the first counter of a workspace keeps its pool filled, and
+# any other one. What both hold may be granted at once, so that the others keep it only in use.
+HOLD_SECONDS = 60.0
+SUBSTITUTE_HOLD_SECONDS = POOL_TTL_SECONDS
 
 
 class QuotaPools:
@@ -85,17 +37,19 @@
 
     def __init__(
         self,
+        host: str,
         hosts: QuotaHosts,
         shares: QuotaShares,
         rounds: CollectionRounds,
         find_terms: Callable[[str], QuotaTerms | None],
     ) -> None:
-        """Fill the pools from the shares of this host and, through `rounds`, of the others."""
+        """Fill the pools from the shares of `host`, which is this one, and of the others."""
+        self._host = host
         self._hosts = hosts
         self._shares = shares
         self._rounds = rounds
         self._find_declared = find_terms
-        self._pools: dict[str, _CountedPool] = {}
+        self._pools: dict[str, CountedPool] = {}
         self._last_round_at = float("-inf")
         self._next_round: asyncio.TimerHandle | None = None
 
@@ -103,6 +57,18 @@
         """Return the workspaces that this host counts."""
         return list(self._pools)
 
+    def count_units(self, workspace: str, now: float) -> float | None:
+        """Return what a pool holds; None if this host does not count the workspace."""
+        counted = self._pools.get(workspace)
+        return counted.count_units(now) if counted is not None else None
+
+    def find_collection_age(self, workspace: str, now: float) -> float | None:
+        """Return the seconds since the last round for a workspace; None if there was none."""
+        counted = self._pools.get(workspace)
+        if counted is None or counted.collected_at == float("-inf"):
+            return None
+        return now - counted.collected_at
+
     def submit(self, workspace: str, cost: int) -> "asyncio.Future[Decision]":
         """Return the decision on a request, which may wait for the round in progress."""
         decided: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
@@ -114,25 +80,18 @@
             return decided
         counted = self._pools.get(workspace)
         if counted is None:
-            counted = self._pools[workspace] = _CountedPool(workspace)
-        counted.pool.limit(terms)
+            counted = self._pools[workspace] = CountedPool(workspace, terms)
+        counted.apply(terms)
         counted.queried_at = now
-        counted.waiting.append((cost, decided))
-        # Requests of this workspace may be waiting already.
-        self._plan_round(counted, terms, now)
-        if counted.waits_until > now:
-            counted.take_fitting(terms, now)
-        else:
-            counted.take_all(terms, now)
+        self._plan_round(counted, cost, now)
+        counted.submit(cost, decided, now)
         return decided
 
     def give_back(self, workspace: str, cost: int) -> None:
         """Give back the charge of a request that did not run."""
-        now = _now()
-        counted, terms = self._pools.get(workspace), self._find_terms(workspace, now)
-        if counted is not None and terms is not None:
-            counted.pool.deposit(cost, terms)
-            counted.take_fitting(terms, now)
+        counted = self._pools.get(workspace)
+        if counted is not None:
+            counted.give_back(cost, _now())
 
     def receive(self, reply: CollectReply, ip: str) -> None:
         """Add what a host hands over."""
@@ -142,7 +101,7 @@
             return
         for workspace, units in reply.collected:
             if workspace in collection.workspaces:
-                self._deposit(workspace, units, now)
+                self._collect(workspace, units, now)
         self._end_complete(collection, now)
 
     def drop(self, workspace: str) -> None:
@@ -157,26 +116,15 @@
             terms = self._find_terms(workspace, now)
             if terms is None:
                 self.drop(workspace)
-                continue
-            counted.pool.limit(terms)
-            idle = now - counted.queried_at > POOL_IDLE_SECONDS
-            if idle and not counted.waiting and counted.pool.units >= 0:
+            elif self._is_in_use(counted, now):
+                counted.apply(terms)
+            else:
                 del self._pools[workspace]
 
-    def count_units(self, workspace: str, now: float) -> float | None:
-        """Return what a pool holds; None if this host does not count the workspace."""
-        counted = self._pools.get(workspace)
-        if counted is None:
-            return None
-        units = counted.pool.units
-        return min(0.0, units) if counted.is_outdated(now) else units
-
-    def find_collection_age(self, workspace: str, now: float) -> float | None:
-        """Return the seconds since the last round for a workspace; None if there was none."""
-        counted = self._pools.get(workspace)
-        if counted is None or counted.collected_at == float("-inf"):
-            return None
-        return now - counted.collected_at
+    def _is_in_use(self, counted: CountedPool, now: float) -> bool:
+        counters = self._hosts.find_counters(counted.workspace, now)
+        is_first = bool(counters) and counters[0].host == self._host
+        return counted.is_in_use(HOLD_SECONDS if is_first else SUBSTITUTE_HOLD_SECONDS, now)
 
     def _find_terms(self, workspace: str, now: float) -> QuotaTerms | None:
         """Return how a quota applies to what this host can collect.
@@ -187,26 +135,29 @@
         terms = self._find_declared(workspace)
         if terms is None:
             return None
-        return replace(terms, capacity=terms.capacity * self._hosts.find_live_share(now))
+        return QuotaTerms(terms.rate, terms.capacity * self._hosts.find_live_share(now))
 
     # Rounds.
 
-    def _plan_round(self, counted: _CountedPool, terms: QuotaTerms, now: float) -> None:
-        """Start a round for a pool that is low, or schedule it if the last one was just before."""
-        if not counted.is_due(terms, now):
+    def _plan_round(self, counted: CountedPool, cost: int, now: float) -> None:
+        """Start a round for a request, or schedule it if the last one was just before."""
+        interval = self._find_interval(now)
+        early = counted.may_be_filled_early(cost, now)
+        if early:
+            interval *= EARLY_INTERVAL_SHARE
+        elif not counted.is_due(now):
             return
-        interval = find_collection_interval(len(self._hosts.list_live(now)))
-        is_outdated = counted.is_outdated(now)
-        if is_outdated:
-            interval *= EMPTY_POOL_INTERVAL_SHARE
         allowed_at = self._last_round_at + interval
         if allowed_at <= now:
             self._start_round(now)
             return
         self._schedule_round(allowed_at)
-        if is_outdated and counted.waits_until <= now:
+        if early and counted.waits_until <= now:
             self._wait(counted, now)
 
+    def _find_interval(self, now: float) -> float:
+        return find_collection_interval(self._hosts.count_live(now))
+
     def _schedule_round(self, at: float) -> None:
         if self._next_round is not None:
             if self._next_round.when() <= at:
@@ -215,66 +166,57 @@
         self._next_round = asyncio.get_running_loop().call_at(at, self._start_due_round)
 
     def _start_due_round(self) -> None:
+        """Start a round if a pool in use is due, or check again later while one is in use."""
         self._next_round = None
         now = _now()
-        for workspace, counted in self._pools.items():
-            terms = self._find_terms(workspace, now)
-            if terms is not None and counted.is_due(terms, now):
-                self._start_round(now)
-                return
+        in_use = [item for item in self._pools.values() if self._is_in_use(item, now)]
+        if any(item.is_due(now) for item in in_use):
+            self._start_round(now)
+        elif in_use:
+            self._schedule_round(now + self._find_interval(now))
 
     def _start_round(self, now: float) -> None:
-        """Ask all hosts for the units of all pools that are low."""
+        """Ask all hosts for what the pools lack."""
         self._last_round_at = now
-        workspaces = []
+        hosts = self._hosts.count_live(now)
+        wanted = []
         for workspace, counted in self._pools.items():
-            terms = self._find_terms(workspace, now)
-            if terms is not None and counted.pool.needs_collection(terms, now):
-                counted.pool.note_collection(now)
-                counted.collected_at = now
+            units = counted.begin_round(hosts, now) if self._is_in_use(counted, now) else 0
+            if units:
+                wanted.append((workspace, units))
                 self._wait(counted, now)
-                workspaces.append(workspace)
-        self._schedule_round(now + find_collection_interval(len(self._hosts.list_live(now))))
-        for workspace, units in self._shares.collect(workspaces, now):
-            self._deposit(workspace, units, now)
-        for collection in self._rounds.start(workspaces, now):
+        self._schedule_round(now + self._find_interval(now))
+        for workspace, collected in self._shares.collect(wanted, now):
+            self._collect(workspace, collected, now)
+        for collection in self._rounds.start(wanted, now):
             self._end_complete(collection, now)
 
-    def _deposit(self, workspace: str, units: float, now: float) -> None:
-        counted, terms = self._pools.get(workspace), self._find_terms(workspace, now)
-        if counted is not None and terms is not None:
-            counted.pool.deposit(units, terms)
-            counted.take_fitting(terms, now)
+    def _collect(self, workspace: str, units: float, now: float) -> None:
+        counted = self._pools.get(workspace)
+        if counted is not None:
+            counted.collect(units, now)
 
     # Waiting for replies.
 
-    def _wait(self, counted: _CountedPool, now: float) -> None:
+    def _wait(self, counted: CountedPool, now: float) -> None:
         counted.waits_until = now + ROUND_WAIT_SECONDS
         asyncio.get_running_loop().call_at(
             counted.waits_until, self._end_wait, counted, counted.waits_until
         )
 
-    def _end_wait(self, counted: _CountedPool, until: float) -> None:
+    def _end_wait(self, counted: CountedPool, until: float) -> None:
         """Decide on the requests that waited until a time, unless a later round began."""
-        if counted.waits_until != until:
-            return
-        now = _now()
-        terms = self._find_terms(counted.workspace, now)
-        if terms is None:
-            counted.grant_all()
-        else:
-            counted.take_all(terms, now)
+        if counted.waits_until == until:
+            counted.end_wait(_now())
 
     def _end_complete(self, collection: CollectionRound, now: float) -> None:
         """Decide on the requests that waited for a round to which all hosts have replied."""
         if collection.silent:
             return
         for workspace in collection.workspaces:
-            counted, terms = self._pools.get(workspace), self._find_terms(workspace, now)
-            if counted is None or terms is None:
-                continue
-            if counted.collected_at == collection.started_at:
-                counted.take_all(terms, now)
+            counted = self._pools.get(workspace)
+            if counted is not None and counted.collected_at == collection.started_at:
+                counted.end_wait(now)
 
 
 def _now() -> float:
--- a/tests/common/quota_fleet.py
+++ b/tests/common/quota_fleet.py
@@ -87,10 +87,11 @@
     """One host: its limiter, the other hosts that it sees, and its workspace."""
 
     def __init__(self, fleet, member, start):
+        self._fleet = fleet
         self.member = member
         self.incarnation = f"{member.host} {start}"
         self.receive = None
-        self.members = ()
+        self.members = (member,)
         self.reaches_store = True
         self.quota = fleet.quota
         self.metrics = Metrics()
@@ -114,7 +115,7 @@
     def _find_terms(self, name):
         if name != NAME or self.quota is None:
             return None
-        return find_terms(self.quota, TOLERANCE)
+        return find_terms(self.quota, self._fleet.tolerance)
 
     def start(self, coroutine):
         return asyncio.get_running_loop().create_task(coroutine, context=self.context)
@@ -130,6 +131,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.quota = Quota(rate, rate, QuotaUnit.TOKENS, 200)
+        self.tolerance = TOLERANCE
         self.lost_share = self.duplicated_share = self.late_share = 0.0
         # Hosts on the other side of a partition.
         self.cut = frozenset()
@@ -153,6 +155,13 @@
     def now(self):
         return self.loop.time()
 
+    def set_quota(self, quota, names=None, tolerance=TOLERANCE):
+        """Put a quota in force, at some hosts or at all."""
+        self.quota = quota
+        self.tolerance = tolerance
+        for name in self.hosts if names is None else names:
+            self.hosts[name].quota = quota
+
     # Hosts.
 
     def start_host(self, member):
@@ -268,13 +277,18 @@
 
 
 def run_fleet(test):
-    """Run a coroutine in virtual time and return its result."""
+    """Run a coroutine in virtual time and return its result; fail if a callback failed."""
+    failures = []
 
     async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, details: failures.append(details))
         try:
             return await test
         finally:
-            asyncio.get_running_loop().resume_all()
+            loop.resume_all()
 
     with asyncio.Runner(loop_factory=HostLoop) as runner:
-        return runner.run(run())
+        result = runner.run(run())
+    assert not failures
+    return result
