--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -4,18 +4,15 @@
 import math
 from collections import deque
 
-from swifttrestle.internal.policy.quotas import (
-    GRANTED,
-    POOL_TTL_SECONDS,
-    Decision,
-    Pool,
-    QuotaTerms,
-)
+from swifttrestle.internal.policy.quotas import GRANTED, Decision, Pool, QuotaTerms
 
 # Part of what a round asked for below which the shares count as empty: some hosts may be silent.
 EMPTY_SHARES_PART = 0.75
-# Seconds after which a pool in use is confirmed by a round, before it is outdated.
-CONFIRM_SECONDS = POOL_TTL_SECONDS / 2
+# Seconds after a round in which the shares were empty until they are worth asking early again.
+REFILL_SECONDS = 2.0
+# Seconds after which a pool in use is confirmed by a round: half of the shortest time after which
+# pools are emptied. A full pool needs no datagrams for that.
+CONFIRM_SECONDS = 0.4
 
 
 class CountedPool:
@@ -42,7 +39,9 @@
 
     def count_units(self, now: float) -> float:
         """Return the units that can be granted; below 0 if there is a debt."""
-        return min(0.0, self._pool.units) if self._is_outdated(now) else self._pool.units
+        # This drops units that are too old.
+        self._pool.needs_collection(self._terms, now)
+        return self._pool.units
 
     def is_in_use(self, hold_seconds: float, now: float) -> bool:
         """Return whether there was a request in the last `hold_seconds`, or there is a debt.
@@ -63,7 +62,8 @@
         """Return whether an early round may let a request pass that does not fit."""
         if self._pool.fits(cost, self._terms, now):
             return False
-        return self._is_outdated(now) or self._received >= self._wanted * EMPTY_SHARES_PART
+        shares_were_empty = self._received < self._wanted * EMPTY_SHARES_PART
+        return not shares_were_empty or now - self.collected_at > REFILL_SECONDS
 
     def begin_round(self, hosts: int, now: float) -> int:
         """Confirm the pool; return the units to ask each host for, 0 for none."""
@@ -121,7 +121,3 @@
         # It is done if its caller has gone.
         if not decided.done():
             decided.set_result(self._pool.take(cost, self._terms, now))
-
-    def _is_outdated(self, now: float) -> bool:
-        """Return whether what the pool holds is too old to be granted."""
-        return now - self.collected_at > POOL_TTL_SECONDS
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from swifttrestle.internal.coordination.quotas.counted_pool import CountedPool
 from swifttrestle.internal.coordination.quotas.hosts import QuotaHosts
@@ -14,7 +15,6 @@
 from swifttrestle.internal.coordination.quotas.shares import QuotaShares
 from swifttrestle.internal.policy.quotas import (
     GRANTED,
-    POOL_TTL_SECONDS,
     Decision,
     QuotaTerms,
     find_collection_interval,
@@ -29,7 +29,7 @@
 # Seconds without a request for which the first counter of a workspace keeps its pool filled, and
 # any other one. What both hold may be granted at once, so that the others keep it only in use.
 HOLD_SECONDS = 60.0
-SUBSTITUTE_HOLD_SECONDS = POOL_TTL_SECONDS
+SUBSTITUTE_HOLD_SECONDS = 2.0
 
 
 class QuotaPools:
@@ -135,7 +135,7 @@
         terms = self._find_declared(workspace)
         if terms is None:
             return None
-        return QuotaTerms(terms.rate, terms.capacity * self._hosts.find_live_share(now))
+        return replace(terms, capacity=terms.capacity * self._hosts.find_live_share(now))
 
     # Rounds.
 
