--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -35,7 +35,10 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.operator_pages import READY_PATH, OperatorPages
 from swifttrestle.internal.pages import PageHandler
+from swifttrestle.internal.policy.distance import Topology
+from swifttrestle.internal.quota_enforcement import QuotaEnforcement
 from swifttrestle.internal.settings_file import watch_settings_file
+from swifttrestle.internal.settings_reload import SettingsReloader
 from swifttrestle.internal.state.declared import Configuration
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.median_clock import MedianClock
@@ -78,7 +81,7 @@
         rng = self._rng = random.Random(f"{settings.host} {incarnation}")
         bounds = settings.bounds
         self._metrics = Metrics()
-        self._fleet = Fleet()
+        self._fleet = Fleet(Topology(settings.regions))
         self._budgets = RetryBudgets(
             bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds
         )
@@ -136,7 +139,6 @@
             socket,
             settings.host,
             self._gossip.list_members,
-            settings.is_in_same_region,
         )
         self._gossip.recipients.list_schedulers = self._booker.list_schedulers
         self._quarantine_store = QuarantineStore(
@@ -180,9 +182,21 @@
             self._skipped_entries,
             self._relaying.own.reaches_engines,
         )
+        self._quotas = QuotaEnforcement(
+            bounds.quota,
+            settings.host,
+            socket,
+            self._gossip.list_members,
+            lambda: not self._discovery.store_unreachable,
+            lambda: self._configuration.table,
+            rng,
+            self._metrics,
+        )
+        self._reloader = SettingsReloader(settings, self._budgets, self._gossip, self._quotas)
         self._handler = GatewayHandler(
             self._state,
             self._booker,
+            self._quotas.charger,
             lambda: self._configuration.table,
             lambda: self._configuration.freshness.confirmed_at,
             bounds.revocation_seconds,
@@ -194,6 +208,7 @@
             settings.host,
             self._gossip.list_members,
             rng.getrandbits(NUMBER_BITS),
+            self._fleet.topology,
         )
         self._state.guard.request_trial = permits.request_trial
         self._state.streams = self._streams = SharedStreamDirectory(
@@ -223,6 +238,7 @@
             self._duties,
             self._store,
             self._relaying,
+            self._quotas.limiter,
         )
 
     async def run(self) -> None:
@@ -238,6 +254,7 @@
         self._tasks.start(self._booker.run())
         self._tasks.start_restarting("loop lag", self._load_monitor.run)
         self._tasks.start_restarting("upstream conditions", self._state.conditions.run)
+        self._tasks.start_restarting("quotas", self._quotas.limiter.run)
         self._tasks.start_restarting("stream versions", self._streams.run)
         self._tasks.start_restarting("path checks", self._relaying.own.run)
         self._tasks.start_restarting("prompt cache queries", self._prompt_cache_loader.run)
@@ -334,9 +351,11 @@
         self._booker.serve_queues()
 
     def _apply_configuration(self) -> None:
-        configuration = self._get_configuration()
-        if configuration is not None:
+        table = self._configuration.table
+        if table is not None:
+            configuration = table.configuration
             self._fleet.declared = frozenset(configuration.services)
+            self._fleet.gap_objectives = table.find_gap_objectives()
             self._fleet.traits = {
                 name: service.engine
                 for name, service in configuration.services.items()
@@ -366,28 +385,9 @@
         table = self._configuration.table
         return table.configuration if table else None
 
-    # Reload.
-
     def reload(self) -> None:
         """Read the settings file again."""
-        try:
-            settings = load_host_settings()
-            log_event("settings read again", source="SIGHUP or changed file")
-            self._apply_settings(settings)
-        except InvalidSettingError as error:
-            # The current settings stay in use.
-            log_event("settings not taken", reason=str(error))
-
-    def _apply_settings(self, settings: HostSettings) -> None:
-        """Apply what may change at run time: the retry budget and the seeds.
-
-        Changed addresses take effect at the next start.
-        """
-        if settings.callers != self._settings.callers or settings.store != self._settings.store:
-            log_event("settings kept", names=["listen", "platform"], reason="restart required")
-        bounds = settings.bounds
-        self._budgets.change(bounds.retry_share, bounds.retry_extra, bounds.retry_window_seconds)
-        self._gossip.add_seeds([seed[0] for seed in settings.seeds])
+        self._reloader.reload()
 
     # Readiness.
 
--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -8,11 +8,8 @@
 
 # Part of what a round asked for below which the shares count as empty: some hosts may be silent.
 EMPTY_SHARES_PART = 0.75
-# Seconds after a round in which the shares were empty until they are worth asking early again.
-REFILL_SECONDS = 2.0
-# Seconds after which a pool in use is confirmed by a round: half of the shortest time after which
-# pools are emptied. A full pool needs no datagrams for that.
-CONFIRM_SECONDS = 0.4
+# Part of a pool's lifetime after which one in use is confirmed by a round, before it is outdated.
+CONFIRM_PART = 0.5
 
 
 class CountedPool:
@@ -39,9 +36,7 @@
 
     def count_units(self, now: float) -> float:
         """Return the units that can be granted; below 0 if there is a debt."""
-        # This drops units that are too old.
-        self._pool.needs_collection(self._terms, now)
-        return self._pool.units
+        return min(0.0, self._pool.units) if self._is_outdated(now) else self._pool.units
 
     def is_in_use(self, hold_seconds: float, now: float) -> bool:
         """Return whether there was a request in the last `hold_seconds`, or there is a debt.
@@ -56,14 +51,13 @@
     def is_due(self, now: float) -> bool:
         """Return whether a round is to be started for this pool, if it is in use."""
         is_low = self._pool.needs_collection(self._terms, now)
-        return is_low or now - self.collected_at > CONFIRM_SECONDS
+        return is_low or now - self.collected_at > self._terms.pool_ttl * CONFIRM_PART
 
     def may_be_filled_early(self, cost: int, now: float) -> bool:
         """Return whether an early round may let a request pass that does not fit."""
         if self._pool.fits(cost, self._terms, now):
             return False
-        shares_were_empty = self._received < self._wanted * EMPTY_SHARES_PART
-        return not shares_were_empty or now - self.collected_at > REFILL_SECONDS
+        return self._is_outdated(now) or self._received >= self._wanted * EMPTY_SHARES_PART
 
     def begin_round(self, hosts: int, now: float) -> int:
         """Confirm the pool; return the units to ask each host for, 0 for none."""
@@ -121,3 +115,7 @@
         # It is done if its caller has gone.
         if not decided.done():
             decided.set_result(self._pool.take(cost, self._terms, now))
+
+    def _is_outdated(self, now: float) -> bool:
+        """Return whether what the pool holds is too old to be granted."""
+        return now - self.collected_at > self._terms.pool_ttl
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -135,7 +135,8 @@
         terms = self._find_declared(workspace)
         if terms is None:
             return None
-        return replace(terms, capacity=terms.capacity * self._hosts.find_live_share(now))
+        capacity = terms.capacity * self._hosts.find_live_share(now)
+        return replace(terms, capacity=capacity)
 
     # Rounds.
 
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -22,6 +22,7 @@
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.path_waiting import RETRY_SECONDS, may_connect_later
+from swifttrestle.internal.policy.distance import Distance
 from swifttrestle.internal.policy.placement import pick_plain_instance
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance, OpenWork
@@ -35,6 +36,9 @@
 RETRY_AFTER_SECONDS = 0.1
 # Maximum rejections of one request. They show that the service is full.
 MAX_REJECTIONS = 2
+# Further rejections where the next instance is in another region: those before show only that the
+# service is full in this one.
+MAX_REJECTIONS_OTHER_REGION = 1
 ONE_REQUEST = OpenWork(0, 1)
 
 
@@ -68,10 +72,13 @@
         course = _Course(f"service {ctx.service.name} has no available instance")
         while True:
             instance = self._choose(ctx, loop.time())
-            if instance is None or not self._may_attempt(ctx, loop.time(), course):
+            if instance is None or not self._may_attempt(ctx, loop.time(), course, instance):
                 await self._wait_or_refuse(ctx, course)
                 continue
-            ctx.note(f"to {instance.name} open={instance.total.requests}")
+            ctx.note(
+                f"to {instance.name} {self._state.measure(instance).value} "
+                f"open={instance.total.requests}"
+            )
             try:
                 await self._attempt(ctx, instance)
                 return
@@ -133,9 +140,9 @@
 
     def _choose(self, ctx: Context, now: float) -> Instance | None:
         usable = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
-        return pick_plain_instance(usable, self._state.zone, ctx.excluded, now, self._state.rng)
+        return self._pick(usable, ctx.excluded, now)
 
-    def _may_attempt(self, ctx: Context, now: float, course: _Course) -> bool:
+    def _may_attempt(self, ctx: Context, now: float, course: _Course, instance: Instance) -> bool:
         """Return whether another attempt may be made, and take it from the retry budget."""
         if ctx.sent_attempts == 0:
             return True
@@ -145,7 +152,10 @@
             return False
         if ctx.reply.started:
             return False
-        if ctx.sent_attempts - ctx.runs >= MAX_REJECTIONS and not course.left_silent:
+        max_rejections = MAX_REJECTIONS
+        if self._state.measure(instance) is Distance.OTHER_REGION:
+            max_rejections += MAX_REJECTIONS_OTHER_REGION
+        if ctx.sent_attempts - ctx.runs >= max_rejections and not course.left_silent:
             return False
         return course.charged or self._state.budgets.find(ctx.service.name).take(now)
 
@@ -156,9 +166,15 @@
         return self._state.reserve_takeover(ctx, instance, self._has_other)
 
     def _has_other(self, usable: list[Instance], excluded: Collection[str]) -> bool:
-        now = asyncio.get_running_loop().time()
-        zone, rng = self._state.zone, self._state.rng
-        return pick_plain_instance(usable, zone, excluded, now, rng) is not None
+        return self._pick(usable, excluded, asyncio.get_running_loop().time()) is not None
+
+    def _pick(
+        self, usable: list[Instance], excluded: Collection[str], now: float
+    ) -> Instance | None:
+        state = self._state
+        return pick_plain_instance(
+            usable, state.zone, excluded, now, state.rng, state.fleet.topology
+        )
 
     async def _attempt(self, ctx: Context, instance: Instance) -> None:
         silence = SilenceLimit(
