Queries of hosts that know few others reach the counter; Retry-After counts the rounds

And a pool grows only at its rounds, while Retry-After counted the rate alone, so that callers returned before it fitted.

Change: a host that is no counter of a workspace passes the query on, with the IP of the host that asked. Retry-After ends with the round that has collected what accrues until then.

--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -3,13 +3,22 @@
 import asyncio
 import math
 from collections import deque
+from dataclasses import replace
 
-from swifttrestle.internal.policy.quotas import GRANTED, Decision, Pool, QuotaTerms
+from swifttrestle.internal.policy.quotas import (
+    COLLECTION_SECONDS,
+    GRANTED,
+    Decision,
+    Pool,
+    QuotaTerms,
+)
 
 # Part of what a round asked for below which the shares count as empty: some hosts may be silent.
 EMPTY_SHARES_PART = 0.75
 # Part of a pool's lifetime after which one in use is confirmed by a round, before it is outdated.
 CONFIRM_PART = 0.5
+# Seconds by which a round and the replies to it may be late.
+ROUND_MARGIN_SECONDS = 0.03
 
 
 class CountedPool:
@@ -22,6 +31,8 @@
         self.collected_at = float("-inf")
         # When requests no longer wait for the round in progress.
         self.waits_until = float("-inf")
+        # Seconds between two rounds.
+        self.interval = COLLECTION_SECONDS
         self._terms = terms
         self._pool = Pool()
         self._waiting: deque[tuple[int, asyncio.Future[Decision]]] = deque()
@@ -114,7 +125,19 @@
         cost, decided = self._waiting.popleft()
         # It is done if its caller has gone.
         if not decided.done():
-            decided.set_result(self._pool.take(cost, self._terms, now))
+            decision = self._pool.take(cost, self._terms, now)
+            if decision.seconds > 0:
+                decision = replace(decision, seconds=self._find_return(decision.seconds, now))
+            decided.set_result(decision)
+
+    def _find_return(self, seconds: float, now: float) -> float:
+        """Return the seconds until a round has collected what accrues in `seconds`.
+
+        Between two rounds the pool does not grow, so that an earlier return would be in vain.
+        """
+        rounds = math.ceil(seconds / self.interval)
+        collected_at = self.collected_at + rounds * self.interval + ROUND_MARGIN_SECONDS
+        return max(seconds, collected_at - now)
 
     def _is_outdated(self, now: float) -> bool:
         """Return whether what the pool holds is too old to be granted."""
--- a/src/swifttrestle/internal/coordination/quotas/limiter.py
+++ b/src/swifttrestle/internal/coordination/quotas/limiter.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from swifttrestle.internal.coordination.quotas.counter import QuotaCounter, round_up
@@ -197,6 +197,18 @@
             recent = self._recent[workspace] = RecentCounts()
         recent.add(cost, admission.is_granted, _now())
 
+    def _handle_request(self, request: QuotaRequest, ip: str) -> None:
+        """Decide on a peer's request, or pass it on to the counter.
+
+        A host that has just started knows few others and may take one of them for the counter,
+        whose collections would leave nothing in the shares for the real one.
+        """
+        counters = self._hosts.find_counters(request.workspace, _now())
+        if request.origin or any(item.host == self._host for item in counters):
+            self._counter.handle_request(request, request.origin or ip)
+        else:
+            self._send(counters[0].ip, replace(request, origin=ip))
+
     # Changes of quotas and hosts.
 
     def _note_unit(self, workspace: Workspace) -> None:
@@ -241,7 +253,7 @@
         """Handle a peer's message; raise FrameError for a malformed one."""
         match unpack_message(data):
             case QuotaRequest() as request:
-                self._counter.handle_request(request, ip)
+                self._handle_request(request, ip)
             case QuotaReply() as reply:
                 self._queries.receive(reply)
             case QuotaReturn() as message:
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -182,6 +182,7 @@
         hosts = self._hosts.count_live(now)
         wanted = []
         for workspace, counted in self._pools.items():
+            counted.interval = self._find_interval(now)
             units = counted.begin_round(hosts, now) if self._is_in_use(counted, now) else 0
             if units:
                 wanted.append((workspace, units))
--- a/src/swifttrestle/internal/protocol/quotas.py
+++ b/src/swifttrestle/internal/protocol/quotas.py
@@ -4,6 +4,7 @@
 recognise duplicates by their numbers, so that none creates units.
 """
 
+import ipaddress
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
@@ -38,11 +39,15 @@
 
 @dataclass(frozen=True)
 class QuotaRequest:
-    """Asks a counter to charge a request; `number` identifies it among those of its sender."""
+    """Asks a counter to charge a request; `number` identifies it among those of its sender.
+
+    `origin` is the IP of the host that asked, if another host has passed its query on.
+    """
 
     number: int
     workspace: str
     cost: int
+    origin: str = ""
 
 
 @dataclass(frozen=True)
@@ -109,8 +114,8 @@
     """Return the datagram of a message."""
     values: tuple[Any, ...]
     match message:
-        case QuotaRequest(number, workspace, cost):
-            values = (QuotaMessageKind.REQUEST, number, workspace, cost)
+        case QuotaRequest(number, workspace, cost, origin):
+            values = (QuotaMessageKind.REQUEST, number, workspace, cost, origin)
         case QuotaReply(number, seconds, missing):
             values = (QuotaMessageKind.REPLY, number, seconds, missing)
         case QuotaReturn(number, workspace):
@@ -135,8 +140,9 @@
 def _read_message(kind: QuotaMessageKind, number: int, fields: list[Any]) -> Message:
     match kind:
         case QuotaMessageKind.REQUEST:
-            workspace, cost = fields
-            return QuotaRequest(number, check_text(workspace), check_integer(cost, 1, MAX_INT64))
+            workspace, cost, origin = fields
+            cost = check_integer(cost, 1, MAX_INT64)
+            return QuotaRequest(number, check_text(workspace), cost, _read_origin(origin))
         case QuotaMessageKind.REPLY:
             seconds, missing = fields
             return QuotaReply(number, _read_amount(seconds), check_integer(missing, 0, MAX_INT64))
@@ -167,6 +173,10 @@
     return raw
 
 
+def _read_origin(raw: Any) -> str:
+    return "" if raw == "" else str(ipaddress.ip_address(check_text(raw)))
+
+
 def _read_wanted(raw: Any) -> int:
     return check_integer(raw, 1, MAX_INT64)
 
--- a/tests/cover/test_quota_messages.py
+++ b/tests/cover/test_quota_messages.py
@@ -116,3 +116,15 @@
 def test_workspaces_of_the_largest_plan_are_collected_with_few_datagrams():
     wanted = [(f"workspace-{n}", MAX_INT64) for n in range(310)]
     assert len(list(split_wanted(wanted))) <= 6
+
+
+@pytest.mark.parametrize("origin", ["", "10.1.0.35"])
+def test_a_query_that_was_passed_on_names_the_host_that_asked(origin):
+    request = QuotaRequest(7, "w", 17_000, origin)
+    assert unpack_message(pack_message(request)) == request
+
+
+@pytest.mark.parametrize("origin", [None, 7, "host", "10.1.0"])
+def test_a_query_with_an_invalid_origin_is_refused(origin):
+    with pytest.raises(FrameError):
+        unpack_message(pack_message(QuotaRequest(7, "w", 17_000, origin)))
