--- a/bench/division.py
+++ b/bench/division.py
@@ -162,8 +162,8 @@
 
     Prompts: all, `in_time`, `refused`, and booked in another zone than the caller's (`other_zone`).
     Tokens: prefilled (`read`), of shared parts prefilled repeatedly (`reread`) and for the first
-    time (`first_read`). `copied_bytes` are those of KV cache, by distance, and `way_seconds` the
-    round trips from callers' zones to engines, in total.
+    time (`first_read`). `copied_bytes` are those of KV cache, by distance. `round_trip_seconds` is
+    the sum of the round trips from callers' zones to engines.
     """
 
     prompts: int = 0
@@ -175,7 +175,7 @@
     first_read: int = 0
     arrivals: Counter[str] = field(default_factory=Counter)
     copied_bytes: Counter[Distance] = field(default_factory=Counter)
-    way_seconds: float = 0.0
+    round_trip_seconds: float = 0.0
 
     @property
     def reread_share(self) -> float:
@@ -301,7 +301,7 @@
         self.result.other_zone += home != prompt.zone
         self.result.arrivals[prefill_engine.name] += 1
         distance = self._workload.topology.measure(prompt.zone, prefill_engine.record.zone)
-        self.result.way_seconds += distance.round_trip_seconds
+        self.result.round_trip_seconds += distance.round_trip_seconds
         self._prefill(prompt, prefill_engine, self._list_sources(prompt, engines, home))
 
     def _pick_engine(self, prompt: Prompt, engines: list[Instance], home: str) -> Instance | None:
@@ -315,12 +315,12 @@
                 prompt.parts[-2].part,
                 (),
                 prompt.at,
-                latest * step.wait_share - step.way_seconds,
+                latest * step.wait_share - step.extra_seconds,
                 prompt.parts,
                 lambda item, cached_tokens: plan_fetch(
                     item, cached_tokens, sources, self._workload.traits, topology
                 ),
-                latest - step.way_seconds,
+                latest - step.extra_seconds,
             )
             if prefill_engine is not None:
                 return prefill_engine
@@ -505,6 +505,6 @@
             f"{name:20} copies: {copies.name.lower():6} read {found.read / 1e6:6.1f} M, "
             f"reread {100 * found.reread_share:4.1f} %, "
             f"copied GB: zones {between_zones:5.0f}, regions {between_regions:5.0f}, "
-            f"mean way {1000 * found.way_seconds / found.prompts:4.1f} ms, "
+            f"mean round trip {1000 * found.round_trip_seconds / found.prompts:4.1f} ms, "
             f"in time {found.in_time_share:.3f}"
         )
--- a/src/swifttrestle/internal/forward/engine_finder.py
+++ b/src/swifttrestle/internal/forward/engine_finder.py
@@ -79,10 +79,10 @@
                 request.affinity,
                 request.excluded,
                 _now(),
-                longest_wait * step.wait_share - step.way_seconds,
+                longest_wait * step.wait_share - step.extra_seconds,
                 request.parts,
                 plan,
-                request.latest_read - step.way_seconds,
+                request.latest_read - step.extra_seconds,
             )
             if reader is not None:
                 return reader
--- a/src/swifttrestle/internal/policy/distance.py
+++ b/src/swifttrestle/internal/policy/distance.py
@@ -4,17 +4,18 @@
 different zones are always of the same region, so that no decision depends on regions.
 
 When a region is left: for one request, if its upstreams are refused, gone or full, or if another
-region serves the request sooner although the way is longer. Nothing is remembered of that, so the
-region is used again as soon as it has capacity. Requests do not swing between two regions whose
-loads are nearly equal, since each region has the way in its favour with its own callers.
+region serves the request sooner in spite of the longer round trip. No state is kept of that, so
+the region is used again as soon as it has capacity. Requests do not oscillate between two regions
+whose loads are nearly equal, since the round trip counts against the region that is not the
+caller's.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
-# Round trips in seconds. Measured one way: 1.4 ms between zones of a region and 12 ms between
-# regions. Traffic within a zone counts as free.
+# Round trips in seconds, of 1.4 ms one way between zones of a region and 12 ms between regions.
+# Those within a zone are negligible.
 SAME_REGION_ROUND_TRIP_SECONDS = 0.003
 OTHER_REGION_ROUND_TRIP_SECONDS = 0.024
 # How many times as long as within a zone a copy of KV cache takes (engines' protocol).
--- a/src/swifttrestle/internal/policy/home_zones.py
+++ b/src/swifttrestle/internal/policy/home_zones.py
@@ -6,8 +6,8 @@
 compares the two.
 
 A long part has one home zone in all regions together, as the engines of one region cannot cache
-all parts. A part that takes less time to prefill than the way to another region has one home zone
-in each region.
+all parts. A part that takes less time to prefill than two round trips to another region has one
+home zone in each region.
 """
 
 import math
--- a/src/swifttrestle/internal/policy/placement.py
+++ b/src/swifttrestle/internal/policy/placement.py
@@ -90,12 +90,12 @@
         key=lambda item: (
             item.predict_wait()
             + item.total.requests / max(1, item.record.slots) * AFFINITY_SECONDS
-            + _predict_way(topology.measure(near, item.record.zone), copy_seconds)
+            + _find_distance_penalty(topology.measure(near, item.record.zone), copy_seconds)
         ),
     )
 
 
-def _predict_way(distance: Distance, copy_seconds: float) -> float:
+def _find_distance_penalty(distance: Distance, copy_seconds: float) -> float:
     """Return the seconds by which a decode engine at a distance must be better than a near one."""
     if distance is Distance.SAME_ZONE:
         return 0.0
--- a/src/swifttrestle/internal/policy/scheduling.py
+++ b/src/swifttrestle/internal/policy/scheduling.py
@@ -25,12 +25,12 @@
 class SearchStep:
     """Engines that are considered together for a prefill.
 
-    The maximum wait there is `wait_share` of that at the nearest ones, and `way_seconds` shorter.
+    The maximum wait there is `wait_share` of that at the nearest ones, and `extra_seconds` shorter.
     """
 
     engines: list[Instance]
     wait_share: float = 1.0
-    way_seconds: float = 0.0
+    extra_seconds: float = 0.0
 
 
 def is_large_fleet(members: int) -> bool:
--- a/src/swifttrestle/internal/policy/upstream_paths.py
+++ b/src/swifttrestle/internal/policy/upstream_paths.py
@@ -102,7 +102,7 @@
         """Return the peers to ask for an instance in `zone`, the most promising first.
 
         Peers that have just failed come last, since they may be cut as well; among equals, the
-        shortest way saves traffic between zones. Sound peers share the connections.
+        shortest path saves traffic between zones. Sound peers share the connections.
         """
 
         def rank(item: Member) -> tuple[bool, bool, float, float]:
@@ -111,7 +111,7 @@
             return (
                 now - unreached_at < UNREACHED_SECONDS,
                 now - failed_at < UNREACHED_SECONDS,
-                self._measure_way(item.zone, zone),
+                self._measure_round_trip(item.zone, zone),
                 self._rng.random(),
             )
 
@@ -120,7 +120,7 @@
             peers = self._rng.sample(peers, MAX_RANKED)
         return sorted(peers, key=rank)[:MAX_RELAYS]
 
-    def _measure_way(self, relay_zone: str, zone: str) -> float:
+    def _measure_round_trip(self, relay_zone: str, zone: str) -> float:
         """Return the round trip in seconds to an upstream in `zone` through a relay."""
         to_relay = self._topology.measure(self._local_member.zone, relay_zone)
         to_upstream = self._topology.measure(relay_zone, zone)
--- a/tests/cover/test_distance.py
+++ b/tests/cover/test_distance.py
@@ -2,7 +2,7 @@
 
 With one region, or with none named, the decisions must be those of a rule that knows only zones:
 otherwise a fleet of one region would change its behaviour because of regions. With several regions,
-a region must be left only where that saves more time than the longer way costs.
+a region must be left only where that saves more time than the longer round trip costs.
 """
 
 import random
@@ -165,7 +165,7 @@
     ]  # fmt: skip
     for topology in make_topologies(zones):
         first, second, third = list_search_steps(engines, zone, topology)
-        found = [(step.engines, step.wait_share, step.way_seconds) for step in (first, second)]
+        found = [(step.engines, step.wait_share, step.extra_seconds) for step in (first, second)]
         assert found == expected
         assert third.engines == []
 
@@ -229,17 +229,17 @@
     ("open_here", "open_there", "refused", "zone"),
     [
         (0, 0, (), "b"),
-        # Each open request counts as the round trip within a region, of which the way to the other
-        # region takes eight, seven more than the way to the other zone.
+        # Each open request counts as the round trip within a region, of which one to the other
+        # region takes eight, seven more than one to the other zone.
         (7, 0, (), "b"),
         (8, 0, (), "c"),
-        # No swinging: the reverse choice needs as much again.
+        # No oscillation: the reverse choice needs as much again.
         (8, 1, (), "b"),
         (0, 0, ("b",), "c"),
         (0, 0, ("b", "c"), "b"),
     ],
 )
-def test_a_plain_upstream_of_another_region_is_used_if_the_wait_exceeds_the_way(
+def test_a_plain_upstream_of_another_region_is_used_if_the_wait_exceeds_the_round_trip(
     open_here, open_there, refused, zone
 ):
     instances = [
@@ -253,7 +253,7 @@
     assert found.record.zone == zone
 
 
-def test_two_regions_do_not_swing_at_nearly_equal_load():
+def test_requests_do_not_oscillate_between_regions_at_nearly_equal_load():
     # Callers of each region, whose hosts see the open requests of both.
     rng = random.Random(1)
     instances = [make_engine(zone, zone, Role.NONE) for zone in "ac"]
@@ -271,7 +271,7 @@
         (0, 0, 0.0, "b"),
         (80, 0, 0.0, "b"),
         (90, 0, 0.0, "c"),
-        # At 50,000 tokens a second: 20 ms and 40 ms, against 21 ms for the way.
+        # At 50,000 tokens a second: 20 ms and 40 ms, against 21 ms for the round trip.
         (0, 1_000, 0.0, "b"),
         (0, 2_000, 0.0, "c"),
         # A copy of 5 ms within a zone takes 40 ms more to another region than to another zone.
@@ -280,7 +280,7 @@
         (90, 0, 0.005, "c"),
     ],
 )
-def test_a_decode_engine_of_another_region_is_used_if_the_wait_exceeds_the_way(
+def test_a_decode_engine_of_another_region_is_used_if_the_wait_exceeds_the_round_trip(
     open_here, tokens_here, copy_seconds, zone
 ):
     here = make_engine("b", "b", Role.DECODE, own=OpenWork(tokens_here, open_here))
@@ -305,7 +305,7 @@
     engines = [make_engine(f"{zone}{n}", zone) for n, zone in enumerate("aaaabcccc")]
     steps = list_search_steps(engines, zone, REGIONS)
     assert ["".join(item.record.zone for item in step.engines) for step in steps] == searched
-    assert [step.way_seconds for step in steps] == [0.0, 0.0, 0.024]
+    assert [step.extra_seconds for step in steps] == [0.0, 0.0, 0.024]
 
 
 @pytest.mark.parametrize(("zone", "seconds"), [("a", 0.008), ("b", 0.016), ("c", None)])
@@ -313,7 +313,7 @@
     source = make_engine("s", zone)
     source.cache.note(PARTS[:1], 200_000, read=True)
     fetch = plan_fetch(make_engine("r", "a"), 0, list_sources([source], PARTS, ()), TRAITS, REGIONS)
-    # 80 ms and the way: longer than the prefill.
+    # 80 ms and the round trip: longer than the prefill.
     assert (fetch.seconds if fetch else None) == (pytest.approx(seconds) if seconds else None)
 
 
@@ -329,13 +329,13 @@
 @pytest.mark.parametrize(
     ("zone", "order"),
     [
-        # The way through a peer to an upstream in the zone, in ms.
+        # The round trip through a peer to an upstream in the zone, in ms.
         ("a", {"a": 0, "b": 6, "c": 48}),
         ("b", {"a": 3, "b": 3, "c": 48}),
         ("d", {"a": 24, "b": 27, "c": 27}),
     ],
 )
-def test_the_peer_with_the_shortest_way_relays_a_connection(zone, order):
+def test_the_peer_with_the_shortest_path_relays_a_connection(zone, order):
     local = Member("local", "10.0.0.9", "a")
     members = [local, *(Member(name, f"10.0.0.{name}", name) for name in "abc")]
     found = UpstreamPaths(local, random.Random(1), REGIONS).choose_relays("e", zone, members, 0.0)
--- a/tests/cover/test_home_zones.py
+++ b/tests/cover/test_home_zones.py
@@ -119,7 +119,7 @@
 @pytest.mark.parametrize(
     ("home", "tokens", "near", "zones"),
     [
-        # Longer than the way to another region, 48 ms: one home for the callers of all regions.
+        # Longer than two round trips to another region, 48 ms: one home for all callers.
         ("c", 5000, "a", ("c", "a-or-b")),
         # The region's only zone: the caller's host then books there itself.
         ("c", 5000, "c", ("c",)),
@@ -130,11 +130,13 @@
         ("c", 4700, "c", ("c",)),
         ("a", 4700, "c", ("c",)),
         ("a", 4700, "b", ("a", "b")),
-        # Shorter than the way to another zone.
+        # Too short to leave the zone.
         ("c", 400, "a", ("a",)),
     ],
 )
-def test_only_a_part_longer_than_the_way_has_its_home_in_another_region(home, tokens, near, zones):
+def test_only_a_part_longer_than_two_round_trips_has_its_home_in_another_region(
+    home, tokens, near, zones
+):
     # Else each region's engines would cache all parts, which they can't hold.
     parts = (PromptPart(find_part(home), tokens), PromptPart("own", 100))
     found = list_home_zones(parts, EVEN, TOKENS_PER_SECOND, near, TWO_REGIONS)
--- a/tests/hosted/test_regions.py
+++ b/tests/hosted/test_regions.py
@@ -24,8 +24,8 @@
 REGIONS = {"hall-a": "r", "hall-b": "r", "hall-c": "q"}
 ROLES = ("prefill", "prefill", "decode", "decode")
 WEIGHTS = dict.fromkeys(REGIONS, len(ROLES))
-# Prefill time of a prompt. The shared part takes longer than the way to the other region only at
-# such a rate.
+# Prefill time of a prompt. The shared part takes longer than two round trips to the other region
+# only at such a rate.
 PREFILL_SECONDS = 0.09
 # Seconds until hosts count as gone and their engines' paths as cut.
 DETECTION_SECONDS = 3.0
@@ -109,7 +109,7 @@
         return self.active and (zone in self._inside) != (other in self._inside)
 
     def crosses_hosts(self, ip, other):
-        """Return whether the way between two hosts is cut."""
+        """Return whether the path between two hosts is cut."""
         return self._crosses(self._by_ip[ip].settings.zone, self._by_ip[other].settings.zone)
 
     def _wrap_socket(self, running):
