--- a/src/swifttrestle/internal/forward/engine_finder.py
+++ b/src/swifttrestle/internal/forward/engine_finder.py
@@ -82,10 +82,10 @@
                 request.affinity,
                 request.excluded,
                 _now(),
-                longest_wait * step.wait_share - step.way_seconds,
+                longest_wait * step.wait_share - step.extra_seconds,
                 request.parts,
                 plan,
-                request.latest_read - step.way_seconds,
+                request.latest_read - step.extra_seconds,
                 self._state.fleet.find_gap_objective(request.service) * PAUSE_SHARE,
                 scheduled=is_large_fleet(self._state.budgets.hosts),
             )
