--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -6,9 +6,9 @@
 
 from tests.soak.rounds import run_round
 
-# One seed of planned work, one with all faults, two in which two regions are cut off from each other
-# beside these (1, 17), two regression tests, and one that cuts a host and silences an upstream,
-# beside a revoked key and reclaimed engines:
+# One seed of planned work, one with all faults, two in which two regions are cut off from each
+# other beside these (1, 17), two regression tests, and one that cuts a host and silences an
+# upstream, beside a revoked key and reclaimed engines:
 # 523: a new key is refused before its version must be in force, which is allowed.
 # 535: an engine is ordered, and must not be listed while it boots.
 SEEDS = (3, 1, 17, 2, 523, 535, 328)
