--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -50,7 +50,7 @@
 
     def is_due(self, now: float) -> bool:
         """Return whether a round is to be started for this pool, if it is in use."""
-        is_low = self._pool.needs_collection(self._terms, now)
+        is_low = self._pool.is_low(self._terms, now)
         return is_low or now - self.collected_at > self._terms.pool_ttl * CONFIRM_PART
 
     def may_be_filled_early(self, cost: int, now: float) -> bool:
--- a/src/swifttrestle/internal/coordination/quotas/shares.py
+++ b/src/swifttrestle/internal/coordination/quotas/shares.py
@@ -76,17 +76,8 @@
             self.drop(workspace, now)
 
     def _remove(self, workspace: str, wanted: int, now: float) -> float:
-        """Remove and return some units of a share, also a part of one.
-
-        In a large fleet the share of a small quota never reaches a whole unit.
-        """
-        share, terms = self._accrue(workspace, now), self._find_terms(workspace)
-        if share is None or terms is None:
-            return 0.0
-        before = share.units
-        # With a draw of 0 this takes the lesser of both.
-        share.take(wanted, terms, self._hosts.count(now), 0.0)
-        return before - share.units
+        share = self._accrue(workspace, now)
+        return share.collect(wanted) if share is not None else 0.0
 
     def _accrue(self, workspace: str, now: float) -> Share | None:
         """Return the share of a workspace as of now; None if there is no quota."""
--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -1,7 +1,7 @@
 """Quotas of workspaces, counted over all hosts without a common store.
 
-Each host accrues an equal share of a workspace's rate. One host, the counter, collects what all
-hosts have accrued into a pool and grants requests from it. Units are accrued once and moved once,
+Each host accrues an equal share of a workspace's rate. One host, the counter, fills a pool from the
+shares of all hosts and grants requests from it. Units are accrued once and moved once,
 so that the sum of what is granted stays within the rate plus what the accounts hold, whichever
 hosts are cut off, killed or suspended, and however many take themselves for the counter. A lost
 message loses units; none creates any. docs/design/quotas.md compares the alternatives.
@@ -15,20 +15,20 @@
 from swifttrestle.internal.state.declared import Quota, QuotaTolerance
 from swifttrestle.internal.state.members import Member
 
-# Part of the burst and of the tolerated excess that a pool holds, and that all shares together
-# hold. Twice this may be granted at once, and three times this in the seconds in which two hosts
-# that have filled their pools are counters.
+# Maximum part of the burst and of the tolerated excess that a pool holds, and that all shares
+# together hold. Shares stay full beside a full pool. At 1/3, a single host rejects over 2 in 100 of
+# the largest requests of a small quota; at 0.45, few more of them pass.
 CAPACITY_SHARE = 0.4
 # Seconds of the rate that a pool holds at least: what is accrued between two collections.
 MIN_CAPACITY_SECONDS = 0.5
-# Bounds of the seconds without a collection after which a pool is emptied. The minimum exceeds the
-# time between two collections of a fleet of 790 hosts. The maximum lets go of units that a counter
-# of a workspace with a large tolerance collected before it was replaced.
+# Bounds of the seconds without a round after which a pool is emptied. The minimum exceeds the time
+# between two rounds of a fleet of 790 hosts. The maximum lets go of units that a counter of a
+# workspace with a large tolerance collected before it was replaced.
 MIN_POOL_TTL_SECONDS = 0.8
 MAX_POOL_TTL_SECONDS = 10.0
 # Part of its capacity below which a pool is filled up. At 0.75, large requests find it too low.
 LOW_POOL_SHARE = 0.9
-# Minimum seconds between two collections, and the number of hosts that a counter asks per second.
+# Usual seconds between two rounds at least, and the number of hosts that a counter asks per second.
 # At 800 a second, 790 hosts reject over 2 in 100 of the largest requests of a small quota.
 COLLECTION_SECONDS = 0.25
 MAX_ASKED_PER_SECOND = 1200.0
@@ -49,7 +49,7 @@
     """A quota as the accounts apply it.
 
     `rate` is in units a second. `capacity` is what a pool holds, and what all shares together hold.
-    A pool is emptied `pool_ttl` seconds after its last collection: its host was suspended, or is no
+    A pool is emptied `pool_ttl` seconds after its last round: its host was suspended, or is no
     longer the counter.
     """
 
@@ -72,9 +72,11 @@
 def find_terms(quota: Quota, tolerance: QuotaTolerance) -> QuotaTerms:
     """Return how a quota is applied where the platform tolerates some excess."""
     spare = quota.burst + tolerance.find_excess(quota)
-    capacity = max(1.0, quota.rate * MIN_CAPACITY_SECONDS, spare * CAPACITY_SHARE)
-    # So long that what is accrued meanwhile fits into the part that a pool does not hold.
-    pool_ttl = spare * (1 - CAPACITY_SHARE) / quota.rate
+    # A host that takes over as the counter fills a pool from the shares, which then accrue again
+    # while the first pool is valid. All three may be granted at once, so they must fit the spare.
+    fitting = max(spare / 3, (spare - quota.rate * MIN_POOL_TTL_SECONDS) / 2)
+    capacity = max(1.0, quota.rate * MIN_CAPACITY_SECONDS, min(spare * CAPACITY_SHARE, fitting))
+    pool_ttl = (spare - 2 * capacity) / quota.rate
     bounded = min(MAX_POOL_TTL_SECONDS, max(MIN_POOL_TTL_SECONDS, pool_ttl))
     return QuotaTerms(quota.rate, capacity, bounded)
 
@@ -97,7 +99,7 @@
 
 
 def find_collection_interval(hosts: int) -> float:
-    """Return the minimum seconds between two collections in a fleet of so many hosts."""
+    """Return the usual seconds between two rounds in a fleet of so many hosts."""
     return max(COLLECTION_SECONDS, hosts / MAX_ASKED_PER_SECOND)
 
 
@@ -120,18 +122,13 @@
         self._units = min(terms.capacity / hosts, self._units + accrued)
         self._updated_at = max(now, self._updated_at)
 
-    def collect(self) -> int:
-        """Remove and return the whole units."""
-        units = int(self._units)
-        self._units -= units
-        return units
-
-    def collect_exact(self) -> float:
-        """Remove and return all units.
+    def collect(self, wanted: float) -> float:
+        """Remove and return the units wanted, or all there are, also a part of one.
 
         Where a host's part of the capacity is under one unit, whole units are never reached.
         """
-        units, self._units = self._units, 0.0
+        units = min(wanted, self._units)
+        self._units -= units
         return units
 
     def take(self, cost: int, terms: QuotaTerms, hosts: int, draw: float) -> Decision:
@@ -157,7 +154,6 @@
         self._collected_at = float("-inf")
         # QuotaTerms.pool_ttl when units were last added.
         self._ttl = MIN_POOL_TTL_SECONDS
-        self._coverage = 1.0
         # The costs of the requests refused in the last REFUSED_SECONDS, with their times.
         self._refused: deque[tuple[float, int]] = deque()
         self._refused_units = 0
@@ -168,34 +164,24 @@
         return self._units
 
     def deposit(self, units: float, terms: QuotaTerms) -> None:
-        """Add what a host has accrued, or what is given back, up to the capacity."""
-        self._units = min(self._find_capacity(terms), self._units + units)
+        """Add what a host hands over, or what is given back, up to the capacity."""
+        self._units = min(_find_capacity(terms), self._units + units)
         self._ttl = terms.pool_ttl
 
     def note_collection(self, now: float) -> None:
-        """Record that hosts are asked for what they have accrued; drop units that are too old."""
+        """Record the start of a round; drop units that are too old."""
         self._expire(now)
         self._collected_at = now
 
-    def note_coverage(self, part: float, terms: QuotaTerms) -> None:
-        """Record which part of all hosts replied to a collection, when it ends.
-
-        The pool holds this part of the capacity, so that the pools of hosts that are cut off from
-        each other together hold no more than one pool.
-        """
-        self._coverage = part
-        self.limit(terms)
-
-    def needs_collection(self, terms: QuotaTerms, now: float, cost: int = 0) -> bool:
-        """Return whether hosts are to be asked: the pool is low, or lacks units for a request."""
+    def is_low(self, terms: QuotaTerms, now: float) -> bool:
+        """Return whether the pool is to be filled up."""
         self._expire(now)
-        capacity = self._find_capacity(terms)
-        return self._units < max(capacity * LOW_POOL_SHARE, min(cost, capacity))
+        return self._units < _find_capacity(terms) * LOW_POOL_SHARE
 
     def fits(self, cost: int, terms: QuotaTerms, now: float) -> bool:
         """Return whether a request would be granted."""
         self._expire(now)
-        return self._units >= min(cost, self._find_capacity(terms))
+        return self._units >= min(cost, _find_capacity(terms))
 
     def take(self, cost: int, terms: QuotaTerms, now: float) -> Decision:
         """Decide on a request; one larger than the capacity passes into debt at a full pool.
@@ -207,7 +193,7 @@
             return GRANTED
         while self._refused and self._refused[0][0] <= now - REFUSED_SECONDS:
             self._refused_units -= self._refused.popleft()[1]
-        missing = min(cost, self._find_capacity(terms)) - self._units
+        missing = min(cost, _find_capacity(terms)) - self._units
         seconds = (missing + self._refused_units) / terms.rate
         self._refused.append((now, cost))
         self._refused_units += cost
@@ -215,11 +201,13 @@
 
     def limit(self, terms: QuotaTerms) -> None:
         """Drop the units over the capacity, after a quota was lowered."""
-        self._units = min(self._find_capacity(terms), self._units)
-
-    def _find_capacity(self, terms: QuotaTerms) -> float:
-        return max(1.0, terms.capacity * self._coverage)
+        self._units = min(_find_capacity(terms), self._units)
 
     def _expire(self, now: float) -> None:
         if now - self._collected_at > self._ttl:
             self._units = min(0.0, self._units)
+
+
+def _find_capacity(terms: QuotaTerms) -> float:
+    """Return what a pool holds: at least a request, also where it has a small part of a quota."""
+    return max(1.0, terms.capacity)
