--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -27,9 +27,7 @@
 # if the shares are not known to be empty.
 EARLY_INTERVAL_SHARE = 0.1
 # Seconds without a request for which the first counter of a workspace keeps its pool filled, and
-# any other one. What both hold may be granted at once, and what the others hold is lost after that:
-# 0.92 of a quota was used with 2 s, and 0.94 with 1 s, at 8 hosts 12 ms apart that lose 1 in 40
-# datagrams.
+# any other one. What both hold may be granted at once, and what the others hold is lost after that.
 HOLD_SECONDS = 60.0
 SUBSTITUTE_HOLD_SECONDS = 1.0
 
