--- a/bench/quota_counters.py
+++ b/bench/quota_counters.py
@@ -28,8 +28,9 @@
 # Seconds after which an action that falls due at a suspended host is tried again.
 RETRY_SECONDS = 0.1
 
-# Creates futures, and never runs.
+# Creates the futures that CountedPool sets; it never runs.
 _loop = asyncio.new_event_loop()
+_loop.close()
 
 
 @dataclass(frozen=True)
--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -25,7 +25,7 @@
 from swifttrestle.internal.policy.quotas import find_collection_interval, find_counters
 
 HOSTS = (8, 58, 195)
-# The hosts of the largest plan, too: runs of 60 s with all rates would take minutes there.
+# With those of the largest plan, in the tables that need few runs.
 ALL_HOSTS = (*HOSTS, 790)
 # Hosts of a deployment that is spread over regions.
 HOSTS_IN_REGIONS = (58,)
--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -17,7 +17,7 @@
 
 # Maximum part of the burst and of the tolerated excess that a pool holds, and that all shares
 # together hold. Shares stay full beside a full pool. At 1/3, a single host rejects over 2 in 100 of
-# the largest requests of a small quota; at 0.45, few more of them pass.
+# the largest requests of a small quota; at 0.45, no more of them pass.
 CAPACITY_SHARE = 0.4
 # Seconds of the rate that a pool holds at least: what is accrued between two collections.
 MIN_CAPACITY_SECONDS = 0.5
@@ -28,7 +28,7 @@
 MAX_POOL_TTL_SECONDS = 10.0
 # Part of its capacity below which a pool is filled up. At 0.75, large requests find it too low.
 LOW_POOL_SHARE = 0.9
-# Usual seconds between two rounds at least, and the number of hosts that a counter asks per second.
+# Usual minimum seconds between two rounds, and the number of hosts that a counter asks per second.
 # At 800 a second, 790 hosts reject over 2 in 100 of the largest requests of a small quota.
 COLLECTION_SECONDS = 0.25
 MAX_ASKED_PER_SECOND = 1200.0
