--- a/src/swifttrestle/internal/forward/scheduled_booking.py
+++ b/src/swifttrestle/internal/forward/scheduled_booking.py
@@ -24,6 +24,7 @@
 from swifttrestle.internal.policy.scheduling import (
     find_scheduler,
     is_large_fleet,
+    list_scheduler_candidates,
     list_schedulers,
 )
 from swifttrestle.internal.protocol.bookings import (
@@ -48,7 +49,8 @@
 from swifttrestle.internal.transport.datagrams import DatagramKind, PeerSocket
 
 # Timeout for a scheduler's first reply, which grants engines or states that the request waits: some
-# round trips between availability zones, plus queueing on the hosts' links.
+# round trips between availability zones, plus queueing on the hosts' links. A scheduler in another
+# region has the longer round trip in addition.
 REPLY_TIMEOUT_SECONDS = 0.05
 # Consecutive missing replies after which a scheduler is not asked for some seconds. A single
 # datagram may be lost, and booking locally uses outdated load reports.
@@ -86,14 +88,8 @@
         socket: PeerSocket,
         host: str,
         list_members: Callable[[], Sequence[Member]],
-        is_in_same_region: Callable[[str], bool] = lambda zone: True,
     ) -> None:
-        """Book through `local` where no other host schedules.
-
-        `is_in_same_region` returns whether a zone is in this host's region; only such zones are
-        home zones.
-        """
-        self._is_in_same_region = is_in_same_region
+        """Book through `local` where no other host schedules."""
         self._local = local
         self._state = state
         self._socket = socket
@@ -105,9 +101,9 @@
         self._missed_replies: dict[str, int] = {}
         self._suspended_until: dict[str, float] = {}
         self._home_zones: dict[str, _HomeZones] = {}
-        # Cached schedulers by service and group, valid for these members. Finding one takes 0.5 ms
-        # with 790 hosts.
-        self._schedulers: dict[tuple[str, str], Member | None] = {}
+        # Cached schedulers by service, group and region, valid for these members. Finding one takes
+        # 0.5 ms with 790 hosts.
+        self._schedulers: dict[tuple[str, str, str], Member | None] = {}
         self._members: tuple[Member, ...] = ()
         self._scheduler = Scheduler(local, state, self._send, list_members)
         socket.set_receiver(DatagramKind.BOOKING, self._receive)
@@ -171,7 +167,8 @@
         self, scheduler: Member, replies: "asyncio.Queue[Message]", request: BookingRequest
     ) -> Booking | NoCapacity | None:
         """Return the scheduler's reply; None if it names engines that this host cannot use."""
-        timeout_seconds = REPLY_TIMEOUT_SECONDS
+        distance = self._state.fleet.topology.measure(self._state.zone, scheduler.zone)
+        timeout_seconds = REPLY_TIMEOUT_SECONDS + distance.extra_seconds
         while True:
             async with asyncio.timeout(timeout_seconds):
                 reply = await replies.get()
@@ -222,7 +219,7 @@
         found: set[str] = set()
         for service in self._state.fleet.list_engine_services():
             engines = self._state.fleet.list_service(service)
-            found |= list_schedulers(members, service, engines)
+            found |= list_schedulers(members, service, engines, self._state.fleet.topology)
         return found
 
     def schedules_engines(self) -> bool:
@@ -239,9 +236,7 @@
         known = self._home_zones.get(service)
         if known is None or _now() >= known.until:
             engines = self._state.fleet.list_service(service)
-            zones = {
-                item.zone for item in self._list_members() if self._is_in_same_region(item.zone)
-            }
+            zones = {item.zone for item in self._list_members()}
             weights = count_engines_by_zone(engines, zones)
             effective_read_rate = max((item.effective_read_rate for item in engines), default=0.0)
             known = _HomeZones(_now() + HOME_ZONES_TTL_SECONDS, weights, effective_read_rate)
@@ -254,23 +249,29 @@
             return
         home_zones = self._find_home_zones(request.service)
         for zone in list_home_zones(
-            request.parts, home_zones.weights, home_zones.effective_read_rate, request.zone
+            request.parts,
+            home_zones.weights,
+            home_zones.effective_read_rate,
+            request.zone,
+            self._state.fleet.topology,
         ):
-            found = self._find_scheduler(
-                request.service, zone if zone in home_zones.weights else ""
-            )
+            group = zone if zone in home_zones.weights else ""
+            found = self._find_scheduler(request.service, group, zone)
             if found is not None and _now() >= self._suspended_until.get(found.host, 0.0):
                 yield zone, found
 
-    def _find_scheduler(self, service: str, group: str) -> Member | None:
-        """Return the host that schedules a service's engines of a group; None if there is none."""
+    def _find_scheduler(self, service: str, group: str, zone: str) -> Member | None:
+        """Return the host that schedules a service's engines of a group for a zone, or None."""
+        topology = self._state.fleet.topology
+        key = service, group, "" if group else topology.find_region(zone)
         members = tuple(self._list_members())
         if members != self._members:
             self._members = members
             self._schedulers.clear()
-        if (service, group) not in self._schedulers:
-            self._schedulers[service, group] = find_scheduler(members, service, group)
-        return self._schedulers[service, group]
+        if key not in self._schedulers:
+            candidates = list_scheduler_candidates(members, group, zone, topology)
+            self._schedulers[key] = find_scheduler(candidates, service, group)
+        return self._schedulers[key]
 
     def _record_missed_reply(self, scheduler: Member) -> None:
         """Count a missing reply; suspend the scheduler after several in a row."""
