Shares accrue from a host's start, and are used a second after it

Cause: a host's share began to accrue 2 s after its start, from nothing.

Change: the share accrues from the start on; it is handed over once the host knows the others, now 1 s after the start. Nothing is accrued twice, so the bound is as before.

Result: two new tests (the first failed before by what the share had: nothing at JOIN_SECONDS); all cases of test_quota_limiter, test_quotas and test_quota_ways passed.

--- a/src/swifttrestle/internal/coordination/quotas/shares.py
+++ b/src/swifttrestle/internal/coordination/quotas/shares.py
@@ -22,14 +22,17 @@
         # Shares are created at their first use, and accrue as if they were there before. One that
         # was removed and is created again must not accrue the same time twice.
         self._accrues_from: float | None = None
+        # Nothing is handed over before: the number of hosts is not known yet.
+        self._joins_at = float("inf")
         self._shares: dict[str, Share] = {}
         # The collections that were answered, by the counter's IP and round.
         self._answered: dict[tuple[str, int], None] = {}
 
     def start(self, now: float) -> float:
-        """Return from when on shares accrue: JOIN_SECONDS after the first call."""
+        """Return from when on shares accrue, the first call; they are used JOIN_SECONDS later."""
         if self._accrues_from is None:
-            self._accrues_from = now + JOIN_SECONDS
+            self._accrues_from = now
+            self._joins_at = now + JOIN_SECONDS
         return self._accrues_from
 
     def count_units(self, workspace: str, now: float) -> float:
@@ -88,5 +91,6 @@
         share = self._shares.get(workspace)
         if share is None:
             share = self._shares[workspace] = Share(self.start(now))
-        share.accrue(terms, self._hosts.count(now), now)
+        if now >= self._joins_at:
+            share.accrue(terms, self._hosts.count(now), now)
         return share
--- a/src/swifttrestle/internal/policy/quotas.py
+++ b/src/swifttrestle/internal/policy/quotas.py
@@ -32,8 +32,9 @@
 # At 800 a second, 790 hosts reject over 2 in 100 of the largest requests of a small quota.
 COLLECTION_SECONDS = 0.25
 MAX_ASKED_PER_SECOND = 1200.0
-# Seconds after its start from which a host accrues: until then it may not know all others.
-JOIN_SECONDS = 2.0
+# Seconds after its start from which a host's share is used: until then it may not know all others.
+# Two heartbeats, in which rosters reach all hosts.
+JOIN_SECONDS = 1.0
 # Seconds for which a host that is not seen any more still counts as having a share.
 MEMBER_HOLD_SECONDS = 60.0
 # Hosts for each counter: a fleet of up to twice this many has one counter for all workspaces.
