--- a/src/swifttrestle/internal/policy/distance.py
+++ b/src/swifttrestle/internal/policy/distance.py
@@ -30,11 +30,6 @@
     SAME_REGION = "same_region"
     OTHER_REGION = "other_region"
 
-    @property
-    def order(self) -> int:
-        """Position among the distances, the nearest first."""
-        return _ORDER[self]
-
     @property
     def round_trip_seconds(self) -> float:
         """Time of a round trip."""
@@ -61,7 +56,6 @@
         return max(0.0, self.copy_factor - SAME_REGION_COPY_FACTOR)
 
 
-_ORDER = {distance: number for number, distance in enumerate(Distance)}
 _ROUND_TRIP_SECONDS = {
     Distance.SAME_ZONE: 0.0,
     Distance.SAME_REGION: SAME_REGION_ROUND_TRIP_SECONDS,
