--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -209,6 +209,14 @@
     """A repeatable request ran and failed at its upstream; another one may succeed."""
 
 
+class AnswerBegunError(UpstreamBrokenError):
+    """A run's answer cannot go to the caller, who has received a part of another run's."""
+
+    def __init__(self, message: str) -> None:
+        """Mark the request as sent, since it has run."""
+        super().__init__(message, sent=True)
+
+
 class CrossedAnswerError(UpstreamBrokenError):
     """The response has the id, attempt or offset of another request."""
 
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -137,7 +137,7 @@
             raise
         if head.status >= FIRST_ERROR_STATUS and plan.retry_failure:
             raise FailedByUpstreamError(f"status {head.status} from {instance.name}", sent=True)
-        if relay is not None and head.status < 300:
+        if relay is not None and ctx.route.streaming and head.status < 300:
             await relay.relay(ctx, head, body, instance.record.build)
         elif head.framing is Framing.LENGTH and head.length > MAX_BUFFERED_ANSWER_BYTES:
             await _stream_answer(ctx, head, body)
@@ -151,16 +151,17 @@
     headers = strip_answer_headers(head.headers)
     ctx.note_first_byte()
     if head.framing is Framing.NONE:
-        await ctx.reply.start(head.status, headers, Framing.NONE, 0)
-        await ctx.reply.end()
-        return
-    await ctx.reply.send_whole(head.status, headers, content)
+        await ctx.answer.begin(head.status, headers, Framing.NONE, 0)
+    else:
+        await ctx.answer.begin(head.status, headers, Framing.LENGTH, len(content))
+        await ctx.answer.send(content)
+    await ctx.answer.end()
 
 
 async def _stream_answer(ctx: Context, head: ResponseHead, body: Body) -> None:
     headers = strip_answer_headers(head.headers)
     ctx.note_first_byte()
-    await ctx.reply.start(head.status, headers, head.framing, head.length)
+    await ctx.answer.begin(head.status, headers, head.framing, head.length)
     async for chunk in body.chunks():
-        await ctx.reply.send(chunk)
-    await ctx.reply.end()
+        await ctx.answer.send(chunk)
+    await ctx.answer.end()
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
+from swifttrestle.internal.forward.answer import Answer
 from swifttrestle.internal.forward.quotas import QuotaCharge
 from swifttrestle.internal.policy.retry_window import WindowedRetryBudget
 from swifttrestle.internal.state.crash_records import OpenRequest
@@ -83,6 +84,12 @@
     # Called with the workspace's name at the first byte of the answer.
     count_request: Callable[[str], None] | None = None
     _cached_fingerprint: Fingerprint | None = None
+    # What goes to the caller from upstreams.
+    answer: Answer = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start without an answer."""
+        self.answer = Answer(self.reply)
 
     @property
     def priority(self) -> int:
@@ -98,8 +105,10 @@
 
     @property
     def may_run_again(self) -> bool:
-        """Whether its route allows a run besides the present one."""
-        return self.repeatable and self.runs + 1 < self.route.max_attempts
+        """Whether its route and its answer allow a run besides the present one."""
+        if not self.repeatable or not self.answer.accepts_run:
+            return False
+        return self.runs + 1 < self.route.max_attempts
 
     @property
     def seconds_left(self) -> float:
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -254,7 +254,7 @@
     ) -> Instance:
         """Return another engine to continue the answer; raise RefusedError if there is none now."""
         now = _now()
-        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS or relay.started
+        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS or ctx.answer.begun
         if not allowed or not self._may_repeat(ctx):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
         decoder = self._pick_decode_engine(ctx, reason, now)
@@ -269,8 +269,8 @@
 
     @staticmethod
     def _may_repeat(ctx: Context) -> bool:
-        """Return whether the route allows another attempt after those that may have run."""
-        if ctx.runs >= ctx.route.max_attempts:
+        """Return whether the route and the answer allow another attempt after those so far."""
+        if ctx.runs >= ctx.route.max_attempts or not ctx.answer.accepts_run:
             return False
         return ctx.repeatable or not ctx.may_have_run
 
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -38,7 +38,6 @@
         self.silence: SilenceLimit | None = None
         self.last_event: bytes | None = None
         self.events = 0
-        self.started = False
         # The event loop's time of the last bytes that went to the caller.
         self.progress_at = float("-inf")
         # Attempts to continue the answer since then.
@@ -50,14 +49,15 @@
         Raises UpstreamBrokenError if it is cut.
         """
         from_first = not self.last_event and not ctx.request_metadata.last_event
-        if not self.started:
-            self.started = True
+        resumable = self._resumable and _is_event_stream(head)
+        if ctx.answer.begun:
+            ctx.answer.check_continuation(whole_events=resumable)
+        else:
             self._note_progress()
-            await ctx.reply.start(
-                head.status, strip_answer_headers(head.headers), Framing.CHUNKED, 0
-            )
+            headers = strip_answer_headers(head.headers)
+            await ctx.answer.begin(head.status, headers, Framing.CHUNKED, 0, resumable)
         scanner = EventScanner()
-        if self._resumable:
+        if resumable:
             await self._relay_complete_events(ctx, body, scanner, build)
             self._check_end(ctx, head, scanner)
         elif ctx.route.streaming and _is_event_stream(head):
@@ -67,7 +67,7 @@
             await self._relay_bytes(ctx, body)
         ctx.stream_written = from_first
         ctx.stream_framed = head.framing is not Framing.CLOSE
-        await ctx.reply.end()
+        await ctx.answer.end()
 
     async def _relay_bytes(
         self, ctx: Context, body: Body, scanner: EventScanner | None = None
@@ -76,7 +76,7 @@
             if scanner is not None:
                 scanner.feed(chunk)
             ctx.note_first_byte()
-            await ctx.reply.send(chunk)
+            await ctx.answer.send(chunk)
 
     async def _relay_complete_events(
         self, ctx: Context, body: Body, scanner: EventScanner, build: str
@@ -90,7 +90,7 @@
                 self._record_ids(complete_events)
                 ctx.note_first_byte()
                 self._note_progress()
-                await ctx.reply.send(complete_events)
+                await ctx.answer.send(complete_events)
 
     def _note_build(self, ctx: Context, build: str) -> None:
         """Record which software version an upstream's first event comes from."""
--- a/src/swifttrestle/internal/forward/path_waiting.py
+++ b/src/swifttrestle/internal/forward/path_waiting.py
@@ -22,7 +22,7 @@
 
 def may_connect_later(ctx: Context) -> bool:
     """Return whether another connection would still come in time for an answer."""
-    if ctx.may_have_run or ctx.reply.started:
+    if ctx.may_have_run or ctx.answer.begun:
         return False
     total = ctx.age + ctx.seconds_left
     return ctx.age + RETRY_SECONDS + CONNECT_TIMEOUT_SECONDS < total * LATEST_CONNECT_SHARE
--- a/src/swifttrestle/internal/forward/plain.py
+++ b/src/swifttrestle/internal/forward/plain.py
@@ -122,7 +122,7 @@
         """
         left_silent = course.left_silent and ctx.runs < ctx.route.max_attempts
         waits_for_path = course.unreached and may_connect_later(ctx)
-        if ctx.reply.started or not (left_silent or waits_for_path):
+        if ctx.answer.begun or not (left_silent or waits_for_path):
             raise self._refuse(ctx, course.reason, asyncio.get_running_loop().time())
         await asyncio.sleep(RETRY_SECONDS * 2**course.waits)
         course.waits += 1 if left_silent else 0
@@ -150,7 +150,7 @@
             return False
         if ctx.runs >= ctx.route.max_attempts:
             return False
-        if ctx.reply.started:
+        if ctx.answer.begun:
             return False
         max_rejections = MAX_REJECTIONS
         if self._state.measure(instance) is Distance.OTHER_REGION:
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -17,6 +17,7 @@
     RequestHandler,
 )
 from swifttrestle.internal.transport.messages import Framing, Header, write_response_head
+from swifttrestle.internal.transport.relay import reset_connection
 from swifttrestle.platform.settings import HostSettings, read_host_settings
 from swifttrestle_standins.hosted.cuts import CuttableDialer
 from swifttrestle_standins.hosted.duties import StandInDuties
@@ -71,6 +72,13 @@
         self._write(write_response_head(status, headers, framing, length, keep_alive=True))
         self._keep_alive = False
 
+    def abort(self) -> None:
+        """Reset the connection, as only a reset shows that an unframed answer is broken off."""
+        if self._framing is Framing.CLOSE and self._transport is not None:
+            reset_connection(self._transport)
+        else:
+            super().abort()
+
     def _write(self, data: bytes) -> None:
         if not self._silenced:
             super()._write(data)
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -21,6 +21,8 @@
 DEADLY_PROMPT = b"deadly prompt"
 # Whole events of a stream before it breaks inside the next one, by step.
 EVENTS_BEFORE_BREAK = {"cut-early": 1, "cut": 2, "end-inside": 2}
+# Whole pieces of an answer in plain text before it is reset, by step.
+TEXT_PIECES_BEFORE_BREAK = {"cut-early": 1, "cut": 2, "pause-and-cut": 2}
 
 
 @dataclass
@@ -29,6 +31,7 @@
 
     Steps: busy, reset, reset-after, silent, crossed, unsigned, fail, cut (in a stream, after
     its second event), cut-early (after its first one), pause (in a stream, after its second event),
+    pause-and-cut (both, in an answer in plain text),
     end-inside and end-empty (a stream that ends in order inside its third event, or before its
     first one).
     """
@@ -222,6 +225,8 @@
         self.events = 4
         # Whether its events name its software version.
         self.shows_build = False
+        # Bytes of each piece of an answer in plain text; 0 for a stream of events.
+        self.text_piece_bytes = 0
         # CHUNKED, or CLOSE for streams that end with their connection.
         self.framing = Framing.CHUNKED
         self.handles: dict[str, str] = {}
@@ -319,6 +324,9 @@
         await self.hold.wait()
         if step == "silent":
             await asyncio.sleep(3600)
+        if self.text_piece_bytes:
+            await self._send_text(name, step, reply)
+            return
         head = [
             (b"X-Request-Id", name.encode()),
             SIGNATURE,
@@ -352,6 +360,27 @@
             await reply.send(make_event(name, number, build))
         await reply.end()
 
+    async def _send_text(self, name: str, step: str, reply: ResponseWriter) -> None:
+        head = [(b"X-Request-Id", name.encode()), SIGNATURE, (b"Content-Type", b"text/plain")]
+        await reply.start(200, head, self.framing, len(self.make_text(name)))
+        for number in range(1, self.events + 1):
+            if number - 1 == TEXT_PIECES_BEFORE_BREAK.get(step):
+                if step == "pause-and-cut":
+                    await asyncio.sleep(self.pause_seconds)
+                reply.abort()
+                return
+            await asyncio.sleep(self.seconds)
+            await reply.send(self._make_text_piece(name, number))
+        await reply.end()
+
+    def make_text(self, name: str) -> bytes:
+        """Return the whole answer in plain text to the request `name`."""
+        numbers = range(1, self.events + 1)
+        return b"".join(self._make_text_piece(name, number) for number in numbers)
+
+    def _make_text_piece(self, name: str, number: int) -> bytes:
+        return f"{self.instance} {name} {number}\n\n".encode().rjust(self.text_piece_bytes, b".")
+
     async def _report(self, reply: ResponseWriter) -> None:
         report = {"phase": self.role, "busy": False, "seq": len(self.orders), "queued": 0,
                   "running": 0, **self.build_born_field()}  # fmt: skip
--- a/tests/cover/test_event_relay.py
+++ b/tests/cover/test_event_relay.py
@@ -11,6 +11,7 @@
 import pytest
 
 from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.internal.forward.answer import Answer
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory
 from swifttrestle.internal.metrics import Metrics
@@ -34,6 +35,8 @@
     def __init__(self, streaming=True):
         self.route = SimpleNamespace(streaming=streaming)
         self.reply = self
+        self.started = False
+        self.answer = Answer(self)
         self.build = None
         self.service = ServiceDeclaration("s", 1)
         self.request_metadata = RequestMetadata(b"x", None, "m", 0, 0, ())
@@ -47,7 +50,7 @@
         pass
 
     async def start(self, *_):
-        pass
+        self.started = True
 
     async def send(self, data):
         self.sent += data
