--- a/src/swifttrestle/entry.py
+++ b/src/swifttrestle/entry.py
@@ -135,6 +135,7 @@
     def _stop(self) -> None:
         """Refuse new requests, then wait up to `stop_seconds` for the open ones."""
         self.handler.stopping = True
+        self.queue.stop(self._settings.stop_seconds)
         deadline = read_boottime_seconds() + self._settings.stop_seconds
         with self.handler.request_ended:
             while self.handler.open_requests and read_boottime_seconds() < deadline:
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -27,6 +27,7 @@
 from swifttrestle.internal.forward.booking import LocalBooker
 from swifttrestle.internal.forward.gateway_state import GatewayState, RetryBudgets
 from swifttrestle.internal.forward.handler import GatewayHandler
+from swifttrestle.internal.forward.open_requests import plan_stop
 from swifttrestle.internal.forward.rate_limiter import DistributedRateLimiter
 from swifttrestle.internal.forward.scheduled_booking import NUMBER_BITS, ScheduledBooker
 from swifttrestle.internal.forward.stream_directory import SharedStreamDirectory
@@ -55,8 +56,6 @@
 EXIT_BAD_SETTING = 2
 # The port that deploy/system.toml declares to the platform.
 METRICS_PORT = 9464
-# Seconds before the platform kills the process at which it exits even with open requests.
-SHUTDOWN_MARGIN_SECONDS = 0.4
 # Allocations between garbage collections; more than Python's default to save processor time. The
 # default of 700 costs a noticeable share of a small host's processor.
 GC_THRESHOLD = 50_000
@@ -333,17 +332,16 @@
         self._gossip.close()
 
     async def _stop(self) -> None:
-        """Wait for the load balancer, close idle connections and wait for open requests."""
+        """Wait for the load balancer, close idle connections and work off the open requests."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        end = started_at + self._settings.bounds.stop - SHUTDOWN_MARGIN_SECONDS
+        times = plan_stop(started_at, self._settings.bounds.stop)
         log_event("stopping", open=self._listeners.count_busy())
         self._gossip.announce_leaving()
         self._relaying.server.stop()
-        await self._listeners.wait_for_deregistration(self._settings.bounds.stop / 2)
-        self._handler.stops_at = end
-        await self._listeners.finish(end)
-        await self._relaying.server.finish(end)
+        self._handler.open_requests.begin_stop(times)
+        await self._listeners.finish(times, self._handler.open_requests.work_off)
+        await self._relaying.server.finish(times.end)
         seconds = round(loop.time() - started_at, 2)
         log_event("stopped", cut=self._listeners.count_busy(), seconds=seconds)
 
--- a/src/swifttrestle/internal/entry/admission_queue.py
+++ b/src/swifttrestle/internal/entry/admission_queue.py
@@ -19,6 +19,10 @@
 DECISION_INTERVAL_SECONDS = 1.0
 # Factor by which the queue lengthens the deadlines of background requests when it sorts.
 BACKGROUND_DEADLINE_FACTOR = 3.0
+# Share of a planned stop's time in which requests that may outlast the process still wait.
+MAX_STOP_WAIT_SHARE = 0.5
+# Retry-After, in seconds, of a stopping entry: another one may serve the request at once.
+STOPPING_RETRY_SECONDS = 0.0
 Find = Callable[[], list[Candidate]]
 Take = Callable[[tuple[Candidate, ...]], bool]
 
@@ -48,6 +52,18 @@
     take: Take
 
 
+@dataclass(frozen=True)
+class Stop:
+    """The times of the last wait and of the process's end, by the clock of the queue."""
+
+    last_wait: float
+    end: float
+
+    def refuses(self, now: float, remaining: float) -> bool:
+        """Return whether a request that waits with so many seconds left may outlast the process."""
+        return now >= self.last_wait and now + remaining > self.end
+
+
 class BlockingAdmissionQueue:
     """The waiting requests of one entry, in one queue per group of upstreams."""
 
@@ -56,6 +72,7 @@
         self._changed = threading.Condition()
         self._entries: dict[str, list[QueueEntry]] = {}
         self._numbers = itertools.count()
+        self._stop: Stop | None = None
 
     @property
     def waiting(self) -> int:
@@ -67,6 +84,13 @@
         with self._changed:
             self._changed.notify_all()
 
+    def stop(self, seconds: float) -> None:
+        """Begin a planned stop, after which the process ends within so many seconds."""
+        now = self._clock.now()
+        with self._changed:
+            self._stop = Stop(now + seconds * MAX_STOP_WAIT_SHARE, now + seconds)
+            self._changed.notify_all()
+
     def admit(self, group: str, request: AdmissionRequest) -> None:
         """Wait until the request is counted on a candidate; raise RefusedError."""
         terms = request.terms
@@ -93,6 +117,10 @@
             remaining = request.terms.remaining(now)
             if remaining <= 0:
                 raise RefusedError(Code.DEADLINE_PASSED, "the deadline passed in the queue")
+            if self._stop is not None and self._stop.refuses(now, remaining):
+                raise RefusedError(
+                    Code.STOPPING, "this entry stops before the answer", STOPPING_RETRY_SECONDS
+                )
             ahead = entries.index(entry)
             # Only the first request can be admitted, so it is decided at each wake-up. The others
             # are decided less often, since a decision reads the state of every upstream.
--- a/src/swifttrestle/internal/forward/context.py
+++ b/src/swifttrestle/internal/forward/context.py
@@ -59,6 +59,8 @@
     # Calls that were sent to upstreams, prefills included, without those that an upstream stated
     # not to have run. Unlike `may_have_run`, it is 0 while the first connection is established.
     calls_sent: int = 0
+    # Calls to upstreams that are in progress, from before their connection is made.
+    open_calls: int = 0
     # The charge to the workspace's quota; None without a quota.
     quota_charge: QuotaCharge | None = None
     excluded: set[str] = field(default_factory=set)
@@ -160,6 +162,15 @@
             self.cancelled_instance = instance
             raise
 
+    @contextlib.contextmanager
+    def record_call(self) -> Iterator[None]:
+        """Count a call to an upstream as in progress."""
+        self.open_calls += 1
+        try:
+            yield
+        finally:
+            self.open_calls -= 1
+
     def note_first_byte(self) -> None:
         """Record the request's age at the first byte of its answer."""
         if self.first_byte is not None:
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -126,7 +126,8 @@
             self.metrics.count(
                 "gateway_requests_by_distance_total", distance=self.measure(instance).value
             )
-            yield
+            with ctx.record_call():
+                yield
 
     def measure(self, instance: Instance) -> Distance:
         """Return the distance from this host to an instance."""
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -12,6 +12,7 @@
 from swifttrestle.internal.forward.continuation import prepare_continuation
 from swifttrestle.internal.forward.engines import EngineForwarder
 from swifttrestle.internal.forward.gateway_state import GatewayState
+from swifttrestle.internal.forward.open_requests import STOPPING_RETRY_SECONDS, OpenRequests
 from swifttrestle.internal.forward.plain import PlainForwarder
 from swifttrestle.internal.forward.quota_charges import QuotaCharger
 from swifttrestle.internal.forward.request_log import log_request
@@ -33,10 +34,10 @@
     write_request_id,
 )
 
-# Retry-After, in seconds, of a host without a configuration, and of a stopping one. The latter is
-# short, since the caller retries at another host.
+# Retry-After, in seconds, of a host without a configuration.
 UNCONFIGURED_RETRY_SECONDS = 0.5
-STOPPING_RETRY_SECONDS = 0.05
+# Retry-After, in seconds, of a request whose deadline passed before it was sent.
+DEADLINE_RETRY_SECONDS = 0.1
 # Seconds before the deadline at which a request is cancelled, so that the error arrives in time.
 ANSWER_MARGIN_SECONDS = 0.01
 
@@ -68,8 +69,7 @@
         self._count_request = count_request
         self._plain = PlainForwarder(state)
         self._engines = EngineForwarder(state, booker)
-        # The loop's time at which this process stops; None until a planned stop sets it.
-        self.stops_at: float | None = None
+        self.open_requests = OpenRequests(state.demand.find_hold_seconds)
 
     def limits(self) -> Limits:
         """Return the limits in force."""
@@ -115,7 +115,7 @@
         self, request: IncomingRequest, reply: ResponseWriter, table: RouteTable
     ) -> Context:
         route = self._find_route(table, request.head)
-        self._check_time_to_stop(route, request.received)
+        self.open_requests.check(route.name, route.timeout, request.received)
         workspace = self._find_workspace(table, route, request)
         metadata = read_request_metadata(request.head.headers)
         service = table.configuration.services.get(pick_service(route, self._state.rng))
@@ -182,16 +182,6 @@
             return stripped
         return set_workspace_header(stripped, workspace.name if workspace else None)
 
-    def _check_time_to_stop(self, route: Route, now: float) -> None:
-        """Refuse a request that may outlast this process.
-
-        Another host can answer it completely.
-        """
-        if self.stops_at is not None and now + route.timeout > self.stops_at:
-            raise RefusedError(
-                Code.STOPPING, "this host is stopping; retry at another one", STOPPING_RETRY_SECONDS
-            )
-
     def _find_route(self, table: RouteTable, head: RequestHead) -> Route:
         host = head.find(b"host").decode("latin-1")
         path = head.target.partition(b"?")[0].decode("latin-1")
@@ -201,20 +191,39 @@
         return route
 
     async def _serve(self, ctx: Context, table: RouteTable) -> None:
-        try:
-            async with asyncio.timeout(max(0.0, ctx.seconds_left - ANSWER_MARGIN_SECONDS)):
-                async with self._charger.charge(ctx, table):
-                    await self._state.guard.check(ctx)
-                    await prepare_continuation(ctx, self._state, table)
-                    forwarder = self._engines if ctx.service.engine else self._plain
-                    await forwarder.serve(ctx)
-        except TimeoutError:
-            ctx.note("deadline")
-            if ctx.cancelled_instance is not None:
-                self._state.crash_detector.note_timeout(ctx.cancelled_instance, ctx.describe_open())
-            if ctx.may_have_run:
-                raise RefusedError(Code.ANSWER_LATE, "the deadline passed") from None
-            raise ctx.refuse(Code.DEADLINE_PASSED, "the deadline passed", 0.1) from None
+        scope = asyncio.timeout(max(0.0, ctx.seconds_left - ANSWER_MARGIN_SECONDS))
+        with self.open_requests.enter(ctx, scope) as entry:
+            try:
+                async with scope:
+                    await self._forward(ctx, table)
+            except TimeoutError:
+                if entry.stopped:
+                    raise self._refuse_to_stop(ctx) from None
+                raise self._refuse_at_deadline(ctx) from None
+
+    async def _forward(self, ctx: Context, table: RouteTable) -> None:
+        async with self._charger.charge(ctx, table):
+            await self._state.guard.check(ctx)
+            await prepare_continuation(ctx, self._state, table)
+            forwarder = self._engines if ctx.service.engine else self._plain
+            await forwarder.serve(ctx)
+
+    def _refuse_to_stop(self, ctx: Context) -> RefusedError:
+        ctx.note("stop")
+        self._state.metrics.count(
+            "gateway_stop_refusals_total", ran="unknown" if ctx.may_have_run else "no"
+        )
+        return ctx.refuse(
+            Code.STOPPING, "this host stops before the answer's end", STOPPING_RETRY_SECONDS
+        )
+
+    def _refuse_at_deadline(self, ctx: Context) -> RefusedError:
+        ctx.note("deadline")
+        if ctx.cancelled_instance is not None:
+            self._state.crash_detector.note_timeout(ctx.cancelled_instance, ctx.describe_open())
+        if ctx.may_have_run:
+            return RefusedError(Code.ANSWER_LATE, "the deadline passed")
+        return ctx.refuse(Code.DEADLINE_PASSED, "the deadline passed", DEADLINE_RETRY_SECONDS)
 
     async def _answer_refusal(
         self, request: IncomingRequest, reply: ResponseWriter, error: RefusedError
--- a/src/swifttrestle/internal/listeners.py
+++ b/src/swifttrestle/internal/listeners.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from swifttrestle.internal.forward.open_requests import StopTimes
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
@@ -12,9 +13,6 @@
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
-# Seconds from the start of a graceful shutdown until idle connections are closed: the load
-# balancer checks readiness once a second and removes a host after two failures.
-DEREGISTRATION_SECONDS = 2.5
 # Seconds between checks for open requests during the shutdown.
 STOP_POLL_SECONDS = 0.05
 
@@ -42,19 +40,20 @@
         """Return the number of callers' connections that wait for a response."""
         return self._callers.count_busy()
 
-    async def wait_for_deregistration(self, max_seconds: float) -> None:
-        """Wait until the load balancer sends no new connections, at most `max_seconds`.
+    async def finish(self, times: StopTimes, work_off: Callable[[float], int]) -> None:
+        """Answer the open requests and close all connections, until `times.end` at the latest.
 
-        From now on each response closes its connection, so that callers connect elsewhere.
+        `work_off` ends those that can no longer be served at a time of the loop. Each response
+        closes its connection, so that callers connect elsewhere.
         """
-        self._callers.closing = True
-        await asyncio.sleep(min(DEREGISTRATION_SECONDS, max_seconds))
-
-    async def finish(self, end: float) -> None:
-        """Close idle connections, then wait for open requests until the loop time `end`."""
         loop = asyncio.get_running_loop()
+        self._callers.closing = True
+        while (now := loop.time()) < times.last_wait:
+            work_off(now)
+            await asyncio.sleep(STOP_POLL_SECONDS)
         self._callers.close_idle()
-        while self.count_busy() and loop.time() < end:
+        while self.count_busy() and (now := loop.time()) < times.end:
+            work_off(now)
             await asyncio.sleep(STOP_POLL_SECONDS)
 
     def close(self) -> None:
--- a/src/swifttrestle/internal/state/demand.py
+++ b/src/swifttrestle/internal/state/demand.py
@@ -96,6 +96,10 @@
         known = self._hold_seconds.get(route, seconds)
         self._hold_seconds[route] = known + HOLD_SAMPLE_WEIGHT * (seconds - known)
 
+    def find_hold_seconds(self, route: str) -> float:
+        """Return the average time for which a route's requests hold a decode slot; 0 if unknown."""
+        return self._hold_seconds.get(route, 0.0)
+
     def own(self, now: float) -> dict[str, Demand]:
         """Return the load offered to this host, by service."""
         return {
