--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -106,8 +106,8 @@
             connection.close_if_idle()
 
     def count_busy(self) -> int:
-        """Return the number of connections with a request in progress."""
-        return sum(1 for connection in self.open if connection.busy)
+        """Return the number of connections on which an answer is owed or still being sent."""
+        return sum(1 for connection in self.open if connection.busy or connection.unsent_bytes)
 
 
 class CallerConnection(asyncio.Protocol, ResponseWriter):
@@ -275,6 +275,11 @@
 
     # Used by the set of connections.
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that the operating system has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def close_if_idle(self) -> None:
         """Close unless a request is in progress; otherwise close after its response."""
         self._keep_alive = False
--- a/tests/hosted/test_callers.py
+++ b/tests/hosted/test_callers.py
@@ -16,6 +16,10 @@
 from swifttrestle.internal.transport.messages import Body
 from tests.common.http import RawCaller
 
+# More than the sockets' buffers take.
+LARGE_BYTES = 32 * 1024 * 1024
+GET_LARGE = b"GET /large/ HTTP/1.1\r\nHost: x\r\n\r\n"
+
 
 class EchoHandler(RequestHandler):
     """Responds with the request's body and records the requests."""
@@ -24,6 +28,7 @@
         self.seen = []
         self.cancelled = asyncio.Event()
         self.hold = None
+        self.answered = False
 
     def limits(self):
         return Limits(header_bytes=1000, body_bytes=2000, header_seconds=0.2, idle_seconds=0.3)
@@ -32,6 +37,10 @@
         if request.head.target == b"/fault/":
             raise ValueError("an error in the handler")
         self.seen.append((request.head.method, request.head.target))
+        if request.head.target == b"/large/":
+            await reply.send_whole(200, (), bytes(LARGE_BYTES))
+            self.answered = True
+            return
         if request.head.target == b"/early/":
             await reply.send_whole(404, (), b"early")
             return
@@ -280,6 +289,23 @@
     assert connections.count_busy() == 0
 
 
+@with_echo
+async def test_a_stop_waits_until_the_last_byte_of_an_answer_has_left(handler, connections, caller):
+    # Guards against answers that are cut while their caller reads slowly.
+    caller.writer.transport.pause_reading()
+    caller.send(GET_LARGE)
+    while not handler.answered:
+        await asyncio.sleep(0.005)
+    connections.close_idle()
+    await asyncio.sleep(0.1)
+    assert connections.count_busy() == 1
+    caller.writer.transport.resume_reading()
+    answer = await caller.read_answer()
+    assert (len(answer.body), answer.whole) == (LARGE_BYTES, True)
+    while connections.count_busy():
+        await asyncio.sleep(0.005)
+
+
 REFUSED = {
     "400": (POST + b"Transfer-Encoding: xchunked\r\n\r\n", 400),
     "413": (POST + b"Content-Length: 3000\r\n\r\n", 413),
