--- a/src/swifttrestle/errors.py
+++ b/src/swifttrestle/errors.py
@@ -1,5 +1,7 @@
 """The exceptions of the system, each with its numbered result code."""
 
+from enum import Enum
+
 from swifttrestle.codes import TABLE, Code, Ran
 
 # Longest part of an invalid value that a message shows.
@@ -167,6 +169,25 @@
     code = Code.UPSTREAM_BROKEN
 
 
+class ResponseLimit(Enum):
+    """What an upstream may send only so much of."""
+
+    HEAD = "head"
+    FRAMING = "framing"
+    BODY = "body"
+    EVENT = "event"
+
+
+class UpstreamLimitError(UpstreamBrokenError):
+    """The upstream sent more than a response may have, so it will hardly come to its end."""
+
+    def __init__(self, limit: ResponseLimit, max_bytes: int) -> None:
+        """Store which limit was exceeded; the request may have run."""
+        super().__init__(f"response {limit.value} of over {max_bytes} bytes", sent=True)
+        self.limit = limit
+        self.max_bytes = max_bytes
+
+
 class UpstreamUnreachedError(UpstreamBrokenError):
     """No connection was established; `refused` is False after a timeout.
 
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -86,7 +86,9 @@
         )
         self._state = GatewayState(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._skipped_entries = SkippedEntries(self._count_skipped_entry)
-        self._store = ObjectStore(settings.store, ConnectionPool(UNACKNOWLEDGED_MS))
+        store_pool = ConnectionPool(UNACKNOWLEDGED_MS)
+        self._store = ObjectStore(settings.store, store_pool)
+        store_pool.on_limit = self._state.limit_reporter.report
         self._store.epochs.on_restore = self._handle_store_restore
         self._configuration = ConfigurationWatcher(
             self._store,
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -84,8 +84,8 @@
             f"{plan.instance.name} answered with the id of another request", sent=True
         )
     if metadata.not_run:
-        ctx.note_call_not_run()
         await body.read_whole(MAX_REFUSAL_BYTES)
+        ctx.note_call_not_run()
         if metadata.replaced:
             raise UpstreamLeavingError(f"{plan.instance.name} was replaced at its address")
         raise UpstreamBusyError(f"{plan.instance.name} refused with {head.status}")
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -18,6 +18,7 @@
 from swifttrestle.internal.forward.conditions import UpstreamConditionTable
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.crash_guard import CrashGuard
+from swifttrestle.internal.forward.limit_reporter import LimitReporter
 from swifttrestle.internal.forward.rate_limiter import NoRateLimits, RateLimiter
 from swifttrestle.internal.forward.reachability import ReachabilityProber
 from swifttrestle.internal.forward.stream_directory import LocalStreamDirectory, StreamDirectory
@@ -102,9 +103,11 @@
         # For orders to engines, which must arrive from the host that holds the lease: no peer
         # relays its connections.
         self.direct_pool = ConnectionPool()
+        self.limit_reporter = LimitReporter(metrics)
         for pool in (self.pool, self.direct_pool):
             pool.on_answer = self.conditions.record_answer
             pool.on_unreached = self._count_unreached
+            pool.on_limit = self.limit_reporter.report
         self.permits: RateLimiter = NoRateLimits()
         self.streams: StreamDirectory = LocalStreamDirectory(fleet)
         fleet.on_replaced = self._end_incarnation
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from http import HTTPStatus
 
-from swifttrestle.errors import UpstreamBrokenError, UpstreamSilentError
+from swifttrestle.errors import ResponseLimit, UpstreamLimitError, UpstreamSilentError
 from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 
 Header = tuple[bytes, bytes]
@@ -67,6 +67,8 @@
         self.keep = keep
         self.size = 0
         self._chunks: deque[bytes] = deque()
+        # Bytes that have not been read; only counted without `keep`.
+        self._unread = 0
         self._dropped = 0
         self._drops_all = False
         self._ended = False
@@ -95,7 +97,7 @@
     @property
     def above_high_water(self) -> bool:
         """Whether reading from the sender should pause."""
-        return not self.keep and sum(map(len, self._chunks)) > HIGH_WATER_BYTES
+        return not self.keep and self._unread > HIGH_WATER_BYTES
 
     def list_kept(self) -> tuple[bytes, ...]:
         """Return the kept bytes, as received."""
@@ -107,6 +109,7 @@
         if self._drops_all:
             return
         self._chunks.append(data)
+        self._unread += len(data)
         self._changed.set()
 
     def end(self) -> None:
@@ -125,6 +128,7 @@
         """Break this body for its readers and drop its bytes; return one that drops the rest."""
         self.fail(reason)
         self._chunks.clear()
+        self._unread = 0
         rest = Body(keep=False)
         rest.size = self.size
         rest._drops_all = True
@@ -149,6 +153,7 @@
                     index += 1
                 else:
                     data = self._chunks.popleft()
+                    self._unread -= len(data)
                     self._dropped += 1
                     index = self._dropped
                     self.resume_reading()
@@ -173,7 +178,7 @@
             raise UpstreamSilentError(message) from None
 
     async def read_whole(self, limit: int, byte_seconds: float | None = None) -> bytes:
-        """Return the complete body; raise UpstreamBrokenError if it exceeds `limit` bytes.
+        """Return the complete body; raise UpstreamLimitError if it exceeds `limit` bytes.
 
         With `byte_seconds`, raise UpstreamSilentError after that time without a byte.
         """
@@ -183,7 +188,7 @@
         async for chunk in self.chunks(silence):
             size += len(chunk)
             if size > limit:
-                raise UpstreamBrokenError(f"response body of over {limit} bytes", sent=True)
+                raise UpstreamLimitError(ResponseLimit.BODY, limit)
             parts.append(chunk)
         return b"".join(parts)
 
--- a/src/swifttrestle/internal/transport/pool.py
+++ b/src/swifttrestle/internal/transport/pool.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
-from swifttrestle.errors import UpstreamUnreachedError
+from swifttrestle.errors import UpstreamLimitError, UpstreamUnreachedError
 from swifttrestle.internal.callbacks import do_nothing
 from swifttrestle.internal.transport.dialer import UNACKNOWLEDGED_MS, Dialer
 from swifttrestle.internal.transport.messages import ResponseHead
@@ -61,6 +61,8 @@
         # Called with the instance, the head of each of its responses and the event loop's time at
         # which the request was sent, before the response is processed.
         self.on_answer: Callable[[str, ResponseHead, float], None] = do_nothing
+        # Called with the instance for each response that exceeds a limit.
+        self.on_limit: Callable[[str, UpstreamLimitError], None] = do_nothing
         # Called with the instance for each connection that was not established.
         self.on_unreached: Callable[[str, UpstreamUnreachedError], None] = do_nothing
 
@@ -72,10 +74,12 @@
         connection.on_head = functools.partial(self.on_answer, instance)
         try:
             yield connection
-        except BaseException:
+        except BaseException as error:
             connection.close()
             if connection.is_silent():
                 self._drop_idle()
+            if isinstance(error, UpstreamLimitError):
+                self.on_limit(instance, error)
             raise
         finally:
             self._discard_in_use(instance, connection)
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from swifttrestle.errors import UpstreamBrokenError
+from swifttrestle.errors import ResponseLimit, UpstreamBrokenError, UpstreamLimitError
 from swifttrestle.internal.callbacks import do_nothing
 from swifttrestle.internal.transport.messages import (
     LAST_CHUNK,
@@ -23,6 +23,19 @@
 
 # Time without a byte of a response after which a reused connection counts as silent.
 SILENT_SECONDS = 0.4
+# Maximum bytes before the end of a response's head, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
+# Maximum bytes of a body's framing between two pieces of its content: chunk sizes, trailers.
+MAX_FRAMING_BYTES = 16 * 1024
+# Bytes that are received and parsed at once.
+RECEIVE_BYTES = 64 * 1024
+# The same for a response that comes in more than `MAX_PIECES` pieces in that many bytes, so that
+# its framing does not occupy the event loop.
+FRAGMENTED_RECEIVE_BYTES = 4 * 1024
+MAX_PIECES = 1024
+
+# All connections of the event loop receive into this buffer and copy from it at once.
+_RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BYTES))
 
 
 @dataclass(frozen=True)
@@ -38,7 +51,7 @@
     on_sent: Callable[[], None] = do_nothing
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """One connection; `exchange` sends a request and returns the response's head and body."""
 
     def __init__(self) -> None:
@@ -64,6 +77,11 @@
         # Whether it has been handed to its user.
         self.claimed = False
         self._received_at = 0.0
+        self._receive_bytes = RECEIVE_BYTES
+        # Pieces of the body that the parser has found in the bytes received last.
+        self._pieces: list[bytes] = []
+        # Bytes received since the request was sent, or since the last piece of its body.
+        self._framing_bytes = 0
         # Called with each response head and the event loop's time at which its request was sent.
         self.on_head: Callable[[ResponseHead, float], None] = do_nothing
 
@@ -74,16 +92,51 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, _: int) -> memoryview:
+        """Return the buffer to receive into."""
+        return _RECEIVE_BUFFER[: self._receive_bytes]
+
+    def buffer_updated(self, size: int) -> None:
         """Parse received bytes; close the connection if no request awaits them."""
         self._received_at = asyncio.get_running_loop().time()
+        if self._broken is not None:
+            return
         if self._head is None and self._body is None:
             self._fail(UpstreamBrokenError("bytes received without a request", sent=True))
             return
+        self._framing_bytes += size
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(_RECEIVE_BUFFER[:size])
         except httptools.HttpParserError as error:
+            self._feed_body()
             self._fail(UpstreamBrokenError(f"response malformed: {error}", sent=True))
+            return
+        self._feed_body()
+        self._check_limits()
+
+    def _feed_body(self) -> None:
+        """Pass on the pieces of the body that were received together, as one."""
+        if not self._pieces:
+            return
+        content = b"".join(self._pieces)
+        fragmented = len(self._pieces) > MAX_PIECES * self._receive_bytes // RECEIVE_BYTES
+        self._receive_bytes = FRAGMENTED_RECEIVE_BYTES if fragmented else RECEIVE_BYTES
+        self._pieces.clear()
+        self._framing_bytes = 0
+        if self._body is None or self._body.complete:
+            return
+        self._body.feed(content)
+        if self._body.above_high_water and self._transport is not None:
+            self._transport.pause_reading()
+
+    def _check_limits(self) -> None:
+        """Fail a response that has more of a head or of framing than one that comes to its end."""
+        if self._response is None:
+            limit, max_bytes = ResponseLimit.HEAD, MAX_HEAD_BYTES
+        else:
+            limit, max_bytes = ResponseLimit.FRAMING, MAX_FRAMING_BYTES
+        if self._framing_bytes > max_bytes:
+            self._fail(UpstreamLimitError(limit, max_bytes))
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection; fail any other one."""
@@ -125,6 +178,7 @@
         if self._informational or self._response is not None:
             return
         self._response = self._build_head(status)
+        self._framing_bytes = 0
         self._body = Body(keep=False)
         self._body.resume_reading = self._resume_reading
         self.on_head(self._response, self._sent_at)
@@ -138,9 +192,7 @@
         if self._body is None or self._body.complete:
             # Bytes of a second response, received together with the first one, are dropped.
             return
-        self._body.feed(data)
-        if self._body.above_high_water and self._transport is not None:
-            self._transport.pause_reading()
+        self._pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -170,6 +222,7 @@
         if not self.usable:
             raise UpstreamBrokenError("connection closed", sent=False)
         self._response, self._body = None, None
+        self._framing_bytes = 0
         self._method = request.method
         self._head = asyncio.get_running_loop().create_future()
         assert self._transport is not None
@@ -243,6 +296,7 @@
             self.close()
 
     def _finish_response(self) -> None:
+        self._feed_body()
         if self._body is not None:
             self._body.end()
 
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -21,6 +21,7 @@
 from swifttrestle.platform.settings import HostSettings, read_host_settings
 from swifttrestle_standins.hosted.cuts import CuttableDialer
 from swifttrestle_standins.hosted.duties import StandInDuties
+from swifttrestle_standins.hosted.endless import EndlessUpstream
 from swifttrestle_standins.hosted.store import StandInStore
 from swifttrestle_standins.hosted.upstreams import StandInEngine, StandInUpstream
 from swifttrestle_standins.loopback import pick_ip, pick_port
@@ -158,6 +159,15 @@
         self.list_upstream(upstream)
         return upstream
 
+    async def add_endless_upstream(self, upstream: EndlessUpstream) -> EndlessUpstream:
+        """Start an upstream whose responses have no end, and write its discovery record."""
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        host, port = server.sockets[0].getsockname()[:2]
+        record = upstream.record(f"{host}:{port}")
+        self.store.put("servers", upstream.instance, record)
+        return upstream
+
     def list_upstream(self, upstream: StandInUpstream, state: str = "ready") -> None:
         """Write an upstream's discovery record."""
         record = upstream.record(self.addresses[upstream.instance], state)
