--- a/src/swifttrestle/internal/entry/report_reader.py
+++ b/src/swifttrestle/internal/entry/report_reader.py
@@ -10,11 +10,14 @@
 from swifttrestle.internal.metrics import Metrics
 from swifttrestle.internal.protocol.engine import HttpEngine
 from swifttrestle.internal.state.upstreams import UpstreamTable
+from swifttrestle.internal.transport.bounded_responses import read_bounded
 from swifttrestle.internal.transport.http import make_client
 
 READ_TIMEOUT_SECONDS = 1.0
 # Factor by which engines without requests of this entry are read less often.
 IDLE_INTERVAL_FACTOR = 4
+# Maximum bytes of the events of one engine's cache.
+MAX_EVENTS_BYTES = 4 * 1024 * 1024
 
 
 class ReportReader:
@@ -64,9 +67,12 @@
                     self._stopped.wait(self._interval * IDLE_INTERVAL_FACTOR)
                     continue
                 response = client.request(
-                    "GET", f"http://{address}/cache-events?since={next_event}"
+                    "GET",
+                    f"http://{address}/cache-events?since={next_event}",
+                    preload_content=False,
                 )
-                next_event = self._take_events(name, response.data, next_event)
+                content = read_bounded(response, MAX_EVENTS_BYTES, READ_TIMEOUT_SECONDS)
+                next_event = self._take_events(name, content, next_event)
             except (UpstreamError, HTTPError, OSError) as error:
                 self._metrics.count("reports_lost_total", reason=type(error).__name__)
             self._stopped.wait(self._interval)
--- a/src/swifttrestle/internal/protocol/calls.py
+++ b/src/swifttrestle/internal/protocol/calls.py
@@ -6,6 +6,7 @@
 
 import socket
 from dataclasses import dataclass
+from http.client import HTTPException
 from typing import Any
 
 import orjson
@@ -19,6 +20,7 @@
     UpstreamLeavingError,
 )
 from swifttrestle.internal.checks import parse_address
+from swifttrestle.internal.transport.bounded_responses import BoundedConnection, read_bounded
 from swifttrestle.internal.transport.keepalive import set_keepalive
 
 READ_BYTES = 65536
@@ -78,7 +80,7 @@
     first: bytes
 
 
-class _StreamConnection(HTTPConnection):
+class _StreamConnection(BoundedConnection):
     """Uses HTTP/1.0, so that the body ends with the connection and is not chunked.
 
     The relay can then forward what it reads without decoding chunks. The final event marks a
@@ -110,7 +112,7 @@
         sock = socket.socket(fileno=socket.dup(response.fileno()))
         response.close()
         return OpenStream(sock, first)
-    except (HTTPError, OSError, ValueError) as error:
+    except (HTTPError, HTTPException, OSError, ValueError) as error:
         raise UpstreamBrokenError(f"{address}: {type(error).__name__}", sent=True) from None
     finally:
         connection.close()
@@ -163,7 +165,7 @@
     seconds: float,
 ) -> PlainResponse:
     """Make one call and return the complete response; raise UpstreamError."""
-    connection = _connect(HTTPConnection, address, connect_seconds)
+    connection = _connect(BoundedConnection, address, connect_seconds)
     try:
         if connection.sock is not None:
             connection.sock.settimeout(seconds)
@@ -174,13 +176,11 @@
         response = connection.getresponse()
         if response.status in (STATUS_UNAVAILABLE, STATUS_TOO_MANY):
             _raise_refusal(response.status, response.headers, response.read(MAX_REFUSAL_BYTES))
-        data = response.read(MAX_RESPONSE_BYTES)
-        if len(data) >= MAX_RESPONSE_BYTES:
-            raise UpstreamBrokenError(
-                f"{address}: response body of {MAX_RESPONSE_BYTES} bytes or more", sent=True
-            )
+        if response.status < STATUS_OK:
+            raise UpstreamBrokenError(f"{address}: status {response.status}", sent=True)
+        data = read_bounded(response, MAX_RESPONSE_BYTES, seconds)
         return PlainResponse(response.status, response.headers.get("Content-Type", ""), data)
-    except (HTTPError, OSError, ValueError) as error:
+    except (HTTPError, HTTPException, OSError, ValueError) as error:
         raise UpstreamBrokenError(f"{address}: {type(error).__name__}", sent=True) from None
     finally:
         connection.close()
--- a/src/swifttrestle/internal/protocol/engine.py
+++ b/src/swifttrestle/internal/protocol/engine.py
@@ -13,8 +13,11 @@
 from urllib3.exceptions import HTTPError
 
 from swifttrestle.errors import StaleTokenError, UpstreamBrokenError
+from swifttrestle.internal.transport.bounded_responses import read_bounded
 from swifttrestle.internal.transport.http import make_client
 
+# Maximum bytes of an engine's state or load report.
+MAX_REPORT_BYTES = 256 * 1024
 CONTROL_TIMEOUT_SECONDS = 2.0
 STATUS_OK, STATUS_CONFLICT = 200, 409
 
@@ -114,15 +117,18 @@
 
     def _call(self, method: str, path: str, body: bytes | None = None) -> dict[str, Any]:
         try:
-            response = self._client.request(method, self._base + path, body=body)
+            response = self._client.request(
+                method, self._base + path, body=body, preload_content=False
+            )
+            content = read_bounded(response, MAX_REPORT_BYTES, CONTROL_TIMEOUT_SECONDS)
         except (HTTPError, OSError) as error:
             raise UpstreamBrokenError(f"{path}: {type(error).__name__}", sent=True) from None
-        if response.status == STATUS_CONFLICT and b"stale" in response.data:
+        if response.status == STATUS_CONFLICT and b"stale" in content:
             raise StaleTokenError(f"the engine at {self._base} has a newer fencing token")
         if response.status != STATUS_OK:
             raise UpstreamBrokenError(f"{path}: status {response.status}")
         try:
-            value = orjson.loads(response.data)
+            value = orjson.loads(content)
         except orjson.JSONDecodeError:
             raise UpstreamBrokenError(f"{path}: response is not JSON") from None
         if not isinstance(value, dict):
--- a/src/swifttrestle/internal/transport/http.py
+++ b/src/swifttrestle/internal/transport/http.py
@@ -15,6 +15,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import RefusedError
+from swifttrestle.internal.transport.bounded_responses import BoundedConnectionPool
 
 LISTEN_BACKLOG = 1024
 REQUEST_TIMEOUT_SECONDS = 10
@@ -156,9 +157,14 @@
 
 def make_client(timeout: float, connections: int = 4) -> urllib3.PoolManager:
     """Return a client with pooled connections that neither retries nor follows redirects."""
-    return urllib3.PoolManager(
+    client = urllib3.PoolManager(
         num_pools=64,
         maxsize=connections,
         retries=urllib3.Retry(0, redirect=0, raise_on_redirect=False),
         timeout=urllib3.Timeout(connect=min(timeout, 2.0), read=timeout),
     )
+    client.pool_classes_by_scheme = {
+        **client.pool_classes_by_scheme,
+        "http": BoundedConnectionPool,
+    }
+    return client
