--- a/src/swifttrestle/internal/forward/answer.py
+++ b/src/swifttrestle/internal/forward/answer.py
@@ -4,7 +4,7 @@
 
 from swifttrestle.errors import AnswerBegunError
 from swifttrestle.internal.transport.caller import ResponseWriter
-from swifttrestle.internal.transport.messages import Framing, Header
+from swifttrestle.internal.transport.messages import Framing, Header, ResponseHead, is_success
 
 
 class Answer:
@@ -42,14 +42,18 @@
         Raises AnswerBegunError if another run has begun the answer.
         """
         if self.begun:
-            raise AnswerBegunError(f"an answer {status} to a request whose answer has begun")
+            raise AnswerBegunError(f"an answer {status} does not continue the one that began")
         self._resumable = resumable
         await self._reply.start(status, headers, framing, length)
 
-    def check_continuation(self, whole_events: bool) -> None:
-        """Raise AnswerBegunError unless another run may append; `whole_events` is what it sends."""
-        if not (self._resumable and whole_events):
-            raise AnswerBegunError("the answer of another run has begun and cannot be continued")
+    def check_continuation(self, head: ResponseHead, whole_events: bool) -> None:
+        """Raise AnswerBegunError unless another run may append its answer.
+
+        `whole_events` is whether that is relayed in whole events.
+        """
+        continues = self._resumable and whole_events and head.framing is not Framing.NONE
+        if not continues or not is_success(head.status):
+            raise AnswerBegunError(f"an answer {head.status} does not continue the one that began")
 
     async def send(self, data: bytes) -> None:
         """Send bytes of the body; wait while the caller does not read."""
--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -13,7 +13,7 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.state.fleet import Instance
-from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead
+from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, is_success
 from swifttrestle.internal.transport.pool import ConnectionPool
 from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 from swifttrestle.internal.transport.upstream import OutgoingRequest, UpstreamConnection
@@ -89,7 +89,7 @@
         if metadata.replaced:
             raise UpstreamLeavingError(f"{plan.instance.name} was replaced at its address")
         raise UpstreamBusyError(f"{plan.instance.name} refused with {head.status}")
-    if head.status < 300 and not metadata.signed:
+    if is_success(head.status) and not metadata.signed:
         raise UpstreamBrokenError(
             f"the answer {head.status} of {plan.instance.name} has no signature", sent=True
         )
@@ -137,7 +137,11 @@
             raise
         if head.status >= FIRST_ERROR_STATUS and plan.retry_failure:
             raise FailedByUpstreamError(f"status {head.status} from {instance.name}", sent=True)
-        if relay is not None and ctx.route.streaming and head.status < 300:
+        if ctx.answer.begun and not is_success(head.status):
+            raise FailedByUpstreamError(
+                f"status {head.status} from {instance.name} does not continue the answer", sent=True
+            )
+        if relay is not None and ctx.route.streaming and is_success(head.status):
             await relay.relay(ctx, head, body, instance.record.build)
         elif head.framing is Framing.LENGTH and head.length > MAX_BUFFERED_ANSWER_BYTES:
             await _stream_answer(ctx, head, body)
--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -51,11 +51,12 @@
         from_first = not self.last_event and not ctx.request_metadata.last_event
         resumable = self._resumable and _is_event_stream(head)
         if ctx.answer.begun:
-            ctx.answer.check_continuation(whole_events=resumable)
+            ctx.answer.check_continuation(head, whole_events=resumable)
         else:
             self._note_progress()
             headers = strip_answer_headers(head.headers)
-            await ctx.answer.begin(head.status, headers, Framing.CHUNKED, 0, resumable)
+            framing = Framing.NONE if head.framing is Framing.NONE else Framing.CHUNKED
+            await ctx.answer.begin(head.status, headers, framing, 0, resumable)
         scanner = EventScanner()
         if resumable:
             await self._relay_complete_events(ctx, body, scanner, build)
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from swifttrestle.errors import (
+    FailedByUpstreamError,
     UpstreamBusyError,
     UpstreamError,
     UpstreamLeavingError,
@@ -254,6 +255,9 @@
             case UpstreamBusyError():
                 self.note_refusal(engine, now)
                 return Outcome.REFUSED
+            case FailedByUpstreamError():
+                # The engine is sound; it is this run that failed.
+                return Outcome.BROKEN
         self.note_broken(ctx, engine, now, error)
         return Outcome.CANCELLED if ctx.request.body.broken else Outcome.BROKEN
 
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -16,6 +16,9 @@
 HIGH_WATER_BYTES = 128 * 1024
 
 
+FIRST_REDIRECTION_STATUS = 300
+
+
 class Framing(Enum):
     """How the end of a body is determined."""
 
@@ -56,6 +59,11 @@
     keep_alive_seconds: float | None = None
 
 
+def is_success(status: int) -> bool:
+    """Return whether a final status says that the request succeeded."""
+    return status < FIRST_REDIRECTION_STATUS
+
+
 class Body:
     """The body of one message, which can be read while it arrives.
 
--- a/src/swifttrestle_standins/hosted/upstreams.py
+++ b/src/swifttrestle_standins/hosted/upstreams.py
@@ -21,6 +21,8 @@
 DEADLY_PROMPT = b"deadly prompt"
 # Whole events of a stream before it breaks inside the next one, by step.
 EVENTS_BEFORE_BREAK = {"cut-early": 1, "cut": 2, "end-inside": 2}
+# Status of an engine's whole answer that is no stream, by step.
+WHOLE_ANSWERS = {"fail": 500, "reject": 400}
 # Whole pieces of an answer in plain text before it is reset, by step.
 TEXT_PIECES_BEFORE_BREAK = {"cut-early": 1, "cut": 2, "pause-and-cut": 2}
 
@@ -31,7 +33,8 @@
 
     Steps: busy, reset, reset-after, silent, crossed, unsigned, fail, cut (in a stream, after
     its second event), cut-early (after its first one), pause (in a stream, after its second event),
-    pause-and-cut (both, in an answer in plain text),
+    pause-and-cut (both, in an answer in plain text), text (an engine's answer in plain text),
+    reject (an engine's answer 400), empty (an engine's answer 204),
     end-inside and end-empty (a stream that ends in order inside its third event, or before its
     first one).
     """
@@ -324,9 +327,16 @@
         await self.hold.wait()
         if step == "silent":
             await asyncio.sleep(3600)
-        if self.text_piece_bytes:
+        if self.text_piece_bytes or step == "text":
             await self._send_text(name, step, reply)
             return
+        if step == "empty":
+            await reply.start(204, [(b"X-Request-Id", name.encode()), SIGNATURE], Framing.NONE, 0)
+            return
+        if step in WHOLE_ANSWERS:
+            head = [(b"X-Request-Id", name.encode()), SIGNATURE]
+            await reply.send_whole(WHOLE_ANSWERS[step], head, b"whole")
+            return
         head = [
             (b"X-Request-Id", name.encode()),
             SIGNATURE,
