--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -306,6 +306,8 @@
         connection = find_header(headers, b"connection").lower()
         closes = b"close" in connection or framing is Framing.CLOSE
         closes = closes or not self._parser.should_keep_alive()
+        # The parser waits for the body whose length such a head states.
+        closes = closes or self._method == b"HEAD"
         if closes:
             self.reusable = False
         return ResponseHead(
