--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,14 @@
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
+# Levels of lists and objects in a readable value. Few enough for the decoder's own limit.
+MAX_DEPTH = 100
+# Digits of a readable whole number; more than those of any that the store uses.
+MAX_DIGITS = 400
+_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_OPENING = ("[", "{")
+_CLOSING = ("]", "}")
+
 
 @dataclass(frozen=True)
 class StoredObject:
@@ -76,16 +85,22 @@
 def decode_answer(path: str, content: bytes) -> Any:
     """Return the decoded JSON of a response; raise BadPlatformAnswerError.
 
-    Invalid UTF-8 and numbers that JSON does not allow are decoded to texts with lone surrogates,
-    which `read_object` rejects. So only the objects with such values are malformed.
+    Invalid UTF-8, numbers that JSON does not allow or that are too long, and values that are nested
+    too deeply are decoded to texts with lone surrogates, which `read_object` rejects. So only the
+    objects with such values are malformed.
     """
     try:
         return orjson.loads(content) if content else None
     except orjson.JSONDecodeError:
         pass
     try:
-        text = content.decode("utf-8", "surrogateescape")
-        return json.loads(text, strict=False, parse_constant=_mark_invalid, parse_float=_read_float)
+        return json.loads(
+            _cut_deep_values(content.decode("utf-8", "surrogateescape")),
+            strict=False,
+            parse_constant=_mark_invalid,
+            parse_float=_read_float,
+            parse_int=_read_integer,
+        )
     except (ValueError, RecursionError) as error:
         raise BadPlatformAnswerError(f"{path}: the answer is not JSON: {error!r}") from None
 
@@ -95,6 +110,25 @@
     return "\udcff" + text
 
 
+def _cut_deep_values(text: str) -> str:
+    """Replace the values below MAX_DEPTH by texts that are no valid ones."""
+    parts, depth, kept_to = [], 0, 0
+    for token in _STRING_OR_BRACKET.finditer(text):
+        if token[0] in _OPENING:
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts += [text[kept_to : token.start()], json.dumps(_mark_invalid("too deep"))]
+        elif token[0] in _CLOSING:
+            if depth == MAX_DEPTH + 1:
+                kept_to = token.end()
+            depth -= 1
+    return "".join([*parts, text[kept_to:]])
+
+
+def _read_integer(text: str) -> int | str:
+    return int(text) if len(text) <= MAX_DIGITS else _mark_invalid(text[:MAX_DIGITS])
+
+
 def _read_float(text: str) -> float | str:
     value = float(text)
     return value if math.isfinite(value) else _mark_invalid(text)
