--- a/src/swifttrestle/internal/coordination/quotas/counted_pool.py
+++ b/src/swifttrestle/internal/coordination/quotas/counted_pool.py
@@ -15,6 +15,9 @@
 
 # Part of what a round asked for below which the shares count as empty: some hosts may be silent.
 EMPTY_SHARES_PART = 0.75
+# Seconds from its first request in which a pool is filled early although the shares count as empty:
+# the counter before this one has just emptied them, and they accrue again.
+TAKEOVER_SECONDS = 0.5
 # Part of a pool's lifetime after which one in use is confirmed by a round, before it is outdated.
 CONFIRM_PART = 0.5
 # Seconds by which a round and the replies to it may be late.
@@ -24,9 +27,12 @@
 class CountedPool:
     """A pool and its waiting requests, which are decided in order; times are the event loop's."""
 
-    def __init__(self, workspace: str, terms: QuotaTerms) -> None:
-        """Start empty."""
+    def __init__(
+        self, workspace: str, terms: QuotaTerms, created_at: float = float("-inf")
+    ) -> None:
+        """Start empty; without `created_at`, as one that has been filled before."""
         self.workspace = workspace
+        self._created_at = created_at
         self.queried_at = float("-inf")
         self.collected_at = float("-inf")
         # When requests no longer wait for the round in progress.
@@ -68,7 +74,9 @@
         """Return whether an early round may let a request pass that does not fit."""
         if self._pool.fits(cost, self._terms, now):
             return False
-        return self._is_outdated(now) or self._received >= self._wanted * EMPTY_SHARES_PART
+        if self._is_outdated(now) or now - self._created_at < TAKEOVER_SECONDS:
+            return True
+        return self._received >= self._wanted * EMPTY_SHARES_PART
 
     def begin_round(self, hosts: int, now: float) -> int:
         """Confirm the pool; return the units to ask each host for, 0 for none."""
--- a/src/swifttrestle/internal/coordination/quotas/pools.py
+++ b/src/swifttrestle/internal/coordination/quotas/pools.py
@@ -80,7 +80,7 @@
             return decided
         counted = self._pools.get(workspace)
         if counted is None:
-            counted = self._pools[workspace] = CountedPool(workspace, terms)
+            counted = self._pools[workspace] = CountedPool(workspace, terms, now)
         counted.apply(terms)
         counted.queried_at = now
         self._plan_round(counted, cost, now)
