--- a/src/swifttrestle/internal/forward/open_requests.py
+++ b/src/swifttrestle/internal/forward/open_requests.py
@@ -71,10 +71,6 @@
         self._open: set[OpenRequest] = set()
         self._times: StopTimes | None = None
 
-    def __len__(self) -> int:
-        """Return the number of open requests."""
-        return len(self._open)
-
     def begin_stop(self, times: StopTimes) -> None:
         """Begin a planned stop; the first call holds."""
         if self._times is None:
@@ -100,28 +96,29 @@
                 Code.STOPPING, "this host is stopping; retry at another one", STOPPING_RETRY_SECONDS
             )
 
-    def work_off(self, now: float) -> int:
-        """End the requests that this host can no longer serve; return their number."""
-        ended = [item for item in self._open if self._must_end(item, now)]
-        for item in ended:
-            item.stopped = True
-            item.scope.reschedule(now)
-        return len(ended)
+    def work_off(self, now: float) -> None:
+        """End the requests that this host can no longer serve."""
+        for item in self._open:
+            if self._must_end(item, now):
+                item.stopped = True
+                item.scope.reschedule(now)
 
     def _must_end(self, item: OpenRequest, now: float) -> bool:
         ctx = item.ctx
-        if self._times is None or item.stopped or ctx.answer.begun:
+        # One whose deadline has passed is about to be answered.
+        is_ending = item.stopped or item.scope.expired()
+        if self._times is None or is_ending or ctx.answer.begun:
             return False
         if now >= self._times.last_answer:
             return True
-        # What may have run gets no promise, so its caller is better off with an answer.
+        # What may have run gets no such promise: its caller is better off waiting for an answer.
         waits = not ctx.open_calls and not ctx.may_have_run
         return waits and self._outlasts(ctx.route.name, ctx.deadline, now)
 
     def _outlasts(self, route: str, deadline: float, now: float) -> bool:
-        """Return whether a request that has not been sent yet is not served before the end.
+        """Return whether a request that was not sent yet may not be over before the end.
 
-        One that may be is left waiting up to the last moment for that.
+        Before the last wait, one is kept if a run of usual length would be.
         """
         assert self._times is not None
         if deadline <= self._times.last_answer:
--- a/src/swifttrestle/internal/listeners.py
+++ b/src/swifttrestle/internal/listeners.py
@@ -40,7 +40,7 @@
         """Return the number of callers' connections that wait for a response."""
         return self._callers.count_busy()
 
-    async def finish(self, times: StopTimes, work_off: Callable[[float], int]) -> None:
+    async def finish(self, times: StopTimes, work_off: Callable[[float], None]) -> None:
         """Answer the open requests and close all connections, until `times.end` at the latest.
 
         `work_off` ends those that can no longer be served at a time of the loop. Each response
--- a/tests/cover/test_waiting_at_a_stop.py
+++ b/tests/cover/test_waiting_at_a_stop.py
@@ -1,6 +1,10 @@
 """The times of a planned stop, and what waits at an entry of the own interface then."""
 
+import asyncio
+import contextlib
+import math
 import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,7 +17,7 @@
     BlockingAdmissionQueue,
 )
 from swifttrestle.internal.entry.requests import RequestTerms
-from swifttrestle.internal.forward.open_requests import plan_stop
+from swifttrestle.internal.forward.open_requests import OpenRequests, plan_stop
 from swifttrestle.internal.policy.admission import Admission, AdmissionResult, Decision
 from swifttrestle.internal.policy.routing import RequestEstimate
 
@@ -31,6 +35,31 @@
     assert plan_stop(0.0, seconds).last_answer > seconds * 5 / 6
 
 
+def test_a_request_whose_deadline_has_just_passed_does_not_disturb_the_stop():
+    # Guards against a stop that ends by an error, which would cut all other requests.
+    async def run():
+        loop = asyncio.get_running_loop()
+        requests = OpenRequests(lambda _: 0.0)
+        requests.begin_stop(plan_stop(loop.time() - 10.0, 8.0))
+        scope = asyncio.timeout(0.01)
+        with contextlib.suppress(TimeoutError), requests.enter(make_waiting_request(), scope):
+            async with scope:
+                try:
+                    await asyncio.sleep(60)
+                finally:
+                    requests.work_off(loop.time())
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def make_waiting_request():
+    return SimpleNamespace(
+        answer=SimpleNamespace(begun=False), open_calls=0, may_have_run=False,
+        route=SimpleNamespace(name="r"), deadline=math.inf,
+    )  # fmt: skip
+
+
 class NeverAdmitted(Admission):
     """Lets all requests wait."""
 
