Bodies of open requests share a part of the process's memory

Cause: each body had a limit, their sum had none.

A request gets the memory of its whole body before more than its first 64 KiB are read, or waits unread in order of arrival; so a body that is being read can always end. What cannot be served in time gets 503 BODY_MEMORY_FULL (1025), not run, with Retry-After. Callers' connections receive into one buffer of 64 KiB, since an unread body may hold no more than that.

--- a/src/swifttrestle/codes.py
+++ b/src/swifttrestle/codes.py
@@ -41,6 +41,7 @@
     STREAM_VERSION_GONE = 1022
     QUOTA_EXCEEDED = 1023
     REQUEST_TOO_LARGE = 1024
+    BODY_MEMORY_FULL = 1025
     ANSWER_LOST = 2001
     ANSWER_LATE = 2002
     STREAM_BROKEN = 3001
@@ -131,6 +132,9 @@
     Code.REQUEST_TOO_LARGE: CodeEntry(
         503, _NOT_RUN, "No engine of the service has memory for the request's prompt."
     ),
+    Code.BODY_MEMORY_FULL: CodeEntry(
+        503, _NOT_RUN, "This host has no memory for the request's body in time; see Retry-After."
+    ),
     Code.ANSWER_LOST: CodeEntry(
         502, _MAY_HAVE_RUN, "The connection was lost after a byte may have been sent."
     ),
--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -41,6 +41,7 @@
 from swifttrestle.internal.quota_enforcement import QuotaEnforcement
 from swifttrestle.internal.settings_file import watch_settings_file
 from swifttrestle.internal.settings_reload import SettingsReloader
+from swifttrestle.internal.state.body_memory import BodyMemory
 from swifttrestle.internal.state.declared import Configuration, Route
 from swifttrestle.internal.state.fleet import Fleet, Instance
 from swifttrestle.internal.state.median_clock import MedianClock
@@ -239,7 +240,8 @@
             settings.zone, self._fleet, self._state.pool, self._booker.schedules_engines, rng
         )
         self._load_monitor = LoadMonitor(self._metrics)
-        self._listeners = Listeners(self._load_monitor.admits_connection)
+        self._body_memory = BodyMemory(settings.memory_bytes)
+        self._listeners = Listeners(self._load_monitor.admits_connection, self._body_memory)
         # Whether the newest configuration version of the peers has been in force here.
         self._caught_up = False
         self._stopping = asyncio.Event()
@@ -255,6 +257,7 @@
             self._store,
             self._relaying,
             self._quotas.limiter,
+            self._body_memory,
         )
 
     async def run(self) -> None:
--- a/src/swifttrestle/internal/forward/handler.py
+++ b/src/swifttrestle/internal/forward/handler.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.codes import TABLE, Code, Ran
 from swifttrestle.errors import CallerGoneError, RefusedError, SwifttrestleError
+from swifttrestle.internal.forward.body_waiting import wait_for_body_memory
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.continuation import prepare_continuation
@@ -197,6 +198,7 @@
         with self.open_requests.enter(ctx, scope) as entry:
             try:
                 async with scope:
+                    await wait_for_body_memory(ctx, self._state)
                     await self._forward(ctx, table)
             except TimeoutError:
                 if entry.stopped:
--- a/src/swifttrestle/internal/listeners.py
+++ b/src/swifttrestle/internal/listeners.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from swifttrestle.internal.forward.open_requests import StopTimes
+from swifttrestle.internal.state.body_memory import BodyMemory
 from swifttrestle.internal.transport.caller import (
     CallerConnection,
     ConnectionSet,
@@ -20,9 +21,12 @@
 class Listeners:
     """Accepts connections of callers, and those of the load balancer and of operators."""
 
-    def __init__(self, admits_caller: Callable[[], bool]) -> None:
-        """Start without listening; `admits_caller` is asked about each connection of a caller."""
-        self._callers = ConnectionSet(admits_caller)
+    def __init__(self, admits_caller: Callable[[], bool], memory: BodyMemory) -> None:
+        """Start without listening; `admits_caller` is asked about each connection of a caller.
+
+        The bodies of callers' requests share `memory`.
+        """
+        self._callers = ConnectionSet(admits_caller, memory)
         self._others = ConnectionSet()
         self._servers: list[asyncio.Server] = []
         # Whether all addresses accept connections; a host is not ready before.
--- a/src/swifttrestle/internal/operator_pages.py
+++ b/src/swifttrestle/internal/operator_pages.py
@@ -15,6 +15,7 @@
 from swifttrestle.internal.event_log import WRITER
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.pages import Page, PageHandler
+from swifttrestle.internal.state.body_memory import BodyMemory
 from swifttrestle.internal.state.fingerprints import parse_fingerprint
 from swifttrestle.internal.state_dump import describe_fleet, describe_quarantine
 from swifttrestle.platform.store import ObjectStore
@@ -39,6 +40,7 @@
         store: ObjectStore,
         relaying: Relaying,
         limiter: QuotaLimiter,
+        body_memory: BodyMemory,
     ) -> None:
         """Serve the state of these components."""
         self._host = host
@@ -51,6 +53,7 @@
         self._store = store
         self._relaying = relaying
         self._limiter = limiter
+        self._body_memory = body_memory
         self._add_gauges()
 
     def make_handler(self) -> PageHandler:
@@ -82,6 +85,7 @@
             "relayed_for_peers": self._relaying.server.open,
             "duties": self._duties.describe(),
             "quotas": self._limiter.describe(_now()),
+            "body_memory": self._body_memory.describe(),
             "quarantine": describe_quarantine(self._state.guard.quarantine, _now()),
         }
         return Page(200, b"application/json", orjson.dumps(state))
@@ -128,6 +132,21 @@
             ),
             ("store_calls", "Calls to the object store", lambda: self._store.calls),
             ("upstream_connections", "Connections opened", lambda: self._state.pool.opened),
+            (
+                "body_memory_granted_bytes",
+                "Memory granted to the bodies of open requests",
+                lambda: self._body_memory.granted_bytes,
+            ),
+            (
+                "body_memory_waiting_bytes",
+                "Bytes read of bodies that wait for memory",
+                lambda: self._body_memory.waiting_bytes,
+            ),
+            (
+                "body_memory_waiting_requests",
+                "Requests whose bodies wait for memory",
+                lambda: self._body_memory.waiting,
+            ),
             ("lines_dropped", "Log lines dropped", lambda: WRITER.dropped),
         ]
         for name, doc, read in gauges:
--- a/src/swifttrestle/internal/transport/answer_writer.py
+++ b/src/swifttrestle/internal/transport/answer_writer.py
@@ -68,6 +68,8 @@
         self._answers_head = False
         self._http_1_0 = False
         self._has_body = True
+        # Whether the caller waits to be asked for the body of its request.
+        self._awaits_invitation = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -134,8 +136,15 @@
         self._keep_alive = self._keep_alive and keep_alive
         self._answers_head = head.method == b"HEAD"
         self._http_1_0 = head.http_1_0
-        if _is_waited_for(head, body):
+        self._awaits_invitation = _is_waited_for(head, body)
+        if body.has_memory:
+            self._invite_body()
+
+    def _invite_body(self) -> None:
+        """Ask for the body of the current request, if its caller waits for that."""
+        if self._awaits_invitation and not self.started:
             self._write(CONTINUE_ANSWER)
+        self._awaits_invitation = False
 
     def _choose_framing(self, status: int, framing: Framing) -> Framing:
         """Return how the end of a body is marked for this caller."""
--- a/src/swifttrestle/internal/transport/caller.py
+++ b/src/swifttrestle/internal/transport/caller.py
@@ -13,6 +13,7 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.event_log import log_event
+from swifttrestle.internal.state.body_memory import BodyMemory
 from swifttrestle.internal.state.declared import Limits
 from swifttrestle.internal.transport.answer_writer import AnswerWriter, ResponseWriter
 from swifttrestle.internal.transport.messages import (
@@ -33,6 +34,11 @@
 # Seconds for which what a caller still sends is read and dropped once its answer is written:
 # closing with unread bytes resets the connection, which may cost the caller that answer.
 LINGER_SECONDS = 2.0
+# Bytes that are received at once, and so the most that is read of a body before it has its memory.
+RECEIVE_BYTES = 64 * 1024
+
+# All connections of the event loop receive into this buffer and copy from it at once.
+_RECEIVE_BUFFER = memoryview(bytearray(RECEIVE_BYTES))
 
 
 @dataclass(frozen=True)
@@ -63,9 +69,15 @@
 class ConnectionSet:
     """All open connections of a listener, which it closes gracefully at a planned stop."""
 
-    def __init__(self, admits: Callable[[], bool] = _admit_all) -> None:
-        """Accept a new connection if `admits` returns true, and close it unread otherwise."""
+    def __init__(
+        self, admits: Callable[[], bool] = _admit_all, memory: BodyMemory | None = None
+    ) -> None:
+        """Accept a new connection if `admits` returns true, and close it unread otherwise.
+
+        The bodies of its requests share `memory`, which is unlimited by default.
+        """
         self.admits = admits
+        self.memory = memory or BodyMemory()
         self.open: set[CallerConnection] = set()
         self.closing = False
 
@@ -80,7 +92,7 @@
         return sum(1 for connection in self.open if connection.busy or connection.unsent_bytes)
 
 
-class CallerConnection(AnswerWriter, RequestReceiver, asyncio.Protocol):
+class CallerConnection(AnswerWriter, RequestReceiver, asyncio.BufferedProtocol):
     """One connection of a caller: its queue of requests, its task and its timers."""
 
     def __init__(self, handler: RequestHandler, connections: ConnectionSet) -> None:
@@ -110,7 +122,11 @@
         self._task = asyncio.ensure_future(self._serve())
         self._start_idle_timer()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, _: int) -> memoryview:
+        """Return the buffer to receive into."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, size: int) -> None:
         """Parse received bytes."""
         if self._refusal or self._reader.ended:
             return
@@ -118,7 +134,7 @@
         if begins:
             self._reader.begin_head(self._handler.limits())
         try:
-            self._reader.feed(data)
+            self._reader.feed(_RECEIVE_BUFFER[:size])
         except RequestError as error:
             self._refuse(error.status)
             return
@@ -140,6 +156,8 @@
         self._break_body("caller disconnected during its request")
         # The reader, the queue and the task refer to this connection, and hold bodies.
         self._reader.close()
+        for request, _ in self._requests:
+            self._release_memory(request.body)
         self._requests.clear()
         if self._task is not None:
             self._task.cancel()
@@ -151,14 +169,23 @@
         """Queue a request; its body may follow later."""
         self._stop_timer()
         body.resume_reading = self._resume_reading
-        self._requests.append((IncomingRequest(head, body, self._loop.time()), keep_alive))
+        now = self._loop.time()
+        self._reserve_memory(head, body, now)
+        self._requests.append((IncomingRequest(head, body, now), keep_alive))
         self._request_arrived.set()
         self._pause_reading_if_full()
 
-    def note_body_read(self) -> None:
+    def note_body_read(self, body: Body) -> None:
         """Pause reading if enough of the body waits."""
+        if body.reservation is not None:
+            body.reservation.note_read(body.size)
         self._pause_reading_if_full()
 
+    def note_body_end(self, body: Body) -> None:
+        """Reserve no more memory for the body than it needs."""
+        if body.reservation is not None:
+            body.reservation.note_end(body.size, self._loop.time())
+
     # Used by the set of connections.
 
     def close_if_idle(self) -> None:
@@ -189,15 +216,17 @@
         A function of its own, since an idle connection must not hold the last request's body.
         """
         request, keep_alive = self._requests.popleft()
-        self._begin_answer(request.head, request.body, keep_alive)
         self.busy = True
         try:
+            self._begin_answer(request.head, request.body, keep_alive)
             await self._handler.handle(request, self)
         except Exception as error:
             # After an unexpected exception, the caller must see a broken response, not a hang.
             log_event("request handler failed", error=repr(error))
             self.abort()
             return False
+        finally:
+            self._release_memory(request.body)
         if request.body.broken:
             self._linger()
             return False
@@ -260,14 +289,34 @@
     def _write_refusal(self) -> None:
         self._write(write_response_head(self._refusal, (), Framing.LENGTH, 0, keep_alive=False))
 
+    def _reserve_memory(self, head: RequestHead, body: Body, now: float) -> None:
+        """Reserve the memory of a body, if the request has one."""
+        known = head.framing is not Framing.CHUNKED
+        needed = head.length if known else self._reader.limits.body_bytes
+        if needed:
+            memory = self._connections.memory
+            body.reservation = memory.reserve(needed, known, now, self._read_granted_body)
+
+    def _read_granted_body(self) -> None:
+        """Read on, since there is memory for the body now."""
+        if self.busy and not self._requests and self._reader.body is not None:
+            self._invite_body()
+        self._resume_reading()
+
+    def _release_memory(self, body: Body) -> None:
+        if body.reservation is not None:
+            body.reservation.release(self._loop.time())
+
     def _pause_reading_if_full(self) -> None:
         body = self._reader.body
-        full = body is not None and body.above_high_water
+        full = body is not None and (body.above_high_water or not body.has_memory)
         if (full or len(self._requests) > PIPELINE_DEPTH) and self._transport is not None:
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._reader.body is None or self._reader.body.has_memory:
             self._transport.resume_reading()
 
     def _start_timer(self, seconds: float, callback: object) -> None:
--- a/src/swifttrestle/internal/transport/messages.py
+++ b/src/swifttrestle/internal/transport/messages.py
@@ -13,6 +13,7 @@
     UpstreamSilentError,
     copy_error,
 )
+from swifttrestle.internal.state.body_memory import BodyReservation
 from swifttrestle.internal.transport.silence import SilenceLimit, limit_silence
 
 Header = tuple[bytes, bytes]
@@ -92,6 +93,8 @@
         self._error: Exception | None = None
         self._changed = asyncio.Event()
         self.resume_reading = _do_nothing
+        # The memory of a caller's body; None if that is not bounded.
+        self.reservation: BodyReservation | None = None
 
     @classmethod
     def from_bytes(cls, content: bytes) -> "Body":
@@ -116,6 +119,11 @@
         """Whether reading from the sender should pause."""
         return not self.keep and self._unread > HIGH_WATER_BYTES
 
+    @property
+    def has_memory(self) -> bool:
+        """Whether there is memory for more of the body."""
+        return self.reservation is None or self.reservation.readable
+
     def list_kept(self) -> tuple[bytes, ...]:
         """Return the kept bytes, as received."""
         return tuple(self._chunks)
--- a/src/swifttrestle/internal/transport/request_reader.py
+++ b/src/swifttrestle/internal/transport/request_reader.py
@@ -49,9 +49,13 @@
         """
 
     @abstractmethod
-    def note_body_read(self) -> None:
+    def note_body_read(self, body: Body) -> None:
         """Note that the current request's body has grown."""
 
+    @abstractmethod
+    def note_body_end(self, body: Body) -> None:
+        """Note that the current request's body is complete."""
+
 
 class RequestReader:
     """Parses the bytes of one connection."""
@@ -84,7 +88,7 @@
         self.reading_head = True
         self.limits = limits
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Read received bytes; raise RequestError if they are no request that may be read."""
         while data and not self.ended:
             try:
@@ -154,7 +158,7 @@
         if self.body.size + len(data) > self.limits.body_bytes:
             self._refuse(BODY_TOO_LARGE)
         self.body.feed(data)
-        self._receiver.note_body_read()
+        self._receiver.note_body_read(self.body)
 
     def on_message_complete(self) -> None:
         """Complete the body and prepare for the next request."""
@@ -163,6 +167,7 @@
             return
         if self.body is not None:
             self.body.end()
+            self._receiver.note_body_end(self.body)
         self.body = None
         self._target = b""
         self._headers = []
--- a/src/swifttrestle/platform/settings.py
+++ b/src/swifttrestle/platform/settings.py
@@ -15,6 +15,7 @@
 PATH_VARIABLE = "SWIFTTRESTLE_BOOT"
 MAX_PORT = 65535
 MAX_DURATION_MS = 3_600_000
+BYTES_PER_MB = 1_000_000
 # Highest number of units by which a quota may be exceeded; whole numbers up to it are exact.
 MAX_QUOTA_SLACK = 2**53
 # Highest share by which a quota may be exceeded.
@@ -57,7 +58,8 @@
 
     `internal_port` is the first port that peers may use. `link_mbps` is the speed of the host's
     network link in megabits per second, 0 if unknown. `regions` has the region of each
-    availability zone, as far as known.
+    availability zone, as far as known. `memory_bytes` limits the memory of the process, infinite if
+    there is no limit.
     """
 
     host: str
@@ -71,6 +73,7 @@
     bounds: Bounds
     duties: DutySettings | None = None
     link_mbps: float = 0.0
+    memory_bytes: float = float("inf")
     regions: dict[str, str] = field(default_factory=dict)
     # Writes per second that all hosts together may make to the store, 0 if unknown.
     store_writes_per_second: float = 0.0
@@ -97,6 +100,7 @@
     table = _Table(raw, "")
     listen = table.table("listen")
     bounds = table.table("bounds")
+    limits = table.optional_table("limits")
     return HostSettings(
         host=table.text("nodeName"),
         ip=table.text("ip"),
@@ -107,7 +111,8 @@
         # Seeds are given by their control addresses. Only the host part is used, since peers
         # communicate on the internal ports, which are the same on all hosts.
         seeds=tuple(table.addresses("seeds")),
-        link_mbps=table.optional_table("limits").optional_number("linkMbps"),
+        link_mbps=limits.optional_number("linkMbps"),
+        memory_bytes=limits.optional_number("memoryMb") * BYTES_PER_MB or float("inf"),
         regions=table.texts("zones"),
         store=table.table("platform").address("address"),
         store_writes_per_second=table.table("platform").optional_number("writesPerS"),
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -126,6 +126,8 @@
     regions: dict[str, str] = field(default_factory=dict)
     # Bounds that override the defaults in the settings of gateways added later.
     bounds: dict[str, Any] = field(default_factory=dict)
+    # Limits of the process, in the settings of gateways added later.
+    process_limits: dict[str, Any] = field(default_factory=dict)
     # Limits of the store, in the settings of gateways added later.
     store_limits: dict[str, Any] = field(default_factory=dict)
     _servers: list[asyncio.Server] = field(default_factory=list)
@@ -376,7 +378,7 @@
         self._connection_sets[name] = connections
         loop = asyncio.get_running_loop()
 
-        def accept() -> asyncio.Protocol:
+        def accept() -> asyncio.BaseProtocol:
             if name in self._resetting:
                 return _ResettingConnection()
             return _ServerConnection(handler, connections)
@@ -403,7 +405,7 @@
             "seeds": seeds[:3],
             "bootstrap": self._is_first_start(),
             "heartbeatMs": 1200,
-            "limits": {"maxFds": 1000},
+            "limits": {"maxFds": 1000, **self.process_limits},
             "bounds": {
                 "drainMs": 2000, "graceS": 4, "configApplyMs": 2000, "leaseMs": 1000,
                 "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 50,
