Responses that end inside their head are no responses to blocking clients

Played here: the own interface's call_plain made a 200 without a body of HTTP/1.1 200 OK\r\nContent-Le; a cut 503 said 'not run'.

Cause: http.client ends a head at the end of the connection as at an empty line. Change: the class of responses that all blocking clients share reads the lines of heads, chunk sizes and trailers whole or raises; it skips every interim response, not 100 alone; open_stream takes the socket over before it reads, since a response that came whole has none any more.

--- a/src/swifttrestle/internal/protocol/calls.py
+++ b/src/swifttrestle/internal/protocol/calls.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import orjson
+from urllib3 import BaseHTTPResponse
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
@@ -108,16 +109,26 @@
         response = connection.getresponse()
         if response.status != STATUS_OK:
             _raise_refusal(response.status, response.headers, response.read(MAX_REFUSAL_BYTES))
-        first = response.read1(READ_BYTES)
-        sock = socket.socket(fileno=socket.dup(response.fileno()))
-        response.close()
-        return OpenStream(sock, first)
+        return _take_stream(response)
     except (HTTPError, HTTPException, OSError, ValueError) as error:
         raise UpstreamBrokenError(f"{address}: {type(error).__name__}", sent=True) from None
     finally:
         connection.close()
 
 
+def _take_stream(response: BaseHTTPResponse) -> OpenStream:
+    """Wait for the first body bytes, and take the response's socket over."""
+    # A response that is read to its end has no socket any more.
+    sock = socket.socket(fileno=socket.dup(response.fileno()))
+    try:
+        first = response.read1(READ_BYTES)
+    except BaseException:
+        sock.close()
+        raise
+    response.close()
+    return OpenStream(sock, first)
+
+
 def _probe_when_idle(sock: socket.socket) -> None:
     """Have the kernel end a connection whose machine is gone; a silent engine's stays."""
     set_keepalive(sock, PROBE_IDLE_SECONDS, PROBE_INTERVAL_SECONDS, MAX_PROBES)
--- a/src/swifttrestle/internal/transport/bounded_responses.py
+++ b/src/swifttrestle/internal/transport/bounded_responses.py
@@ -1,9 +1,13 @@
-"""Responses to the own interface's blocking clients, bounded in bytes and in time.
+"""Responses to the own interface's blocking clients, whole, and bounded in bytes and in time.
 
-http.client bounds the lines of a head, but no interim responses, bodies or trailers.
+http.client bounds the lines of a head, but no interim responses, bodies or trailers. It takes the
+end of a connection inside a head for the head's end, and an interim response other than 100 for the
+response itself.
 """
 
 import http.client
+from http import HTTPStatus
+from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -14,30 +18,74 @@
 
 # Maximum number of interim responses before a response.
 MAX_INTERIM_RESPONSES = 8
-# Maximum number of lines behind a body in chunks, and bytes of each.
-MAX_TRAILER_LINES = 100
+# Maximum number of lines of an interim response, or behind a body in chunks, and bytes of each.
+MAX_LINES = 100
 MAX_LINE_BYTES = 16 * 1024
-_LAST_LINES = (b"\r\n", b"\n", b"")
+_LAST_LINES = (b"\r\n", b"\n")
 # Bytes of a body that are read at once.
 READ_BYTES = 64 * 1024
 
 
+class CutLineError(http.client.HTTPException):
+    """The connection ended inside a response's head, or inside the framing of its body."""
+
+
+class _WholeLines:
+    """The bytes of a connection, whose lines are read whole or not at all."""
+
+    def __init__(self, reader: Any) -> None:
+        """Read from `reader`, the file of a response."""
+        self._reader = reader
+        self._any_line = False
+
+    def readline(self, max_bytes: int) -> bytes:
+        """Return a line, or `max_bytes` of it; raise CutLineError if the connection ends before.
+
+        A connection that ends before the first line returns no byte.
+        """
+        line: bytes = self._reader.readline(max_bytes)
+        whole = line.endswith(b"\n") or len(line) == max_bytes
+        if not whole and (line or self._any_line):
+            raise CutLineError(f"the connection ended inside a line, after {line[:20]!r}")
+        self._any_line = True
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        """Return any other attribute of the file."""
+        return getattr(self._reader, name)
+
+
 class BoundedResponse(http.client.HTTPResponse):
-    """A response whose interim responses and trailers are bounded."""
+    """A response that is whole, and whose interim responses and trailers are bounded."""
 
-    _status_lines = 0
+    def begin(self) -> None:
+        """Read the head; raise HTTPException if it is not whole."""
+        if self.headers is None:
+            self.fp = _WholeLines(self.fp)
+        super().begin()
 
     def _read_status(self) -> tuple[str, int, str]:
-        self._status_lines += 1
-        if self._status_lines > MAX_INTERIM_RESPONSES + 1:
-            raise http.client.HTTPException("too many interim responses")
-        return super()._read_status()  # type: ignore[misc]
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if not _is_interim(status):
+                return version, status, reason
+            self._skip_lines()
+        raise http.client.HTTPException("too many interim responses")
 
     def _read_and_discard_trailer(self) -> None:
-        for _ in range(MAX_TRAILER_LINES):
+        self._skip_lines()
+
+    def _skip_lines(self) -> None:
+        """Read up to the next empty line."""
+        for _ in range(MAX_LINES):
             if self.fp.readline(MAX_LINE_BYTES) in _LAST_LINES:
                 return
-        raise http.client.HTTPException("too many trailers")
+        raise http.client.HTTPException(f"over {MAX_LINES} lines of an interim head or of trailers")
+
+
+def _is_interim(status: int) -> bool:
+    """Return whether another response follows on the same connection."""
+    return status < HTTPStatus.OK and status != HTTPStatus.SWITCHING_PROTOCOLS
 
 
 class BoundedConnection(HTTPConnection):
