Memory of bodies: small ones wait for small ones alone; who waits keeps its place

Cause: a small body that had to wait was first taken to wait behind all large ones, so that it could be refused at once; and while too many waited, those that had waited for long were refused too. Found by reading the change again. Change: the place of a small body counts small ones alone, and the share of those that wait is checked when a request comes.

--- a/src/swifttrestle/internal/forward/body_waiting.py
+++ b/src/swifttrestle/internal/forward/body_waiting.py
@@ -28,9 +28,11 @@
     ctx.note("waits for memory")
     state.metrics.count("gateway_bodies_waited_total")
     run_seconds = max(MIN_RUN_SECONDS, state.demand.find_hold_seconds(ctx.route.name))
+    # Those that wait already keep their places.
+    crowded = reservation.crowded
     while not reservation.granted:
         seconds = reservation.predict_wait(asyncio.get_running_loop().time())
-        if reservation.crowded or ctx.seconds_left <= run_seconds + (seconds or 0.0):
+        if crowded or ctx.seconds_left <= run_seconds + (seconds or 0.0):
             state.metrics.count("gateway_bodies_refused_total")
             raise _refuse(reservation, seconds)
         await reservation.wait(RECHECK_SECONDS)
--- a/src/swifttrestle/internal/state/body_memory.py
+++ b/src/swifttrestle/internal/state/body_memory.py
@@ -155,7 +155,10 @@
             self._charge(item, item.needed_bytes)
             return item
         self._enqueue(item)
-        item.bytes_ahead = self._needed_bytes
+        if item.large:
+            item.bytes_ahead = self._needed_bytes
+        else:
+            item.bytes_ahead = sum(other.needed_bytes for other in self._small)
         return item
 
     def note_waiting(self, item: BodyReservation, size: int) -> None:
--- a/tests/cover/test_body_memory.py
+++ b/tests/cover/test_body_memory.py
@@ -79,6 +79,19 @@
     assert items[-1].predict_wait(20.0) == (None if wait is None else pytest.approx(wait))
 
 
+def test_a_small_body_waits_for_small_ones_alone():
+    memory = BodyMemory(LIMIT_BYTES)
+    memory.reserve(LARGE, True, 10.0).release(12.0)
+    for size in [LARGE] * 3 + [SMALL] * 10 + [LARGE] * 5:
+        item = memory.reserve(size, True, 20.0)
+    # From now on places are known, but not of those that come in the same moment.
+    item.predict_wait(20.0)
+    small, large = (memory.reserve(size, True, 20.0) for size in (SMALL, LARGE))
+    rounds = 3 * LARGE
+    assert small.predict_wait(20.0) == pytest.approx(2.0 * SMALL / rounds)
+    assert large.predict_wait(20.0) == pytest.approx(2.0 * (6 * LARGE + SMALL) / rounds)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_order_of_events_takes_too_much_or_loses_memory(seed):
     rng = random.Random(seed)
--- a/tests/hosted/test_large_bodies_at_once.py
+++ b/tests/hosted/test_large_bodies_at_once.py
@@ -151,6 +151,8 @@
     release_upstreams(site)
     answers = [await caller.read_answer() for caller in waiting]
     assert {answer.status for answer in answers} == {200, 503}
+    # Those that came before keep their places.
+    assert {answer.status for answer in answers[:20]} == {200}
     runs = [count_runs(site, f"w{number}") for number in range(60)]
     assert runs == [1 if answer.status == 200 else 0 for answer in answers]
 
