Benches start gateways by one function, and read addresses by the product's

Cause: bench.held_memory wrote the start of a gateway process again that bench.endless_responses has, and took over its split, a copy of parse_address. Change: start_gateway serves both, parse_address replaces split; nothing under src or tests changes.

--- a/bench/endless_responses.py
+++ b/bench/endless_responses.py
@@ -20,6 +20,8 @@
 
 import psutil
 
+from swifttrestle.internal.checks import parse_address
+from swifttrestle.platform.settings import PATH_VARIABLE
 from swifttrestle_standins.hosted.endless import KINDS
 from swifttrestle_standins.hosted.site import Site, make_route
 from swifttrestle_standins.hosted.upstreams import StandInUpstream
@@ -116,14 +118,11 @@
     settings = site._make_settings("g0", pick_ip(0), "hall-a")
     boot = folder / "node.json"
     boot.write_text(json.dumps(settings))
-    gateway = subprocess.Popen(
-        [sys.executable, "deploy/gateway.py"],
-        env={**os.environ, "SWIFTTRESTLE_BOOT": str(boot)},
-        stdout=subprocess.DEVNULL,
-    )
+    gateway = start_gateway(boot)
     try:
-        await wait_ready(split(settings["listen"]["ready"]))
-        return await measure(split(settings["listen"]["front"]), psutil.Process(gateway.pid))
+        await wait_ready(parse_address(settings["listen"]["ready"]))
+        callers = parse_address(settings["listen"]["front"])
+        return await measure(callers, psutil.Process(gateway.pid))
     finally:
         for process in (gateway, endless):
             process.kill()
@@ -131,10 +130,13 @@
         await site.stop()
 
 
-def split(address: str) -> Address:
-    """Return the host and the port of HOST:PORT."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+def start_gateway(boot: Path) -> subprocess.Popen[bytes]:
+    """Start a gateway process with a settings file, as the deploy file does."""
+    return subprocess.Popen(
+        [sys.executable, "deploy/gateway.py"],
+        env={**os.environ, PATH_VARIABLE: str(boot)},
+        stdout=subprocess.DEVNULL,
+    )
 
 
 async def wait_ready(address: Address) -> None:
--- a/bench/held_memory.py
+++ b/bench/held_memory.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import json
-import os
 import subprocess
 import sys
 import tempfile
@@ -22,7 +21,8 @@
 
 import psutil
 
-from bench.endless_responses import split, wait_ready
+from bench.endless_responses import start_gateway, wait_ready
+from swifttrestle.internal.checks import parse_address
 from swifttrestle_standins.hosted.site import Site, make_route
 from swifttrestle_standins.hosted.upstreams import StandInUpstream
 from swifttrestle_standins.loopback import pick_ip
@@ -88,16 +88,12 @@
     @property
     def address(self) -> Address:
         """Its address for callers."""
-        return split(self.settings["listen"]["front"])
+        return parse_address(self.settings["listen"]["front"])
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
-        self.process = subprocess.Popen(
-            [sys.executable, "deploy/gateway.py"],
-            env={**os.environ, "SWIFTTRESTLE_BOOT": str(self.boot)},
-            stdout=subprocess.DEVNULL,
-        )
-        await wait_ready(split(self.settings["listen"]["ready"]))
+        self.process = start_gateway(self.boot)
+        await wait_ready(parse_address(self.settings["listen"]["ready"]))
 
     async def limit_memory(self, counts: Counts) -> None:
         """Act as the platform."""
