Streams are not taken up by the list of a host that is out of step

Cause: a host that has lost its peers was taken for one that has none; one reply of a peer that is cut off together with it stood for all; and where the store could not be asked that inference stood. Its list, however old, counted as of the moment at which it was looked at.

Change: what no host and no store knows is inferred only where each host that keeps the stream replies, no host has fallen silent, all are heard after the request, and the list is current (as of when the store was asked) or the store answers nobody. The inferred version is pinned. A host out of step tells its peers that there may be several versions, and begins to look anew after it. A take-up that names no stream is decided by the store where that shows a single origin.

Why it works: whoever could have begun the stream elsewhere is either heard, or missed.

Two tests of test_stream_directory said less than is right and are stricter now: a silent peer alone lets no stream go on, and the inferred version is checked.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -16,6 +16,7 @@
 from swifttrestle.internal.coordination.configuration.freshness_monitor import FreshnessMonitor
 from swifttrestle.internal.coordination.discovery.discovery import RESTORE_SPREAD_SECONDS, Discovery
 from swifttrestle.internal.coordination.discovery.listing_relay import ListingRelay
+from swifttrestle.internal.coordination.discovery.observed_freshness import ObservedFreshness
 from swifttrestle.internal.coordination.duties.duties import Duties
 from swifttrestle.internal.coordination.membership.gossip import Gossip
 from swifttrestle.internal.coordination.sharing.prompt_cache_loader import PromptCacheLoader
@@ -89,6 +90,7 @@
         self._state = GatewayState(settings.zone, self._fleet, self._budgets, self._metrics, rng)
         self._skipped_entries = SkippedEntries(self._count_skipped_entry)
         store_pool = ConnectionPool(UNACKNOWLEDGED_MS)
+        self._store_pool = store_pool
         self._store = ObjectStore(settings.store, store_pool)
         store_pool.on_limit = self._state.limit_reporter.report
         self._store.epochs.on_restore = self._handle_store_restore
@@ -234,6 +236,7 @@
             rng.getrandbits(NUMBER_BITS),
             settings.first_start,
             self._stream_archive,
+            ObservedFreshness(self._fleet, self._gossip.peers),
         )
         self._state.conditions.on_capacity = self._serve_queues
         self._prompt_cache_loader = PromptCacheLoader(
@@ -345,6 +348,11 @@
         """The connections to upstreams."""
         return self._state.pool
 
+    @property
+    def store_pool(self) -> ConnectionPool:
+        """The connections to the store."""
+        return self._store_pool
+
     def count_opened_connections(self) -> int:
         """Return the number of connections to upstreams that were opened since the start."""
         return self._state.pool.opened
--- a/src/swifttrestle/internal/coordination/discovery/discovery.py
+++ b/src/swifttrestle/internal/coordination/discovery/discovery.py
@@ -123,7 +123,6 @@
                     continue
                 else:
                     await self._watch()
-                self._note_answer()
                 self._pause_seconds = max(0.0, MIN_CALL_INTERVAL_SECONDS - (self._now() - began))
                 await asyncio.sleep(self._pause_seconds)
             except HistoryGoneError:
@@ -143,8 +142,9 @@
         await asyncio.sleep(seconds)
 
     async def _list(self) -> None:
+        asked_at = self._now()
         snapshot = await self._store.list(UPSTREAM_KIND)
-        self._note_answer()
+        self._note_answer(asked_at)
         self._must_list = False
         same_epoch = snapshot.revision.epoch == self._revision.epoch
         if same_epoch and snapshot.revision < self._revision:
@@ -184,8 +184,9 @@
     async def _watch(self) -> None:
         max_seconds = WATCH_SECONDS - self._pause_seconds
         watch_seconds = RELAYING_WATCH_SECONDS if self._relay.should_relay() else max_seconds
+        asked_at = self._now()
         seen = await self._store.watch(UPSTREAM_KIND, self._revision, watch_seconds)
-        self._note_answer()
+        self._note_answer(asked_at)
         if self._restored_entries.drop_expired(self._now()):
             self._must_list = True
         if seen.revision < self._revision:
@@ -312,10 +313,11 @@
     def _remove(self, name: str) -> None:
         self.removals.remove(name, self.removals.find_trusted_at(), self._revision)
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, asked_at: float) -> None:
+        """Record that the store has answered; the answer may have waited while this host stood."""
         self._failures = 0
         now = self._now()
-        self._fleet.confirmed_at = now
+        self._fleet.confirmed_at = max(self._fleet.confirmed_at, asked_at)
         self._availability.record_answer(now)
         if self._is_store_unreachable:
             self._is_store_unreachable = False
--- a/src/swifttrestle/internal/coordination/membership/gossip.py
+++ b/src/swifttrestle/internal/coordination/membership/gossip.py
@@ -110,6 +110,11 @@
         # Returns for how many seconds the store has answered this host without interruption.
         self.count_store_seconds: Callable[[], float] = float
 
+    @property
+    def peers(self) -> PeerTable:
+        """The other hosts that this one knows of."""
+        return self._peers
+
     async def start(self, seeds: list[str]) -> None:
         """Listen on the internal port for datagrams and TCP streams."""
         self._socket.set_receiver(DatagramKind.REPORT, self._handle_report)
--- a/src/swifttrestle/internal/coordination/sharing/stream_archive.py
+++ b/src/swifttrestle/internal/coordination/sharing/stream_archive.py
@@ -49,11 +49,21 @@
     def find(self, stream: bytes, route: Route, url: str) -> StreamOrigin | None:
         """Return where a stream began that is taken up at a URL, or None if that is not known.
 
-        `route` is the one that now has the URL. One that was removed may have had it before.
+        `route` is the one that now has the URL. One that was removed may have had it before. An
+        empty `stream` is an unknown one: it is known only if it had no choice.
         """
         noted = self.notes.get(stream)
         if noted is not None or not self.complete:
             return noted
+        if stream:
+            return self._find_default(route, url)
+        default = self._find_default(route, url)
+        services = {target.service for target in route.targets}
+        others = {item for item in self.notes.values() if item.service in services} - {default}
+        return None if others else default
+
+    def _find_default(self, route: Route, url: str) -> StreamOrigin | None:
+        """Return where streams at a URL began that have no note, or None if that is not known."""
         default = self.defaults.get(route.location)
         # While no upstream has the default, streams may have begun elsewhere without a note.
         if default is None or not default.settled:
--- a/src/swifttrestle/internal/forward/continuation.py
+++ b/src/swifttrestle/internal/forward/continuation.py
@@ -7,7 +7,7 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.stream_directory import TakeUp
-from swifttrestle.internal.policy.stream_builds import Continuation
+from swifttrestle.internal.policy.stream_builds import Continuation, KnownBy
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.routes import RouteTable
 
@@ -34,9 +34,10 @@
     name, source = stream.decode("latin-1"), found.known_by
     ctx.note(f"stream {name} began at {found.origin}, known by {source.value}")
     state.metrics.count("gateway_streams_taken_up_total", known_by=source.name.lower())
+    inferred = found.known_by is KnownBy.ONE_BUILD
+    if not found.allowed or (inferred and len(ctx.route.targets) > 1):
+        raise _refuse(ctx, "no host knows where the stream began")
     if found.origin is None:
-        if not found.allowed or len(ctx.route.targets) > 1:
-            raise _refuse(ctx, "no host knows where the stream began")
         return
     _set_origin(ctx, found, table)
     now = asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import hashlib
 import itertools
 from abc import ABC, abstractmethod
@@ -11,6 +12,7 @@
 from swifttrestle.errors import NotFoundError, PlatformUnavailableError
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.policy.hash_ring import HASH_BYTES, MemberRing
+from swifttrestle.internal.policy.list_freshness import AlwaysFresh, ListFreshness
 from swifttrestle.internal.policy.stream_builds import (
     ASKED_HOSTS,
     KEEPERS,
@@ -18,6 +20,7 @@
     KnownBy,
     StreamKnowledge,
     choose_continuation,
+    find_known,
     needs_more_replies,
 )
 from swifttrestle.internal.protocol.stream_builds import (
@@ -40,6 +43,9 @@
 QUERIES = 4
 # Longest time, in seconds, for which what no host knows is looked up.
 LOOK_UP_SECONDS = 1.0
+# Longest time, in seconds, for which a host waits until it has heard all others: two heartbeats of
+# each and some delay. Seconds between two looks.
+HEAR_SECONDS, HEAR_POLL_SECONDS = 1.5, 0.05
 # Seconds between two looks at the versions that services have.
 OBSERVE_SECONDS = 1.0
 
@@ -76,8 +82,8 @@
     async def find(self, route: Route, url: str, stream: bytes) -> StreamOrigin | None:
         """Return where a stream began that is taken up at a URL, or None if that is not known.
 
-        `url` is a host with a path, which `route` has now. Raises PlatformUnavailableError if it
-        cannot be looked up.
+        `url` is a host with a path, which `route` has now. An empty `stream` is an unknown one.
+        Raises PlatformUnavailableError if it cannot be looked up.
         """
 
     @abstractmethod
@@ -125,12 +131,15 @@
 class LocalStreamDirectory(StreamDirectory):
     """Knows the streams of this host: for hosts without peers."""
 
-    def __init__(self, fleet: Fleet, first_start: bool = False) -> None:
-        """Observe the versions of the services in `fleet`.
+    def __init__(
+        self, fleet: Fleet, first_start: bool = False, freshness: ListFreshness | None = None
+    ) -> None:
+        """Observe the versions of the services in `fleet`, which is as current as `freshness` says.
 
         `first_start` is whether no stream can have begun before this process.
         """
         self._fleet = fleet
+        self._freshness = freshness or AlwaysFresh()
         self._builds = StreamBuilds(knows_past=first_start)
 
     def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
@@ -141,7 +150,7 @@
         self, stream: bytes, service: str, take_up: TakeUp | None = None
     ) -> Continuation:
         """Return where a stream may go on."""
-        return choose_continuation(self._look_up(stream, service), (), has_peers=False)
+        return choose_continuation(self._look_up(stream, service), (), asked=0)
 
     async def run(self) -> None:
         """Observe which versions services have, until cancelled."""
@@ -154,12 +163,16 @@
     def _look_up(self, stream: bytes, service: str) -> StreamKnowledge:
         self._observe(service)
         now = _now()
+        builds = self._fleet.list_builds(service)
         return StreamKnowledge(
-            self._builds.find(stream, now), self._builds.may_have_several(service, now)
+            self._builds.find(stream, now),
+            self._freshness.may_lack_upstreams() or self._builds.may_have_several(service, now),
+            StreamOrigin(service, *builds) if len(builds) == 1 else None,
         )
 
     def _observe(self, service: str) -> None:
-        self._builds.note_builds(service, self._fleet.list_builds(service), _now())
+        current = not self._freshness.may_lack_upstreams()
+        self._builds.note_builds(service, self._fleet.list_builds(service), _now(), current)
 
 
 class SharedStreamDirectory(LocalStreamDirectory):
@@ -174,12 +187,13 @@
         first_number: int,
         first_start: bool = False,
         archive: StreamArchive | None = None,
+        freshness: ListFreshness | None = None,
     ) -> None:
         """Use `socket`; number the queries from `first_number` on.
 
         What no host knows is looked up in `archive`.
         """
-        super().__init__(fleet, first_start)
+        super().__init__(fleet, first_start, freshness)
         self._archive = archive
         self._socket = socket
         self._host = host
@@ -221,29 +235,78 @@
     async def find_continuation(
         self, stream: bytes, service: str, take_up: TakeUp | None = None
     ) -> Continuation:
-        """Return where a stream may go on."""
+        """Return where a stream may go on.
+
+        Those that surely know are asked first: hosts that noted it, then the store.
+        """
+        began = _now()
         stream = _shorten(stream)
         own = self._look_up(stream, service)
-        peers = [] if own.origin is not None else self._list_peers(stream)
-        query = StreamQuery(next(self._numbers), stream, service)
-        replies = await self._ask(peers, query, own) if peers else []
-        found = choose_continuation(own, replies, bool(peers))
-        if found.origin is not None or take_up is None or not stream or self._archive is None:
-            return found
+        if own.origin is not None:
+            return Continuation(True, own.origin, KnownBy.OWN)
+        replies = await self._ask(stream, service, functools.partial(needs_more_replies, own))
+        known = find_known(replies)
+        if known is not None:
+            return known
+        stored = await self._look_up_stored(stream, take_up)
+        if stored is not None:
+            return stored
+        return await self._infer_continuation(stream, service, began)
+
+    async def _look_up_stored(self, stream: bytes, take_up: TakeUp | None) -> Continuation | None:
+        """Return what the store says, or None if it cannot tell."""
+        if self._archive is None or take_up is None:
+            return None
         try:
             async with asyncio.timeout(LOOK_UP_SECONDS):
                 stored = await self._archive.find(take_up.route, take_up.url, stream)
         except (PlatformUnavailableError, NotFoundError, TimeoutError) as error:
             log_event("stream not looked up", reason=repr(error))
-            return found
+            return None
         if stored is None and self._archive.is_original(take_up.route):
-            return found
+            return None
         return Continuation(stored is not None, stored, KnownBy.STORE)
 
+    async def _infer_continuation(self, stream: bytes, service: str, began: float) -> Continuation:
+        """Return where a stream may go on that no host and no store knows.
+
+        If there has been one version lately it is that one. That needs the word of all hosts that
+        keep the stream, and that no host may have used upstreams that this one does not know.
+        """
+        own = self._look_up(stream, service)
+        if own.several:
+            return Continuation(False)
+        asked = len(self._list_peers(stream))
+        replies = await self._ask(stream, service, lambda known: len(known) < asked)
+        inferred = choose_continuation(own, replies, asked)
+        if inferred.known_by is KnownBy.ONE_BUILD and not await self._hear_all_since(began):
+            return Continuation(False)
+        return inferred
+
+    async def _hear_all_since(self, began: float) -> bool:
+        """Return whether all live hosts are heard after `began`, and none is lost meanwhile."""
+        while not self._freshness.may_lack_upstreams():
+            if self._freshness.has_heard_all_since(began):
+                return True
+            if _now() - began > LOOK_UP_SECONDS + HEAR_SECONDS:
+                return False
+            await asyncio.sleep(HEAR_POLL_SECONDS)
+        return False
+
     async def _ask(
-        self, peers: Sequence[Member], query: StreamQuery, own: StreamKnowledge
+        self,
+        stream: bytes,
+        service: str,
+        needs_more: Callable[[Sequence[StreamKnowledge]], bool],
     ) -> list[StreamKnowledge]:
-        """Return the replies of peers, up to the first one that knows the stream."""
+        """Return the replies of the peers that keep a stream, up to the first one that knows it.
+
+        Silent ones are asked again while the replies `needs_more`.
+        """
+        peers = self._list_peers(stream)
+        if not peers:
+            return []
+        query = StreamQuery(next(self._numbers), stream, service)
         pending = _PendingQuery({peer.ip for peer in peers})
         self._pending[query.number] = pending
         try:
@@ -253,7 +316,7 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(QUERY_SECONDS):
                         await pending.answered.wait()
-                if not pending.waiting or not needs_more_replies(own, pending.replies):
+                if not pending.waiting or not needs_more(pending.replies):
                     break
         finally:
             del self._pending[query.number]
--- a/src/swifttrestle/internal/policy/stream_builds.py
+++ b/src/swifttrestle/internal/policy/stream_builds.py
@@ -22,11 +22,13 @@
 class StreamKnowledge:
     """What one host knows of a stream: where it began, or None.
 
-    `several` is whether the service that would continue it may have had several versions lately.
+    `several` is whether the service that would continue it may have had several versions lately,
+    and `only` the one that it has, as far as this host knows.
     """
 
     origin: StreamOrigin | None
     several: bool
+    only: StreamOrigin | None = None
 
 
 class KnownBy(Enum):
@@ -49,25 +51,31 @@
 
 
 def choose_continuation(
-    own: StreamKnowledge, replies: Sequence[StreamKnowledge], has_peers: bool
+    own: StreamKnowledge, replies: Sequence[StreamKnowledge], asked: int
 ) -> Continuation:
-    """Return where a stream may go on.
+    """Return where a stream may go on, by this host and those of the `asked` that replied.
 
-    Where no host knows it, that is right anywhere only if there has been no choice. That needs a
-    peer's word, since this host may be cut off.
+    Where no host knows it, there must have been no choice. That needs the word of each host that
+    was asked: a silent one may know the stream, and those that reply may be cut off from it too.
     """
     if own.origin is not None:
         return Continuation(True, own.origin, KnownBy.OWN)
-    known = [item.origin for item in replies if item.origin is not None]
-    if known:
-        return Continuation(True, known[0], KnownBy.PEER)
-    if any(item.several for item in (own, *replies)) or (has_peers and not replies):
+    known = find_known(replies)
+    if known is not None:
+        return known
+    if any(item.several for item in (own, *replies)) or len(replies) < asked:
         return Continuation(False)
-    return Continuation(True, known_by=KnownBy.ONE_BUILD)
+    return Continuation(True, own.only, KnownBy.ONE_BUILD)
+
+
+def find_known(replies: Sequence[StreamKnowledge]) -> Continuation | None:
+    """Return where a stream goes on that a peer knows, or None if no reply tells."""
+    known = [item.origin for item in replies if item.origin is not None]
+    return Continuation(True, known[0], KnownBy.PEER) if known else None
 
 
 def needs_more_replies(own: StreamKnowledge, replies: Sequence[StreamKnowledge]) -> bool:
-    """Return whether peers that have not replied are worth another query."""
+    """Return whether silent peers are worth another query before the store is asked."""
     if any(item.origin is not None for item in replies):
         return False
     return not replies or any(item.several for item in (own, *replies))
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -130,7 +130,7 @@
         self.on_removed: Callable[[Instance], None] = do_nothing
         # The services in the configuration in force, None if there is no configuration.
         self.declared: frozenset[str] | None = None
-        # The event loop's time at which the discovery list was last confirmed.
+        # The event loop's time as of which the discovery list is known to be the store's.
         self.confirmed_at = float("-inf")
         # Declared properties of engines, by service.
         self.traits: dict[str, EngineTraits] = {}
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -54,6 +54,11 @@
         """Return whether it is alive here or was recently reported by another host."""
         return self.is_alive(now) or now - self.reported_at < REPORTED_PEER_TIMEOUT_SECONDS
 
+    @property
+    def heard_at(self) -> float:
+        """When it was last heard here, or reported as live by another host."""
+        return max(self.last_heartbeat_at, self.reported_at)
+
     def is_live(self, now: float) -> bool:
         """Return whether it is a member: recently seen and not stopping."""
         return self.is_seen(now) and now - self.leaving_at >= LEAVING_SECONDS
@@ -191,6 +196,18 @@
         """Return the recently seen peers, including stopping ones."""
         return [peer for peer in self.peers.values() if peer.is_seen(now)]
 
+    def list_lost(self, now: float, seconds: float) -> list[Peer]:
+        """Return the peers that fell silent in the last `seconds` without announcing their stop."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if not peer.is_seen(now) and peer.leaving_at == NEVER and now - peer.heard_at < seconds
+        ]
+
+    def has_heard_all_since(self, at: float, now: float) -> bool:
+        """Return whether all live peers were heard at the time `at` or later."""
+        return all(peer.heard_at >= at for peer in self.peers.values() if peer.is_live(now))
+
     def list_unseen(self, now: float) -> list[Peer]:
         """Return the peers not recently seen, including those known by name or IP alone."""
         return [peer for peer in self.peers.values() if not peer.is_seen(now)]
--- a/src/swifttrestle/internal/state/stream_builds.py
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -51,13 +51,20 @@
         origin, noted_at = self._streams.get(stream, (None, now))
         return origin if now - noted_at < MEMORY_SECONDS else None
 
-    def note_builds(self, service: str, builds: Iterable[str], now: float) -> None:
-        """Record that a service has upstreams of these versions."""
+    def note_builds(
+        self, service: str, builds: Iterable[str], now: float, current: bool = True
+    ) -> None:
+        """Record that a service has upstreams of these versions.
+
+        Others may have been missed unless the list that shows them is `current`.
+        """
+        self._seen[service].update(dict.fromkeys(builds, now))
+        if not current:
+            return
         if now - self._noted_at > MAX_GAP_SECONDS:
             self._noted_since = now
         self._noted_since = min(self._noted_since, now)
         self._noted_at = now
-        self._seen[service].update(dict.fromkeys(builds, now))
 
     def may_have_several(self, service: str, now: float) -> bool:
         """Return whether a service may have had upstreams of several versions lately.
--- a/src/swifttrestle_standins/hosted/site.py
+++ b/src/swifttrestle_standins/hosted/site.py
@@ -102,8 +102,9 @@
     settings: HostSettings
     task: asyncio.Task[None]
     metrics_address: tuple[str, int]
-    # Its direct paths to the upstreams, which can be cut.
+    # Its direct paths to the upstreams and to the store, which can be cut.
     paths: CuttableDialer
+    store_paths: CuttableDialer
 
 
 @dataclass
@@ -217,8 +218,9 @@
         port = pick_port(ip)
         gateway = Gateway(settings, metrics_port=port, incarnation=incarnation)
         gateway.upstream_pool.dialer = paths = CuttableDialer()
+        gateway.store_pool.dialer = store_paths = CuttableDialer()
         task = asyncio.ensure_future(gateway.run())
-        running = RunningGateway(gateway, settings, task, (ip, port), paths)
+        running = RunningGateway(gateway, settings, task, (ip, port), paths, store_paths)
         self.gateways[name] = running
         return running
 
--- a/tests/cover/test_stream_directory.py
+++ b/tests/cover/test_stream_directory.py
@@ -15,7 +15,9 @@
     QUERIES,
     QUERY_SECONDS,
     SharedStreamDirectory,
+    TakeUp,
 )
+from swifttrestle.internal.policy.list_freshness import ListFreshness
 from swifttrestle.internal.policy.stream_builds import (
     Continuation,
     StreamKnowledge,
@@ -32,6 +34,7 @@
 from swifttrestle.internal.state.declared import UpstreamRecord
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.stream_builds import (
+    MAX_GAP_SECONDS,
     MAX_STREAMS,
     MEMORY_SECONDS,
     StreamBuilds,
@@ -141,19 +144,109 @@
     run_in_virtual_time(scenario())
 
 
-@pytest.mark.parametrize(("builds", "queries"), [(("v1",), 1), (BOTH, QUERIES)])
-def test_a_dead_peer_is_asked_again_only_where_it_may_change_the_decision(builds, queries):
+class KnowingArchive:
+    """Knows of each stream that it began at one origin."""
+
+    async def find(self, route, url, stream):
+        return OLD
+
+
+@pytest.mark.parametrize(
+    ("builds", "archive", "queries", "wanted"),
+    [
+        # The store knows: the silent peer need not reply.
+        (("v1",), KnowingArchive(), 1, Continuation(True, OLD)),
+        # Nobody else knows: it may be the one that noted the stream.
+        (("v1",), None, 1 + QUERIES, Continuation(False)),
+        (BOTH, None, QUERIES, Continuation(False)),
+    ],
+)
+def test_a_silent_peer_is_asked_again_only_where_it_may_change_the_decision(
+    builds, archive, queries, wanted
+):
     async def scenario():
         hosts = Hosts(8, builds=builds)
-        hosts.network.cut.add(hosts.directories["h0"]._list_peers(b"unknown")[0].ip)
+        directory = hosts.directories["h0"]
+        directory._archive = archive
+        hosts.network.cut.add(directory._list_peers(b"unknown")[0].ip)
         began = asyncio.get_running_loop().time()
-        found = await hosts.find("h0", b"unknown")
-        assert found.allowed == (builds != BOTH)
+        take_up = TakeUp(None, "site.example/")
+        assert await directory.find_continuation(b"unknown", SERVICE, take_up) == wanted
         return asyncio.get_running_loop().time() - began
 
     assert run_in_virtual_time(scenario()) == pytest.approx(queries * QUERY_SECONDS)
 
 
+class ScriptedFreshness(ListFreshness):
+    """Says what a test sets."""
+
+    def __init__(self):
+        self.lacks = False
+        self.heard_at = float("inf")
+
+    def may_lack_upstreams(self):
+        return self.lacks
+
+    def has_heard_all_since(self, at):
+        return self.heard_at >= at
+
+
+@pytest.mark.parametrize(
+    ("lacks", "heard_after", "lost_after", "allowed"),
+    [
+        (False, 0.0, None, True),
+        (False, 0.4, None, True),
+        (False, 0.4, 0.2, False),
+        (False, None, None, False),
+        (True, 0.0, None, False),
+    ],
+)
+def test_a_stream_that_nobody_knows_goes_on_only_at_a_host_that_hears_all_others(
+    lacks, heard_after, lost_after, allowed
+):
+    async def scenario():
+        hosts = Hosts(8, builds=("v1",))
+        freshness = ScriptedFreshness()
+        hosts.directories["h0"]._freshness = freshness
+        for member in hosts.members:
+            await hosts.find(member.host, b"first look")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        freshness.lacks = lacks
+        freshness.heard_at = began if heard_after == 0.0 else float("-inf")
+        if heard_after:
+            loop.call_later(heard_after, setattr, freshness, "heard_at", began + heard_after)
+        if lost_after:
+            loop.call_later(lost_after, setattr, freshness, "lacks", True)
+        found = await hosts.find("h0", b"unknown")
+        assert found == (Continuation(True, OLD) if allowed else Continuation(False))
+        # Neither does it vouch for its list to others.
+        found = await hosts.find("h1", b"unknown")
+        assert found.allowed or freshness.lacks
+
+    run_in_virtual_time(scenario())
+
+
+def test_versions_that_a_host_may_have_missed_count_once_its_list_is_current_again():
+    async def scenario():
+        hosts = Hosts(2, builds=("v1",))
+        freshness = ScriptedFreshness()
+        for item in hosts.directories.values():
+            item._freshness = freshness
+        observers = [asyncio.ensure_future(item.run()) for item in hosts.directories.values()]
+        assert (await hosts.find("h0", b"unknown")).allowed
+        freshness.lacks = True
+        await asyncio.sleep(MAX_GAP_SECONDS + 1)
+        freshness.lacks = False
+        assert not (await hosts.find("h0", b"unknown")).allowed
+        await asyncio.sleep(MEMORY_SECONDS + 1)
+        assert (await hosts.find("h0", b"unknown")).allowed
+        for item in observers:
+            item.cancel()
+
+    run_in_virtual_time(scenario())
+
+
 def test_a_stream_that_no_host_knows_is_refused_for_as_long_as_versions_are_remembered():
     async def scenario():
         hosts = Hosts(8)
@@ -162,7 +255,7 @@
         hosts.fleet.remove("i0")
         assert await hosts.find("h1", b"unknown") == Continuation(False)
         await asyncio.sleep(MEMORY_SECONDS + 1)
-        assert await hosts.find("h1", b"unknown") == Continuation(True)
+        assert await hosts.find("h1", b"unknown") == Continuation(True, NEW)
         for item in observers:
             item.cancel()
 
@@ -197,29 +290,28 @@
 
 KNOWN, NOTHING, SEVERAL = (
     StreamKnowledge(NEW, True),
-    StreamKnowledge(None, False),
+    StreamKnowledge(None, False, OLD),
     StreamKnowledge(None, True),
 )
 
 
 @pytest.mark.parametrize(
-    ("own", "replies", "has_peers", "wanted"),
+    ("own", "replies", "asked", "wanted"),
     [
-        (KNOWN, [], False, Continuation(True, NEW)),
-        (NOTHING, [NOTHING, KNOWN], True, Continuation(True, NEW)),
-        (SEVERAL, [KNOWN], True, Continuation(True, NEW)),
-        (NOTHING, [NOTHING], True, Continuation(True)),
-        (NOTHING, [], False, Continuation(True)),
-        (NOTHING, [], True, Continuation(False)),
-        (NOTHING, [NOTHING, SEVERAL], True, Continuation(False)),
-        (SEVERAL, [NOTHING], True, Continuation(False)),
-        (SEVERAL, [], False, Continuation(False)),
+        (KNOWN, [], 0, Continuation(True, NEW)),
+        (NOTHING, [NOTHING, KNOWN], 4, Continuation(True, NEW)),
+        (SEVERAL, [KNOWN], 4, Continuation(True, NEW)),
+        (NOTHING, [NOTHING], 1, Continuation(True, OLD)),
+        (NOTHING, [], 0, Continuation(True, OLD)),
+        (NOTHING, [], 1, Continuation(False)),
+        (NOTHING, [NOTHING], 2, Continuation(False)),
+        (NOTHING, [NOTHING, SEVERAL], 2, Continuation(False)),
+        (SEVERAL, [NOTHING], 1, Continuation(False)),
+        (SEVERAL, [], 0, Continuation(False)),
     ],
 )
-def test_a_stream_goes_on_where_it_began_or_where_there_is_no_choice(
-    own, replies, has_peers, wanted
-):
-    assert choose_continuation(own, replies, has_peers) == wanted
+def test_a_stream_goes_on_where_it_began_or_where_there_is_no_choice(own, replies, asked, wanted):
+    assert choose_continuation(own, replies, asked) == wanted
 
 
 def test_the_oldest_streams_are_forgotten_first():
--- a/tests/hosted/lost_hosts.py
+++ b/tests/hosted/lost_hosts.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.codes import Code
 from swifttrestle.internal.protocol.stream_records import DEFAULTS_NAME, STREAM_KIND
+from swifttrestle_standins.hosted.cuts import Cut
 from swifttrestle_standins.hosted.site import make_model_service, make_route, wait_until
 from swifttrestle_standins.hosted.upstreams import Script, StandInEngine
 from tests.common.http import Answer, ask
@@ -61,6 +62,8 @@
     def __init__(self, site):
         self.site = site
         self._down = set()
+        # The hosts that are cut off, each with those that it reaches all the same.
+        self._cut_off = {}
         self._engines = {}
         self._streams = itertools.count(1)
         # The broken streams by their origin: service and version.
@@ -112,7 +115,8 @@
 
     def list_up(self):
         """Return the names of the hosts that serve."""
-        return [name for name in self.site.gateways if name not in self._down]
+        out = self._down | self._cut_off.keys()
+        return [name for name in self.site.gateways if name not in out]
 
     async def lose(self, *names):
         """End hosts at once, without a word to anybody."""
@@ -146,11 +150,40 @@
         await self.site.wait_ready(*names)
         await self.wait_listed()
 
-    def cut_from_peers(self, name):
-        """Let a host send and get no datagrams."""
-        socket = self.site.gateways[name].gateway._streams._socket
-        socket.send = lambda *_: None
-        socket.datagram_received = lambda *_: None
+    def cut_from_peers(self, *names):
+        """Let hosts send datagrams to each other alone, and get none of others."""
+        reached = {self.site.gateways[name].settings.ip for name in names}
+        for name in names:
+            _filter_datagrams(self._find_socket(name), reached - {self._find_ip(name)})
+
+    def cut_off(self, *names):
+        """Cut hosts off from the store and from all hosts but each other; callers reach them."""
+        self.cut_from_peers(*names)
+        for name in names:
+            self.site.gateways[name].store_paths.start_cut(Cut.HANG)
+            self._cut_off[name] = names
+
+    async def heal(self):
+        """End all cuts; return once all hosts know each other and list the engines."""
+        for name in self._cut_off:
+            socket = self._find_socket(name)
+            del socket.send, socket.datagram_received
+            self.site.gateways[name].store_paths.heal()
+        self._cut_off = {}
+        await wait_until(lambda: all_know_each_other(self.site), "all hosts to be known")
+        await self.wait_listed()
+
+    async def wait_alone(self, *names):
+        """Wait until cut off hosts count all others as lost."""
+        for name in names:
+            live = self.site.gateways[name].gateway.live_hosts
+            await wait_until(lambda k=live: set(k()) <= set(names), f"{name} alone")
+
+    def _find_socket(self, name):
+        return self.site.gateways[name].gateway._streams._socket
+
+    def _find_ip(self, name):
+        return self.site.gateways[name].settings.ip
 
     # Streams.
 
@@ -194,21 +227,25 @@
         host = hosts[number % len(hosts)]
         return await self.ask(host, "/once/a", name, X_Token_Usage=pick_usage(number))
 
-    async def take_up_all(self, *hosts):
-        """Have callers take up all broken streams at hosts, or at all that serve."""
+    async def take_up_all(self, *hosts, names_stream=True):
+        """Have callers take up all broken streams at hosts, or at all that serve.
+
+        Unless `names_stream`, their requests do not say which stream they take up.
+        """
         names = list(self.begun)
         return await run_some_at_once(
-            self.take_up(name, number, hosts or self.list_up()) for number, name in enumerate(names)
+            self.take_up(name, number, hosts or self.list_up(), names_stream)
+            for number, name in enumerate(names)
         )
 
-    async def take_up(self, stream, number, hosts):
+    async def take_up(self, stream, number, hosts, names_stream=True):
         # Another host than the one that began it.
         host = hosts[(number + 2) % len(hosts)]
         name = f"t{number}-{stream}"
+        named = {"Resumes": stream} if names_stream else {}
         answer = await self.ask(
-            host, "/verdict/a", name, X_Token_Usage=pick_usage(number), Last_Event_Id=SEEN,
-            Resumes=stream,
-        )  # fmt: skip
+            host, "/verdict/a", name, X_Token_Usage=pick_usage(number), Last_Event_Id=SEEN, **named
+        )
         return TakeUp(self.begun[stream], name, answer)
 
     async def ask(self, host, path, name, **headers):
@@ -221,7 +258,7 @@
             (engine.service, engine.build)
             for engine in self.site.upstreams.values()
             for name, headers in engine.arrivals
-            if stream in (name, headers.get("resumes"))
+            if stream in (name, headers.get("resumes"), name.partition("-")[2])
             and headers.get("x-stage") != "prefill"
             and engine.runs.get(name)
         }
@@ -231,6 +268,21 @@
         return sum(len(self.list_origins(stream)) > 1 for stream in self.begun)
 
 
+def _filter_datagrams(socket, reached):
+    """Let a host send datagrams to some IPs alone, and get none of others."""
+    send, receive = socket.send, socket.datagram_received
+
+    def send_if_reached(ip, kind, data):
+        if ip in reached:
+            send(ip, kind, data)
+
+    def receive_if_reached(data, addr):
+        if addr[0] in reached:
+            receive(data, addr)
+
+    socket.send, socket.datagram_received = send_if_reached, receive_if_reached
+
+
 def pick_usage(number):
     """Return the tokens of a request: each third prompt is prefilled by another engine."""
     return LONG if number % 3 == 0 else SHORT
