A host that is cut off refuses take-ups that it cannot place at once, and logs it

Cause: each look-up connected anew. Change: a host that has lost others and counts the store as unreachable refuses at once; it logs when its list may lack upstreams, and why (age, lost hosts, whether peers reach the store). A shared read of the store that all callers have left no longer logs an unhandled error.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -236,7 +236,9 @@
             rng.getrandbits(NUMBER_BITS),
             settings.first_start,
             self._stream_archive,
-            ObservedFreshness(self._fleet, self._gossip.peers),
+            ObservedFreshness(
+                self._fleet, self._gossip.peers, lambda: self._discovery.store_unreachable
+            ),
         )
         self._state.conditions.on_capacity = self._serve_queues
         self._prompt_cache_loader = PromptCacheLoader(
--- a/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
+++ b/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
+from swifttrestle.internal.event_log import log_event, round_age
 from swifttrestle.internal.policy.list_freshness import (
     LOST_SECONDS,
     ListFreshness,
@@ -16,14 +18,34 @@
 class ObservedFreshness(ListFreshness):
     """Derives the freshness of `fleet` from its last confirmation and from peers' heartbeats."""
 
-    def __init__(self, fleet: Fleet, peers: PeerTable) -> None:
-        """Observe a fleet and the peers of this host."""
+    def __init__(
+        self, fleet: Fleet, peers: PeerTable, is_store_unreachable: Callable[[], bool]
+    ) -> None:
+        """Observe a fleet, the peers of this host and whether it reaches the store."""
         self._fleet = fleet
         self._peers = peers
+        self._is_store_unreachable = is_store_unreachable
+        # What was logged last.
+        self._may_lack = False
 
     def may_lack_upstreams(self) -> bool:
         """Return whether other hosts may use upstreams that this host's list lacks."""
-        return may_lack_upstreams(self.observe())
+        observed = self.observe()
+        may_lack = may_lack_upstreams(observed)
+        if may_lack != self._may_lack:
+            self._may_lack = may_lack
+            log_event(
+                "list freshness",
+                may_lack_upstreams=may_lack,
+                age=round_age(observed.age),
+                lost_hosts=observed.lost_hosts,
+                store_answers_peers=observed.store_answers_peers,
+            )
+        return may_lack
+
+    def is_cut_off(self) -> bool:
+        """Return whether this host has lost others and the store."""
+        return self._is_store_unreachable() and self.observe().lost_hosts > 0
 
     def observe(self) -> ListObservation:
         """Return what is known of the list's age now."""
--- a/src/swifttrestle/internal/coordination/store/shared_read.py
+++ b/src/swifttrestle/internal/coordination/store/shared_read.py
@@ -23,6 +23,8 @@
         """Return the result of a read that begins from now on."""
         if self._next is None:
             self._next = asyncio.ensure_future(self._read_later())
+            # Its error is the callers' business, also once all of them have left.
+            self._next.add_done_callback(lambda task: task.cancelled() or task.exception())
         # A caller that leaves does not end the read for the others.
         return await asyncio.shield(self._next)
 
--- a/src/swifttrestle/internal/event_log.py
+++ b/src/swifttrestle/internal/event_log.py
@@ -17,6 +17,8 @@
 MAX_QUEUED_LINES = 4096
 # Seconds between two writes; the lines queued meanwhile go out in one call.
 FLUSH_INTERVAL_SECONDS = 0.1
+# Maximum age of a belief in the log, in seconds; also that of one that was never confirmed.
+MAX_LOGGED_AGE_SECONDS = 9999.0
 
 
 class LineWriter:
@@ -87,6 +89,11 @@
 WRITER = LineWriter(sys.stdout.fileno() if sys.stdout else 1)
 
 
+def round_age(seconds: float) -> float:
+    """Return an age as lines show it."""
+    return round(min(seconds, MAX_LOGGED_AGE_SECONDS), 1)
+
+
 def log_event(event: str, **fields: object) -> None:
     """Log a decision or a change of this host's state."""
     WRITER.put(event, fields)
--- a/src/swifttrestle/internal/forward/request_log.py
+++ b/src/swifttrestle/internal/forward/request_log.py
@@ -4,16 +4,13 @@
 from collections.abc import Sequence
 
 from swifttrestle.codes import Code
-from swifttrestle.internal.event_log import log_event
+from swifttrestle.internal.event_log import log_event, round_age
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.gateway_state import GatewayState
 from swifttrestle.internal.forward.quotas import QuotaCharge
 from swifttrestle.internal.transport.caller import IncomingRequest
 from swifttrestle.platform.wire import REQUEST_ID
 
-# Maximum age of the discovery list in the request log; also logged if it was never confirmed.
-MAX_LOGGED_AGE_SECONDS = 9999.0
-
 
 def log_request(
     state: GatewayState, request: IncomingRequest, ctx: Context | None, code: Code, outcome: str
@@ -36,7 +33,7 @@
         route=route,
         workspace=ctx.workspace.name if ctx and ctx.workspace else "",
         config=ctx.config_version if ctx else 0,
-        list_age=round(min(now - state.fleet.confirmed_at, MAX_LOGGED_AGE_SECONDS), 1),
+        list_age=round_age(now - state.fleet.confirmed_at),
         code=code.name,
         outcome=outcome,
         tokens=[ctx.request_metadata.prompt_tokens, ctx.request_metadata.output_tokens]
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -248,6 +248,8 @@
         known = find_known(replies)
         if known is not None:
             return known
+        if self._freshness.is_cut_off():
+            return Continuation(False)
         stored = await self._look_up_stored(stream, take_up)
         if stored is not None:
             return stored
--- a/src/swifttrestle/internal/policy/list_freshness.py
+++ b/src/swifttrestle/internal/policy/list_freshness.py
@@ -50,6 +50,10 @@
     def has_heard_all_since(self, at: float) -> bool:
         """Return whether all live hosts were heard since a time of the event loop's clock."""
 
+    @abstractmethod
+    def is_cut_off(self) -> bool:
+        """Return whether this host has lost others and the store."""
+
 
 class AlwaysFresh(ListFreshness):
     """For hosts without peers, whose list is the only one."""
@@ -61,3 +65,7 @@
     def has_heard_all_since(self, at: float) -> bool:
         """Return True."""
         return True
+
+    def is_cut_off(self) -> bool:
+        """Return False."""
+        return False
--- a/tests/cover/test_list_freshness.py
+++ b/tests/cover/test_list_freshness.py
@@ -51,11 +51,12 @@
 def test_a_host_is_lost_while_it_may_serve_on_unheard(silent_seconds, leaving, lost, heard):
     async def scenario():
         peers = PeerTable(ME)
-        freshness = ObservedFreshness(Fleet(), peers)
+        freshness = ObservedFreshness(Fleet(), peers, lambda: True)
         began = asyncio.get_running_loop().time()
         peers.record_heartbeat(Heartbeat(PEER, 1, leaving), began)
         await asyncio.sleep(silent_seconds)
         assert bool(freshness.observe().lost_hosts) == lost
+        assert freshness.is_cut_off() == lost
         live = [item.host for item in peers.list_members(began + silent_seconds)]
         # A host that is no longer live need not be heard.
         assert freshness.has_heard_all_since(began + 0.1) == (PEER.host not in live)
--- a/tests/cover/test_stream_directory.py
+++ b/tests/cover/test_stream_directory.py
@@ -190,6 +190,9 @@
     def has_heard_all_since(self, at):
         return self.heard_at >= at
 
+    def is_cut_off(self):
+        return False
+
 
 @pytest.mark.parametrize(
     ("lacks", "heard_after", "lost_after", "allowed"),
