Versions are noted as of the list that shows them, not of the look at it

What callers could see: a host that was cut off for some seconds and is back counted the time meanwhile as watched, as its look at the old list went on each second; after the crash of another host, with the list confirmed all along, it should not. Cause: the time of the look was taken for that of the list. Change: versions are noted as of when the store was asked for the list; while the store answers no host and none is lost, as of now.

--- a/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
+++ b/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
@@ -7,8 +7,10 @@
 from swifttrestle.internal.event_log import log_event, round_age
 from swifttrestle.internal.policy.list_freshness import (
     LOST_SECONDS,
+    MAX_LIST_AGE_SECONDS,
     ListFreshness,
     ListObservation,
+    is_outdated,
     may_lack_upstreams,
 )
 from swifttrestle.internal.state.fleet import Fleet
@@ -43,6 +45,12 @@
             )
         return may_lack
 
+    def find_known_at(self) -> float:
+        """Return the event loop's time as of which the list shows what any host may use."""
+        observed = self.observe()
+        in_outage = observed.age > MAX_LIST_AGE_SECONDS and not is_outdated(observed)
+        return _now() if in_outage else self._fleet.confirmed_at
+
     def is_cut_off(self) -> bool:
         """Return whether this host has lost others and the store."""
         return self._is_store_unreachable() and self.observe().lost_hosts > 0
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -171,8 +171,8 @@
         )
 
     def _observe(self, service: str) -> None:
-        current = not self._freshness.may_lack_upstreams()
-        self._builds.note_builds(service, self._fleet.list_builds(service), _now(), current)
+        known_at = self._freshness.find_known_at()
+        self._builds.note_builds(service, self._fleet.list_builds(service), _now(), known_at)
 
 
 class SharedStreamDirectory(LocalStreamDirectory):
--- a/src/swifttrestle/internal/policy/list_freshness.py
+++ b/src/swifttrestle/internal/policy/list_freshness.py
@@ -4,6 +4,7 @@
 it. What it can notice is that the store no longer answers, and that other hosts have become silent.
 """
 
+import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -29,19 +30,30 @@
     store_answers_peers: bool
 
 
+def is_outdated(observed: ListObservation) -> bool:
+    """Return whether a list is older than what other hosts may have.
+
+    While the store answers no host, and none is lost, no host learns of new upstreams.
+    """
+    told_by_store = observed.store_answers_peers or observed.lost_hosts > 0
+    return observed.age > MAX_LIST_AGE_SECONDS and told_by_store
+
+
 def may_lack_upstreams(observed: ListObservation) -> bool:
     """Return whether other hosts may use upstreams that a list lacks.
 
-    While the store answers no host, no host learns of new ones. Lost hosts may reach it.
+    Lost hosts may have learnt of them in the very moment.
     """
-    if observed.lost_hosts:
-        return True
-    return observed.age > MAX_LIST_AGE_SECONDS and observed.store_answers_peers
+    return observed.lost_hosts > 0 or is_outdated(observed)
 
 
 class ListFreshness(ABC):
     """Knows how current this host's list of upstreams is."""
 
+    @abstractmethod
+    def find_known_at(self) -> float:
+        """Return the event loop's time as of which the list shows what any host may use."""
+
     @abstractmethod
     def may_lack_upstreams(self) -> bool:
         """Return whether other hosts may use upstreams that this host's list lacks."""
@@ -58,6 +70,10 @@
 class AlwaysFresh(ListFreshness):
     """For hosts without peers, whose list is the only one."""
 
+    def find_known_at(self) -> float:
+        """Return the present."""
+        return asyncio.get_running_loop().time()
+
     def may_lack_upstreams(self) -> bool:
         """Return False."""
         return False
--- a/src/swifttrestle/internal/state/stream_builds.py
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 
 from swifttrestle.internal.eviction import make_room
+from swifttrestle.internal.state.peers import NEVER, UNKNOWN
 
 # Seconds for which a stream, or a version that a service has no more, is remembered: longer than
 # callers take streams up.
 MEMORY_SECONDS = 120.0
-# Seconds without a look after which versions may have been missed, for instance in a suspension.
-MAX_GAP_SECONDS = 5.0
+# Seconds between two lists after which versions may have been missed, for instance in a suspension.
+# Longer than hosts need to find out that the store is down for all of them.
+MAX_GAP_SECONDS = 10.0
 # Some megabytes; the oldest streams are forgotten.
 MAX_STREAMS = 20_000
 
@@ -33,8 +35,8 @@
     def __init__(self, knows_past: bool = False) -> None:
         """Start without knowledge; `knows_past` is whether there was nothing to know before."""
         # Since when versions are noted without a gap, and when they were noted last.
-        self._noted_since = float("-inf") if knows_past else float("inf")
-        self._noted_at = float("inf")
+        self._noted_since = NEVER if knows_past else UNKNOWN
+        self._noted_at = UNKNOWN
         # The origin and the time at which it was noted, by stream, in the order of these times.
         self._streams: dict[bytes, tuple[StreamOrigin, float]] = {}
         # The time at which each version was last seen, by service.
@@ -51,20 +53,18 @@
         origin, noted_at = self._streams.get(stream, (None, now))
         return origin if now - noted_at < MEMORY_SECONDS else None
 
-    def note_builds(
-        self, service: str, builds: Iterable[str], now: float, current: bool = True
-    ) -> None:
-        """Record that a service has upstreams of these versions.
+    def note_builds(self, service: str, builds: Iterable[str], now: float, known_at: float) -> None:
+        """Record that a service has upstreams of these versions, by a list of the time `known_at`.
 
-        Others may have been missed unless the list that shows them is `current`.
+        However often an old list is looked at, it shows no version that came after it.
         """
         self._seen[service].update(dict.fromkeys(builds, now))
-        if not current:
+        if known_at == NEVER:
             return
-        if now - self._noted_at > MAX_GAP_SECONDS:
-            self._noted_since = now
-        self._noted_since = min(self._noted_since, now)
-        self._noted_at = now
+        if known_at - self._noted_at > MAX_GAP_SECONDS:
+            self._noted_since = known_at
+        self._noted_since = min(self._noted_since, known_at)
+        self._noted_at = known_at if self._noted_at == UNKNOWN else max(self._noted_at, known_at)
 
     def may_have_several(self, service: str, now: float) -> bool:
         """Return whether a service may have had upstreams of several versions lately.
