An entry nested up to a thousand levels stops no host from following the list

What callers saw: one entry of the discovery list with lists or objects some 960 to 1,021 levels deep, and no host followed the list any more; a host that started then was not ready and refused all requests.

Cause: the fast decoder takes up to 1,024 levels, the interpreter prints fewer than 1,000. The entry was refused, but writing its error failed (RecursionError), which ended the discovery task at each list and watch. Earlier tests had 2,000 levels and more, which the fast decoder refuses.

Change: decoded answers of the store have at most 100 levels, whichever decoder reads them; deeper values are marked, so that only their entry is skipped. Entries of 101 to 254 levels were taken or refused depending on their neighbours; they are refused now.

--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -10,10 +10,9 @@
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
+from swifttrestle.internal.json_values import MAX_DEPTH, decode_json
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
-# Levels of lists and objects in a readable value. Few enough for the decoder's own limit.
-MAX_DEPTH = 100
 # Digits of a readable whole number; more than those of any that the store uses.
 MAX_DIGITS = 400
 _STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
@@ -90,8 +89,8 @@
     objects with such values are malformed.
     """
     try:
-        return orjson.loads(content) if content else None
-    except orjson.JSONDecodeError:
+        return decode_json(content) if content else None
+    except ValueError:
         pass
     try:
         return json.loads(
--- a/tests/cover/test_spoilt_entries.py
+++ b/tests/cover/test_spoilt_entries.py
@@ -12,6 +12,8 @@
 )
 
 GOOD = b'{"metadata": {"name": "%b", "revision": 3}, "spec": {"a": 1}}'
+# Levels that the fast decoder takes, up to and just above its limit.
+NEAR_LIMITS = (101, 250, 300, 500, 800, 900, 950, 970, 990, 1000, 1010, 1015, 1020, 1025)
 # The specs of entries that cannot be taken.
 SPOILT = {
     "5000 digits": b"9" * 5000,
@@ -26,6 +28,8 @@
     "bytes that are no text": b'"\xff\xfe"',
     "brackets in a text": b'"\xff[[[{{\\"[[\\\\"',
     "no number": b"NaN",
+    **{f"{levels} lists": b"[" * levels + b"]" * levels for levels in NEAR_LIMITS},
+    **{f"{levels} objects": b'{"a":' * levels + b"1" + b"}" * levels for levels in NEAR_LIMITS},
 }
 PLACES = pytest.mark.parametrize("place", [0, 1, 2], ids=["first", "middle", "last"])
 CASES = pytest.mark.parametrize("spec", SPOILT.values(), ids=SPOILT.keys())
