Deep answers of engines and deep datagrams are refused with a typed error

An engine's report, list of cached parts or handle with a value some 950 to 1,021 levels deep, or such a datagram, raised RecursionError where its error was written, which no caller expects; less deep values were taken as the names of prompt parts and handles.

--- a/src/swifttrestle/internal/protocol/bookings.py
+++ b/src/swifttrestle/internal/protocol/bookings.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_STATED_TOKENS, check_integer
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.protocol.peer_numbers import MAX_OPEN_TOKENS, MAX_SECONDS, limit_number
 from swifttrestle.internal.state.bookings import BookingRequest, Outcome, Stage
 from swifttrestle.internal.state.prompt_cache import PromptPart
@@ -111,7 +112,7 @@
 def unpack_message(data: bytes) -> tuple[str, Message]:
     """Return the sending host and its message; raise FrameError."""
     try:
-        return _read(msgpack.unpackb(data))
+        return _read(decode_msgpack(data))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise FrameError(f"booking datagram malformed: {error!r}") from None
 
--- a/src/swifttrestle/internal/protocol/copies.py
+++ b/src/swifttrestle/internal/protocol/copies.py
@@ -8,6 +8,7 @@
 import orjson
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.decoding import decode_json, decode_msgpack
 from swifttrestle.internal.protocol.listings import pack_revision, unpack_revision
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
@@ -38,11 +39,11 @@
 def unpack_copy(data: bytes) -> ConfigurationCopy:
     """Parse a copy; raise FrameError, also for truncated data."""
     try:
-        revision, content = msgpack.unpackb(data)
+        revision, content = decode_msgpack(data)
         unpacking = zlib.decompressobj()
         plain = unpacking.decompress(content, MAX_CONFIGURATION_BYTES)
         if not unpacking.eof:
             raise FrameError(f"configuration truncated or over {MAX_CONFIGURATION_BYTES} bytes")
-        return ConfigurationCopy(unpack_revision(revision), orjson.loads(plain))
+        return ConfigurationCopy(unpack_revision(revision), decode_json(plain))
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as error:
         raise FrameError(f"configuration copy malformed: {error!r}") from None
--- a/src/swifttrestle/internal/protocol/engine.py
+++ b/src/swifttrestle/internal/protocol/engine.py
@@ -13,6 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from swifttrestle.errors import StaleTokenError, UpstreamBrokenError
+from swifttrestle.internal.decoding import decode_json
 from swifttrestle.internal.transport.bounded_responses import read_bounded
 from swifttrestle.internal.transport.http import make_client
 
@@ -128,9 +129,10 @@
         if response.status != STATUS_OK:
             raise UpstreamBrokenError(f"{path}: status {response.status}")
         try:
-            value = orjson.loads(content)
-        except orjson.JSONDecodeError:
-            raise UpstreamBrokenError(f"{path}: response is not JSON") from None
+            value = decode_json(content)
+        except ValueError as error:
+            message = f"{path}: response cannot be decoded: {error}"
+            raise UpstreamBrokenError(message) from None
         if not isinstance(value, dict):
             raise UpstreamBrokenError(f"{path}: response is not a JSON object")
         return value
--- a/src/swifttrestle/internal/protocol/freshness.py
+++ b/src/swifttrestle/internal/protocol/freshness.py
@@ -11,6 +11,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number
+from swifttrestle.internal.decoding import decode_msgpack
 
 
 @dataclass(frozen=True)
@@ -53,7 +54,7 @@
 def unpack_freshness(data: bytes) -> FreshnessQuery | FreshnessReply:
     """Parse a datagram as a query or a reply; raise FrameError."""
     try:
-        values: Any = msgpack.unpackb(data)
+        values: Any = decode_msgpack(data)
         match values:
             case [asked_at, wall]:
                 return FreshnessQuery(_read_seconds(asked_at), _read_seconds(wall))
--- a/src/swifttrestle/internal/protocol/gossip.py
+++ b/src/swifttrestle/internal/protocol/gossip.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_STATED_TOKENS
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.protocol.peer_numbers import (
     MAX_OFFERED,
     MAX_OPEN_REQUESTS,
@@ -81,7 +82,7 @@
 def unpack_report(data: bytes) -> PeerReport:
     """Parse the report of a datagram; raise FrameError."""
     try:
-        values: Any = msgpack.unpackb(data)
+        values: Any = decode_msgpack(data)
     except (ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"peer report is not msgpack: {error!r}") from None
     match values:
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number, check_text
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
@@ -100,7 +101,7 @@
 def unpack_changes(data: bytes) -> ListingChanges:
     """Parse the changes of a datagram; raise FrameError."""
     try:
-        match msgpack.unpackb(_decompress(data)):
+        match decode_msgpack(_decompress(data)):
             case [since, revision, float(removal_distrust_seconds), list(records), list(removed)]:
                 return ListingChanges(
                     unpack_revision(since),
--- a/src/swifttrestle/internal/protocol/permits.py
+++ b/src/swifttrestle/internal/protocol/permits.py
@@ -9,6 +9,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.state.upstream_conditions import RateLimit
 
 # Longest accepted name of an upstream's incarnation, in characters.
@@ -135,7 +136,7 @@
 def unpack_message(data: bytes, now: float) -> Message:
     """Parse a datagram received at the event loop's time `now`; raise FrameError."""
     try:
-        kind, number, raw_start, value, rate, age = msgpack.unpackb(data)
+        kind, number, raw_start, value, rate, age = decode_msgpack(data)
         start, rate_limit = _read_start(raw_start), _read_rate_limit(rate, age, now)
         kind = PermitMessageKind(kind)
         if kind in _UNNUMBERED:
--- a/src/swifttrestle/internal/protocol/platform.py
+++ b/src/swifttrestle/internal/protocol/platform.py
@@ -22,6 +22,7 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
+from swifttrestle.internal.decoding import decode_json
 from swifttrestle.internal.transport.http import make_client
 
 CALL_TIMEOUT_SECONDS = 5.0
@@ -187,9 +188,9 @@
 
 def _parse_object(data: bytes) -> dict[str, Any]:
     try:
-        value = orjson.loads(data)
-    except orjson.JSONDecodeError:
-        raise BadPlatformAnswerError("response is not JSON") from None
+        value = decode_json(data)
+    except ValueError as error:
+        raise BadPlatformAnswerError(f"response cannot be decoded: {error}") from None
     if not isinstance(value, dict):
         raise BadPlatformAnswerError("response is not a JSON object")
     return value
--- a/src/swifttrestle/internal/protocol/quarantine.py
+++ b/src/swifttrestle/internal/protocol/quarantine.py
@@ -11,6 +11,7 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.protocol.gossip import MAX_DATAGRAM_BYTES
 from swifttrestle.internal.state.crash_records import Crash, CrashRecord
 from swifttrestle.internal.state.fingerprints import (
@@ -84,7 +85,7 @@
 def unpack_crash_update(data: bytes, now: float) -> CrashUpdate:
     """Parse a datagram received at the event loop's time `now`; raise FrameError."""
     try:
-        records, clearances, wants_all = msgpack.unpackb(data)
+        records, clearances, wants_all = decode_msgpack(data)
         return CrashUpdate(
             tuple(_read_record(name, crashes, now) for name, crashes in records),
             tuple(
--- a/src/swifttrestle/internal/protocol/quotas.py
+++ b/src/swifttrestle/internal/protocol/quotas.py
@@ -15,6 +15,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number, check_text
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.protocol.gossip import MAX_DATAGRAM_BYTES
 
 # Bytes of a collection in a datagram without its workspaces: the datagram's kind, and the message's
@@ -131,7 +132,7 @@
 def unpack_message(data: bytes) -> Message:
     """Parse a datagram; raise FrameError."""
     try:
-        kind, number, *fields = _read_list(msgpack.unpackb(data))
+        kind, number, *fields = _read_list(decode_msgpack(data))
         return _read_message(QuotaMessageKind(kind), check_integer(number, 0, MAX_INT64), fields)
     except (TypeError, ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"quota datagram malformed: {error!r:.200}") from None
--- a/src/swifttrestle/internal/protocol/rosters.py
+++ b/src/swifttrestle/internal/protocol/rosters.py
@@ -14,6 +14,7 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.protocol.gossip import limit_demand
 from swifttrestle.internal.protocol.peer_numbers import read_seconds
 from swifttrestle.internal.state.members import Member
@@ -143,7 +144,7 @@
 def unpack_roster_message(data: bytes) -> RosterMessage:
     """Parse a datagram; raise FrameError."""
     try:
-        return _read(msgpack.unpackb(data))
+        return _read(decode_msgpack(data))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise FrameError(f"roster datagram malformed: {error!r}") from None
 
--- a/src/swifttrestle/internal/protocol/stream_builds.py
+++ b/src/swifttrestle/internal/protocol/stream_builds.py
@@ -8,6 +8,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_INT64, check_integer
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.state.stream_builds import StreamOrigin
 
 # Longest accepted id of a stream, in bytes, and name of a service or version, in characters. Ids
@@ -73,7 +74,7 @@
 def unpack_message(data: bytes) -> Message:
     """Parse a datagram; raise FrameError."""
     try:
-        match msgpack.unpackb(data):
+        match decode_msgpack(data):
             case [StreamMessageKind.NOTE, bytes(stream), str(service), str(build)]:
                 return StreamNote(_check_stream(stream), _read_origin(service, build))
             case [StreamMessageKind.QUERY, int(number), bytes(stream), str(service)]:
--- a/src/swifttrestle/internal/protocol/usage.py
+++ b/src/swifttrestle/internal/protocol/usage.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.errors import FrameError
 from swifttrestle.internal.checks import MAX_COUNTED_REQUESTS, check_integer, check_text
+from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.state.usage import WindowCounts
 
 # Workspaces per datagram; with names of up to 20 characters it fits one packet.
@@ -27,7 +28,7 @@
 def unpack_counts(data: bytes) -> WindowCounts:
     """Parse the counts of a datagram; raise FrameError."""
     try:
-        values: Any = msgpack.unpackb(data)
+        values: Any = decode_msgpack(data)
         match values:
             case [str(source), window, dict(counts)]:
                 return WindowCounts(
--- a/src/swifttrestle/platform/engine.py
+++ b/src/swifttrestle/platform/engine.py
@@ -7,6 +7,7 @@
 
 from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.checks import MAX_INT64, MAX_STATED_TOKENS, check_integer
+from swifttrestle.internal.decoding import decode_json
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.prompt_cache import PromptPart
 
@@ -151,9 +152,9 @@
 
 def _decode(body: bytes) -> dict[str, Any]:
     try:
-        raw = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise UpstreamBrokenError(f"an engine's answer is not JSON: {error}") from None
+        raw = decode_json(body)
+    except ValueError as error:
+        raise UpstreamBrokenError(f"an engine's answer cannot be decoded: {error}") from None
     if not isinstance(raw, dict):
         raise UpstreamBrokenError("an engine's answer is not a JSON object")
     return raw
--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -10,7 +10,7 @@
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
-from swifttrestle.internal.json_values import MAX_DEPTH, decode_json
+from swifttrestle.internal.decoding import MAX_DEPTH, decode_json
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Digits of a readable whole number; more than those of any that the store uses.
