Pages of odd names hide no entries, and names and peers' records are checked

Three faults at the boundary of the discovery list, found by one table of odd entries (tests/common/odd_entries.py): - A page on which no name was valid (over 253 characters, lone surrogates, bytes that are not UTF-8) ended the list, so that a host that started lacked all entries behind it. The next page begins behind any name now; a long one is cut. - Names, services, zones and versions with control characters were taken. Names go into request heads (`X-Expect-Instance`), where the end of a line adds a header. They are refused now. - Records in peers' datagrams were taken with any port, address, slots, start and text; a port above 65,535 raises OverflowError where the connection is opened. They have the limits of the store's records now, and the address 255.255.255.255 is refused in both.

--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -12,7 +12,11 @@
 MAX_NAME_CHARS = 100
 # Longest text taken from the platform, in characters.
 MAX_TEXT_CHARS = 253
+# A hundred times what the largest engines have.
+MAX_SLOTS = 100_000
 _NAME = re.compile(r"[a-z0-9]([a-z0-9.-]*[a-z0-9])?")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 _SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 MAX_PORT = 65535
 # Upper bound of counts, numbers and times in input: the largest signed 64-bit integer.
@@ -51,6 +55,13 @@
     return value
 
 
+def check_line(value: Any) -> str:
+    """Return a text as `check_text`, without control characters, which would end a header line."""
+    if _CONTROL_CHARACTER.search(check_text(value)):
+        raise ValueError(f"{value!r:.80} has a control character; give a text without any")
+    return str(value)
+
+
 def check_bool(value: Any) -> bool:
     """Return a boolean."""
     if not isinstance(value, bool):
@@ -119,7 +130,7 @@
         ip = ipaddress.ip_address(host)
     except ValueError:
         raise ValueError(f"{host!r:.80} is not an IP address; give IP:PORT") from None
-    if ip.is_unspecified or ip.is_multicast or not port:
+    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST or not port:
         raise ValueError(f"{value!r:.80} is not the address of one host; give its IP and port")
     return host, port
 
--- a/src/swifttrestle/internal/protocol/listings.py
+++ b/src/swifttrestle/internal/protocol/listings.py
@@ -7,7 +7,15 @@
 import msgpack
 
 from swifttrestle.errors import FrameError
-from swifttrestle.internal.checks import MAX_INT64, check_integer, check_number, check_text
+from swifttrestle.internal.checks import (
+    MAX_INT64,
+    MAX_SLOTS,
+    check_integer,
+    check_line,
+    check_number,
+    check_text,
+    parse_ip_address,
+)
 from swifttrestle.internal.decoding import decode_msgpack
 from swifttrestle.internal.state.declared import Role, UpstreamRecord
 from swifttrestle.internal.state.store_epochs import StoreRevision
@@ -145,22 +153,23 @@
 
 
 def _read_record(values: Any) -> UpstreamRecord:
+    """Parse a record, within the limits of a record of the store; raise ValueError."""
     match values:
         case [
             str(instance), str(service), [str(host), int(port)], str(zone), int(slots),
             bool(leaving), str(role), int(born), bool(reclaimable), leaves_in, str(build),
         ]:  # fmt: skip
             return UpstreamRecord(
-                check_text(instance),
-                service,
-                (host, port),
-                zone,
-                slots,
+                check_line(instance),
+                check_line(service),
+                parse_ip_address(f"{host}:{port}"),
+                check_line(zone),
+                check_integer(slots, 1, MAX_SLOTS),
                 leaving,
                 Role(role),
-                born,
+                check_integer(born, 0, MAX_INT64),
                 reclaimable,
                 None if leaves_in is None else check_number(leaves_in, 0, MAX_INT64),
-                build,
+                check_line(build) if build else "",
             )
     raise ValueError(f"{values!r:.80} is not an upstream record")
--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -9,7 +9,7 @@
 import orjson
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
-from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
+from swifttrestle.internal.checks import MAX_INT64, check_integer, check_line
 from swifttrestle.internal.decoding import MAX_DEPTH, decode_json
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
@@ -72,7 +72,11 @@
 
 @dataclass(frozen=True)
 class ListPage:
-    """One page of a list; the next page begins after the name `last`."""
+    """One page of a list; the next page begins after the name `last`.
+
+    That may be the name of a malformed object, of any length and with lone surrogates. It is empty
+    if the page has no name.
+    """
 
     items: tuple[StoredObject, ...]
     malformed: tuple[MalformedObject, ...]
@@ -140,7 +144,7 @@
         raise BadEntryError(subject, "metadata", raw, "it is missing or not a JSON object")
     metadata = raw["metadata"]
     try:
-        name = check_text(metadata.get("name"))
+        name = check_line(metadata.get("name"))
     except ValueError as error:
         raise BadEntryError(subject, "metadata.name", metadata.get("name"), str(error)) from None
     revision = metadata.get("revision")
@@ -167,10 +171,19 @@
     read = [_read_object_or_error(kind, item, epoch) for item in raw_items]
     items = tuple(item for item in read if isinstance(item, StoredObject))
     malformed = tuple(item for item in read if isinstance(item, MalformedObject))
-    last = next((item.name for item in reversed(read) if item.name), "")
+    last = next(filter(None, map(_find_any_name, reversed(raw_items))), "")
     return ListPage(items, malformed, StoreRevision(epoch, number), more, last)
 
 
+def _find_any_name(raw: Any) -> str:
+    """Return the name of an object, valid or not, or "" if it has none."""
+    try:
+        name = raw["metadata"]["name"]
+    except (KeyError, TypeError):
+        return ""
+    return name if isinstance(name, str) else ""
+
+
 def read_changes(kind: str, raw: Any, epoch: int = 0) -> Changes:
     """Return the changes of a watch's response; raise BadPlatformAnswerError."""
     try:
@@ -204,6 +217,6 @@
 def _find_name(raw: Any) -> str:
     """Return the name of a malformed object, or "" if the name cannot be read."""
     try:
-        return check_text(raw["metadata"]["name"])
+        return check_line(raw["metadata"]["name"])
     except (KeyError, TypeError, ValueError):
         return ""
--- a/src/swifttrestle/platform/records.py
+++ b/src/swifttrestle/platform/records.py
@@ -7,9 +7,11 @@
 from swifttrestle.internal.checks import (
     MAX_INT64,
     MAX_NEED,
+    MAX_SLOTS,
     check_bool,
     check_choice,
     check_integer,
+    check_line,
     check_number,
     check_text,
     parse_ip_address,
@@ -34,8 +36,6 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 UPSTREAM_KIND = "servers"
-# A hundred times what the largest engines have.
-MAX_SLOTS = 100_000
 # Number of the least urgent priority; smaller numbers are more urgent, as in engines.
 LOWEST_PRIORITY = 9
 # Highest number in a quota: whole numbers up to it are exact in any reader of JSON.
@@ -66,9 +66,9 @@
     fields.read_optional("models", _check_list)
     return UpstreamRecord(
         instance=instance,
-        service=fields.read("service", check_text),
+        service=fields.read("service", check_line),
         address=fields.read("address", parse_ip_address),
-        zone=fields.read("zone", check_text),
+        zone=fields.read("zone", check_line),
         slots=fields.read("slots", lambda value: check_integer(value, 1, MAX_SLOTS)),
         leaving=fields.read("state", lambda value: check_choice(value, _STATES)) == _DRAINING,
         role=Role(
@@ -79,7 +79,7 @@
         leaves_in=_to_seconds(
             fields.read_optional("leaves_ms", lambda value: check_number(value, 0, MAX_INT64))
         ),
-        build=fields.read_optional("version", check_text) or "",
+        build=fields.read_optional("version", check_line) or "",
     )
 
 
--- a/src/swifttrestle/platform/store.py
+++ b/src/swifttrestle/platform/store.py
@@ -22,6 +22,7 @@
     RateLimitedError,
     UpstreamBrokenError,
 )
+from swifttrestle.internal.checks import MAX_TEXT_CHARS
 from swifttrestle.internal.state.store_epochs import StoreEpochs, StoreRevision
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, find_header
 from swifttrestle.internal.transport.pool import CallTimeouts, ConnectionPool, call_once
@@ -58,6 +59,8 @@
 EPOCH_HEADER = b"store-era"
 # Maximum number of digits of an epoch: fencing tokens contain it and must fit 64 bits.
 MAX_EPOCH_DIGITS = 10
+# The character after all others in the order of names.
+LAST_CHARACTER = "\U0010ffff"
 # Largest page of a list or object.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
@@ -81,8 +84,9 @@
         malformed: list[MalformedObject] = []
         first: StoreRevision | None = None
         after = ""
+        passed: set[str] = set()
         while True:
-            query = f"?after={quote(after)}" if after else ""
+            query = f"?after={after}" if after else ""
             raw = await self._call(b"GET", f"/v1/objects/{kind}{query}", None, READ_TIMEOUT_SECONDS)
             page = read_page(kind, raw, self.epochs.current)
             items += page.items
@@ -94,9 +98,10 @@
                     f"{kind}: epoch changed between pages, {first} to {page.revision}; list again"
                 )
             complete = not page.more
-            if complete or page.last in ("", after):
+            passed.add(after)
+            after = quote_last_name(page.last)
+            if complete or after in passed:
                 return Snapshot(tuple(items), first, tuple(malformed), complete)
-            after = page.last
 
     async def watch(self, kind: str, since: StoreRevision, seconds: float) -> Changes:
         """Wait for changes after a revision; raise HistoryGoneError if they are not available.
@@ -180,6 +185,21 @@
         )
 
 
+def quote_last_name(name: str) -> str:
+    """Return the form in a URL of the name after which a page begins, "" if it is empty.
+
+    An invalid name is longer than any valid one, or has lone surrogates. A long one is cut, with
+    the highest character at its end: all names that begin like it are too long themselves.
+    """
+    if len(name) > MAX_TEXT_CHARS:
+        name = name[: MAX_TEXT_CHARS + 1] + LAST_CHARACTER
+    try:
+        # Such surrogates stand for bytes of the store that are not UTF-8.
+        return quote(name, errors="surrogateescape")
+    except UnicodeEncodeError:
+        return quote(name, errors="surrogatepass")
+
+
 def _read_epoch(text: bytes) -> int | None:
     """Return the epoch of a header, or None if it cannot be read."""
     if not text.isdigit() or len(text) > MAX_EPOCH_DIGITS:
--- a/src/swifttrestle_standins/hosted/store.py
+++ b/src/swifttrestle_standins/hosted/store.py
@@ -209,7 +209,8 @@
 
     async def _answer(self, method: str, path: str, query: str, body: bytes) -> tuple[int, Any]:
         kind, _, name = path.partition("/")
-        parameters = {key: values[0] for key, values in parse_qs(query).items()}
+        queries = parse_qs(query, errors="surrogateescape")
+        parameters = {key: values[0] for key, values in queries.items()}
         if method == "GET" and not name:
             if "watch" in parameters:
                 return await self._watch(kind, parameters)
