--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -10,12 +10,13 @@
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
 from swifttrestle.internal.checks import MAX_INT64, check_integer, check_line
-from swifttrestle.internal.decoding import MAX_DEPTH, decode_json
+from swifttrestle.internal.decoding import MAX_DEPTH, decode_json, is_too_deep
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Digits of a readable whole number; more than those of any that the store uses.
 MAX_DIGITS = 400
-_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# Strings, or runs of brackets of one kind.
+_STRING_OR_BRACKETS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+', re.DOTALL)
 _OPENING = ("[", "{")
 _CLOSING = ("]", "}")
 
@@ -97,17 +98,32 @@
     except ValueError:
         pass
     try:
-        return json.loads(
-            _cut_deep_values(content.decode("utf-8", "surrogateescape")),
-            strict=False,
-            parse_constant=_mark_invalid,
-            parse_float=_read_float,
-            parse_int=_read_integer,
-        )
+        return _decode_slowly(content.decode("utf-8", "surrogateescape"))
     except (ValueError, RecursionError) as error:
         raise BadPlatformAnswerError(f"{path}: the answer is not JSON: {error!r}") from None
 
 
+def _decode_slowly(text: str) -> Any:
+    """Return decoded JSON with its invalid values marked; raise ValueError."""
+    try:
+        value = _load_marked(text)
+    except RecursionError:
+        value = None
+    if value is not None and not is_too_deep(value):
+        return value
+    return _load_marked(_cut_deep_values(text))
+
+
+def _load_marked(text: str) -> Any:
+    return json.loads(
+        text,
+        strict=False,
+        parse_constant=_mark_invalid,
+        parse_float=_read_float,
+        parse_int=_read_integer,
+    )
+
+
 def _mark_invalid(text: str) -> str:
     """Return a text with a lone surrogate, which cannot be encoded as JSON."""
     return "\udcff" + text
@@ -116,15 +132,19 @@
 def _cut_deep_values(text: str) -> str:
     """Replace the values below MAX_DEPTH by texts that are no valid ones."""
     parts, depth, kept_to = [], 0, 0
-    for token in _STRING_OR_BRACKET.finditer(text):
-        if token[0] in _OPENING:
-            depth += 1
-            if depth == MAX_DEPTH + 1:
-                parts += [text[kept_to : token.start()], json.dumps(_mark_invalid("too deep"))]
-        elif token[0] in _CLOSING:
-            if depth == MAX_DEPTH + 1:
-                kept_to = token.end()
-            depth -= 1
+    for token in _STRING_OR_BRACKETS.finditer(text):
+        first, count = token[0][0], len(token[0])
+        if first in _OPENING:
+            if depth <= MAX_DEPTH < depth + count:
+                parts += [
+                    text[kept_to : token.start() + MAX_DEPTH - depth],
+                    json.dumps(_mark_invalid("too deep")),
+                ]
+            depth += count
+        elif first in _CLOSING:
+            if depth - count <= MAX_DEPTH < depth:
+                kept_to = token.start() + depth - MAX_DEPTH
+            depth -= count
     return "".join([*parts, text[kept_to:]])
 
 
--- a/tests/cover/test_spoilt_entries.py
+++ b/tests/cover/test_spoilt_entries.py
@@ -1,8 +1,12 @@
 """A spoilt entry of the store hides no other one, in lists and in watches."""
 
+import math
+import re
+
 import orjson
 import pytest
 
+from swifttrestle.internal.decoding import MAX_DEPTH
 from swifttrestle.platform.objects import (
     MalformedObject,
     StoredObject,
@@ -32,6 +36,7 @@
     **{f"{levels} objects": b'{"a":' * levels + b"1" + b"}" * levels for levels in NEAR_LIMITS},
 }
 PLACES = pytest.mark.parametrize("place", [0, 1, 2], ids=["first", "middle", "last"])
+OPENINGS = ("[", '{"a":', '[{"]":', '[[{"a":', '{"[[":[', '[0,[1,{"b":"]","a":')
 CASES = pytest.mark.parametrize("spec", SPOILT.values(), ids=SPOILT.keys())
 
 
@@ -67,3 +72,21 @@
     value = {"a": [[[{"b": ["[", "]", "\\"]}]]]}
     content = orjson.dumps(value)[:-1] + b', "n": 1e999999999}'
     assert decode_answer("/x", content)["a"] == value["a"]
+
+
+@pytest.mark.parametrize("levels", range(MAX_DEPTH - 12, MAX_DEPTH + 12))
+@pytest.mark.parametrize(
+    "opening", ["[", '{"a":', '[{"]":', '[[{"a":', '{"[[":[', '[0,[1,{"b":"]","a":']
+)
+def test_what_is_cut_of_a_deep_value_ends_with_it(opening, levels):
+    brackets = [character for character in re.sub('"[^"]*"', "", opening) if character in "[{"]
+    opened = math.ceil(levels / len(brackets))
+    depth = opened * len(brackets)
+    closing = "".join("]" if item == "[" else "}" for item in reversed(brackets))
+    deep = opening * opened + "1" + closing * opened
+    # The number lets the second decoder read the answer.
+    answer = decode_answer("/x", f'[{deep},[[["]"]]],{deep},1e999,7]'.encode())
+    assert (answer[1], answer[4]) == ([[["]"]]], 7)
+    assert answer[0] == answer[2]
+    assert ("too deep" in repr(answer[0])) is (depth + 1 > MAX_DEPTH)
+    assert "1e999" in answer[3]
