--- a/src/swifttrestle/platform/objects.py
+++ b/src/swifttrestle/platform/objects.py
@@ -9,13 +9,14 @@
 import orjson
 
 from swifttrestle.errors import BadEntryError, BadPlatformAnswerError
-from swifttrestle.internal.checks import MAX_INT64, check_integer, check_text
-from swifttrestle.internal.decoding import MAX_DEPTH, decode_json
+from swifttrestle.internal.checks import MAX_INT64, check_integer, check_line
+from swifttrestle.internal.decoding import MAX_DEPTH, decode_json, is_too_deep
 from swifttrestle.internal.state.store_epochs import StoreRevision
 
 # Digits of a readable whole number; more than those of any that the store uses.
 MAX_DIGITS = 400
-_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# Strings, or runs of brackets of one kind.
+_STRING_OR_BRACKETS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+', re.DOTALL)
 _OPENING = ("[", "{")
 _CLOSING = ("]", "}")
 
@@ -72,7 +73,11 @@
 
 @dataclass(frozen=True)
 class ListPage:
-    """One page of a list; the next page begins after the name `last`."""
+    """One page of a list; the next page begins after the name `last`.
+
+    That may be the name of a malformed object, of any length and with lone surrogates. It is empty
+    if the page has no name.
+    """
 
     items: tuple[StoredObject, ...]
     malformed: tuple[MalformedObject, ...]
@@ -93,17 +98,32 @@
     except ValueError:
         pass
     try:
-        return json.loads(
-            _cut_deep_values(content.decode("utf-8", "surrogateescape")),
-            strict=False,
-            parse_constant=_mark_invalid,
-            parse_float=_read_float,
-            parse_int=_read_integer,
-        )
+        return _decode_slowly(content.decode("utf-8", "surrogateescape"))
     except (ValueError, RecursionError) as error:
         raise BadPlatformAnswerError(f"{path}: the answer is not JSON: {error!r}") from None
 
 
+def _decode_slowly(text: str) -> Any:
+    """Return decoded JSON with its invalid values marked; raise ValueError."""
+    try:
+        value = _load_marked(text)
+    except RecursionError:
+        value = None
+    if value is not None and not is_too_deep(value):
+        return value
+    return _load_marked(_cut_deep_values(text))
+
+
+def _load_marked(text: str) -> Any:
+    return json.loads(
+        text,
+        strict=False,
+        parse_constant=_mark_invalid,
+        parse_float=_read_float,
+        parse_int=_read_integer,
+    )
+
+
 def _mark_invalid(text: str) -> str:
     """Return a text with a lone surrogate, which cannot be encoded as JSON."""
     return "\udcff" + text
@@ -112,15 +132,19 @@
 def _cut_deep_values(text: str) -> str:
     """Replace the values below MAX_DEPTH by texts that are no valid ones."""
     parts, depth, kept_to = [], 0, 0
-    for token in _STRING_OR_BRACKET.finditer(text):
-        if token[0] in _OPENING:
-            depth += 1
-            if depth == MAX_DEPTH + 1:
-                parts += [text[kept_to : token.start()], json.dumps(_mark_invalid("too deep"))]
-        elif token[0] in _CLOSING:
-            if depth == MAX_DEPTH + 1:
-                kept_to = token.end()
-            depth -= 1
+    for token in _STRING_OR_BRACKETS.finditer(text):
+        first, count = token[0][0], len(token[0])
+        if first in _OPENING:
+            if depth <= MAX_DEPTH < depth + count:
+                parts += [
+                    text[kept_to : token.start() + MAX_DEPTH - depth],
+                    json.dumps(_mark_invalid("too deep")),
+                ]
+            depth += count
+        elif first in _CLOSING:
+            if depth - count <= MAX_DEPTH < depth:
+                kept_to = token.start() + depth - MAX_DEPTH
+            depth -= count
     return "".join([*parts, text[kept_to:]])
 
 
@@ -140,7 +164,7 @@
         raise BadEntryError(subject, "metadata", raw, "it is missing or not a JSON object")
     metadata = raw["metadata"]
     try:
-        name = check_text(metadata.get("name"))
+        name = check_line(metadata.get("name"))
     except ValueError as error:
         raise BadEntryError(subject, "metadata.name", metadata.get("name"), str(error)) from None
     revision = metadata.get("revision")
@@ -167,10 +191,19 @@
     read = [_read_object_or_error(kind, item, epoch) for item in raw_items]
     items = tuple(item for item in read if isinstance(item, StoredObject))
     malformed = tuple(item for item in read if isinstance(item, MalformedObject))
-    last = next((item.name for item in reversed(read) if item.name), "")
+    last = next(filter(None, map(_find_any_name, reversed(raw_items))), "")
     return ListPage(items, malformed, StoreRevision(epoch, number), more, last)
 
 
+def _find_any_name(raw: Any) -> str:
+    """Return the name of an object, valid or not, or "" if it has none."""
+    try:
+        name = raw["metadata"]["name"]
+    except (KeyError, TypeError):
+        return ""
+    return name if isinstance(name, str) else ""
+
+
 def read_changes(kind: str, raw: Any, epoch: int = 0) -> Changes:
     """Return the changes of a watch's response; raise BadPlatformAnswerError."""
     try:
@@ -204,6 +237,6 @@
 def _find_name(raw: Any) -> str:
     """Return the name of a malformed object, or "" if the name cannot be read."""
     try:
-        return check_text(raw["metadata"]["name"])
+        return check_line(raw["metadata"]["name"])
     except (KeyError, TypeError, ValueError):
         return ""
