Streams are inferred only by the word of all live hosts

Cause: of eight hosts only the four that keep a stream were asked, all of them out of step; of the others a heartbeat after the request was enough. It says nothing of versions, and may have been sent before the cut, as it is dated by when it is read. Waiting for heartbeats outlasted short deadlines.

Change: what no keeper and no store knows is asked of all live hosts, each of which must reply. A reply follows its question, so that nothing that waited counts. This host looks at its own list after the replies. The wait for heartbeats is gone. It costs two datagrams for each live host and such take-up; known streams cost as before.

--- a/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
+++ b/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
@@ -56,10 +56,6 @@
             store_answers_peers=self._peers.find_store_up_since(now) < math.inf,
         )
 
-    def has_heard_all_since(self, at: float) -> bool:
-        """Return whether all live hosts were heard since a time of the event loop's clock."""
-        return self._peers.has_heard_all_since(at, _now())
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -43,9 +43,6 @@
 QUERIES = 4
 # Longest time, in seconds, for which what no host knows is looked up.
 LOOK_UP_SECONDS = 1.0
-# Longest time, in seconds, for which a host waits until it has heard all others: two heartbeats of
-# each and some delay. Seconds between two looks.
-HEAR_SECONDS, HEAR_POLL_SECONDS = 1.5, 0.05
 # Seconds between two looks at the versions that services have.
 OBSERVE_SECONDS = 1.0
 
@@ -199,6 +196,7 @@
         self._host = host
         self._numbers = itertools.count(first_number)
         self._pending: dict[int, _PendingQuery] = {}
+        self._list_members = list_members
         self._ring = MemberRing(list_members)
         socket.set_receiver(DatagramKind.STREAM, self._receive)
 
@@ -239,12 +237,13 @@
 
         Those that surely know are asked first: hosts that noted it, then the store.
         """
-        began = _now()
         stream = _shorten(stream)
         own = self._look_up(stream, service)
         if own.origin is not None:
             return Continuation(True, own.origin, KnownBy.OWN)
-        replies = await self._ask(stream, service, functools.partial(needs_more_replies, own))
+        keepers = self._list_peers(stream)
+        needs_more = functools.partial(needs_more_replies, own)
+        replies = await self._ask(keepers, stream, service, needs_more)
         known = find_known(replies)
         if known is not None:
             return known
@@ -253,7 +252,7 @@
         stored = await self._look_up_stored(stream, take_up)
         if stored is not None:
             return stored
-        return await self._infer_continuation(stream, service, began)
+        return await self._infer_continuation(stream, service)
 
     async def _look_up_stored(self, stream: bytes, take_up: TakeUp | None) -> Continuation | None:
         """Return what the store says, or None if it cannot tell."""
@@ -269,43 +268,30 @@
             return None
         return Continuation(stored is not None, stored, KnownBy.STORE)
 
-    async def _infer_continuation(self, stream: bytes, service: str, began: float) -> Continuation:
+    async def _infer_continuation(self, stream: bytes, service: str) -> Continuation:
         """Return where a stream may go on that no host and no store knows.
 
-        If there has been one version lately it is that one. That needs the word of all hosts that
-        keep the stream, and that no host may have used upstreams that this one does not know.
+        If there has been one version lately it is that one. That needs the word of all live hosts:
+        those that keep the stream may be out of step together, and what was heard of a host before
+        this question may have waited while this one stood still.
         """
-        own = self._look_up(stream, service)
-        if own.several:
-            return Continuation(False)
-        asked = len(self._list_peers(stream))
-        replies = await self._ask(stream, service, lambda known: len(known) < asked)
-        inferred = choose_continuation(own, replies, asked)
-        if inferred.known_by is KnownBy.ONE_BUILD and not await self._hear_all_since(began):
+        if self._look_up(stream, service).several:
             return Continuation(False)
-        return inferred
-
-    async def _hear_all_since(self, began: float) -> bool:
-        """Return whether all live hosts are heard after `began`, and none is lost meanwhile."""
-        while not self._freshness.may_lack_upstreams():
-            if self._freshness.has_heard_all_since(began):
-                return True
-            if _now() - began > LOOK_UP_SECONDS + HEAR_SECONDS:
-                return False
-            await asyncio.sleep(HEAR_POLL_SECONDS)
-        return False
+        peers = [item for item in self._list_members() if item.host != self._host]
+        replies = await self._ask(peers, stream, service, lambda known: len(known) < len(peers))
+        return choose_continuation(self._look_up(stream, service), replies, len(peers))
 
     async def _ask(
         self,
+        peers: Sequence[Member],
         stream: bytes,
         service: str,
         needs_more: Callable[[Sequence[StreamKnowledge]], bool],
     ) -> list[StreamKnowledge]:
-        """Return the replies of the peers that keep a stream, up to the first one that knows it.
+        """Return the replies of peers that may know a stream, up to the first one that does.
 
         Silent ones are asked again while the replies `needs_more`.
         """
-        peers = self._list_peers(stream)
         if not peers:
             return []
         query = StreamQuery(next(self._numbers), stream, service)
--- a/src/swifttrestle/internal/policy/list_freshness.py
+++ b/src/swifttrestle/internal/policy/list_freshness.py
@@ -46,10 +46,6 @@
     def may_lack_upstreams(self) -> bool:
         """Return whether other hosts may use upstreams that this host's list lacks."""
 
-    @abstractmethod
-    def has_heard_all_since(self, at: float) -> bool:
-        """Return whether all live hosts were heard since a time of the event loop's clock."""
-
     @abstractmethod
     def is_cut_off(self) -> bool:
         """Return whether this host has lost others and the store."""
@@ -62,10 +58,6 @@
         """Return False."""
         return False
 
-    def has_heard_all_since(self, at: float) -> bool:
-        """Return True."""
-        return True
-
     def is_cut_off(self) -> bool:
         """Return False."""
         return False
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -204,10 +204,6 @@
             if not peer.is_seen(now) and peer.leaving_at == NEVER and now - peer.heard_at < seconds
         ]
 
-    def has_heard_all_since(self, at: float, now: float) -> bool:
-        """Return whether all live peers were heard at the time `at` or later."""
-        return all(peer.heard_at >= at for peer in self.peers.values() if peer.is_live(now))
-
     def list_unseen(self, now: float) -> list[Peer]:
         """Return the peers not recently seen, including those known by name or IP alone."""
         return [peer for peer in self.peers.values() if not peer.is_seen(now)]
