Hosts that are not heard count as missed by the time of the list, not of the clock

Cause: silence was dated by the clock instead of by the list; what peers say of the store is seconds old; a store that shows several origins of a route ended the search.

Change: a host is missed if it was heard shortly before the list's own time and is silent, or if none of the known ones is heard; announced stops count once the list is old. Whether peers reach the store no longer counts, as every live host is asked. Unnamed take-ups fall through to that question. An inference without any upstream is refused.

Result: test_list_freshness (30 cases, new table), directory, archive and out-of-step tests pass.

--- a/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
+++ b/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
@@ -1,20 +1,20 @@
 """Observes how current this host's list of upstreams is, by the store's answers and by peers."""
 
 import asyncio
-import math
 from collections.abc import Callable
 
 from swifttrestle.internal.event_log import log_event, round_age
 from swifttrestle.internal.policy.list_freshness import (
     LOST_SECONDS,
-    MAX_LIST_AGE_SECONDS,
     ListFreshness,
     ListObservation,
-    is_outdated,
     may_lack_upstreams,
 )
 from swifttrestle.internal.state.fleet import Fleet
-from swifttrestle.internal.state.peers import PeerTable
+from swifttrestle.internal.state.peers import NEVER, PeerTable
+
+# Seconds for which an observation holds: a look at all peers of a large fleet takes a millisecond.
+CACHE_SECONDS = 0.1
 
 
 class ObservedFreshness(ListFreshness):
@@ -27,11 +27,17 @@
         self._fleet = fleet
         self._peers = peers
         self._is_store_unreachable = is_store_unreachable
+        self._observed = ListObservation(age=0.0)
+        self._observed_at = NEVER
         # What was logged last.
         self._may_lack = False
 
+    def find_known_at(self) -> float:
+        """Return the event loop's time as of which live hosts know what any host may use."""
+        return self._fleet.confirmed_at if self.may_lack_upstreams() else _now()
+
     def may_lack_upstreams(self) -> bool:
-        """Return whether other hosts may use upstreams that this host's list lacks."""
+        """Return whether hosts may use upstreams that no live host knows."""
         observed = self.observe()
         may_lack = may_lack_upstreams(observed)
         if may_lack != self._may_lack:
@@ -41,27 +47,31 @@
                 may_lack_upstreams=may_lack,
                 age=round_age(observed.age),
                 lost_hosts=observed.lost_hosts,
-                store_answers_peers=observed.store_answers_peers,
+                stopped_hosts=observed.stopped_hosts,
+                alone=observed.is_alone,
             )
         return may_lack
 
-    def find_known_at(self) -> float:
-        """Return the event loop's time as of which the list shows what any host may use."""
-        observed = self.observe()
-        in_outage = observed.age > MAX_LIST_AGE_SECONDS and not is_outdated(observed)
-        return _now() if in_outage else self._fleet.confirmed_at
-
     def is_cut_off(self) -> bool:
         """Return whether this host has lost others and the store."""
-        return self._is_store_unreachable() and self.observe().lost_hosts > 0
+        return self._is_store_unreachable() and self.may_lack_upstreams()
 
     def observe(self) -> ListObservation:
-        """Return what is known of the list's age now."""
+        """Return what is known now, or was shortly before."""
         now = _now()
+        if now - self._observed_at >= CACHE_SECONDS:
+            self._observed = self._look(now)
+            self._observed_at = now
+        return self._observed
+
+    def _look(self, now: float) -> ListObservation:
+        silent = self._peers.list_silent(now, self._fleet.confirmed_at - LOST_SECONDS)
+        stopped = sum(peer.leaving_at != NEVER for peer in silent)
         return ListObservation(
             age=now - self._fleet.confirmed_at,
-            lost_hosts=len(self._peers.list_lost(now, LOST_SECONDS)),
-            store_answers_peers=self._peers.find_store_up_since(now) < math.inf,
+            lost_hosts=len(silent) - stopped,
+            stopped_hosts=stopped,
+            is_alone=bool(self._peers.peers) and len(self._peers.list_members(now)) == 1,
         )
 
 
--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -264,7 +264,7 @@
         except (PlatformUnavailableError, NotFoundError, TimeoutError) as error:
             log_event("stream not looked up", reason=repr(error))
             return None
-        if stored is None and self._archive.is_original(take_up.route):
+        if stored is None and (not stream or self._archive.is_original(take_up.route)):
             return None
         return Continuation(stored is not None, stored, KnownBy.STORE)
 
--- a/src/swifttrestle/internal/policy/list_freshness.py
+++ b/src/swifttrestle/internal/policy/list_freshness.py
@@ -1,7 +1,7 @@
-"""Decides whether other hosts may use upstreams that this host's list lacks.
+"""Decides whether other hosts may use upstreams that this host and its live peers do not know.
 
 A host that is cut off, or stood still, does not notice that its list has become old: nothing tells
-it. What it can notice is that the store no longer answers, and that other hosts have become silent.
+it. What it can notice is that other hosts have become silent.
 """
 
 import asyncio
@@ -12,39 +12,36 @@
 
 # Age in seconds up to which a list counts as current: two watches of the store, and its delays.
 MAX_LIST_AGE_SECONDS = 4.0
-# Seconds for which a host that fell silent without a word may serve on, unheard here.
+# Seconds before the list's own time in which a host must have been heard to be missed.
 LOST_SECONDS = MEMORY_SECONDS
 
 
 @dataclass(frozen=True)
 class ListObservation:
-    """What a host knows of the age of its list.
+    """What a host knows of its list and of the other hosts.
 
-    `age` is the time in seconds since the store was asked for the state that the list has.
-    `lost_hosts` is the number of hosts that have fallen silent within LOST_SECONDS without
-    announcing their stop, and `store_answers_peers` whether a peer reports that the store answers.
+    `age` is the time in seconds since the store was asked for the state that the list has. Of the
+    hosts that were heard shortly before that or later, `lost_hosts` are silent without having
+    announced their stop, and `stopped_hosts` announced it. `is_alone` is whether no host is heard
+    of those that are known.
     """
 
     age: float
-    lost_hosts: int
-    store_answers_peers: bool
-
-
-def is_outdated(observed: ListObservation) -> bool:
-    """Return whether a list is older than what other hosts may have.
-
-    While the store answers no host, and none is lost, no host learns of new upstreams.
-    """
-    told_by_store = observed.store_answers_peers or observed.lost_hosts > 0
-    return observed.age > MAX_LIST_AGE_SECONDS and told_by_store
+    lost_hosts: int = 0
+    stopped_hosts: int = 0
+    is_alone: bool = False
 
 
 def may_lack_upstreams(observed: ListObservation) -> bool:
-    """Return whether other hosts may use upstreams that a list lacks.
+    """Return whether hosts may use upstreams that neither this host nor its live peers know.
 
-    Lost hosts may have learnt of them in the very moment.
+    Those that are lost may have learnt of them. So may those that have stopped and started again,
+    unless the list was current after that.
     """
-    return observed.lost_hosts > 0 or is_outdated(observed)
+    if observed.lost_hosts:
+        return True
+    outdated = observed.age > MAX_LIST_AGE_SECONDS
+    return outdated and (observed.stopped_hosts > 0 or observed.is_alone)
 
 
 class ListFreshness(ABC):
@@ -52,11 +49,11 @@
 
     @abstractmethod
     def find_known_at(self) -> float:
-        """Return the event loop's time as of which the list shows what any host may use."""
+        """Return the event loop's time as of which live hosts know what any host may use."""
 
     @abstractmethod
     def may_lack_upstreams(self) -> bool:
-        """Return whether other hosts may use upstreams that this host's list lacks."""
+        """Return whether hosts may use upstreams that no live host knows."""
 
     @abstractmethod
     def is_cut_off(self) -> bool:
--- a/src/swifttrestle/internal/policy/stream_builds.py
+++ b/src/swifttrestle/internal/policy/stream_builds.py
@@ -65,6 +65,8 @@
         return known
     if any(item.several for item in (own, *replies)) or len(replies) < asked:
         return Continuation(False)
+    if own.only is None:
+        return Continuation(False)
     return Continuation(True, own.only, KnownBy.ONE_BUILD)
 
 
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -28,7 +28,8 @@
     """One other host; times are the event loop's.
 
     `last_heartbeat_at` is the time of its last heartbeat here, `reported_at` the last time at which
-    another host reported it as live. The other `_at` fields are the times of its last report of
+    another host reported it as live, unless that was withdrawn. `heard_at` is the later one of
+    both, also after a withdrawal. The other `_at` fields are the times of its last report of
     that state.
     """
 
@@ -39,6 +40,7 @@
     incarnation: int = 0
     last_heartbeat_at: float = NEVER
     reported_at: float = NEVER
+    heard_at: float = NEVER
     leaving_at: float = NEVER
     held_duty_lease_at: float = NEVER
     store_unreachable_at: float = NEVER
@@ -54,11 +56,6 @@
         """Return whether it is alive here or was recently reported by another host."""
         return self.is_alive(now) or now - self.reported_at < REPORTED_PEER_TIMEOUT_SECONDS
 
-    @property
-    def heard_at(self) -> float:
-        """When it was last heard here, or reported as live by another host."""
-        return max(self.last_heartbeat_at, self.reported_at)
-
     def is_live(self, now: float) -> bool:
         """Return whether it is a member: recently seen and not stopping."""
         return self.is_seen(now) and now - self.leaving_at >= LEAVING_SECONDS
@@ -121,7 +118,7 @@
         was_live = peer.is_live(now)
         peer.ip, peer.zone, peer.link_mbps = member.ip, member.zone, member.link_mbps
         peer.incarnation = heartbeat.incarnation
-        peer.last_heartbeat_at = now
+        peer.last_heartbeat_at = peer.heard_at = now
         peer.leaving_at = now if heartbeat.leaving else NEVER
         peer.held_duty_lease_at = now if heartbeat.holds_duty_lease else NEVER
         peer.store_unreachable_at = now if heartbeat.store_unreachable else NEVER
@@ -148,6 +145,7 @@
             if not peer.is_seen(now):
                 self._cached_until = NEVER
             peer.reported_at = max(peer.reported_at, at)
+            peer.heard_at = max(peer.heard_at, at)
 
     def withdraw(self, host: str) -> None:
         """Discard the reports of a host whose heartbeats no reporter receives."""
@@ -196,12 +194,10 @@
         """Return the recently seen peers, including stopping ones."""
         return [peer for peer in self.peers.values() if peer.is_seen(now)]
 
-    def list_lost(self, now: float, seconds: float) -> list[Peer]:
-        """Return the peers that fell silent in the last `seconds` without announcing their stop."""
+    def list_silent(self, now: float, since: float) -> list[Peer]:
+        """Return the peers that are not live now, and were heard after the time `since`."""
         return [
-            peer
-            for peer in self.peers.values()
-            if not peer.is_seen(now) and peer.leaving_at == NEVER and now - peer.heard_at < seconds
+            peer for peer in self.peers.values() if peer.heard_at > since and not peer.is_live(now)
         ]
 
     def list_unseen(self, now: float) -> list[Peer]:
--- a/tests/cover/test_list_freshness.py
+++ b/tests/cover/test_list_freshness.py
@@ -1,4 +1,4 @@
-"""How a host knows that others may use upstreams that its list lacks."""
+"""How a host knows that others may use upstreams that neither it nor its live peers know."""
 
 import asyncio
 
@@ -9,7 +9,6 @@
     LOST_SECONDS,
     MAX_LIST_AGE_SECONDS,
     ListObservation,
-    is_outdated,
     may_lack_upstreams,
 )
 from swifttrestle.internal.state.fleet import Fleet
@@ -17,49 +16,113 @@
 from swifttrestle.internal.state.peers import PEER_TIMEOUT_SECONDS, Heartbeat, PeerTable
 from swifttrestle_standins.virtual_time import run_in_virtual_time
 
-OLD_AGE = MAX_LIST_AGE_SECONDS + 1
+YOUNG, OLD = 1.0, MAX_LIST_AGE_SECONDS + 1
 ME, PEER = Member("h0", "10.0.0.1", "a"), Member("h1", "10.0.0.2", "a")
+SILENT_SECONDS = PEER_TIMEOUT_SECONDS + MAX_LIST_AGE_SECONDS
 
 
 @pytest.mark.parametrize(
-    ("age", "lost_hosts", "store_answers_peers", "outdated", "may_lack"),
+    ("observed", "wanted"),
     [
-        (1.0, 0, True, False, False),
-        (1.0, 0, False, False, False),
-        # An outage of the store for all: no host learns of others.
-        (OLD_AGE, 0, False, False, False),
-        (OLD_AGE, 0, True, True, True),
-        # Those that are lost may reach it.
-        (OLD_AGE, 1, False, True, True),
-        (1.0, 1, False, False, True),
+        (ListObservation(YOUNG), False),
+        # An outage of the store alone: all hosts are heard.
+        (ListObservation(OLD), False),
+        (ListObservation(YOUNG, lost_hosts=1), True),
+        (ListObservation(OLD, lost_hosts=1), True),
+        # Planned stops while the store answers.
+        (ListObservation(YOUNG, stopped_hosts=1), False),
+        (ListObservation(OLD, stopped_hosts=1), True),
+        # The first host of a system, and one that has known the others by name alone.
+        (ListObservation(YOUNG, is_alone=True), False),
+        (ListObservation(OLD, is_alone=True), True),
     ],
 )
-def test_a_list_may_lack_upstreams_if_others_may_have_a_newer_one(
-    age, lost_hosts, store_answers_peers, outdated, may_lack
-):
-    observed = ListObservation(age, lost_hosts, store_answers_peers)
-    assert (is_outdated(observed), may_lack_upstreams(observed)) == (outdated, may_lack)
+def test_hosts_that_are_not_heard_may_use_upstreams_that_others_do_not_know(observed, wanted):
+    assert may_lack_upstreams(observed) == wanted
+
+
+def observe(peers, fleet):
+    return ObservedFreshness(fleet, peers, lambda: True)
+
+
+def play_silence(prepare, silent_seconds, confirmed=False):
+    """Return what a host observes some seconds after `prepare` has told it of a peer.
+
+    The list is confirmed at that moment, or at the end if `confirmed`.
+    """
+
+    async def scenario():
+        peers, fleet = PeerTable(ME), Fleet()
+        loop = asyncio.get_running_loop()
+        fleet.confirmed_at = loop.time()
+        prepare(peers, loop.time())
+        await asyncio.sleep(silent_seconds)
+        if confirmed:
+            fleet.confirmed_at = loop.time()
+        return observe(peers, fleet)
+
+    async def run():
+        freshness = await scenario()
+        return freshness.observe(), freshness.may_lack_upstreams(), freshness.is_cut_off()
+
+    return run_in_virtual_time(run())
+
+
+def hear(peers, now):
+    peers.record_heartbeat(Heartbeat(PEER, 1), now)
+
+
+def hear_stop(peers, now):
+    peers.record_heartbeat(Heartbeat(PEER, 1, leaving=True), now)
+
+
+def hear_report(peers, now):
+    peers.note_reported([PEER], now, now)
+
+
+def hear_and_withdraw(peers, now):
+    peers.note_reported([PEER], now, now)
+    peers.withdraw(PEER.host)
+
+
+def know_by_name(peers, now):
+    peers.add_peer(PEER.host, PEER.ip)
+
+
+@pytest.mark.parametrize("seconds", [SILENT_SECONDS, 250.0, 3600.0])
+@pytest.mark.parametrize("prepare", [hear, hear_stop, hear_report, hear_and_withdraw, know_by_name])
+def test_a_host_that_is_not_heard_is_missed_until_the_list_is_confirmed(prepare, seconds):
+    _, may_lack, cut_off = play_silence(prepare, seconds)
+    assert (may_lack, cut_off) == (True, True)
 
 
 @pytest.mark.parametrize(
-    ("silent_seconds", "leaving", "lost", "live"),
+    ("prepare", "seconds", "may_lack"),
     [
-        (0.5, False, False, True),
-        (PEER_TIMEOUT_SECONDS + 0.5, False, True, False),
-        (PEER_TIMEOUT_SECONDS + 0.5, True, False, False),
-        (LOST_SECONDS + 1, False, False, False),
+        (hear, 0.5, False),
+        (hear, SILENT_SECONDS, True),
+        (hear, LOST_SECONDS + 1, False),
+        (hear_stop, SILENT_SECONDS, False),
+        (know_by_name, SILENT_SECONDS, False),
+        (hear_and_withdraw, 0.5, True),
     ],
 )
-def test_a_host_is_lost_while_it_may_serve_on_unheard(silent_seconds, leaving, lost, live):
+def test_a_host_whose_list_is_confirmed_misses_those_that_fell_silent_lately(
+    prepare, seconds, may_lack
+):
+    assert play_silence(prepare, seconds, confirmed=True)[1] == may_lack
+
+
+def test_a_host_that_hears_the_others_misses_nothing_however_old_its_list_is():
     async def scenario():
-        peers = PeerTable(ME)
-        freshness = ObservedFreshness(Fleet(), peers, lambda: True)
-        began = asyncio.get_running_loop().time()
-        peers.record_heartbeat(Heartbeat(PEER, 1, leaving), began)
-        await asyncio.sleep(silent_seconds)
-        assert bool(freshness.observe().lost_hosts) == lost
-        assert freshness.is_cut_off() == lost
-        members = [item.host for item in peers.list_members(began + silent_seconds)]
-        assert (PEER.host in members) == live
+        peers, fleet = PeerTable(ME), Fleet()
+        loop = asyncio.get_running_loop()
+        fleet.confirmed_at = loop.time()
+        freshness = observe(peers, fleet)
+        for _ in range(100):
+            hear(peers, loop.time())
+            await asyncio.sleep(1.0)
+            assert not freshness.may_lack_upstreams()
+            assert freshness.find_known_at() == loop.time()
 
     run_in_virtual_time(scenario())
--- a/tests/cover/test_stream_directory.py
+++ b/tests/cover/test_stream_directory.py
@@ -322,6 +322,8 @@
         (NOTHING, [NOTHING], 1, Continuation(True, OLD)),
         (NOTHING, [], 0, Continuation(True, OLD)),
         (NOTHING, [], 1, Continuation(False)),
+        # It has no upstream now; the next one may have another version.
+        (StreamKnowledge(None, False), [], 0, Continuation(False)),
         (NOTHING, [NOTHING], 2, Continuation(False)),
         (NOTHING, [NOTHING, SEVERAL], 2, Continuation(False)),
         (SEVERAL, [NOTHING], 1, Continuation(False)),
