Streams that are taken up wait for decode engines of their version

Cause: the version had one decode engine left, which had crashed and was back 1.9 and 2.2 s later; its other engines prefill or drain. A new stream begins at another version meanwhile, one that has begun cannot. The Retry-After of 0.05 s used up all of its caller's tries within 0.5 s. Besides, engines that count as failing were tried for want of others only if those in the other role failed too.

Change: a stream that is taken up waits for a decode engine of its version that fails, is held or changes its role, up to 70 % of the time for which its caller waits for the first event. Engines that count as failing take it where shared probes reach them. Else it is refused with a Retry-After of 1 to 1.5 s, or until the role change ends, within what callers heed. A version without any decode engine is refused at once, as before.

New streams begin at another version at once beside it.

--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from collections.abc import Collection
 
 from swifttrestle.codes import Code
 from swifttrestle.errors import (
@@ -17,6 +16,7 @@
 from swifttrestle.internal.forward.attempt import AttemptPlan, make_attempt
 from swifttrestle.internal.forward.booking import Booker
 from swifttrestle.internal.forward.context import Context
+from swifttrestle.internal.forward.decode_engines import DecodeEngines
 from swifttrestle.internal.forward.engine_admission import (
     MIN_RETRY_AFTER_SECONDS,
     EngineAdmission,
@@ -32,7 +32,6 @@
     find_source_address,
     has_other_of_role,
 )
-from swifttrestle.internal.policy.placement import pick_decode_engine
 from swifttrestle.internal.policy.waiting import find_caller_timeout
 from swifttrestle.internal.state.bookings import Booking, Outcome, Stage
 from swifttrestle.internal.state.declared import Role
@@ -62,6 +61,7 @@
         self._booker = booker
         self._admission = EngineAdmission(state, booker)
         self._prefiller = PromptPrefiller(state, booker)
+        self._decode_engines = DecodeEngines(state)
 
     async def serve(self, ctx: Context) -> None:
         """Serve one request; raise RefusedError if it cannot be served."""
@@ -71,12 +71,12 @@
             ctx.route.resumable,
             self._state.metrics,
             self._state.streams,
-            functools.partial(self._can_begin, ctx),
+            functools.partial(self._decode_engines.can_begin, ctx),
         )
         if ctx.build is not None:
             # No prompt is prefilled for a stream that no engine of its version would continue.
             reason = f"no decode engine of the version {ctx.build} is available"
-            self._pick_decode_engine(ctx, reason, _now())
+            await self._decode_engines.take(ctx, reason)
         prefills = held_bookings = 0
         # One more where a silent engine was given up and the next one may have refused.
         while prefills < MAX_PREFILLS + ctx.silent_prefills and held_bookings < MAX_HELD_BOOKINGS:
@@ -107,15 +107,6 @@
             Code.NO_UPSTREAM, "no engine prefilled the prompt", MIN_RETRY_AFTER_SECONDS
         )
 
-    def _can_begin(self, ctx: Context, build: str) -> bool:
-        """Return whether a decode engine of a version could begin a request's stream now."""
-        now = _now()
-        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent, build)
-        found = pick_decode_engine(
-            engines, self._state.zone, ctx.excluded, now, urgent=ctx.urgent, may_queue=False
-        )
-        return found is not None
-
     async def _wait_for_path(self, ctx: Context, unreached: Instance) -> None:
         """Wait before engines are tried again, unless there is another one than those tried."""
         usable = self._state.list_usable(ctx.service.name, _now(), ctx.urgent)
@@ -151,7 +142,7 @@
         source = format_kv_source(booking.reader.record.address, handle) if handle else ""
         fetch_from = find_source_address(booking) if booking.direct else None
         try:
-            decoder = self._confirm_decoder(ctx, booking.decoder)
+            decoder = await self._confirm_decoder(ctx, booking.decoder)
             attempt = 0
             while True:
                 try:
@@ -188,7 +179,7 @@
             if source:
                 self._prefiller.free(booking.reader, handle)
 
-    def _confirm_decoder(self, ctx: Context, decoder: Instance) -> Instance:
+    async def _confirm_decoder(self, ctx: Context, decoder: Instance) -> Instance:
         """Return the booked engine, or another one if it no longer accepts requests.
 
         It was chosen before the prefill, which may take seconds.
@@ -200,46 +191,24 @@
         if fits:
             ctx.note(f"decoder {decoder.name} is draining or changing its role")
             ctx.excluded.add(decoder.name)
-        return self._pick_decode_engine(
-            ctx, f"decode engine {decoder.name} is no longer available", now
+        return await self._decode_engines.take(
+            ctx, f"decode engine {decoder.name} is no longer available"
         )
 
-    def _pick_decode_engine(self, ctx: Context, reason: str, now: float) -> Instance:
-        """Return a decode engine; raise RefusedError if there is none."""
-        engines = self._state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build)
-        # A stream that has begun has no choice of other versions.
-        begun = ctx.build is not None
-        decoder = pick_decode_engine(
-            engines,
-            self._state.zone,
-            ctx.excluded,
-            now,
-            urgent=ctx.urgent,
-            may_queue=begun,
-            topology=self._state.fleet.topology,
-        )
-        if decoder is None:
-            wait_seconds = self._state.find_wait_seconds(
-                ctx.service.name, now, (Role.DECODE,), ctx.urgent
-            )
-            code = Code.UPSTREAMS_HELD if wait_seconds else Code.UPSTREAM_REFUSED
-            raise ctx.refuse(code, reason, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
-        return decoder
-
     async def _replace_decoder(
         self, ctx: Context, relay: EventRelay, reason: str, attempt: int
     ) -> Instance:
         """Return another engine to continue the answer; raise RefusedError if none may.
 
-        An answer that has begun waits for an engine for as long as its caller waits for an event.
+        An answer that has begun waits for an engine for as long as its caller waits for an event,
+        and so does a stream that is taken up, if it has not run.
         """
-        give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
         while True:
             try:
                 return self._find_replacement(ctx, relay, reason, attempt)
             except RefusedError:
                 seconds = FIRST_RESUME_SECONDS * 2**relay.resumes
-                if not self._may_repeat(ctx) or _now() + seconds >= give_up_at:
+                if not self._allows(ctx, attempt) or not self._may_wait(ctx, relay, seconds):
                     raise
             relay.resumes += 1
             await asyncio.sleep(seconds)
@@ -251,15 +220,14 @@
     ) -> Instance:
         """Return an engine in place of one that got no request; raise RefusedError.
 
-        An answer that has begun waits for one as after a refusal, and one that has not while a
-        path to it may be found in time.
+        An answer that has begun, or a stream that is taken up, waits for one as after a refusal,
+        and any other one while a path to it may be found in time.
         """
-        give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
         while True:
             try:
-                return self._pick_decode_engine(ctx, str(failure), _now())
+                return self._decode_engines.pick(ctx, str(failure), _now())
             except RefusedError:
-                waits = _now() + FIRST_RESUME_SECONDS < give_up_at
+                waits = self._may_wait(ctx, relay, FIRST_RESUME_SECONDS)
                 if not waits and not waits_for_path(ctx, failure):
                     raise
             await asyncio.sleep(FIRST_RESUME_SECONDS if waits else RETRY_SECONDS)
@@ -270,10 +238,9 @@
     ) -> Instance:
         """Return another engine to continue the answer; raise RefusedError if there is none now."""
         now = _now()
-        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS or ctx.answer.begun
-        if not allowed or not self._may_repeat(ctx):
+        if not self._allows(ctx, attempt):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
-        decoder = self._pick_decode_engine(ctx, reason, now)
+        decoder = self._decode_engines.pick(ctx, reason, now)
         reserved = ctx.use_reserved_retry()
         if not reserved and not self._state.budgets.find(ctx.service.name).take(now):
             raise ctx.refuse(Code.UPSTREAM_REFUSED, reason, MIN_RETRY_AFTER_SECONDS)
@@ -283,6 +250,16 @@
         )
         return decoder
 
+    def _may_wait(self, ctx: Context, relay: EventRelay, seconds: float) -> bool:
+        """Return whether a request's caller waits for so long until its next event."""
+        give_up_at = relay.progress_at + find_caller_timeout(ctx.route)
+        return _now() + seconds < give_up_at or self._decode_engines.may_wait(ctx, seconds)
+
+    def _allows(self, ctx: Context, attempt: int) -> bool:
+        """Return whether another attempt may follow `attempt`, the last one's number."""
+        allowed = attempt + 1 < MAX_DECODE_ATTEMPTS or ctx.answer.begun
+        return allowed and self._may_repeat(ctx)
+
     @staticmethod
     def _may_repeat(ctx: Context) -> bool:
         """Return whether the route and the answer allow another attempt after those so far."""
@@ -305,16 +282,9 @@
             return False
         if self._state.guard.holds_back(ctx):
             return False
-        has_other = functools.partial(self._has_other_decoder, ctx)
+        has_other = functools.partial(self._decode_engines.has_other, ctx)
         return self._state.reserve_takeover(ctx, decoder, has_other)
 
-    def _has_other_decoder(
-        self, ctx: Context, usable: list[Instance], excluded: Collection[str]
-    ) -> bool:
-        zone, now = self._state.zone, _now()
-        fitting = [item for item in usable if item.may_continue(ctx.build)]
-        return pick_decode_engine(fitting, zone, excluded, now, urgent=ctx.urgent) is not None
-
     async def _attempt_decode(
         self,
         ctx: Context,
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -145,13 +145,22 @@
         With `build`, only those of that software version. If all that accept requests are ejected,
         returns these instead.
         """
-        listed = [
+        accepting = self.list_accepting(service, now, urgent, build)
+        usable = [item for item in accepting if not self.ejector.is_ejected(item.name, now)]
+        return usable or accepting
+
+    def list_accepting(
+        self, service: str, now: float, urgent: bool = False, build: str | None = None
+    ) -> list[Instance]:
+        """Return a service's instances that accept requests, ejected ones included.
+
+        With `build`, only those of that software version.
+        """
+        return [
             item
             for item in self.fleet.list_service(service)
             if item.may_continue(build) and not self.conditions.find_wait_seconds(item, now, urgent)
         ]
-        usable = [item for item in listed if not self.ejector.is_ejected(item.name, now)]
-        return usable or listed
 
     def reserve_takeover(
         self,
--- a/src/swifttrestle/internal/forward/reachability.py
+++ b/src/swifttrestle/internal/forward/reachability.py
@@ -1,7 +1,7 @@
-"""Finds out whether a silent upstream is still there, by new connections to it.
+"""Finds out whether a silent or failing upstream is there, by new connections to it.
 
 An upstream that is silent for a second or so accepts connections, at the latest once it goes on;
-one whose host is gone does not.
+one whose host is gone does not, nor does one that has not started again after a crash.
 """
 
 import asyncio
@@ -22,6 +22,9 @@
     """The probes of one upstream; the time is the event loop's."""
 
     task: "asyncio.Task[None] | None" = None
+    # Whether the last probes that have ended failed.
+    failed: bool = False
+    # The same, but false again once new ones have begun.
     unreachable: bool = False
     ended_at: float = float("-inf")
 
@@ -36,24 +39,32 @@
 
     def is_unreachable(self, instance: Instance) -> bool:
         """Return whether the last probes have failed; start new ones if these are outdated."""
+        return self._get_probes(instance).unreachable
+
+    def may_be_reached(self, instance: Instance) -> bool:
+        """Return whether the last probes have not failed, or none has ended; start new ones."""
+        return not self._get_probes(instance).failed
+
+    def _get_probes(self, instance: Instance) -> _Probes:
         probes = self._probes.setdefault(instance.name, _Probes())
         if probes.task is None and _now() - probes.ended_at >= RESULT_SECONDS:
             probes.unreachable = False
             probes.task = asyncio.ensure_future(self._probe(instance, probes))
             self._forget_old()
-        return probes.unreachable
+        return probes
 
     async def _probe(self, instance: Instance, probes: _Probes) -> None:
         try:
             for _ in range(FAILURES_TO_UNREACHABLE):
-                if await self._is_reached(instance):
+                if await self._reach(instance):
+                    probes.failed = False
                     return
-            probes.unreachable = True
+            probes.unreachable = probes.failed = True
         finally:
             probes.ended_at = _now()
             probes.task = None
 
-    async def _is_reached(self, instance: Instance) -> bool:
+    async def _reach(self, instance: Instance) -> bool:
         try:
             await self._pool.probe(instance.name, instance.record.address)
         except UpstreamUnreachedError:
