A stream goes on only at an engine that says which start it is

What callers saw: streams went on at another version at a host that was cut off from its peers and the store while engines restarted under their ids and addresses at that version, inside the cut and at its end.

Cause: the list of the cut host still shows the former start of the engine, and with it the former version. An upstream that keeps its id over a restart accepts what is meant for that start.

Change: before a stream goes on, or must begin at a version, the host asks the engine for its start on the same connection (/v1/report), once a connection. One that reports another start than its entry continues no stream until the list shows it; it serves new ones as before.

Why it works: the version of a start never changes, so that a list of any age is right about a start that the engine itself confirms, and one connection leads to one process.

Open: plain upstreams and engines whose report names no start count as unchanged.

--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -14,6 +14,8 @@
 from swifttrestle.internal.forward.context import Context
 from swifttrestle.internal.forward.events import EventRelay
 from swifttrestle.internal.forward.liveness import lives_on
+from swifttrestle.internal.forward.start_confirmation import confirm_start
+from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Body, Framing, ResponseHead, is_success
 from swifttrestle.internal.transport.pool import ConnectionPool
@@ -131,6 +133,8 @@
         # The instance may have started to drain while the connection was established.
         if instance.leaving:
             raise UpstreamLeavingError(f"{instance.name} is draining")
+        if ctx.build is not None and instance.record.role is not Role.NONE:
+            await confirm_start(connection, instance, plan.silence)
         try:
             head, body = await read_head(ctx, connection, plan)
         except (UpstreamBusyError, UpstreamLeavingError):
--- a/src/swifttrestle/internal/forward/continuation.py
+++ b/src/swifttrestle/internal/forward/continuation.py
@@ -42,12 +42,17 @@
     _set_origin(ctx, found, table)
     now = asyncio.get_running_loop().time()
     if not state.list_usable(ctx.service.name, now, ctx.urgent, ctx.build):
-        listed = found.origin.build in state.fleet.list_builds(ctx.service.name)
-        seconds = RETRY_AFTER_SECONDS if listed else VERSION_GONE_RETRY_SECONDS
+        seconds = RETRY_AFTER_SECONDS if _is_listed(ctx, state) else VERSION_GONE_RETRY_SECONDS
         reason = f"no upstream is available where the stream began: {found.origin}"
         raise _refuse(ctx, reason, seconds)
 
 
+def _is_listed(ctx: Context, state: GatewayState) -> bool:
+    """Return whether a listed upstream may go on with the stream, be it later."""
+    listed = state.fleet.list_service(ctx.service.name)
+    return any(item.may_continue(ctx.build) for item in listed)
+
+
 def _set_required_build(ctx: Context, state: GatewayState) -> None:
     """Set the version at which a new stream must begin, if there is one that can serve it."""
     required = state.streams.find_required_origin(ctx.route)
--- a/src/swifttrestle/internal/forward/engines.py
+++ b/src/swifttrestle/internal/forward/engines.py
@@ -239,7 +239,8 @@
                 return self._find_replacement(ctx, relay, reason, attempt)
             except RefusedError:
                 seconds = FIRST_RESUME_SECONDS * 2**relay.resumes
-                if not self._may_repeat(ctx) or _now() + seconds >= give_up_at:
+                in_time = _now() + seconds < give_up_at
+                if not self._may_repeat(ctx) or not in_time or not self._may_wait(ctx):
                     raise
             relay.resumes += 1
             await asyncio.sleep(seconds)
@@ -283,6 +284,17 @@
         )
         return decoder
 
+    def _may_wait(self, ctx: Context) -> bool:
+        """Return whether an engine may serve the request in a while.
+
+        Those that are listed with its stream's version may all have restarted. Only an answer that
+        has begun waits for others then.
+        """
+        listed = self._state.fleet.list_service(ctx.service.name)
+        fitting = [item for item in listed if item.record.build == ctx.build]
+        restarted = fitting and all(item.restarted_unlisted for item in fitting)
+        return ctx.answer.begun or not restarted
+
     @staticmethod
     def _may_repeat(ctx: Context) -> bool:
         """Return whether the route and the answer allow another attempt after those so far."""
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -55,6 +55,9 @@
     role_changing_until: float = float("-inf")
     # Whether it is no longer listed or has been replaced.
     gone: bool = False
+    # Whether it has said that it is another incarnation than the listed one, whose version is
+    # unknown until it is listed.
+    restarted_unlisted: bool = False
     # Whether a later incarnation has replaced it, so that its cache is lost.
     replaced: bool = False
     cache: PromptCache = field(default_factory=PromptCache)
@@ -87,7 +90,7 @@
 
     def may_continue(self, build: str | None) -> bool:
         """Return whether it may continue a stream of a software version; None is a new stream."""
-        return build in (None, self.record.build)
+        return build is None or (build == self.record.build and not self.restarted_unlisted)
 
     def takes_work(self, role: Role, now: float) -> bool:
         """Return whether it accepts new work of a role now."""
--- a/src/swifttrestle/internal/transport/upstream.py
+++ b/src/swifttrestle/internal/transport/upstream.py
@@ -74,6 +74,8 @@
         self.idle_until = 0.0
         # The peer that relays this connection; empty if it is direct.
         self.relay = ""
+        # Whether its upstream has said that it is the start that the list shows.
+        self.start_confirmed = False
         # Whether it has been handed to its user.
         self.claimed = False
         self._received_at = 0.0
--- a/tests/hosted/lost_hosts.py
+++ b/tests/hosted/lost_hosts.py
@@ -100,13 +100,21 @@
             for engine in leaving:
                 await self.stop_engine(engine)
 
+    def restart_as(self, build, engines):
+        """Restart engines under their ids and addresses at another version."""
+        for engine in engines:
+            # What ran before did so at the former version.
+            engine.arrivals.clear()
+            engine.build = build
+            self.site.restart_upstream(engine, engine.born + 1)
+
     async def stop_engine(self, engine):
         """Reset an engine's connections and close its port."""
         await self.site.stop_upstream(engine)
 
     async def wait_listed(self):
         """Wait until all hosts that serve list exactly the engines that serve."""
-        expected = {item.instance for group in self._engines.values() for item in group}
+        expected = {name_start(item) for group in self._engines.values() for item in group}
         for name in self.list_up():
             known = self.site.gateways[name].gateway.list_instances
             await wait_until(lambda k=known: set(k()) == expected, f"the engines at {name}")
@@ -163,13 +171,17 @@
             self.site.gateways[name].store_paths.start_cut(Cut.HANG)
             self._cut_off[name] = names
 
-    async def heal(self):
-        """End all cuts; return once all hosts know each other and list the engines."""
+    def end_cuts(self):
+        """End all cuts; the hosts learn what they missed from then on."""
         for name in self._cut_off:
             socket = self._find_socket(name)
             del socket.send, socket.datagram_received
             self.site.gateways[name].store_paths.heal()
         self._cut_off = {}
+
+    async def heal(self):
+        """End all cuts; return once all hosts know each other and list the engines."""
+        self.end_cuts()
         await wait_until(lambda: all_know_each_other(self.site), "all hosts to be known")
         await self.wait_listed()
 
@@ -187,8 +199,8 @@
 
     # Streams.
 
-    async def begin(self, count=STREAMS, may_refuse=False):
-        """Have callers begin streams at all hosts, each broken off after two events.
+    async def begin(self, count=STREAMS, may_refuse=False, hosts=()):
+        """Have callers begin streams at hosts, or at all, each broken off after two events.
 
         With `may_refuse`, hosts may refuse to begin some, or end them without an event.
         """
@@ -198,7 +210,7 @@
             engine.script = AlwaysCut()
             engine.hold.clear()
         tasks = {
-            name: asyncio.ensure_future(self._begin(name, number))
+            name: asyncio.ensure_future(self._begin(name, number, hosts or self.list_up()))
             for number, name in enumerate(names)
         }
         # All run at once, so that they spread over the engines of all versions.
@@ -222,8 +234,7 @@
         engines = [item for group in self._engines.values() for item in group]
         return [item for item in engines if item.role == "decode"]
 
-    async def _begin(self, name, number):
-        hosts = self.list_up()
+    async def _begin(self, name, number, hosts):
         host = hosts[number % len(hosts)]
         return await self.ask(host, "/once/a", name, X_Token_Usage=pick_usage(number))
 
@@ -265,7 +276,9 @@
 
     def count_joined(self):
         """Return the number of streams that ran at several services or versions."""
-        return sum(len(self.list_origins(stream)) > 1 for stream in self.begun)
+        return sum(
+            len(self.list_origins(stream) | {origin}) > 1 for stream, origin in self.begun.items()
+        )
 
 
 def _filter_datagrams(socket, reached):
@@ -283,6 +296,11 @@
     socket.send, socket.datagram_received = send_if_reached, receive_if_reached
 
 
+def name_start(engine):
+    """Return the name by which hosts list an engine, which differs between its starts."""
+    return f"{engine.instance}@{engine.born}" if engine.born else engine.instance
+
+
 def pick_usage(number):
     """Return the tokens of a request: each third prompt is prefilled by another engine."""
     return LONG if number % 3 == 0 else SHORT
