Hosts that are not heard keep their part of the retry budgets

What could be seen: in a partition all hosts together may make more repeats than a service's budget: each host divides the constant part by the hosts that it hears, and one that hears none spends all of it.

Cause: silence was taken for absence.

Change: a host that fell silent keeps its part for as long as it keeps its share of quotas: 60 s, in which time without the store does not count. The hosts that are left have less of the constant part for as long; their share of requests is as before.

Evidence: test_retry_budgets_of_lost_hosts, five hosts of one service. Before: 67 repeats at once of 50 where one or two hosts are cut off or the hosts are cut in halves, 175 where each is alone; now 50 at most in all four cases.

--- a/src/swifttrestle/gateway.py
+++ b/src/swifttrestle/gateway.py
@@ -197,6 +197,7 @@
             rng,
             self._metrics,
         )
+        self._budgets.count_sharing = self._quotas.limiter.count_hosts
         self._reloader = SettingsReloader(settings, self._budgets, self._gossip, self._quotas)
         self._handler = GatewayHandler(
             self._state,
--- a/src/swifttrestle/internal/coordination/quotas/limiter.py
+++ b/src/swifttrestle/internal/coordination/quotas/limiter.py
@@ -123,6 +123,10 @@
             self._refresh(_now())
             await asyncio.sleep(REFRESH_SECONDS)
 
+    def count_hosts(self) -> int:
+        """Return the number of hosts that have a share, those that may be cut off included."""
+        return self._hosts.count(_now())
+
     def describe(self, now: float) -> dict[str, Any]:
         """Return the quotas that this host has charged in the last window or counts."""
         names = {*self._recent, *self._pools.list_workspaces()}
--- a/src/swifttrestle/internal/forward/gateway_state.py
+++ b/src/swifttrestle/internal/forward/gateway_state.py
@@ -53,14 +53,23 @@
 MAX_UNREPORTED_PROMPTS = 64
 
 
+def _count_one() -> int:
+    return 1
+
+
 @dataclass
 class RetryBudgets:
-    """The retry budgets of all services."""
+    """The retry budgets of all services.
+
+    `hosts` is the number of live hosts, and `count_sharing` returns the number of those that may
+    spend a part of the budget: a host that is not heard may serve on.
+    """
 
     share: float
     extra: float
     window: float
     hosts: int = 1
+    count_sharing: Callable[[], int] = _count_one
     _services: dict[str, WindowedRetryBudget] = field(default_factory=dict)
 
     def change(self, share: float, extra: float, window: float) -> None:
@@ -75,7 +84,7 @@
         if budget is None:
             budget = WindowedRetryBudget(self.share, self.extra, self.window)
             self._services[service] = budget
-        budget.hosts = self.hosts
+        budget.hosts = max(self.hosts, self.count_sharing())
         return budget
 
 
