A stream that begins at an engine that restarted unseen is noted at no listed version

What callers saw: a stream begins at an engine that has restarted under its id at another version, which the host does not know yet; it is noted at the former version, and later goes on there.

Cause: the version that is noted is that of the entry, as old as the list, and not that of the process that writes the stream.

Change: the start is confirmed for new resumable streams too, once a connection. Those of an engine that reports another start than its entry are noted at an unknown version, and go on nowhere.

Evidence: test_streams_at_restarted_engines, the cases of streams that began.

--- a/src/swifttrestle/internal/forward/attempt.py
+++ b/src/swifttrestle/internal/forward/attempt.py
@@ -133,8 +133,10 @@
         # The instance may have started to drain while the connection was established.
         if instance.leaving:
             raise UpstreamLeavingError(f"{instance.name} is draining")
-        if ctx.build is not None and instance.record.role is not Role.NONE:
+        if ctx.route.resumable and instance.record.role is not Role.NONE:
             await confirm_start(connection, instance, plan.silence)
+            if not instance.may_continue(ctx.build):
+                raise UpstreamBusyError(f"{instance.name} may be of another version")
         try:
             head, body = await read_head(ctx, connection, plan)
         except (UpstreamBusyError, UpstreamLeavingError):
@@ -149,7 +151,7 @@
             )
         if relay is not None and ctx.route.streaming and is_success(head.status):
             check = functools.partial(lives_on, pool, instance)
-            await relay.relay(ctx, head, body, instance.record.build, check)
+            await relay.relay(ctx, head, body, instance.build, check)
         elif head.framing is Framing.LENGTH and head.length > MAX_BUFFERED_ANSWER_BYTES:
             await _stream_answer(ctx, head, body)
         else:
--- a/src/swifttrestle/internal/forward/start_confirmation.py
+++ b/src/swifttrestle/internal/forward/start_confirmation.py
@@ -5,7 +5,7 @@
 connection, however old the list is.
 """
 
-from swifttrestle.errors import UpstreamBrokenError, UpstreamBusyError
+from swifttrestle.errors import UpstreamBrokenError
 from swifttrestle.internal.event_log import log_event
 from swifttrestle.internal.state.fleet import Instance
 from swifttrestle.internal.transport.messages import Framing
@@ -26,10 +26,10 @@
 ) -> None:
     """Ask an engine for its start once a connection, if its record has one.
 
-    Raises UpstreamBusyError if it is another one, which `engine` remembers, and UpstreamBrokenError
-    if it does not answer. An engine whose report names no start counts as unchanged.
+    `engine` remembers if it is another one. Raises UpstreamBrokenError if it does not answer. One
+    whose report names no start counts as unchanged.
     """
-    if connection.start_confirmed or not engine.record.born:
+    if connection.start_confirmed or engine.restarted_unlisted or not engine.record.born:
         return
     try:
         async with limit_silence(silence):
@@ -40,8 +40,7 @@
     if is_other_incarnation(born, engine.record.born):
         engine.restarted_unlisted = True
         log_event("engine restarted unlisted", engine=engine.name, born=born)
-        raise UpstreamBusyError(f"{engine.name} has restarted, maybe at another version")
-    connection.start_confirmed = True
+    connection.start_confirmed = not engine.restarted_unlisted
 
 
 async def _read_born(connection: UpstreamConnection, engine: Instance) -> int:
--- a/src/swifttrestle/internal/state/fleet.py
+++ b/src/swifttrestle/internal/state/fleet.py
@@ -21,6 +21,8 @@
 DECODE_READ_SHARE = 0.5
 # Seconds for which a peer's reported work counts, four of its report intervals.
 PEER_WORK_SECONDS = 1.0
+# Stands for the version of an engine that the list does not show; no engine is listed with it.
+UNKNOWN_BUILD = "?"
 
 
 @dataclass(frozen=True)
@@ -67,6 +69,11 @@
         """The name of this incarnation, by which hosts refer to it in messages."""
         return self.record.start
 
+    @property
+    def build(self) -> str:
+        """The version of its software, UNKNOWN_BUILD if it has restarted unlisted."""
+        return UNKNOWN_BUILD if self.restarted_unlisted else self.record.build
+
     @property
     def role(self) -> Role:
         """Its role; the last ordered one until the record shows it."""
