A role order that is read late does not undo the one that followed it

What could be seen: a host that has stood still while an engine was ordered to one role and back to another takes the first order for the last one, and tells its peers, until the engine's entry changes its role again.

Cause: the time of an order is counted from when its report is read. After a standstill the first reports of two orders are read together and give the same time, and the same time counts as the same order.

Change: only orders to the same role count as the same one within half a second.

Evidence: test_orders_that_a_host_reads_late_do_not_undo_a_later_one, which failed before (unit test; no play of it was made). Reports that are read late still make an order look younger to peers; that needs its number in the reports.

--- a/src/swifttrestle/internal/coordination/duties/role_orders.py
+++ b/src/swifttrestle/internal/coordination/duties/role_orders.py
@@ -27,8 +27,9 @@
         known = self._orders.get(engine)
         if known is not None and ready_at < known[1] - SAME_ORDER_SECONDS:
             return
-        if known is None or ready_at > known[1] + SAME_ORDER_SECONDS:
-            # A repeated report keeps the first time, which would otherwise grow with each hop.
+        # A repeated report keeps the first time, which would otherwise grow with each hop.
+        tolerance = SAME_ORDER_SECONDS if known is not None and known[0] is role else 0.0
+        if known is None or ready_at > known[1] + tolerance:
             self._orders[engine] = (role, ready_at)
         self._fleet.note_ordered_role(engine, *self._orders[engine])
 
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -413,6 +413,19 @@
     assert engine.role is Role.PREFILL
 
 
+def test_orders_that_a_host_reads_late_do_not_undo_a_later_one():
+    # Guards against an order's age that is counted from its reading after a standstill.
+    clock = [10.0]
+    engine, orders = make_orders(clock)
+    # Peers sent these at 1 s and 4 s, each as its order was accepted; this host stood still.
+    orders.apply_shared({"i": ("decode", 1.0)}, "late peer")
+    clock[0] += 0.001
+    orders.apply_shared({"i": ("prefill", 1.0)}, "late peer")
+    clock[0] = 10.2
+    orders.apply_shared({"i": ("prefill", -5.2)}, "peer")
+    assert engine.role is Role.PREFILL
+
+
 def test_an_unknown_role_is_skipped():
     clock = [10.0]
     engine, orders = make_orders(clock)
