An address with a scope is refused, which ended requests without any answer

What callers saw: with an entry at `fe80::1%` and 200 characters beside two sound ones, 27 of 60 requests ended without any answer (one process, in-process site).

Cause: opening a connection to it raises UnicodeError (the resolver's encoding of names), which counts as no failure of a connection.

Change: IPv6 addresses with a scope, which names an interface of one host, are refused where entries are read.

Evidence: test_an_address_that_is_taken_can_be_dialed, 1 of 13 cases failed before, none now.

--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -123,13 +123,16 @@
 def parse_ip_address(value: Any) -> tuple[str, int]:
     """Return host and port of 'IP:PORT'.
 
-    Host names are rejected, since each connection would have to resolve them.
+    Host names are rejected, since each connection would have to resolve them, and scopes of IPv6
+    addresses, which are names of one host's own interfaces.
     """
     host, port = parse_address(value)
     try:
         ip = ipaddress.ip_address(host)
     except ValueError:
         raise ValueError(f"{host!r:.80} is not an IP address; give IP:PORT") from None
+    if "%" in host:
+        raise ValueError(f"{host!r:.80} has a scope; give an address that all hosts reach")
     if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST or not port:
         raise ValueError(f"{value!r:.80} is not the address of one host; give its IP and port")
     return host, port
--- a/tests/common/odd_entries.py
+++ b/tests/common/odd_entries.py
@@ -69,6 +69,7 @@
     "broadcast": "255.255.255.255:80",
     "ipv6": "[::1]:80",
     "ipv6 with a scope": "fe80::1%lo:80",
+    "ipv6 with a long scope": "fe80::1%" + "x" * 200 + ":80",
     "a port of 5000 digits": "10.0.0.1:" + "9" * 5000,
 }
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from swifttrestle.errors import FrameError
+from swifttrestle.errors import BadEntryError, FrameError, UpstreamUnreachedError
 from swifttrestle.internal.coordination.store.entries import UpstreamEntries
 from swifttrestle.internal.protocol.listings import ListingChanges, pack_changes, unpack_changes
 from swifttrestle.internal.protocol.stream_builds import (
@@ -16,11 +16,12 @@
 from swifttrestle.internal.state.fleet import Fleet
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.internal.state.stream_builds import StreamOrigin
+from swifttrestle.internal.transport.dialer import Dialer
 from swifttrestle.platform.objects import MalformedObject, decode_answer, read_changes, read_page
 from swifttrestle.platform.records import read_upstream
 from swifttrestle_standins.hosted.direct import DirectStore
 from tests.common.fakes import make_skipped_entries
-from tests.common.odd_entries import SPEC, list_odd_entries, list_odd_names, write_entry
+from tests.common.odd_entries import ADDRESSES, SPEC, list_odd_entries, list_odd_names, write_entry
 
 ODD = list_odd_entries()
 EACH_ENTRY = pytest.mark.parametrize("entry", ODD.values(), ids=ODD)
@@ -65,6 +66,17 @@
     assert unpack_changes(pack_changes(changes)) == changes
 
 
+@pytest.mark.parametrize("address", [*ADDRESSES.values(), "::1:1", "127.255.255.255:9"], ids=repr)
+def test_an_address_that_is_taken_can_be_dialed(address):
+    # An error of another kind ends a request without any answer.
+    try:
+        record = read_upstream("i", {**SPEC, "address": address})
+    except BadEntryError:
+        return
+    with pytest.raises(UpstreamUnreachedError):
+        asyncio.run(Dialer().dial(record.address))
+
+
 @EACH_NAME
 def test_a_list_goes_on_behind_pages_of_odd_names(name):
     async def list_names():
