A handle of an engine with control characters is refused

Cause: a handle goes into the head of requests to other engines (`X-Kv-Source`, and the path at which it is freed) as the engine wrote it; the end of a line in it added headers, or a request, at another engine.

Change: such an answer counts as broken, as any other that cannot be read.

Evidence: test_an_engines_handle_with_a_control_character_is_refused, 5 of 5 cases failed before, none now.

--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -56,10 +56,15 @@
 
 
 def check_line(value: Any) -> str:
-    """Return a text as `check_text`, without control characters, which would end a header line."""
-    if _CONTROL_CHARACTER.search(check_text(value)):
+    """Return a text as `check_text`, without control characters."""
+    return check_header_value(check_text(value))
+
+
+def check_header_value(value: str) -> str:
+    """Return a text without control characters, which would end a header line."""
+    if _CONTROL_CHARACTER.search(value):
         raise ValueError(f"{value!r:.80} has a control character; give a text without any")
-    return str(value)
+    return value
 
 
 def check_bool(value: Any) -> bool:
--- a/src/swifttrestle/platform/engine.py
+++ b/src/swifttrestle/platform/engine.py
@@ -6,7 +6,12 @@
 import orjson
 
 from swifttrestle.errors import UpstreamBrokenError
-from swifttrestle.internal.checks import MAX_INT64, MAX_STATED_TOKENS, check_integer
+from swifttrestle.internal.checks import (
+    MAX_INT64,
+    MAX_STATED_TOKENS,
+    check_header_value,
+    check_integer,
+)
 from swifttrestle.internal.decoding import decode_json
 from swifttrestle.internal.state.declared import Role
 from swifttrestle.internal.state.prompt_cache import PromptPart
@@ -55,7 +60,8 @@
     """Return the KV handle of a prefill response; raise UpstreamBrokenError."""
     raw = _decode(body)
     try:
-        return KvHandle(str(raw["kvHandle"]), _limit_tokens(raw.get("tokens", 0)))
+        name = check_header_value(str(raw["kvHandle"]))
+        return KvHandle(name, _limit_tokens(raw.get("tokens", 0)))
     except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise UpstreamBrokenError(f"an engine's handle cannot be read: {error!r}") from None
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -5,7 +5,12 @@
 import orjson
 import pytest
 
-from swifttrestle.errors import BadEntryError, FrameError, UpstreamUnreachedError
+from swifttrestle.errors import (
+    BadEntryError,
+    FrameError,
+    UpstreamBrokenError,
+    UpstreamUnreachedError,
+)
 from swifttrestle.internal.coordination.store.entries import UpstreamEntries
 from swifttrestle.internal.protocol.listings import ListingChanges, pack_changes, unpack_changes
 from swifttrestle.internal.protocol.stream_builds import (
@@ -17,6 +22,7 @@
 from swifttrestle.internal.state.store_epochs import StoreRevision
 from swifttrestle.internal.state.stream_builds import StreamOrigin
 from swifttrestle.internal.transport.dialer import Dialer
+from swifttrestle.platform.engine import read_handle
 from swifttrestle.platform.objects import MalformedObject, decode_answer, read_changes, read_page
 from swifttrestle.platform.records import read_upstream
 from swifttrestle_standins.hosted.direct import DirectStore
@@ -110,6 +116,13 @@
     assert [type(item) for item in page.malformed] == [MalformedObject]
 
 
+@pytest.mark.parametrize("control", CONTROLS, ids=repr)
+def test_an_engines_handle_with_a_control_character_is_refused(control):
+    # Handles are sent to other engines in request heads.
+    with pytest.raises(UpstreamBrokenError):
+        read_handle(orjson.dumps({"kvHandle": "h" + control, "tokens": 1}))
+
+
 RECORD = read_upstream("i", {**SPEC, "leaves_ms": 1000})
 SENT = pack_changes(ListingChanges(StoreRevision(0, 1), StoreRevision(0, 2), 0.0, (RECORD,), ()))
 
