--- a/src/swifttrestle/internal/forward/stream_directory.py
+++ b/src/swifttrestle/internal/forward/stream_directory.py
@@ -171,8 +171,8 @@
         )
 
     def _observe(self, service: str) -> None:
-        current = not self._freshness.may_lack_upstreams()
-        self._builds.note_builds(service, self._fleet.list_builds(service), _now(), current)
+        known_at = self._freshness.find_known_at()
+        self._builds.note_builds(service, self._fleet.list_builds(service), _now(), known_at)
 
 
 class SharedStreamDirectory(LocalStreamDirectory):
@@ -248,6 +248,8 @@
         known = find_known(replies)
         if known is not None:
             return known
+        if self._freshness.is_cut_off():
+            return Continuation(False)
         stored = await self._look_up_stored(stream, take_up)
         if stored is not None:
             return stored
