--- a/src/swifttrestle/internal/checks.py
+++ b/src/swifttrestle/internal/checks.py
@@ -56,10 +56,15 @@
 
 
 def check_line(value: Any) -> str:
-    """Return a text as `check_text`, without control characters, which would end a header line."""
-    if _CONTROL_CHARACTER.search(check_text(value)):
+    """Return a text as `check_text`, without control characters."""
+    return check_header_value(check_text(value))
+
+
+def check_header_value(value: str) -> str:
+    """Return a text without control characters, which would end a header line."""
+    if _CONTROL_CHARACTER.search(value):
         raise ValueError(f"{value!r:.80} has a control character; give a text without any")
-    return str(value)
+    return value
 
 
 def check_bool(value: Any) -> bool:
@@ -123,13 +128,16 @@
 def parse_ip_address(value: Any) -> tuple[str, int]:
     """Return host and port of 'IP:PORT'.
 
-    Host names are rejected, since each connection would have to resolve them.
+    Host names are rejected, since each connection would have to resolve them, and scopes of IPv6
+    addresses, which are names of one host's own interfaces.
     """
     host, port = parse_address(value)
     try:
         ip = ipaddress.ip_address(host)
     except ValueError:
         raise ValueError(f"{host!r:.80} is not an IP address; give IP:PORT") from None
+    if "%" in host:
+        raise ValueError(f"{host!r:.80} has a scope; give an address that all hosts reach")
     if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST or not port:
         raise ValueError(f"{value!r:.80} is not the address of one host; give its IP and port")
     return host, port
