A host that has heard none of those it knows has lost them

Cause: hosts known by name alone, from the store, were never heard and so not counted as lost. Change: a host that has heard no other has lost all that it knows by name.

--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -19,6 +19,9 @@
 # Seconds for which the computed list of members is cached.
 MEMBERS_CACHE_SECONDS = 0.1
 
+# Precedes the IP of a host whose name is not known yet.
+SEED_PREFIX = "seed "
+
 NEVER = float("-inf")
 UNKNOWN = float("inf")
 
@@ -102,7 +105,7 @@
     def add_seed(self, ip: str) -> None:
         """Add a host of which only the IP is known, until its first heartbeat names it."""
         if ip != self._local_member.ip and all(peer.ip != ip for peer in self.peers.values()):
-            self.peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
+            self.peers[SEED_PREFIX + ip] = Peer(SEED_PREFIX + ip, ip)
 
     def add_peer(self, host: str, ip: str) -> None:
         """Add a host by name and IP."""
@@ -112,7 +115,7 @@
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a peer's heartbeat; return whether it has become a member by it."""
         member = heartbeat.member
-        self.peers.pop(f"seed {member.ip}", None)
+        self.peers.pop(SEED_PREFIX + member.ip, None)
         peer = self.peers.setdefault(member.host, Peer(member.host, member.ip))
         if heartbeat.incarnation < peer.incarnation and peer.is_alive(now):
             # A late datagram of an earlier incarnation. A peer that has been silent may return
@@ -141,7 +144,7 @@
                 continue
             peer = self.peers.get(member.host)
             if peer is None:
-                self.peers.pop(f"seed {member.ip}", None)
+                self.peers.pop(SEED_PREFIX + member.ip, None)
                 peer = self.peers[member.host] = Peer(member.host, member.ip)
             if not peer.is_alive(now):
                 peer.ip, peer.zone, peer.link_mbps = member.ip, member.zone, member.link_mbps
@@ -197,10 +200,16 @@
         return [peer for peer in self.peers.values() if peer.is_seen(now)]
 
     def list_lost(self, now: float, seconds: float) -> list[Peer]:
-        """Return the peers that fell silent in the last `seconds` without announcing their stop."""
+        """Return the peers that fell silent in the last `seconds` without announcing their stop.
+
+        A host that has never heard any has lost all that it knows by name.
+        """
+        named = [peer for name, peer in self.peers.items() if not name.startswith(SEED_PREFIX)]
+        if all(peer.heard_at == NEVER for peer in named):
+            return named
         return [
             peer
-            for peer in self.peers.values()
+            for peer in named
             if not peer.is_seen(now) and peer.leaving_at == NEVER and now - peer.heard_at < seconds
         ]
 
--- a/tests/cover/test_list_freshness.py
+++ b/tests/cover/test_list_freshness.py
@@ -61,3 +61,18 @@
         assert (PEER.host in members) == live
 
     run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize(
+    ("named", "heard", "lost"), [([], [], 0), (["h1"], [], 1), (["h1", "h2"], ["h1"], 0)]
+)
+def test_a_host_that_has_heard_none_of_those_it_knows_has_lost_them(named, heard, lost):
+    # Guards against a host that is cut off from its start and taken for the only one. Others that
+    # are known by name alone may be gone for long.
+    peers = PeerTable(ME)
+    peers.add_seed("10.0.0.9")
+    for number, name in enumerate(named):
+        peers.add_peer(name, f"10.0.0.{number + 2}")
+    for name in heard:
+        peers.record_heartbeat(Heartbeat(Member(name, "10.0.0.2", "a"), 1), 1000.0)
+    assert len(peers.list_lost(1000.0, LOST_SECONDS)) == lost
