--- a/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
+++ b/src/swifttrestle/internal/coordination/discovery/observed_freshness.py
@@ -71,7 +71,7 @@
             age=now - self._fleet.confirmed_at,
             lost_hosts=len(silent) - stopped,
             stopped_hosts=stopped,
-            is_alone=bool(self._peers.peers) and len(self._peers.list_members(now)) == 1,
+            is_alone=self._peers.is_alone(now),
         )
 
 
--- a/src/swifttrestle/internal/policy/list_freshness.py
+++ b/src/swifttrestle/internal/policy/list_freshness.py
@@ -22,8 +22,8 @@
 
     `age` is the time in seconds since the store was asked for the state that the list has. Of the
     hosts that were heard shortly before that or later, `lost_hosts` are silent without having
-    announced their stop, and `stopped_hosts` announced it. `is_alone` is whether no host is heard
-    of those that are known.
+    announced their stop, and `stopped_hosts` announced it. `is_alone` is whether other hosts are
+    known by name and none is heard.
     """
 
     age: float
@@ -38,10 +38,9 @@
     Those that are lost may have learnt of them. So may those that have stopped and started again,
     unless the list was current after that.
     """
-    if observed.lost_hosts:
+    if observed.lost_hosts or observed.is_alone:
         return True
-    outdated = observed.age > MAX_LIST_AGE_SECONDS
-    return outdated and (observed.stopped_hosts > 0 or observed.is_alone)
+    return observed.stopped_hosts > 0 and observed.age > MAX_LIST_AGE_SECONDS
 
 
 class ListFreshness(ABC):
--- a/src/swifttrestle/internal/state/peers.py
+++ b/src/swifttrestle/internal/state/peers.py
@@ -19,6 +19,9 @@
 # Seconds for which the computed list of members is cached.
 MEMBERS_CACHE_SECONDS = 0.1
 
+# Precedes the IP of a host whose name is not known yet.
+SEED_PREFIX = "seed "
+
 NEVER = float("-inf")
 UNKNOWN = float("inf")
 
@@ -99,7 +102,7 @@
     def add_seed(self, ip: str) -> None:
         """Add a host of which only the IP is known, until its first heartbeat names it."""
         if ip != self._local_member.ip and all(peer.ip != ip for peer in self.peers.values()):
-            self.peers[f"seed {ip}"] = Peer(f"seed {ip}", ip)
+            self.peers[SEED_PREFIX + ip] = Peer(SEED_PREFIX + ip, ip)
 
     def add_peer(self, host: str, ip: str) -> None:
         """Add a host by name and IP."""
@@ -109,7 +112,7 @@
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a peer's heartbeat; return whether it has become a member by it."""
         member = heartbeat.member
-        self.peers.pop(f"seed {member.ip}", None)
+        self.peers.pop(SEED_PREFIX + member.ip, None)
         peer = self.peers.setdefault(member.host, Peer(member.host, member.ip))
         if heartbeat.incarnation < peer.incarnation and peer.is_alive(now):
             # A late datagram of an earlier incarnation. A peer that has been silent may return
@@ -138,7 +141,7 @@
                 continue
             peer = self.peers.get(member.host)
             if peer is None:
-                self.peers.pop(f"seed {member.ip}", None)
+                self.peers.pop(SEED_PREFIX + member.ip, None)
                 peer = self.peers[member.host] = Peer(member.host, member.ip)
             if not peer.is_alive(now):
                 peer.ip, peer.zone, peer.link_mbps = member.ip, member.zone, member.link_mbps
@@ -194,6 +197,11 @@
         """Return the recently seen peers, including stopping ones."""
         return [peer for peer in self.peers.values() if peer.is_seen(now)]
 
+    def is_alone(self, now: float) -> bool:
+        """Return whether other hosts are known by name, and none is live."""
+        named = any(not name.startswith(SEED_PREFIX) for name in self.peers)
+        return named and not any(peer.is_live(now) for peer in self.peers.values())
+
     def list_silent(self, now: float, since: float) -> list[Peer]:
         """Return the peers that are not live now, and were heard after the time `since`."""
         return [
--- a/tests/cover/test_list_freshness.py
+++ b/tests/cover/test_list_freshness.py
@@ -18,6 +18,7 @@
 
 YOUNG, OLD = 1.0, MAX_LIST_AGE_SECONDS + 1
 ME, PEER = Member("h0", "10.0.0.1", "a"), Member("h1", "10.0.0.2", "a")
+OTHER = Member("h2", "10.0.0.3", "a")
 SILENT_SECONDS = PEER_TIMEOUT_SECONDS + MAX_LIST_AGE_SECONDS
 
 
@@ -32,8 +33,8 @@
         # Planned stops while the store answers.
         (ListObservation(YOUNG, stopped_hosts=1), False),
         (ListObservation(OLD, stopped_hosts=1), True),
-        # The first host of a system, and one that has known the others by name alone.
-        (ListObservation(YOUNG, is_alone=True), False),
+        # Also a host that knows the others by name alone.
+        (ListObservation(YOUNG, is_alone=True), True),
         (ListObservation(OLD, is_alone=True), True),
     ],
 )
@@ -89,6 +90,24 @@
     peers.add_peer(PEER.host, PEER.ip)
 
 
+def hear_two(peers, now):
+    """Hear two hosts, of which one goes on to be heard."""
+    hear(peers, now)
+    peers.record_heartbeat(Heartbeat(OTHER, 1), now)
+    asyncio.ensure_future(hear_on(peers, OTHER))
+
+
+def hear_stop_of_one(peers, now):
+    hear_stop(peers, now)
+    asyncio.ensure_future(hear_on(peers, OTHER))
+
+
+async def hear_on(peers, member):
+    while True:
+        peers.record_heartbeat(Heartbeat(member, 1), asyncio.get_running_loop().time())
+        await asyncio.sleep(0.5)
+
+
 @pytest.mark.parametrize("seconds", [SILENT_SECONDS, 250.0, 3600.0])
 @pytest.mark.parametrize("prepare", [hear, hear_stop, hear_report, hear_and_withdraw, know_by_name])
 def test_a_host_that_is_not_heard_is_missed_until_the_list_is_confirmed(prepare, seconds):
@@ -101,9 +120,10 @@
     [
         (hear, 0.5, False),
         (hear, SILENT_SECONDS, True),
-        (hear, LOST_SECONDS + 1, False),
-        (hear_stop, SILENT_SECONDS, False),
-        (know_by_name, SILENT_SECONDS, False),
+        (hear_two, LOST_SECONDS + 1, False),
+        (hear_two, SILENT_SECONDS, True),
+        (hear_stop_of_one, SILENT_SECONDS, False),
+        (know_by_name, SILENT_SECONDS, True),
         (hear_and_withdraw, 0.5, True),
     ],
 )
@@ -126,3 +146,19 @@
             assert freshness.find_known_at() == loop.time()
 
     run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize(
+    ("named", "heard", "alone"),
+    [([], [], False), (["h1"], [], True), (["h1", "h2"], ["h1"], False)],
+)
+def test_a_host_that_hears_none_of_those_it_knows_by_name_is_alone(named, heard, alone):
+    # Guards against a host that is cut off from its start and taken for the only one. Others that
+    # are known by name alone may be gone for long.
+    peers = PeerTable(ME)
+    peers.add_seed("10.0.0.9")
+    for number, name in enumerate(named):
+        peers.add_peer(name, f"10.0.0.{number + 2}")
+    for name in heard:
+        peers.record_heartbeat(Heartbeat(Member(name, "10.0.0.2", "a"), 1), 1000.0)
+    assert peers.is_alone(1000.0) == alone
