Soak: processes miss a release while they are cut off or stand still

Gateways in processes of their own, each with a proxy of its own before the store; datagrams are lost where they are sent, so that what waits in the socket of a stopped process is still read. Streams begin through the other hosts and are taken up at those out of step: at the moment of waking, on connections from before, inside the cut and after it.

--- a/tests/soak/gateway.py
+++ b/tests/soak/gateway.py
@@ -22,7 +22,9 @@
 # The file that names the cut while there is one, and the file in which the dialer lists the ends
 # of its connections (its own port and the upstream's) with their times.
 CUT_FILE, DIALED_FILE = "SOAK_CUT_FILE", "SOAK_DIALED_FILE"
-# The file that names the peers' IPs and the upstreams' addresses that the process can't reach.
+# The file that names the peers' IPs and the upstreams' addresses that the process can't reach. With
+# DATAGRAMS_TO before it, an IP is one to which its datagrams are lost, while those from it arrive.
+DATAGRAMS_TO = "datagrams to "
 UNREACHABLE_FILE = "SOAK_UNREACHABLE_FILE"
 # The environment variable with the processor time of a request, in milliseconds.
 COST_VARIABLE = "SOAK_REQUEST_MS"
@@ -100,20 +102,20 @@
     connect = asyncio.BaseEventLoop.create_connection
     send, receive = PeerSocket.send, PeerSocket.datagram_received
 
-    def is_cut_off(host, port=0):
+    def is_cut_off(*names):
         # There is no file, or it is being written.
         with contextlib.suppress(OSError, ValueError):
-            return not {host, f"{host}:{port}"}.isdisjoint(json.loads(file.read_text()))
+            return not set(names).isdisjoint(json.loads(file.read_text()))
         return False
 
     async def connect_if_reachable(self, factory, host=None, port=None, **options):
-        if is_cut_off(host, port):
+        if is_cut_off(host, f"{host}:{port}"):
             await asyncio.sleep(CONNECT_TIMEOUT_SECONDS)
             raise TimeoutError
         return await connect(self, factory, host, port, **options)
 
     def send_if_reachable(self, ip, kind, data):
-        if not is_cut_off(ip):
+        if not is_cut_off(ip, DATAGRAMS_TO + ip):
             send(self, ip, kind, data)
 
     def receive_if_reachable(self, data, addr):
--- a/tests/soak/lost_hosts.py
+++ b/tests/soak/lost_hosts.py
@@ -49,6 +49,15 @@
 
 async def read_engines(host):
     """Return the model engines that a host knows; None if it does not answer."""
+    state = await read_state(host)
+    if state is None:
+        return None
+    known = state["instances"].values()
+    return {item["instance"] for item in known if item["service"] == MODEL}
+
+
+async def read_state(host):
+    """Return the state that a host shows to operators; None if it does not answer."""
     with contextlib.suppress(OSError, ValueError):
         caller = await RawCaller.connect(host.ops_address)
         caller.send(write_request("/debug/state", "state", method="GET"))
@@ -56,8 +65,7 @@
             answer = await caller.read_answer()
         finally:
             caller.close()
-        known = json.loads(answer.body)["instances"].values()
-        return {item["instance"] for item in known if item["service"] == MODEL}
+        return json.loads(answer.body)
     return None
 
 
@@ -65,22 +73,26 @@
     """Start hosts and engines of two versions, as many of each."""
     site = ProcessSite(folder)
     play = ProcessPlay(site)
-    await site.build(len(HOSTS), add_upstreams=lambda: add_engines(play))
+    await site.build(len(HOSTS), add_upstreams=lambda: add_engines(play, BUILDS))
     await play.wait_started()
     return play
 
 
-async def add_engines(play):
-    """Take over the site's engines, and add others and the routes of the streams."""
+async def add_engines(play, builds):
+    """Take over the site's engines, and add others and the routes of the streams.
+
+    They have the versions `builds`, as many of each.
+    """
     site = play.site
     engine_service = site.services[0]
     del engine_service["scaling"]
     engine_service["engine"]["slots"] = SLOTS
     for engine in [item for item in site.upstreams.values() if item.service == MODEL]:
         engine.shows_build, engine.slots = False, SLOTS
+        engine.build = engine.build if engine.build in builds else builds[0]
         site.list_upstream(engine)
         play.list_group(MODEL, engine.build).append(engine)
-    await play.arrive(*BUILDS, prefills=0, decoders=DECODERS - 1)
+    await play.arrive(*builds, prefills=0, decoders=DECODERS - 1)
     site.routes.append(
         make_route("once", "streaming", MODEL, resumable=True, timeoutMs=8000, maxAttempts=1)
     )
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -133,6 +133,8 @@
         self.folder = folder
         self.proxies = {}
         self.hosts = {}
+        # The address of the store in the settings of some hosts, by name.
+        self.store_addresses = {}
         self.cuts = HostCuts(self.hosts)
 
     async def _serve(self, name, handler):
@@ -211,6 +213,7 @@
         settings = self._make_settings(name, ip, zone)
         settings["seeds"] = [f"{pick_ip(seed)}:1" for seed in range(3)]
         settings["bounds"]["graceS"] = GRACE_SECONDS
+        settings["platform"]["address"] = self.store_addresses.get(name, self.store_address)
         ports = {"front": pick_port(ip), "ready": pick_port(ip)}
         settings["listen"] = {use: f"{ip}:{port}" for use, port in ports.items()}
         return settings
