--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,7 @@
 
 With --resets, connections of hosts are reset beside upstreams that fail requests; then --source
 names the checkout whose gateways run. With --lost, all hosts are killed at once while software
-versions come and leave.
+versions come and leave; with --missed, hosts are cut off or stopped meanwhile.
 """
 
 import asyncio
@@ -14,13 +14,22 @@
 import fire
 
 from tests.soak.lost_rounds import run_lost_round
+from tests.soak.missed_rounds import run_missed_round
 from tests.soak.processes import CHECKOUT
 from tests.soak.reset_rounds import run_reset_round
 from tests.soak.rounds import run_round
 
 
 def run_rounds(
-    first=1, seeds=10, hosts=4, seconds=6.0, callers=12, resets=False, lost=False, source=CHECKOUT
+    first=1,
+    seeds=10,
+    hosts=4,
+    seconds=6.0,
+    callers=12,
+    resets=False,
+    lost=False,
+    missed=False,
+    source=CHECKOUT,
 ):
     """Run a round per seed and print its findings; the last line lists the failed seeds."""
     # SIGTERM raises KeyboardInterrupt, so that the processes of the round are ended.
@@ -32,13 +41,15 @@
             round_of_seed = run_reset_round(seed, folder, hosts, seconds, callers, source)
         elif lost:
             round_of_seed = run_lost_round(seed, folder, hosts, seconds, callers)
+        elif missed:
+            round_of_seed = run_missed_round(seed, folder, hosts, seconds, callers)
         else:
             round_of_seed = run_round(seed, folder, hosts, seconds, callers)
         outcome = asyncio.run(round_of_seed)
         counts = f"{outcome.requests} requests, {outcome.served} served"
         counts += f", {outcome.over_quota} over a quota"
         print(f"seed {seed}: {counts}, {len(outcome.faults)} faults", flush=True)
-        if lost:
+        if lost or missed:
             print(f"  {'; '.join(item for item in outcome.faults if ' ' in item)}", flush=True)
         for finding in outcome.findings[:10]:
             print(f"  {finding}   (logs in {folder})", flush=True)
--- a/tests/soak/lost_rounds.py
+++ b/tests/soak/lost_rounds.py
@@ -36,14 +36,18 @@
 
 @dataclass
 class Versions:
-    """The engines of each version, and the periods in which it served."""
+    """The engines of each version, and the periods in which it served.
+
+    The versions in `first` serve from the start.
+    """
 
     site: ProcessSite
+    first: tuple = BUILDS
     engines: dict = field(default_factory=lambda: defaultdict(list))
     periods: dict = field(default_factory=lambda: defaultdict(list))
 
     async def add_engines(self):
-        """Add engines to the site; those of the last version are not listed yet."""
+        """Add engines to the site; those of later versions are not listed yet."""
         # The number of engines is that of the round.
         del self.site.services[0]["scaling"]
         for engine in [item for item in self.site.upstreams.values() if item.service == "model"]:
@@ -54,10 +58,12 @@
                 engine.build, engine.shows_build = build, True
                 await self.site.add_upstream(engine)
                 self.engines[build].append(engine)
-        self._unlist(VERSIONS[-1])
         now = asyncio.get_running_loop().time()
-        for build in BUILDS:
-            self.periods[build].append((now, float("inf")))
+        for build in VERSIONS:
+            if build in self.first:
+                self.periods[build].append((now, float("inf")))
+            else:
+                self._unlist(build)
 
     def list_all(self):
         return [engine for group in self.engines.values() for engine in group]
