Streams that begin without a note in the store are noted at hosts

Cause: where the store took no note of a stream and its default version had upstreams, none of which could begin it (its decode engines counted as failing), the stream went on where it was, and no host noted it, not even the one that relayed it. Taken up once the store answered, it counted as begun at the default.

Change: it is noted at its host and its keepers, which are asked before the store.

What the store does not know is still lost with the host and both keepers.

--- a/src/swifttrestle/internal/forward/events.py
+++ b/src/swifttrestle/internal/forward/events.py
@@ -146,7 +146,8 @@
         if required is None or required.service != origin.service or begun:
             return
         if not self._can_begin(required.build):
-            # The stream goes on without a note rather than not at all.
+            # The stream goes on without a note in the store rather than not at all.
+            self._streams.note_begun(ctx.request_metadata.stream, origin)
             return
         ctx.build = required.build
         raise MustBeginElsewhereError(
--- a/tests/hosted/test_streams_after_lost_notes.py
+++ b/tests/hosted/test_streams_after_lost_notes.py
@@ -1,10 +1,12 @@
 """Streams that are taken up after all hosts were lost, beside a store that fails."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import pytest
 
+from swifttrestle.internal.policy.ejection import FAILURES_TO_EJECT
 from tests.common import steady_loop
 from tests.hosted.lost_hosts import (
     MODEL,
@@ -22,6 +24,8 @@
 NEARLY_ALL, HALF, NONE = 0.9, 0.5, 0.0
 LATE_SECONDS = 0.2
 LOST_ANSWERS = 4
+# Seconds until hosts have noticed that the store is away.
+NOTICED_SECONDS = 1.0
 WRITES_PER_SECOND = 15
 # As many for each host as in the largest fleet.
 FEW_WRITES_PER_SECOND = 10
@@ -215,3 +219,35 @@
             await play.site.stop()
 
     steady_loop.run(run())
+
+
+def eject_decode_engines(play, build):
+    """Have all hosts count the decode engines of a version as failing."""
+    for running in play.site.gateways.values():
+        known = running.gateway.list_instances()
+        now = asyncio.get_running_loop().time()
+        for engine in play.list_group(MODEL, build):
+            if engine.role == "decode":
+                state = running.gateway._state
+                state.note_failure(known[engine.instance], now, "by the test", FAILURES_TO_EJECT)
+
+
+async def begin_beside_a_failing_default():
+    play = await build_play(OLD)
+    try:
+        await settle(play)
+        await play.arrive(NEW)
+        set_down(play, True)
+        await asyncio.sleep(NOTICED_SECONDS)
+        eject_decode_engines(play, OLD)
+        await play.begin(may_refuse=True)
+        set_down(play, False)
+        return play, await play.take_up_all()
+    finally:
+        await play.site.stop()
+
+
+def test_streams_begun_without_a_note_go_on_where_they_began_beside_a_failing_default():
+    play, take_ups = steady_loop.run(begin_beside_a_failing_default())
+    assert take_ups
+    check_take_ups(play, take_ups, (ON_OLD, ON_NEW), HALF)
