--- a/tests/hosted/test_versions_without_decode_engines.py
+++ b/tests/hosted/test_versions_without_decode_engines.py
@@ -202,3 +202,11 @@
     await asyncio.sleep(refused.retry_after)
     answer = await take_up(site, "g1", "s1", 2, new_id="later")
     assert (answer.status, answer.whole, answer.body) == (200, True, rest_of("later", 2))
+
+
+@pytest.mark.parametrize("tokens", [SHORT, LONG])
+@on_built(build_pairs)
+async def test_new_streams_begin_though_all_decode_engines_count_as_failing(site, tokens):
+    eject(site, "g0", list_decoders(site))
+    answer = await ask(address_of(site), "/verdict/a", "s1", X_Token_Usage=tokens)
+    assert (answer.status, answer.whole) == (200, True), answer.body
