--- a/src/swifttrestle/internal/state/stream_builds.py
+++ b/src/swifttrestle/internal/state/stream_builds.py
@@ -11,8 +11,7 @@
 # callers take streams up.
 MEMORY_SECONDS = 120.0
 # Seconds between two lists after which versions may have been missed, for instance in a suspension.
-# Longer than hosts need to find out that the store is down for all of them.
-MAX_GAP_SECONDS = 10.0
+MAX_GAP_SECONDS = 5.0
 # Some megabytes; the oldest streams are forgotten.
 MAX_STREAMS = 20_000
 
