Soak: callers lose connections while hosts miss changes of versions

Change: fewer breaks by engines; callers lose connections and take their streams up at any host. Hosts that cannot confirm keys serve all the same, and no host is cut off before it serves. The number of troubles is an argument. The proxies before the store and the reservation of hosts are shared with the other rounds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -157,6 +157,15 @@
         self._busy_hosts.add(host.name)
         return host
 
+    async def _reserve(self, names):
+        """Wait until no other process fault of these hosts is in progress, and let none begin."""
+        waiting = set(names)
+        while waiting:
+            free = waiting - self._busy_hosts
+            self._busy_hosts |= free
+            waiting -= free
+            await asyncio.sleep(0.02)
+
     def _draw_seconds(self, max_seconds):
         return 0.2 + self._rng.random() * (max_seconds - 0.2)
 
--- a/tests/soak/lost_rounds.py
+++ b/tests/soak/lost_rounds.py
@@ -125,7 +125,7 @@
         changes = self._draw_changes()
         down_seconds = self._losses.uniform(MIN_DOWN_SECONDS, MAX_DOWN_SECONDS)
         self.log.append(f"lose all, {'before' if before else 'meanwhile'} {changes}")
-        await self._reserve_all()
+        await self._reserve(self._site.hosts)
         await self._slow_down_streams()
         if before:
             self._change(changes)
@@ -153,15 +153,6 @@
         for change, build in changes:
             getattr(self._versions, change)(build)
 
-    async def _reserve_all(self):
-        """Wait until no other fault of a process is in progress, and let none begin."""
-        reserved = set()
-        while len(reserved) < len(self._site.hosts):
-            free = set(self._site.hosts) - self._busy_hosts
-            self._busy_hosts |= free
-            reserved |= free
-            await asyncio.sleep(0.02)
-
     async def _slow_down_streams(self):
         for engine in self._versions.list_all():
             engine.usual_seconds, engine.seconds = engine.seconds, SLOW_EVENT_SECONDS
--- a/tests/soak/missed_rounds.py
+++ b/tests/soak/missed_rounds.py
@@ -9,43 +9,61 @@
 import json
 import random
 import signal
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
 
 from tests.soak import promises
-from tests.soak.callers import CallerSet
+from tests.soak.callers import RESUMABLE_KIND, CallerSet
 from tests.soak.faults import Faults
 from tests.soak.lost_rounds import CALLERS, KINDS, VERSIONS, Versions
-from tests.soak.processes import ProcessSite, split_address
-from tests.soak.proxy import Proxy, ProxyMode
+from tests.soak.processes import ProcessSite
+from tests.soak.proxy import ProxyMode
 from tests.soak.rounds import Outcome, check_recovery, check_round, wait_for_hosts
 
 TROUBLES = 2
-# How hosts miss changes: whether they are cut off, and whether they are stopped.
-FORMS = {"cut": (True, False), "stop": (False, True), "cut and stop": (True, True)}
 # Seconds before the first trouble, in which hosts learn where streams begin, and between two.
 SETTLE_SECONDS, MIN_CALM_SECONDS, MAX_CALM_SECONDS = 2.0, 0.5, 2.0
-# Seconds of a trouble until versions change: others count as lost at a cut host after some two.
+# Seconds of a trouble until versions change. A cut host counts the others as lost after some two.
 MIN_LEAD_SECONDS, MAX_LEAD_SECONDS = 0.2, 3.0
 # Seconds from one change to the next one, or to the end of the trouble; and the most changes.
 MIN_CHANGE_SECONDS, MAX_CHANGE_SECONDS = 0.7, 2.0
 MAX_CHANGES = 3
 LEAVE_SHARE = 0.5
-# Seconds of each event, and the streams that each engine breaks off at a time.
-EVENT_SECONDS, BREAK_SECONDS, BROKEN_STREAMS = 0.05, 0.25, 8
-# Hosts whose keys are not confirmed would refuse all callers during a cut.
-KEY_BOUND_MS = 60_000
+# Seconds of each event; the most streams that each engine breaks off in the seconds of a break.
+# With more, engines count as failing most of the time.
+EVENT_SECONDS, BREAK_SECONDS, BROKEN_STREAMS = 0.1, 0.25, 2
+# The share of streams whose callers lose their connections, and the seconds until then.
+LOST_SHARE = 0.7
+MIN_LOST_SECONDS, MAX_LOST_SECONDS = 0.1, 0.4
 # The kinds of faults beside the troubles.
 BESIDE = ("kill", "stop", "reload", "change_configuration")
 
 
+@dataclass(frozen=True)
+class Trouble:
+    """How hosts miss changes."""
+
+    name: str
+    is_cut: bool
+    is_stopped: bool
+
+
+KINDS_OF_TROUBLE = (
+    Trouble("cut", is_cut=True, is_stopped=False),
+    Trouble("stop", is_cut=False, is_stopped=True),
+    Trouble("cut and stop", is_cut=True, is_stopped=True),
+)
+
+
 class MissedFaults(Faults):
-    """Has hosts miss changes of versions, some times, beside other faults."""
+    """Has hosts miss changes of versions `troubles` times, beside other faults."""
 
-    def __init__(self, site, rng, versions, stores):
-        """Use the proxies `stores` between the hosts and the store, by host."""
+    def __init__(self, site, rng, versions, stores, troubles):
+        """Use `stores`, the proxies between the hosts and the store by host."""
         super().__init__(site, rng)
         self._versions = versions
         self._stores = stores
+        self._count = troubles
         self._troubles = random.Random(rng.random())
 
     def list_kinds(self, planned):
@@ -53,13 +71,15 @@
 
     async def run(self, seconds, planned=False, has_regions=False):
         breaking = asyncio.ensure_future(self._break_all())
-        await asyncio.sleep(SETTLE_SECONDS)
-        troubles = asyncio.ensure_future(self._make_troubles())
-        # The other faults go on until the last trouble is over.
-        while not troubles.done():
-            await super().run(seconds / TROUBLES, planned=True)
-        await troubles
-        breaking.cancel()
+        try:
+            await asyncio.sleep(SETTLE_SECONDS)
+            troubles = asyncio.ensure_future(self._make_troubles())
+            # The other faults go on until the last trouble is over.
+            while not troubles.done():
+                await super().run(seconds / self._count, planned=True)
+            await troubles
+        finally:
+            breaking.cancel()
         for engine in self._versions.list_all():
             engine.script.steps.clear()
 
@@ -74,7 +94,7 @@
             await asyncio.sleep(BREAK_SECONDS)
 
     async def _make_troubles(self):
-        for _ in range(TROUBLES):
+        for _ in range(self._count):
             await self._miss_changes()
             await asyncio.sleep(self._troubles.uniform(MIN_CALM_SECONDS, MAX_CALM_SECONDS))
 
@@ -82,23 +102,25 @@
         """Let some hosts, but not all, miss changes of versions."""
         hosts = sorted(self._site.hosts)
         names = self._troubles.sample(hosts, self._troubles.randint(1, len(hosts) - 1))
-        form = self._troubles.choice(list(FORMS))
-        self.log.append(f"{form} {'+'.join(sorted(names))}")
+        trouble = self._troubles.choice(KINDS_OF_TROUBLE)
+        self.log.append(f"{trouble.name} {'+'.join(sorted(names))}")
         await self._reserve(names)
-        is_cut, is_stopped = FORMS[form]
-        with self._cut_off(names if is_cut else ()), self._stopped(names if is_stopped else ()):
-            await asyncio.sleep(self._troubles.uniform(MIN_LEAD_SECONDS, MAX_LEAD_SECONDS))
-            for _ in range(self._troubles.randint(1, MAX_CHANGES)):
-                self._change_versions()
-                seconds = self._troubles.uniform(MIN_CHANGE_SECONDS, MAX_CHANGE_SECONDS)
-                await asyncio.sleep(seconds)
+        # A host that starts while it is cut off would refuse all callers.
+        await wait_for_hosts(self._site)
+        with ExitStack() as stack:
+            if trouble.is_cut:
+                stack.enter_context(self._cut_off(names))
+            if trouble.is_stopped:
+                stack.enter_context(self._stopped(names))
+            await self._change_some_versions()
         self._busy_hosts.difference_update(names)
 
-    async def _reserve(self, names):
-        """Wait until no other fault of some hosts is in progress, and let none begin."""
-        while self._busy_hosts & set(names):
-            await asyncio.sleep(0.02)
-        self._busy_hosts.update(names)
+    async def _change_some_versions(self):
+        await asyncio.sleep(self._troubles.uniform(MIN_LEAD_SECONDS, MAX_LEAD_SECONDS))
+        for _ in range(self._troubles.randint(1, MAX_CHANGES)):
+            self._change_versions()
+            seconds = self._troubles.uniform(MIN_CHANGE_SECONDS, MAX_CHANGE_SECONDS)
+            await asyncio.sleep(seconds)
 
     def _change_versions(self):
         """Let a version leave, or one come, which may have served before."""
@@ -107,16 +129,20 @@
         leaves = not absent or (len(serving) > 1 and self._troubles.random() < LEAVE_SHARE)
         build = self._troubles.choice(serving if leaves else absent)
         self.log.append(f"{build} {'leaves' if leaves else 'comes'}")
-        (self._versions.leave if leaves else self._versions.come)(build)
+        if leaves:
+            self._versions.leave(build)
+        else:
+            self._versions.come(build)
 
     @contextmanager
     def _cut_off(self, names):
+        """Cut hosts off from the store and from all hosts but each other."""
         hosts = self._site.hosts
-        others = [name for name in hosts if name not in names] if names else []
-        for group, cut in ((names, others), (others, names)):
-            ips = [hosts[name].settings["ip"] for name in cut]
-            for name in group:
-                hosts[name].unreachable_file.write_text(json.dumps(ips))
+        others = set(hosts) - set(names)
+        for name, host in hosts.items():
+            unreachable = others if name in names else names
+            ips = [hosts[other].settings["ip"] for other in unreachable]
+            host.unreachable_file.write_text(json.dumps(ips))
         for name in names:
             self._stores[name].set_mode(ProxyMode.SILENT)
         try:
@@ -129,6 +155,7 @@
 
     @contextmanager
     def _stopped(self, names):
+        """Let the processes of hosts stand still."""
         for name in names:
             self._site.hosts[name].send(signal.SIGSTOP)
         try:
@@ -139,7 +166,10 @@
 
 
 class PatientCallers(CallerSet):
-    """Callers of streams, most of them, who try to take up broken ones beyond a trouble."""
+    """Callers of streams, most of them, who try to take up broken ones beyond a trouble.
+
+    Many lose their connections while a stream begins.
+    """
 
     patience_seconds = 12.0
     max_taken_up = 120
@@ -147,34 +177,36 @@
     def _draw_kind(self):
         return self._rng.choice(KINDS)
 
-
-async def add_stores(site, hosts):
-    """Put a proxy between each host and the store; return these by host."""
-    stores = {}
-    for name in [f"g{number}" for number in range(hosts)]:
-        proxy = site.proxies[f"store of {name}"] = Proxy(split_address(site.store_address))
-        stores[name] = proxy
-        site.store_addresses[name] = await proxy.open()
-    return stores
+    async def _request(self, caller, host, key, kind, stream="", after=0):
+        is_lost = kind == RESUMABLE_KIND and not stream and self._rng.random() < LOST_SHARE
+        if not is_lost:
+            return await super()._request(caller, host, key, kind, stream, after)
+        seconds = self._rng.uniform(MIN_LOST_SECONDS, MAX_LOST_SECONDS)
+        loss = asyncio.get_running_loop().call_later(seconds, caller.reset)
+        try:
+            return await super()._request(caller, host, key, kind, stream, after)
+        finally:
+            loss.cancel()
 
 
-async def run_missed_round(seed, folder, hosts=4, seconds=6.0, callers=CALLERS):
-    """Run one round."""
+async def run_missed_round(seed, folder, hosts=4, seconds=6.0, callers=CALLERS, troubles=TROUBLES):
+    """Run one round. The last item of its faults is the number of streams taken up."""
     rng = random.Random(seed)
     site = ProcessSite(folder)
     versions = Versions(site, first=VERSIONS[:1])
     stores = {}
 
     async def add_upstreams():
-        site.bounds["revokeMs"] = KEY_BOUND_MS
-        stores.update(await add_stores(site, hosts))
+        # Hosts that can't confirm keys would refuse all requests.
+        site.bounds["strictRevoke"] = False
+        stores.update(await site.add_store_proxies([f"g{number}" for number in range(hosts)]))
         await versions.add_engines()
 
     await site.build(hosts, add_upstreams=add_upstreams)
     try:
         await wait_for_hosts(site)
         caller_set = PatientCallers(site, rng, callers)
-        faults = MissedFaults(site, random.Random(f"faults of {seed}"), versions, stores)
+        faults = MissedFaults(site, random.Random(f"faults of {seed}"), versions, stores, troubles)
         caller_set.start()
         await faults.run(seconds)
         await caller_set.finish()
--- a/tests/soak/out_of_step.py
+++ b/tests/soak/out_of_step.py
@@ -19,8 +19,8 @@
 )
 from tests.soak.gateway import DATAGRAMS_TO
 from tests.soak.lost_hosts import LISTED_SECONDS, POLL_SECONDS, ProcessPlay, add_engines, read_state
-from tests.soak.processes import KEY, ProcessSite, split_address
-from tests.soak.proxy import Proxy, ProxyMode
+from tests.soak.processes import KEY, ProcessSite
+from tests.soak.proxy import ProxyMode
 
 SEEN = 2
 
@@ -37,13 +37,6 @@
     def list_up(self):
         return [name for name in super().list_up() if name not in self._out]
 
-    async def add_stores(self, names):
-        """Put a proxy between each host and the store."""
-        target = split_address(self.site.store_address)
-        for name in names:
-            proxy = self.stores[name] = self.site.proxies[f"store of {name}"] = Proxy(target)
-            self.site.store_addresses[name] = await proxy.open()
-
     def put_out(self, *names):
         """Do not wait for some hosts any more, nor begin streams through them."""
         self._out.update(names)
@@ -169,7 +162,7 @@
     async def add_upstreams():
         # Hosts that can't confirm keys would refuse all requests.
         site.workspaces = None
-        await play.add_stores([f"g{number}" for number in range(hosts)])
+        play.stores = await site.add_store_proxies([f"g{number}" for number in range(hosts)])
         await add_engines(play, (OLD,))
 
     await site.build(hosts, add_upstreams=add_upstreams)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -195,6 +195,15 @@
             )
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
+    async def add_store_proxies(self, names):
+        """Put a proxy between the store and each named host; return the proxies by name."""
+        proxies = {}
+        for name in names:
+            proxy = proxies[name] = Proxy(split_address(self.store_address))
+            self.proxies[f"store of {name}"] = proxy
+            self.store_addresses[name] = await proxy.open()
+        return proxies
+
     @property
     def revocable_key(self):
         """The key that is revoked next."""
